Lay the modules, the shared types and the checks

Cause: a new project; work on separate parts needs contracts that stand first. Change: one Maven build of four modules with dependencies pointing at the core, the types that every part shares, the wire contracts in docs/ARCHITECTURE.md, formatter, linter and an ArchUnit test, all run by bin/test. Ruled out: the Micronaut platform parent; the core BOM alone resolves all that is used. Conclusion: parts can be built side by side against these contracts.

--- /dev/null
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/package-info.java
@@ -0,0 +1,5 @@
+/** The program: command line, settings and wiring. */
+@NullMarked
+package io.hawthornlb.app;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/catalogue/ServiceEntry.java
@@ -0,0 +1,127 @@
+package io.hawthornlb.core.catalogue;
+
+import io.hawthornlb.core.model.RequestClass;
+import io.hawthornlb.core.model.ServiceName;
+import io.hawthornlb.core.util.Checks;
+import java.time.Duration;
+
+/**
+ * One service of the catalogue.
+ *
+ * @param name the name that callers use
+ * @param owner who answers for the entry
+ * @param kind what kind of endpoint serves it
+ * @param requestClass the class of its online requests
+ * @param limits limits of all its requests together
+ * @param deadline the time by which an online request must have its answer
+ * @param firstToken the time by which a streamed answer must have begun
+ * @param repeatability which of its calls may be executed again
+ * @param batchWeight weight of batch throughput against online tail latency, 0 to 1
+ * @param resultRetention how long results stay readable
+ */
+public record ServiceEntry(
+    ServiceName name,
+    String owner,
+    ServiceKind kind,
+    RequestClass requestClass,
+    Limits limits,
+    Duration deadline,
+    Duration firstToken,
+    Repeatability repeatability,
+    double batchWeight,
+    Duration resultRetention) {
+
+  /** Checks owner, times and weight. */
+  public ServiceEntry {
+    Checks.hasText(owner, "owner");
+    Checks.isTrue(!deadline.isNegative() && !deadline.isZero(), "deadline must be positive");
+    Checks.isTrue(firstToken.compareTo(deadline) <= 0, "first token must be due by the deadline");
+    Checks.isTrue(batchWeight >= 0 && batchWeight <= 1, "batch weight must be from 0 to 1");
+    Checks.isTrue(!resultRetention.isNegative(), "result retention must not be negative");
+  }
+
+  /** Starts an entry with the defaults for its kind. */
+  public static Builder builder(ServiceName name, String owner, ServiceKind kind) {
+    return new Builder(name, owner, kind);
+  }
+
+  /** Collects the values of a {@link ServiceEntry}. */
+  public static final class Builder {
+
+    private final ServiceName name;
+    private final String owner;
+    private final ServiceKind kind;
+    private RequestClass requestClass = RequestClass.INTERACTIVE;
+    private Limits limits = Limits.DEFAULT;
+    private Duration deadline = Duration.ofSeconds(60);
+    private Duration firstToken = Duration.ofMillis(1_600);
+    private Repeatability repeatability;
+    private double batchWeight = 0.5;
+    private Duration resultRetention = Duration.ofHours(24);
+
+    private Builder(ServiceName name, String owner, ServiceKind kind) {
+      this.name = name;
+      this.owner = owner;
+      this.kind = kind;
+      this.repeatability =
+          kind == ServiceKind.ENGINE ? Repeatability.IDEMPOTENT : Repeatability.SAFE_METHODS;
+    }
+
+    /** Sets the class of online requests; interactive by default. */
+    public Builder requestClass(RequestClass value) {
+      this.requestClass = value;
+      return this;
+    }
+
+    /** Sets the limits; {@link Limits#DEFAULT} by default. */
+    public Builder limits(Limits value) {
+      this.limits = value;
+      return this;
+    }
+
+    /** Sets the deadline; 60 seconds by default. */
+    public Builder deadline(Duration value) {
+      this.deadline = value;
+      return this;
+    }
+
+    /** Sets the time to the first token; 1.6 seconds by default. */
+    public Builder firstToken(Duration value) {
+      this.firstToken = value;
+      return this;
+    }
+
+    /** Sets which calls may be repeated; by default all of an engine, safe methods of others. */
+    public Builder repeatability(Repeatability value) {
+      this.repeatability = value;
+      return this;
+    }
+
+    /** Sets the weight of batch throughput, 0 to 1; 0.5 by default. */
+    public Builder batchWeight(double value) {
+      this.batchWeight = value;
+      return this;
+    }
+
+    /** Sets how long results stay readable; 24 hours by default. */
+    public Builder resultRetention(Duration value) {
+      this.resultRetention = value;
+      return this;
+    }
+
+    /** Returns the entry. */
+    public ServiceEntry build() {
+      return new ServiceEntry(
+          name,
+          owner,
+          kind,
+          requestClass,
+          limits,
+          deadline,
+          firstToken,
+          repeatability,
+          batchWeight,
+          resultRetention);
+    }
+  }
+}
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/model/Refusal.java
@@ -0,0 +1,47 @@
+package io.hawthornlb.core.model;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The final answer to a request that was not served.
+ *
+ * @param reason why it was refused
+ * @param run whether an endpoint may have executed it
+ * @param retryAfter when to come back, if coming back can help
+ * @param detail one sentence for the caller
+ * @param findings faults of the input with their places; empty for other reasons
+ */
+public record Refusal(
+    RefusalReason reason,
+    RunStatus run,
+    Optional<Duration> retryAfter,
+    String detail,
+    List<Finding> findings) {
+
+  /** Copies the findings. */
+  public Refusal {
+    findings = List.copyOf(findings);
+  }
+
+  /** Returns a refusal of a request that no endpoint has seen. */
+  public static Refusal notRun(RefusalReason reason, String detail) {
+    return new Refusal(reason, RunStatus.NOT_RUN, Optional.empty(), detail, List.of());
+  }
+
+  /** Returns a refusal of a request that an endpoint may have executed. */
+  public static Refusal mayHaveRun(RefusalReason reason, String detail) {
+    return new Refusal(reason, RunStatus.MAY_HAVE_RUN, Optional.empty(), detail, List.of());
+  }
+
+  /** Returns this refusal with the time after which the caller may come back. */
+  public Refusal retryAfter(Duration delay) {
+    return new Refusal(reason, run, Optional.of(delay), detail, findings);
+  }
+
+  /** Returns this refusal with the findings of a check. */
+  public Refusal withFindings(List<Finding> found) {
+    return new Refusal(reason, run, retryAfter, detail, found);
+  }
+}
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/model/RequestId.java
@@ -0,0 +1,22 @@
+package io.hawthornlb.core.model;
+
+import io.hawthornlb.core.util.Checks;
+
+/** Names one request of a caller across instances and endpoints. */
+public record RequestId(String value) implements Comparable<RequestId> {
+
+  /** Checks that the name is not blank. */
+  public RequestId {
+    Checks.hasText(value, "request id");
+  }
+
+  @Override
+  public int compareTo(RequestId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/model/ServiceName.java
@@ -0,0 +1,22 @@
+package io.hawthornlb.core.model;
+
+import io.hawthornlb.core.util.Checks;
+
+/** Names one service of the catalogue; callers give it as the model name or in the path. */
+public record ServiceName(String value) implements Comparable<ServiceName> {
+
+  /** Checks that the name is not blank. */
+  public ServiceName {
+    Checks.hasText(value, "service name");
+  }
+
+  @Override
+  public int compareTo(ServiceName other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/peer/PeerMessage.java
@@ -0,0 +1,8 @@
+package io.hawthornlb.core.peer;
+
+/**
+ * Marks an immutable message between entry instances.
+ *
+ * <p>Implementations are records. The codec writes the registered type name before the content.
+ */
+public interface PeerMessage {}
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/peer/package-info.java
@@ -0,0 +1,5 @@
+/** Contract of the messages between entry instances. */
+@NullMarked
+package io.hawthornlb.core.peer;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/codec/package-info.java
@@ -0,0 +1,5 @@
+/** MessagePack encoding of log records and peer messages. */
+@NullMarked
+package io.hawthornlb.net.codec;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/platform/LogPage.java
@@ -0,0 +1,18 @@
+package io.hawthornlb.net.platform;
+
+import java.util.List;
+
+/**
+ * Records read from one stream.
+ *
+ * @param records the records in the order of their offsets
+ * @param nextOffset where to read on
+ * @param firstOffset the first offset that the platform still retains
+ */
+public record LogPage(List<StoredRecord> records, long nextOffset, long firstOffset) {
+
+  /** Copies the records. */
+  public LogPage {
+    records = List.copyOf(records);
+  }
+}
