Give the policy packages their contracts and naive implementations

Routing, admission, batch placement, retries, crash suspects and the table of endpoints each get an interface, typed events and effects, and the simplest working implementation. The naive ones stay: they are the reference of the differential tests and the baseline of the measurements.

--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/admission/ShareKey.java
@@ -0,0 +1,18 @@
+package io.hawthornlb.core.admission;
+
+/**
+ * Names one limit of the fleet that entries share.
+ *
+ * @param kind what is limited
+ * @param name the service or workspace
+ */
+public record ShareKey(Kind kind, String name) {
+
+  /** What is limited. */
+  public enum Kind {
+    /** Requests of a service in progress. */
+    SERVICE,
+    /** Requests of a workspace in progress or a second. */
+    WORKSPACE
+  }
+}
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/batch/support/EagerSteward.java
@@ -0,0 +1,92 @@
+package io.hawthornlb.core.batch.support;
+
+import io.hawthornlb.core.batch.BatchItem;
+import io.hawthornlb.core.batch.BatchOutcome;
+import io.hawthornlb.core.batch.ItemRef;
+import io.hawthornlb.core.batch.PullItems;
+import io.hawthornlb.core.batch.ReturnItems;
+import io.hawthornlb.core.batch.StartItem;
+import io.hawthornlb.core.batch.Steward;
+import io.hawthornlb.core.effect.Effect;
+import io.hawthornlb.core.endpoint.LoadReport;
+import io.hawthornlb.core.model.EndpointId;
+import io.hawthornlb.core.model.InstanceId;
+import io.hawthornlb.core.model.ServiceName;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Naive steward that keeps every slot of its endpoint filled in order of arrival, never preempts.
+ *
+ * <p>The reference of differential tests and the baseline of measurements.
+ */
+public final class EagerSteward implements Steward {
+
+  private final EndpointId endpoint;
+  private final ServiceName service;
+  private final int slots;
+  private final Deque<BatchItem> queue = new ArrayDeque<>();
+  private final Set<ItemRef> running = new HashSet<>();
+
+  /** Creates a steward of an endpoint with a number of slots. */
+  public EagerSteward(EndpointId endpoint, ServiceName service, int slots) {
+    this.endpoint = endpoint;
+    this.service = service;
+    this.slots = slots;
+  }
+
+  @Override
+  public List<Effect> onItems(List<BatchItem> items, Instant now) {
+    queue.addAll(items);
+    return fill();
+  }
+
+  @Override
+  public List<Effect> onOnline(InstanceId entry, int inFlight, Instant now) {
+    return List.of();
+  }
+
+  @Override
+  public void onProgress(ItemRef item, int generated) {}
+
+  @Override
+  public List<Effect> onEnded(ItemRef item, BatchOutcome outcome, int generated, Instant now) {
+    running.remove(item);
+    return fill();
+  }
+
+  @Override
+  public List<Effect> onLoad(LoadReport report, Instant now) {
+    return List.of();
+  }
+
+  @Override
+  public List<Effect> onTick(Instant now) {
+    return fill();
+  }
+
+  @Override
+  public List<Effect> onStop(Instant now) {
+    List<BatchItem> left = List.copyOf(queue);
+    queue.clear();
+    return List.of(new ReturnItems(endpoint, left));
+  }
+
+  private List<Effect> fill() {
+    List<Effect> effects = new ArrayList<>();
+    while (running.size() < slots && !queue.isEmpty()) {
+      BatchItem item = queue.poll();
+      running.add(item.ref());
+      effects.add(new StartItem(endpoint, item));
+    }
+    if (queue.isEmpty()) {
+      effects.add(new PullItems(endpoint, service, slots));
+    }
+    return effects;
+  }
+}
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/effect/SpreadPeerMessage.java
@@ -0,0 +1,11 @@
+package io.hawthornlb.core.effect;
+
+import io.hawthornlb.core.peer.PeerMessage;
+
+/**
+ * Asks for a message to be sent once to every other entry instance.
+ *
+ * @param message the message
+ * @param scope how far it goes
+ */
+public record SpreadPeerMessage(PeerMessage message, SpreadScope scope) implements Effect {}
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/endpoint/support/package-info.java
@@ -0,0 +1,5 @@
+/** Implementations of the table of endpoints. */
+@NullMarked
+package io.hawthornlb.core.endpoint.support;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/retry/support/package-info.java
@@ -0,0 +1,5 @@
+/** Retry policies. */
+@NullMarked
+package io.hawthornlb.core.retry.support;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/suspect/Fingerprint.java
@@ -0,0 +1,20 @@
+package io.hawthornlb.core.suspect;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.hawthornlb.core.util.Checks;
+
+/**
+ * Identifies a request by its content, so that a resend through another entry has the same one.
+ *
+ * @param value hash of service and body
+ */
+public record Fingerprint(long value) {
+
+  /** Returns the fingerprint of a body sent to a service. */
+  public static Fingerprint of(String service, byte[] body) {
+    Checks.hasText(service, "service");
+    long hash =
+        Hashing.komihash5_0().hashStream().putString(service).putByteArray(body).getAsLong();
+    return new Fingerprint(hash);
+  }
+}
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/suspect/QuarantineNotice.java
@@ -0,0 +1,13 @@
+package io.hawthornlb.core.suspect;
+
+import io.hawthornlb.core.model.EndpointId;
+import io.hawthornlb.core.peer.PeerMessage;
+import java.time.Instant;
+
+/**
+ * Tells peers to send nothing to an endpoint, which runs a suspect alone.
+ *
+ * @param endpoint the endpoint
+ * @param until when the quarantine ends at the latest; a time in the past ends it now
+ */
+public record QuarantineNotice(EndpointId endpoint, Instant until) implements PeerMessage {}
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/suspect/support/package-info.java
@@ -0,0 +1,5 @@
+/** Tables of suspect requests. */
+@NullMarked
+package io.hawthornlb.core.suspect.support;
+
+import org.jspecify.annotations.NullMarked;
