Implement the policy: routing, admission, batch placement, retries, suspects, endpoints

Each decider is confined to one thread, takes the time with each event and returns effects. Load reports now carry the batch items among an endpoint's requests, because a router that counts them as load sees every engine as full.

--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/admission/ShareExchange.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/admission/ShareExchange.java
@@ -3,10 +3,9 @@
 import io.hawthornlb.core.model.DataCentre;
 import io.hawthornlb.core.model.InstanceId;
 import java.time.Instant;
-import java.util.List;
 import java.util.Map;
 
-/** Divides limits of the fleet between entries by demand. */
+/** Divides limits of the fleet between entries by demand; confined to one thread. */
 public interface ShareExchange {
 
   /** Takes the entries of the fleet with their data centres, this one included. */
@@ -15,9 +14,12 @@
   /** Takes the demand of a peer. */
   void onDigest(DemandDigest digest, Instant now);
 
-  /** Sets the demand of this entry and returns what its peers must hear. */
-  DemandDigest publish(List<Demand> demands, Instant now);
+  /** Sets the demand of this entry for a limit; zero forgets it. */
+  void demand(ShareKey key, double amount);
 
-  /** Returns this entry's share of a limit, at least its floor. */
+  /** Returns the demand of this entry, which its peers must hear at least once a second. */
+  DemandDigest digest(Instant now);
+
+  /** Returns this entry's share of a limit, never less than its floor. */
   double share(ShareKey key, double limit, Instant now);
 }
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/admission/ShareKey.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/admission/ShareKey.java
@@ -12,7 +12,11 @@
   public enum Kind {
     /** Requests of a service in progress. */
     SERVICE,
-    /** Requests of a workspace in progress or a second. */
-    WORKSPACE
+    /** Requests of a service a second. */
+    SERVICE_RATE,
+    /** Requests of a workspace in progress. */
+    WORKSPACE,
+    /** Requests of a workspace a second. */
+    WORKSPACE_RATE
   }
 }
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/admission/support/FairAdmissionController.java
@@ -0,0 +1,270 @@
+package io.hawthornlb.core.admission.support;
+
+import io.hawthornlb.core.admission.AdmissionController;
+import io.hawthornlb.core.admission.AdmissionDecision;
+import io.hawthornlb.core.admission.AdmissionRequest;
+import io.hawthornlb.core.admission.AdmissionSettings;
+import io.hawthornlb.core.admission.RefuseRequest;
+import io.hawthornlb.core.admission.ShareExchange;
+import io.hawthornlb.core.admission.ShareKey;
+import io.hawthornlb.core.admission.StartRequest;
+import io.hawthornlb.core.catalogue.Catalogue;
+import io.hawthornlb.core.catalogue.Limits;
+import io.hawthornlb.core.catalogue.ServiceEntry;
+import io.hawthornlb.core.catalogue.WorkspaceEntry;
+import io.hawthornlb.core.effect.Effect;
+import io.hawthornlb.core.model.Refusal;
+import io.hawthornlb.core.model.RefusalReason;
+import io.hawthornlb.core.model.RequestId;
+import io.hawthornlb.core.model.ServiceName;
+import io.hawthornlb.core.model.WorkspaceId;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Controller with a fair queue for each service and class, inside shares of the fleet's limits.
+ *
+ * <p>A request that would miss its deadline is refused when that is known, with the time after
+ * which it would probably be taken.
+ */
+public final class FairAdmissionController implements AdmissionController {
+
+  private static final double IDLE_RATE = 0.01;
+
+  private final ShareExchange shares;
+  private final AdmissionSettings settings;
+  private final Map<ServiceName, ServicePool> pools = new HashMap<>();
+  private final Map<WorkspaceId, WorkspaceUse> uses = new HashMap<>();
+  private final Map<RequestId, Ticket> tickets = new HashMap<>();
+  private Catalogue catalogue = Catalogue.EMPTY;
+  private long nextNumber;
+
+  /** Creates a controller. */
+  public FairAdmissionController(ShareExchange shares, AdmissionSettings settings) {
+    this.shares = shares;
+    this.settings = settings;
+  }
+
+  @Override
+  public void onCatalogue(Catalogue revision) {
+    catalogue = revision;
+  }
+
+  @Override
+  public void onCapacity(ServiceName service, int slots, Instant now) {
+    pool(service).slots(slots);
+  }
+
+  @Override
+  public AdmissionDecision offer(AdmissionRequest request, Instant now) {
+    ServicePool pool = pool(request.service());
+    WorkspaceUse use = uses.computeIfAbsent(request.workspace(), key -> new WorkspaceUse(now));
+    Refusal refusal = refusal(request, pool, use, now);
+    if (refusal != null) {
+      return new AdmissionDecision.Refused(refusal);
+    }
+    Ticket ticket = new Ticket(request, nextNumber++);
+    tickets.put(request.id(), ticket);
+    pool.add(ticket, weight(request.workspace()));
+    use.addWaiting(1);
+    declare(request.service(), pool, request.workspace(), use);
+    startWaiting(request.service(), pool, now, new ArrayList<>(), ticket);
+    return ticket.running() ? new AdmissionDecision.Admitted() : new AdmissionDecision.Queued();
+  }
+
+  @Override
+  public List<Effect> onFinished(RequestId id, Instant now) {
+    Ticket ticket = tickets.remove(id);
+    if (ticket == null) {
+      return List.of();
+    }
+    AdmissionRequest request = ticket.request();
+    ServicePool pool = pool(request.service());
+    WorkspaceUse use = uses.computeIfAbsent(request.workspace(), key -> new WorkspaceUse(now));
+    if (ticket.running()) {
+      pool.ended(ticket, now);
+      use.addRunning(-1);
+      pools.values().forEach(each -> each.release(request.workspace()));
+    } else {
+      pool.remove(ticket);
+      use.addWaiting(-1);
+    }
+    declare(request.service(), pool, request.workspace(), use);
+    List<Effect> effects = new ArrayList<>();
+    startWaiting(request.service(), pool, now, effects, null);
+    return effects;
+  }
+
+  @Override
+  public List<Effect> onTick(Instant now) {
+    List<Effect> effects = new ArrayList<>();
+    pools.forEach(
+        (service, pool) -> {
+          refuseHopeless(pool, now, effects);
+          // Shares of workspace limits may have grown by what peers told.
+          pool.releaseAll();
+          startWaiting(service, pool, now, effects, null);
+        });
+    forgetIdle(now);
+    return effects;
+  }
+
+  @Override
+  public int waiting() {
+    return pools.values().stream().mapToInt(ServicePool::waiting).sum();
+  }
+
+  private @Nullable Refusal refusal(
+      AdmissionRequest request, ServicePool pool, WorkspaceUse use, Instant now) {
+    if (pool.waiting() >= settings.waitingPerService()
+        || pool.waiting(request.workspace()) >= settings.waitingPerWorkspace()) {
+      Duration estimate = estimate(request, pool, now);
+      return limit("too many requests wait", estimate);
+    }
+    Duration estimate = estimate(request, pool, now);
+    Duration late = Duration.between(request.deadline(), now.plus(estimate));
+    // The final answer is given now: a caller that is held back until its deadline has lost the
+    // time in which it could have come back or gone elsewhere.
+    if (!late.isNegative()) {
+      return Refusal.notRun(
+              RefusalReason.DEADLINE_UNREACHABLE, "the request would miss its deadline")
+          .retryAfter(bounded(late));
+    }
+    double rate = workspaceRate(request.workspace(), use, now);
+    if (!use.rate().take(now, rate)) {
+      return limit("the workspace is over its rate", use.rate().wait(rate));
+    }
+    return null;
+  }
+
+  private double workspaceRate(WorkspaceId workspace, WorkspaceUse use, Instant now) {
+    ShareKey key = new ShareKey(ShareKey.Kind.WORKSPACE_RATE, workspace.value());
+    double limit = limits(workspace).requestsPerSecond();
+    shares.demand(key, use.rate().arrived(now, shares.share(key, limit, now)));
+    return shares.share(key, limit, now);
+  }
+
+  private void startWaiting(
+      ServiceName service,
+      ServicePool pool,
+      Instant now,
+      List<Effect> effects,
+      @Nullable Ticket offered) {
+    double capacity = capacity(service, pool, now);
+    while (pool.running() + 1 <= capacity) {
+      FairQueue queue = pool.next();
+      if (queue == null) {
+        return;
+      }
+      WorkspaceId workspace = queue.next();
+      // A workspace at its own limit is passed over, or all others would wait behind it.
+      if (workspace != null && atLimit(workspace, now)) {
+        queue.park(workspace);
+        continue;
+      }
+      Ticket ticket = pool.poll(queue);
+      if (ticket != null) {
+        start(ticket, pool, now);
+        if (ticket != offered) {
+          effects.add(new StartRequest(ticket.request().id()));
+        }
+      }
+    }
+  }
+
+  private void start(Ticket ticket, ServicePool pool, Instant now) {
+    pool.started(ticket, now);
+    WorkspaceUse use =
+        uses.computeIfAbsent(ticket.request().workspace(), key -> new WorkspaceUse(now));
+    use.addWaiting(-1);
+    use.addRunning(1);
+  }
+
+  private void refuseHopeless(ServicePool pool, Instant now, List<Effect> effects) {
+    Ticket ticket = pool.hopeless(now);
+    while (ticket != null) {
+      AdmissionRequest request = ticket.request();
+      pool.remove(ticket);
+      tickets.remove(request.id());
+      Optional.ofNullable(uses.get(request.workspace())).ifPresent(use -> use.addWaiting(-1));
+      Duration estimate = estimate(request, pool, now);
+      Refusal refusal =
+          Refusal.notRun(
+                  RefusalReason.DEADLINE_UNREACHABLE, "the request can no longer meet its deadline")
+              .retryAfter(bounded(estimate));
+      effects.add(new RefuseRequest(request.id(), refusal));
+      ticket = pool.hopeless(now);
+    }
+  }
+
+  private double capacity(ServiceName service, ServicePool pool, Instant now) {
+    int limit =
+        catalogue.service(service).map(ServiceEntry::limits).orElse(Limits.DEFAULT).concurrent();
+    double slots = pool.slots() == 0 ? limit : pool.slots() * settings.capacityFactor();
+    ShareKey key = new ShareKey(ShareKey.Kind.SERVICE, service.value());
+    return Math.max(1, shares.share(key, Math.min(limit, slots), now));
+  }
+
+  private boolean atLimit(WorkspaceId workspace, Instant now) {
+    WorkspaceUse use = uses.get(workspace);
+    ShareKey key = new ShareKey(ShareKey.Kind.WORKSPACE, workspace.value());
+    double share = shares.share(key, limits(workspace).concurrent(), now);
+    return use != null && use.running() + 1 > Math.max(1, share);
+  }
+
+  private void declare(
+      ServiceName service, ServicePool pool, WorkspaceId workspace, WorkspaceUse use) {
+    shares.demand(
+        new ShareKey(ShareKey.Kind.SERVICE, service.value()), pool.running() + pool.waiting());
+    shares.demand(new ShareKey(ShareKey.Kind.WORKSPACE, workspace.value()), use.total());
+  }
+
+  private void forgetIdle(Instant now) {
+    uses.entrySet()
+        .removeIf(
+            entry -> {
+              boolean idle =
+                  entry.getValue().total() == 0
+                      && entry.getValue().rate().arrivals(now, 1) < IDLE_RATE;
+              if (idle) {
+                String name = entry.getKey().value();
+                shares.demand(new ShareKey(ShareKey.Kind.WORKSPACE_RATE, name), 0);
+                shares.demand(new ShareKey(ShareKey.Kind.WORKSPACE, name), 0);
+              }
+              return idle;
+            });
+  }
+
+  private Duration estimate(AdmissionRequest request, ServicePool pool, Instant now) {
+    return pool.estimate(
+        request.requestClass(), request.workspace(), weight(request.workspace()), now);
+  }
+
+  private Refusal limit(String detail, Duration wait) {
+    return Refusal.notRun(RefusalReason.LIMIT_EXCEEDED, detail).retryAfter(bounded(wait));
+  }
+
+  private Duration bounded(Duration wait) {
+    Duration least = settings.leastRetryAfter();
+    Duration most = settings.mostRetryAfter();
+    return wait.compareTo(least) < 0 ? least : wait.compareTo(most) > 0 ? most : wait;
+  }
+
+  private Limits limits(WorkspaceId workspace) {
+    return catalogue.workspace(workspace).map(WorkspaceEntry::limits).orElse(Limits.DEFAULT);
+  }
+
+  private double weight(WorkspaceId workspace) {
+    return catalogue.workspace(workspace).map(WorkspaceEntry::weight).orElse(1.0);
+  }
+
+  private ServicePool pool(ServiceName service) {
+    return pools.computeIfAbsent(service, key -> new ServicePool(settings.bulkEvery()));
+  }
+}
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/admission/support/ServicePool.java
@@ -0,0 +1,151 @@
+package io.hawthornlb.core.admission.support;
+
+import io.hawthornlb.core.model.RequestClass;
+import io.hawthornlb.core.model.WorkspaceId;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.TreeSet;
+import org.jspecify.annotations.Nullable;
+
+/** Requests of one service at this entry: what runs, what waits, and how fast it ends. */
+final class ServicePool {
+
+  private static final double SMOOTHING = 0.05;
+  private static final double WINDOW_MILLIS = 2_000;
+
+  private final Map<RequestClass, FairQueue> queues = new EnumMap<>(RequestClass.class);
+  private final TreeSet<Ticket> byDeadline =
+      new TreeSet<>(
+          Comparator.comparing((Ticket ticket) -> ticket.request().deadline())
+              .thenComparingLong(Ticket::number));
+  private final int bulkEvery;
+  private int slots;
+  private int running;
+  private int starts;
+  private double serviceMillis;
+  private double endsInWindow;
+  private Instant endsAt = Instant.MIN;
+
+  ServicePool(int bulkEvery) {
+    this.bulkEvery = bulkEvery;
+    for (RequestClass requestClass : RequestClass.values()) {
+      queues.put(requestClass, new FairQueue());
+    }
+  }
+
+  int slots() {
+    return slots;
+  }
+
+  void slots(int count) {
+    slots = count;
+  }
+
+  int running() {
+    return running;
+  }
+
+  int waiting() {
+    return byDeadline.size();
+  }
+
+  int waiting(WorkspaceId workspace) {
+    return queues.values().stream().mapToInt(queue -> queue.size(workspace)).sum();
+  }
+
+  void add(Ticket ticket, double weight) {
+    queues.get(ticket.request().requestClass()).add(ticket, weight);
+    byDeadline.add(ticket);
+  }
+
+  void remove(Ticket ticket) {
+    queues.get(ticket.request().requestClass()).remove(ticket);
+    byDeadline.remove(ticket);
+  }
+
+  void started(Ticket ticket, Instant now) {
+    ticket.start(now);
+    running++;
+  }
+
+  void ended(Ticket ticket, Instant now) {
+    running--;
+    double millis = Duration.between(ticket.startedAt(), now).toMillis();
+    serviceMillis =
+        serviceMillis == 0 ? millis : serviceMillis + SMOOTHING * (millis - serviceMillis);
+    endsInWindow = endsInWindow(now) + 1;
+    endsAt = now;
+  }
+
+  /** Returns the queue whose request is next, or null when none may start. */
+  @Nullable FairQueue next() {
+    FairQueue interactive = queues.get(RequestClass.INTERACTIVE);
+    FairQueue bulk = queues.get(RequestClass.BULK);
+    boolean turnOfBulk = starts % bulkEvery == bulkEvery - 1;
+    // Interactive requests go first; without a turn now and then a steady stream of them would
+    // hold up bulk requests for as long as it lasts.
+    if (interactive.next() != null && !(turnOfBulk && bulk.next() != null)) {
+      return interactive;
+    }
+    return bulk.next() != null ? bulk : nonEmpty(queues.get(RequestClass.BATCH));
+  }
+
+  /** Removes the next request of a queue that {@link #next} returned. */
+  @Nullable Ticket poll(FairQueue queue) {
+    Ticket ticket = queue.poll();
+    if (ticket != null) {
+      byDeadline.remove(ticket);
+      starts++;
+    }
+    return ticket;
+  }
+
+  void release(WorkspaceId workspace) {
+    queues.values().forEach(queue -> queue.release(workspace));
+  }
+
+  void releaseAll() {
+    queues.values().forEach(FairQueue::releaseAll);
+  }
+
+  /** Returns a waiting request that can no longer meet its deadline, or null. */
+  @Nullable Ticket hopeless(Instant now) {
+    if (byDeadline.isEmpty()) {
+      return null;
+    }
+    Ticket first = byDeadline.first();
+    return now.plusMillis((long) serviceMillis).isAfter(first.request().deadline()) ? first : null;
+  }
+
+  /** Returns the time that a new request would probably need, waiting included. */
+  Duration estimate(RequestClass requestClass, WorkspaceId workspace, double weight, Instant now) {
+    double ahead = queues.get(requestClass).ahead(workspace, weight);
+    if (requestClass == RequestClass.BULK) {
+      ahead += queues.get(RequestClass.INTERACTIVE).size();
+    }
+    return Duration.ofMillis((long) (ahead * millisPerEnd(now) + serviceMillis));
+  }
+
+  private double millisPerEnd(Instant now) {
+    double perMilli = Math.max(endsInWindow(now) / WINDOW_MILLIS, running / safeServiceMillis());
+    return perMilli == 0 ? 0 : 1 / perMilli;
+  }
+
+  private double safeServiceMillis() {
+    return serviceMillis == 0 ? Double.MAX_VALUE : serviceMillis;
+  }
+
+  private double endsInWindow(Instant now) {
+    if (endsAt == Instant.MIN) {
+      return 0;
+    }
+    return endsInWindow * Math.exp(-Duration.between(endsAt, now).toMillis() / WINDOW_MILLIS);
+  }
+
+  private static @Nullable FairQueue nonEmpty(FairQueue queue) {
+    return queue.next() == null ? null : queue;
+  }
+}
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/admission/support/WorkspaceUse.java
@@ -0,0 +1,35 @@
+package io.hawthornlb.core.admission.support;
+
+import java.time.Instant;
+
+/** Requests of one workspace at this entry; exists only while there are any, and shortly after. */
+final class WorkspaceUse {
+
+  private final RateMeter rate;
+  private int running;
+  private int waiting;
+
+  WorkspaceUse(Instant now) {
+    this.rate = new RateMeter(now);
+  }
+
+  RateMeter rate() {
+    return rate;
+  }
+
+  int running() {
+    return running;
+  }
+
+  int total() {
+    return running + waiting;
+  }
+
+  void addRunning(int change) {
+    running += change;
+  }
+
+  void addWaiting(int change) {
+    waiting += change;
+  }
+}
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/batch/ItemOrder.java
@@ -0,0 +1,40 @@
+package io.hawthornlb.core.batch;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+
+/**
+ * Orders batch items by due time and age.
+ *
+ * <p>The key of an item is its due time, moved forward by the age of its job. It does not change
+ * with time, so that queues stay sorted, and a job that is accepted later with a nearer due time
+ * passes an older one only by a bounded time.
+ */
+public final class ItemOrder {
+
+  private static final double AGE_WEIGHT = 0.5;
+
+  /** The order in which items are started. */
+  public static final Comparator<BatchItem> COMPARATOR =
+      Comparator.comparingDouble(ItemOrder::key)
+          .thenComparing(item -> item.ref().job())
+          .thenComparingInt(item -> item.ref().index());
+
+  private ItemOrder() {}
+
+  /** Returns the key of an item; smaller ones go first. */
+  public static double key(BatchItem item) {
+    return item.due().toEpochMilli() + AGE_WEIGHT * item.acceptedAt().toEpochMilli();
+  }
+
+  /**
+   * Returns whether an item must start now for its job to be done in time.
+   *
+   * @param perItem the time that each remaining item of the job takes at the present pace
+   */
+  public static boolean urgent(BatchItem item, Duration perItem, Instant now) {
+    Duration left = Duration.between(now, item.due());
+    return left.compareTo(perItem.multipliedBy(Math.max(1, item.remaining()))) <= 0;
+  }
+}
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/batch/Steward.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/batch/Steward.java
@@ -20,8 +20,8 @@
   /** Takes the number of online requests that an entry has in flight at the endpoint. */
   List<Effect> onOnline(InstanceId entry, int inFlight, Instant now);
 
-  /** Takes how many tokens a running item has generated. */
-  void onProgress(ItemRef item, int generated);
+  /** Takes how many tokens a running item has generated; the first call ends its prefill. */
+  List<Effect> onProgress(ItemRef item, int generated, Instant now);
 
   /** Takes the end of an execution. */
   List<Effect> onEnded(ItemRef item, BatchOutcome outcome, int generated, Instant now);
@@ -34,4 +34,7 @@
 
   /** Gives everything back: running items are cancelled, waiting ones are returned. */
   List<Effect> onStop(Instant now);
+
+  /** Returns how many batch items the endpoint executed at a time, to complete a load report. */
+  int batchAt(Instant time);
 }
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/batch/support/EagerSteward.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/batch/support/EagerSteward.java
@@ -18,6 +18,7 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -52,7 +53,9 @@
   }
 
   @Override
-  public void onProgress(ItemRef item, int generated) {}
+  public List<Effect> onProgress(ItemRef item, int generated, Instant now) {
+    return List.of();
+  }
 
   @Override
   public List<Effect> onEnded(ItemRef item, BatchOutcome outcome, int generated, Instant now) {
@@ -82,11 +85,16 @@
     while (running.size() < slots && !queue.isEmpty()) {
       BatchItem item = queue.poll();
       running.add(item.ref());
-      effects.add(new StartItem(endpoint, item));
+      effects.add(new StartItem(endpoint, item, Optional.empty()));
     }
     if (queue.isEmpty()) {
       effects.add(new PullItems(endpoint, service, slots));
     }
     return effects;
   }
+
+  @Override
+  public int batchAt(Instant time) {
+    return running.size();
+  }
 }
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/batch/support/HeadroomSteward.java
@@ -0,0 +1,207 @@
+package io.hawthornlb.core.batch.support;
+
+import io.hawthornlb.core.batch.BatchItem;
+import io.hawthornlb.core.batch.BatchOutcome;
+import io.hawthornlb.core.batch.CancelItem;
+import io.hawthornlb.core.batch.ItemRef;
+import io.hawthornlb.core.batch.PullItems;
+import io.hawthornlb.core.batch.ReturnItems;
+import io.hawthornlb.core.batch.StartItem;
+import io.hawthornlb.core.batch.Steward;
+import io.hawthornlb.core.batch.StewardSettings;
+import io.hawthornlb.core.effect.Effect;
+import io.hawthornlb.core.endpoint.CountHistory;
+import io.hawthornlb.core.endpoint.LoadReport;
+import io.hawthornlb.core.model.EndpointId;
+import io.hawthornlb.core.model.InstanceId;
+import io.hawthornlb.core.model.ServiceName;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Steward that fills what online requests leave, but for a small reserve, and cancels batch items
+ * in the same event that brings an online request.
+ */
+public final class HeadroomSteward implements Steward {
+
+  private static final Duration PULL_TIMEOUT = Duration.ofSeconds(1);
+  private static final Duration PULL_PAUSE = Duration.ofMillis(200);
+  private static final double FULL_CACHE = 0.95;
+  private static final double SMOOTHING = 0.1;
+  private static final double FIRST_ITEM_MILLIS = 1_000;
+
+  private final EndpointId endpoint;
+  private final ServiceName service;
+  private final StewardSettings settings;
+  private final HeadroomEstimator headroom;
+  private final ItemQueue queue = new ItemQueue();
+  private final RunningItems running = new RunningItems();
+  private final OnlineCount online = new OnlineCount();
+  private final CountHistory batchHistory = new CountHistory();
+  private final CountHistory onlineHistory = new CountHistory();
+  private int slots;
+  private boolean cacheFull;
+  private boolean stopped;
+  private Instant nextPull = Instant.MIN;
+  private Instant lastDone = Instant.MIN;
+  private double millisPerDone = FIRST_ITEM_MILLIS;
+
+  /** Creates a steward of an endpoint. */
+  public HeadroomSteward(EndpointId endpoint, ServiceName service, StewardSettings settings) {
+    this.endpoint = endpoint;
+    this.service = service;
+    this.settings = settings;
+    this.headroom = new HeadroomEstimator(settings.preemptTime(), settings.batchWeight());
+    this.slots = settings.slots();
+  }
+
+  @Override
+  public List<Effect> onItems(List<BatchItem> items, Instant now) {
+    if (stopped) {
+      return items.isEmpty() ? List.of() : List.of(new ReturnItems(endpoint, items));
+    }
+    items.forEach(item -> queue.add(item, now));
+    nextPull = items.isEmpty() ? now.plus(PULL_PAUSE) : now;
+    return adjust(now);
+  }
+
+  @Override
+  public List<Effect> onOnline(InstanceId entry, int inFlight, Instant now) {
+    int before = online.told();
+    int arrived = online.set(entry, inFlight);
+    onlineHistory.add(online.told() - before, now);
+    if (arrived > 0) {
+      headroom.arrived(arrived, now);
+    }
+    return adjust(now);
+  }
+
+  @Override
+  public List<Effect> onProgress(ItemRef item, int generated, Instant now) {
+    running.progress(item, generated);
+    return adjust(now);
+  }
+
+  @Override
+  public List<Effect> onEnded(ItemRef ref, BatchOutcome outcome, int generated, Instant now) {
+    BatchItem item = running.remove(ref);
+    if (item == null) {
+      return List.of();
+    }
+    batchHistory.add(-1, now);
+    List<Effect> effects = new ArrayList<>();
+    if (outcome == BatchOutcome.DONE) {
+      countDone(now);
+    } else if (outcome == BatchOutcome.PREEMPTED) {
+      BatchItem kept = item.preempted(Math.max(generated, item.generated()), endpoint);
+      if (stopped) {
+        effects.add(new ReturnItems(endpoint, List.of(kept)));
+      } else {
+        queue.add(kept, now);
+      }
+    }
+    effects.addAll(adjust(now));
+    return effects;
+  }
+
+  @Override
+  public List<Effect> onLoad(LoadReport report, Instant now) {
+    slots = report.slots();
+    cacheFull =
+        report.kvTotalTokens() > 0 && report.kvUsedTokens() > FULL_CACHE * report.kvTotalTokens();
+    // An entry whose notices are lost, or that does not know of this steward, still takes slots;
+    // the report shows its requests. Without this, batch items would fill the slots again.
+    int batch = batchHistory.at(report.asOf());
+    int unexplained = report.withBatch(batch).online() - onlineHistory.at(report.asOf());
+    online.untold(unexplained);
+    return adjust(now);
+  }
+
+  @Override
+  public List<Effect> onTick(Instant now) {
+    List<Effect> effects = new ArrayList<>();
+    List<BatchItem> waited = queue.takePreemptedBefore(now.minus(settings.returnAfter()));
+    if (!waited.isEmpty()) {
+      effects.add(new ReturnItems(endpoint, waited));
+    }
+    effects.addAll(adjust(now));
+    return effects;
+  }
+
+  @Override
+  public List<Effect> onStop(Instant now) {
+    stopped = true;
+    List<Effect> effects = new ArrayList<>();
+    cancel(running.active(), effects);
+    List<BatchItem> left = queue.takeAll();
+    if (!left.isEmpty()) {
+      effects.add(new ReturnItems(endpoint, left));
+    }
+    return effects;
+  }
+
+  @Override
+  public int batchAt(Instant time) {
+    return batchHistory.at(time);
+  }
+
+  private List<Effect> adjust(Instant now) {
+    List<Effect> effects = new ArrayList<>();
+    if (stopped) {
+      return effects;
+    }
+    int room = Math.max(0, slots - online.total() - headroom.reserve(now));
+    // An online request that finds all slots taken waits inside the endpoint for a batch item to
+    // end, which takes seconds. Cancelling in this event frees the slot in milliseconds.
+    cancel(running.active() - room, effects);
+    start(room, effects, now);
+    pull(effects, now);
+    return effects;
+  }
+
+  private void cancel(int count, List<Effect> effects) {
+    for (int i = 0; i < count; i++) {
+      running.cancelCheapest().ifPresent(ref -> effects.add(new CancelItem(endpoint, ref)));
+    }
+  }
+
+  private void start(int room, List<Effect> effects, Instant now) {
+    // Many prompts started at once would stall the tokens of online requests at the endpoint.
+    int prefills = online.total() > 0 ? settings.prefillsBesideOnline() : slots;
+    Duration perItem = Duration.ofMillis((long) millisPerDone);
+    while (!cacheFull && running.size() < room && running.prefilling() < prefills) {
+      BatchItem item = queue.poll(perItem, now);
+      if (item == null) {
+        return;
+      }
+      running.add(item);
+      batchHistory.add(1, now);
+      effects.add(new StartItem(endpoint, item, moveFrom(item)));
+    }
+  }
+
+  private Optional<EndpointId> moveFrom(BatchItem item) {
+    return item.keptAt()
+        .filter(kept -> !kept.equals(endpoint) && settings.movePays(item.contextTokens()));
+  }
+
+  private void pull(List<Effect> effects, Instant now) {
+    int wanted = (int) Math.ceil(slots * settings.ahead()) - queue.size();
+    boolean worthIt = wanted * 2 >= slots * settings.ahead();
+    if (worthIt && !now.isBefore(nextPull)) {
+      nextPull = now.plus(PULL_TIMEOUT);
+      effects.add(new PullItems(endpoint, service, wanted));
+    }
+  }
+
+  private void countDone(Instant now) {
+    if (lastDone != Instant.MIN) {
+      double millis = Duration.between(lastDone, now).toMillis();
+      millisPerDone += SMOOTHING * (millis - millisPerDone);
+    }
+    lastDone = now;
+  }
+}
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/batch/support/OnlineCount.java
@@ -0,0 +1,34 @@
+package io.hawthornlb.core.batch.support;
+
+import io.hawthornlb.core.model.InstanceId;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Online requests at an endpoint, by the entry that sent them, and those nobody has told of. */
+final class OnlineCount {
+
+  private final Map<InstanceId, Integer> entries = new HashMap<>();
+  private int told;
+  private int untold;
+
+  /** Sets the count of an entry and returns how many requests that adds. */
+  int set(InstanceId entry, int count) {
+    Integer before = count == 0 ? entries.remove(entry) : entries.put(entry, count);
+    int change = count - (before == null ? 0 : before);
+    told += change;
+    return Math.max(0, change);
+  }
+
+  /** Sets how many requests a load report shows beyond those told. */
+  void untold(int count) {
+    untold = Math.max(0, count);
+  }
+
+  int told() {
+    return told;
+  }
+
+  int total() {
+    return told + untold;
+  }
+}
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/batch/support/RendezvousElection.java
@@ -0,0 +1,29 @@
+package io.hawthornlb.core.batch.support;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.hawthornlb.core.batch.StewardElection;
+import io.hawthornlb.core.model.EndpointId;
+import io.hawthornlb.core.model.InstanceId;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Optional;
+
+/** Election by rendezvous hash: an entry that leaves or joins moves only its own endpoints. */
+public final class RendezvousElection implements StewardElection {
+
+  @Override
+  public Optional<InstanceId> steward(EndpointId endpoint, Collection<InstanceId> entries) {
+    return entries.stream()
+        .max(
+            Comparator.comparingLong((InstanceId entry) -> weight(endpoint, entry))
+                .thenComparing(Comparator.naturalOrder()));
+  }
+
+  private static long weight(EndpointId endpoint, InstanceId entry) {
+    return Hashing.komihash5_0()
+        .hashStream()
+        .putString(endpoint.value())
+        .putString(entry.value())
+        .getAsLong();
+  }
+}
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/routing/InFlightDigest.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/routing/InFlightDigest.java
@@ -6,13 +6,14 @@
 import java.util.List;
 
 /**
- * Tells peers which counts of requests in flight have changed since the last digest.
+ * Tells peers the counts of requests in flight of one entry.
  *
  * @param sender whose requests they are
  * @param asOf when it was true
- * @param counts the counts that have changed
+ * @param whole whether endpoints that are left out have none, or have not changed
+ * @param counts the counts
  */
-public record InFlightDigest(InstanceId sender, Instant asOf, List<InFlight> counts)
+public record InFlightDigest(InstanceId sender, Instant asOf, boolean whole, List<InFlight> counts)
     implements PeerMessage {
 
   /** Copies the counts. */
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/routing/InFlightTracker.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/routing/InFlightTracker.java
@@ -26,6 +26,9 @@
   /** Returns the change of all known requests at an endpoint since a time. */
   int changeSince(EndpointId endpoint, Instant since);
 
+  /** Returns the requests of this instance at an endpoint. */
+  int own(EndpointId endpoint);
+
   /** Returns all known requests at an endpoint. */
   int total(EndpointId endpoint);
 }
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/routing/PrefixIndex.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/routing/PrefixIndex.java
@@ -15,7 +15,7 @@
   void onRouted(EndpointId endpoint, List<String> prefixes, Instant now);
 
   /** Drops all hints about an endpoint that has restarted or gone. */
-  void onLost(EndpointId endpoint);
+  void onLost(EndpointId endpoint, Instant now);
 
   /** Returns the endpoints that may hold a prefix, most recent first, a few at most. */
   Collection<EndpointId> holders(String prefix, Instant now);
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/suspect/support/CountingSuspectTable.java
@@ -0,0 +1,191 @@
+package io.hawthornlb.core.suspect.support;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.hawthornlb.core.effect.Effect;
+import io.hawthornlb.core.effect.SpreadPeerMessage;
+import io.hawthornlb.core.effect.SpreadScope;
+import io.hawthornlb.core.model.EndpointId;
+import io.hawthornlb.core.model.InstanceId;
+import io.hawthornlb.core.model.Refusal;
+import io.hawthornlb.core.model.RefusalReason;
+import io.hawthornlb.core.peer.PeerMessage;
+import io.hawthornlb.core.suspect.ClearNotice;
+import io.hawthornlb.core.suspect.CrashNotice;
+import io.hawthornlb.core.suspect.Fingerprint;
+import io.hawthornlb.core.suspect.QuarantineNotice;
+import io.hawthornlb.core.suspect.SuspectSettings;
+import io.hawthornlb.core.suspect.SuspectTable;
+import io.hawthornlb.core.suspect.Verdict;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Table that counts crashes by fingerprint, its own and those of peers.
+ *
+ * <p>A request that ran at an endpoint when it crashed runs alone next, at an endpoint that its
+ * fingerprint names, so that all entries send it to the same one. A crash there makes its answer
+ * final; a good end clears it.
+ */
+public final class CountingSuspectTable implements SuspectTable {
+
+  private static final Duration WAIT = Duration.ofMillis(250);
+
+  private record Alone(Fingerprint fingerprint, EndpointId endpoint) {}
+
+  private record Pending(PeerMessage message, Instant at) {}
+
+  private final InstanceId self;
+  private final SuspectSettings settings;
+  private final Map<Fingerprint, SuspectRecord> suspects = new LinkedHashMap<>();
+  private final Map<EndpointId, Instant> quarantines = new HashMap<>();
+  private final Map<EndpointId, Alone> ownAlone = new HashMap<>();
+  private final Deque<Pending> resends = new ArrayDeque<>();
+  private long sequence;
+
+  /** Creates the table of an instance. */
+  public CountingSuspectTable(InstanceId self, SuspectSettings settings) {
+    this.self = self;
+    this.settings = settings;
+  }
+
+  @Override
+  public Verdict judge(Fingerprint fingerprint, Set<EndpointId> endpoints, Instant now) {
+    SuspectRecord suspect = suspects.get(fingerprint);
+    if (suspect == null || expired(suspect, now)) {
+      return new Verdict.Clear();
+    }
+    if (suspect.alone() >= settings.crashesAlone()
+        || suspect.crashes() >= settings.crashesInAll()) {
+      return new Verdict.Refused(
+          Refusal.mayHaveRun(
+              RefusalReason.CRASHES_ENDPOINTS,
+              "endpoints crashed each time this request ran; it is not tried again"));
+    }
+    Optional<EndpointId> home = home(fingerprint, endpoints);
+    if (home.isEmpty() || quarantined(home.get(), now)) {
+      return new Verdict.Wait(WAIT);
+    }
+    return new Verdict.Alone(home.get());
+  }
+
+  @Override
+  public List<Effect> onAloneStarted(Fingerprint fingerprint, EndpointId endpoint, Instant now) {
+    Instant until = now.plus(settings.aloneAtMost());
+    quarantines.put(endpoint, until);
+    ownAlone.put(endpoint, new Alone(fingerprint, endpoint));
+    return spread(new QuarantineNotice(endpoint, until), now);
+  }
+
+  @Override
+  public List<Effect> onAloneSucceeded(Fingerprint fingerprint, EndpointId endpoint, Instant now) {
+    suspects.remove(fingerprint);
+    List<Effect> effects = new ArrayList<>(endAlone(endpoint, now));
+    effects.addAll(spread(new ClearNotice(fingerprint, now), now));
+    return effects;
+  }
+
+  @Override
+  public List<Effect> onCrash(EndpointId endpoint, List<Fingerprint> running, Instant now) {
+    Alone alone = ownAlone.get(endpoint);
+    boolean ranAlone =
+        alone != null && running.size() == 1 && running.get(0).equals(alone.fingerprint());
+    List<Effect> effects = new ArrayList<>();
+    if (!running.isEmpty()) {
+      CrashNotice notice = new CrashNotice(self, ++sequence, endpoint, now, running, ranAlone);
+      onNotice(notice, now);
+      // The caller may send the request again through another entry as soon as it has its answer.
+      // The notice goes out before that answer, and once more in case it is lost.
+      effects.addAll(spread(notice, now));
+    }
+    effects.addAll(endAlone(endpoint, now));
+    return effects;
+  }
+
+  @Override
+  public void onNotice(CrashNotice notice, Instant now) {
+    for (Fingerprint fingerprint : notice.suspects()) {
+      suspects.computeIfAbsent(fingerprint, key -> new SuspectRecord(now)).add(notice, now);
+    }
+    while (suspects.size() > settings.capacity()) {
+      suspects.remove(suspects.keySet().iterator().next());
+    }
+  }
+
+  @Override
+  public void onClear(ClearNotice notice, Instant now) {
+    SuspectRecord suspect = suspects.get(notice.fingerprint());
+    if (suspect != null && !suspect.lastCrash().isAfter(notice.at())) {
+      suspects.remove(notice.fingerprint());
+    }
+  }
+
+  @Override
+  public void onQuarantine(QuarantineNotice notice, Instant now) {
+    if (notice.until().isAfter(now)) {
+      quarantines.put(notice.endpoint(), notice.until());
+    } else {
+      quarantines.remove(notice.endpoint());
+    }
+  }
+
+  @Override
+  public List<Effect> onTick(Instant now) {
+    suspects.values().removeIf(suspect -> expired(suspect, now));
+    quarantines.values().removeIf(until -> !now.isBefore(until));
+    List<Effect> effects = new ArrayList<>();
+    while (!resends.isEmpty() && !now.isBefore(resends.peek().at().plus(settings.resendAfter()))) {
+      effects.add(new SpreadPeerMessage(resends.poll().message(), SpreadScope.FLEET));
+    }
+    return effects;
+  }
+
+  private List<Effect> endAlone(EndpointId endpoint, Instant now) {
+    if (ownAlone.remove(endpoint) == null) {
+      return List.of();
+    }
+    quarantines.remove(endpoint);
+    return spread(new QuarantineNotice(endpoint, now), now);
+  }
+
+  private List<Effect> spread(PeerMessage message, Instant now) {
+    // A quarantine that is sent again late would outlive its end; its own limit ends it instead.
+    if (!(message instanceof QuarantineNotice)) {
+      resends.add(new Pending(message, now));
+    }
+    return List.of(new SpreadPeerMessage(message, SpreadScope.FLEET));
+  }
+
+  private boolean quarantined(EndpointId endpoint, Instant now) {
+    Instant until = quarantines.get(endpoint);
+    return until != null && now.isBefore(until);
+  }
+
+  private boolean expired(SuspectRecord suspect, Instant now) {
+    return now.isAfter(suspect.lastCrash().plus(settings.memory()));
+  }
+
+  private static Optional<EndpointId> home(Fingerprint fingerprint, Set<EndpointId> endpoints) {
+    return endpoints.stream()
+        .max(
+            Comparator.comparingLong((EndpointId endpoint) -> weight(fingerprint, endpoint))
+                .thenComparing(Comparator.naturalOrder()));
+  }
+
+  private static long weight(Fingerprint fingerprint, EndpointId endpoint) {
+    return Hashing.komihash5_0()
+        .hashStream()
+        .putLong(fingerprint.value())
+        .putString(endpoint.value())
+        .getAsLong();
+  }
+}
