--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/admission/support/DemandShareExchange.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/admission/support/DemandShareExchange.java
@@ -8,11 +8,15 @@
 import io.hawthornlb.core.model.InstanceId;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -24,15 +28,20 @@
 public final class DemandShareExchange implements ShareExchange {
 
   private static final Duration CUT_AFTER = Duration.ofSeconds(3);
+  private static final Duration SNAPSHOT_EVERY = Duration.ofMillis(500);
+  private static final int SNAPSHOTS = 12;
   private static final double FLOOR = 0.02;
 
+  private record Snapshot(Instant at, Map<ShareKey, Double> parts) {}
+
   private final InstanceId self;
   private final DataCentre dataCentre;
   private final Map<InstanceId, PeerDemand> peers = new HashMap<>();
   private final Map<ShareKey, Double> own = new HashMap<>();
   private final Map<ShareKey, Double> near = new HashMap<>();
   private final Map<ShareKey, Double> far = new HashMap<>();
-  private final Map<ShareKey, Double> frozen = new HashMap<>();
+  private final Deque<Snapshot> snapshots = new ArrayDeque<>();
+  private Map<ShareKey, Double> frozen = Map.of();
   private int entries = 1;
   private int nearEntries = 1;
   private boolean cut;
@@ -89,6 +98,9 @@
   @Override
   public DemandDigest digest(Instant now) {
     checkCut(now);
+    if (!cut) {
+      remember(now);
+    }
     List<Demand> demands = new ArrayList<>();
     own.forEach((key, amount) -> demands.add(new Demand(key, amount)));
     return new DemandDigest(self, dataCentre, ++sequence, demands);
@@ -117,29 +129,31 @@
   }
 
   private void checkCut(Instant now) {
-    boolean before = cut;
-    cut = anyUnheard(now);
-    if (cut && !before) {
-      freeze();
+    Optional<Instant> lost = lostSince(now);
+    if (lost.isPresent() && !cut) {
+      frozen = partsAt(lost.get());
     }
+    cut = lost.isPresent();
   }
 
-  private boolean anyUnheard(Instant now) {
-    Set<DataCentre> heard = new HashSet<>();
-    Set<DataCentre> others = new HashSet<>();
-    Instant since = now.minus(CUT_AFTER);
+  /** Returns when the last digest of a data centre came that is not heard now. */
+  private Optional<Instant> lostSince(Instant now) {
+    Map<DataCentre, Instant> heard = new HashMap<>();
     for (PeerDemand peer : peers.values()) {
-      others.add(peer.dataCentre());
-      if (peer.heardSince(since)) {
-        heard.add(peer.dataCentre());
+      if (!peer.dataCentre().equals(dataCentre)) {
+        heard.merge(peer.dataCentre(), peer.heardAt(), DemandShareExchange::later);
       }
     }
-    others.remove(dataCentre);
-    return !heard.containsAll(others);
+    return heard.values().stream()
+        .filter(at -> at.isBefore(now.minus(CUT_AFTER)))
+        .min(Comparator.naturalOrder());
   }
 
-  private void freeze() {
-    frozen.clear();
+  private void remember(Instant now) {
+    if (!snapshots.isEmpty() && now.isBefore(snapshots.getLast().at().plus(SNAPSHOT_EVERY))) {
+      return;
+    }
+    Map<ShareKey, Double> parts = new HashMap<>();
     Set<ShareKey> keys = new HashSet<>(far.keySet());
     keys.addAll(near.keySet());
     keys.addAll(own.keySet());
@@ -147,10 +161,34 @@
       double here = own.getOrDefault(key, 0.0) + Math.max(0, near.getOrDefault(key, 0.0));
       double all = here + Math.max(0, far.getOrDefault(key, 0.0));
       // One more for each entry leaves a part to a side that asked for nothing at the time.
-      frozen.put(key, (here + nearEntries) / (all + entries));
+      parts.put(key, (here + nearEntries) / (all + entries));
+    }
+    snapshots.add(new Snapshot(now, parts));
+    if (snapshots.size() > SNAPSHOTS) {
+      snapshots.removeFirst();
     }
   }
 
+  /**
+   * Returns the parts of this data centre when both sides still knew the same.
+   *
+   * <p>A cut shows only seconds after it began. Demand that grew meanwhile is unknown to the other
+   * side and must not count, or each side would freeze a part that grew at the other's expense.
+   */
+  private Map<ShareKey, Double> partsAt(Instant time) {
+    Map<ShareKey, Double> parts = Map.of();
+    for (Snapshot snapshot : snapshots) {
+      if (!snapshot.at().isAfter(time)) {
+        parts = snapshot.parts();
+      }
+    }
+    return parts;
+  }
+
+  private static Instant later(Instant one, Instant other) {
+    return one.isAfter(other) ? one : other;
+  }
+
   private void recount() {
     near.clear();
     far.clear();
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/admission/support/FairAdmissionController.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/admission/support/FairAdmissionController.java
@@ -24,7 +24,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -64,7 +63,7 @@
   @Override
   public AdmissionDecision offer(AdmissionRequest request, Instant now) {
     ServicePool pool = pool(request.service());
-    WorkspaceUse use = uses.computeIfAbsent(request.workspace(), key -> new WorkspaceUse(now));
+    WorkspaceUse use = use(request.workspace(), now);
     Refusal refusal = refusal(request, pool, use, now);
     if (refusal != null) {
       return new AdmissionDecision.Refused(refusal);
@@ -74,7 +73,7 @@
     pool.add(ticket, weight(request.workspace()));
     use.addWaiting(1);
     declare(request.service(), pool, request.workspace(), use);
-    startWaiting(request.service(), pool, now, new ArrayList<>(), ticket);
+    startOffered(ticket, pool, now);
     return ticket.running() ? new AdmissionDecision.Admitted() : new AdmissionDecision.Queued();
   }
 
@@ -86,7 +85,7 @@
     }
     AdmissionRequest request = ticket.request();
     ServicePool pool = pool(request.service());
-    WorkspaceUse use = uses.computeIfAbsent(request.workspace(), key -> new WorkspaceUse(now));
+    WorkspaceUse use = use(request.workspace(), now);
     if (ticket.running()) {
       pool.ended(ticket, now);
       use.addRunning(-1);
@@ -97,7 +96,7 @@
     }
     declare(request.service(), pool, request.workspace(), use);
     List<Effect> effects = new ArrayList<>();
-    startWaiting(request.service(), pool, now, effects, null);
+    startWaiting(request.service(), pool, now, effects);
     return effects;
   }
 
@@ -109,7 +108,7 @@
           refuseHopeless(pool, now, effects);
           // Shares of workspace limits may have grown by what peers told.
           pool.releaseAll();
-          startWaiting(service, pool, now, effects, null);
+          startWaiting(service, pool, now, effects);
         });
     forgetIdle(now);
     return effects;
@@ -146,42 +145,46 @@
   private double workspaceRate(WorkspaceId workspace, WorkspaceUse use, Instant now) {
     ShareKey key = new ShareKey(ShareKey.Kind.WORKSPACE_RATE, workspace.value());
     double limit = limits(workspace).requestsPerSecond();
-    shares.demand(key, use.rate().arrived(now, shares.share(key, limit, now)));
+    shares.demand(key, use.rate().arrived(now));
     return shares.share(key, limit, now);
   }
 
+  /** Starts the offered request if it is the next; others are left to the next event. */
+  private void startOffered(Ticket offered, ServicePool pool, Instant now) {
+    ServiceName service = offered.request().service();
+    if (pool.running() + 1 <= capacity(service, pool, now) && next(pool, now) == offered) {
+      start(offered, pool, now);
+    }
+  }
+
   private void startWaiting(
-      ServiceName service,
-      ServicePool pool,
-      Instant now,
-      List<Effect> effects,
-      @Nullable Ticket offered) {
+      ServiceName service, ServicePool pool, Instant now, List<Effect> effects) {
     double capacity = capacity(service, pool, now);
-    while (pool.running() + 1 <= capacity) {
-      FairQueue queue = pool.next();
-      if (queue == null) {
-        return;
+    Ticket ticket = next(pool, now);
+    while (ticket != null && pool.running() + 1 <= capacity) {
+      start(ticket, pool, now);
+      effects.add(new StartRequest(ticket.request().id()));
+      ticket = next(pool, now);
+    }
+  }
+
+  private @Nullable Ticket next(ServicePool pool, Instant now) {
+    FairQueue queue = pool.next();
+    while (queue != null) {
+      Ticket ticket = queue.peek();
+      if (ticket == null || !atLimit(ticket.request().workspace(), now)) {
+        return ticket;
       }
-      WorkspaceId workspace = queue.next();
       // A workspace at its own limit is passed over, or all others would wait behind it.
-      if (workspace != null && atLimit(workspace, now)) {
-        queue.park(workspace);
-        continue;
-      }
-      Ticket ticket = pool.poll(queue);
-      if (ticket != null) {
-        start(ticket, pool, now);
-        if (ticket != offered) {
-          effects.add(new StartRequest(ticket.request().id()));
-        }
-      }
+      queue.park(ticket.request().workspace());
+      queue = pool.next();
     }
+    return null;
   }
 
   private void start(Ticket ticket, ServicePool pool, Instant now) {
-    pool.started(ticket, now);
-    WorkspaceUse use =
-        uses.computeIfAbsent(ticket.request().workspace(), key -> new WorkspaceUse(now));
+    pool.start(ticket, now);
+    WorkspaceUse use = use(ticket.request().workspace(), now);
     use.addWaiting(-1);
     use.addRunning(1);
   }
@@ -192,7 +195,9 @@
       AdmissionRequest request = ticket.request();
       pool.remove(ticket);
       tickets.remove(request.id());
-      Optional.ofNullable(uses.get(request.workspace())).ifPresent(use -> use.addWaiting(-1));
+      WorkspaceUse use = use(request.workspace(), now);
+      use.addWaiting(-1);
+      declare(request.service(), pool, request.workspace(), use);
       Duration estimate = estimate(request, pool, now);
       Refusal refusal =
           Refusal.notRun(
@@ -231,7 +236,7 @@
             entry -> {
               boolean idle =
                   entry.getValue().total() == 0
-                      && entry.getValue().rate().arrivals(now, 1) < IDLE_RATE;
+                      && entry.getValue().rate().arrivals(now) < IDLE_RATE;
               if (idle) {
                 String name = entry.getKey().value();
                 shares.demand(new ShareKey(ShareKey.Kind.WORKSPACE_RATE, name), 0);
@@ -264,6 +269,10 @@
     return catalogue.workspace(workspace).map(WorkspaceEntry::weight).orElse(1.0);
   }
 
+  private WorkspaceUse use(WorkspaceId workspace, Instant now) {
+    return uses.computeIfAbsent(workspace, key -> new WorkspaceUse(now));
+  }
+
   private ServicePool pool(ServiceName service) {
     return pools.computeIfAbsent(service, key -> new ServicePool(settings.bulkEvery()));
   }
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/admission/support/FairQueue.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/admission/support/FairQueue.java
@@ -60,24 +60,9 @@
     size++;
   }
 
-  /** Removes and returns the next request, or null. */
-  @Nullable Ticket poll() {
-    if (order.isEmpty()) {
-      return null;
-    }
-    Flow flow = order.pollFirst();
-    Ticket ticket = flow.tickets.iterator().next();
-    flow.tickets.remove(ticket);
-    size--;
-    virtualTime = Math.max(virtualTime, flow.tag);
-    flow.tag += 1 / flow.weight;
-    keepOrForget(flow);
-    return ticket;
-  }
-
-  /** Returns the workspace whose request is next, or null. */
-  @Nullable WorkspaceId next() {
-    return order.isEmpty() ? null : order.first().workspace;
+  /** Returns the next request, or null. */
+  @Nullable Ticket peek() {
+    return order.isEmpty() ? null : order.first().tickets.iterator().next();
   }
 
   /** Passes over a workspace until it is released, so that others do not wait behind it. */
@@ -106,7 +91,19 @@
     }
   }
 
-  /** Removes a request. */
+  /** Removes a request that starts, which charges its workspace. */
+  void start(Ticket ticket) {
+    Flow flow = flows.get(ticket.request().workspace());
+    if (flow != null && flow.tickets.remove(ticket)) {
+      size--;
+      order.remove(flow);
+      virtualTime = Math.max(virtualTime, flow.tag);
+      flow.tag += 1 / flow.weight;
+      keepOrForget(flow);
+    }
+  }
+
+  /** Removes a request that does not start. */
   void remove(Ticket ticket) {
     Flow flow = flows.get(ticket.request().workspace());
     if (flow != null && flow.tickets.remove(ticket)) {
@@ -132,7 +129,7 @@
     Flow flow = flows.get(workspace);
     double active = weights + (flow == null ? weight : 0);
     double turns = size(workspace) * active / weight;
-    double before = flow == null ? Math.max(0, flows.size()) : turns;
+    double before = flow == null ? order.size() : turns;
     return Math.min(size, before);
   }
 
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/admission/support/PeerDemand.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/admission/support/PeerDemand.java
@@ -44,7 +44,7 @@
     return amounts;
   }
 
-  boolean heardSince(Instant time) {
-    return !heardAt.isBefore(time);
+  Instant heardAt() {
+    return heardAt;
   }
 }
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/admission/support/RateMeter.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/admission/support/RateMeter.java
@@ -7,26 +7,35 @@
 final class RateMeter {
 
   private static final double NANOS = 1e9;
+  private static final double LEAST_RATE = 1e-3;
 
-  private double tokens = 1;
+  private final Instant began;
+  private double tokens = Double.MAX_VALUE;
+  private double tokensAt;
   private double arrivals;
-  private Instant at;
-  private boolean fresh = true;
+  private double arrivalsAt;
 
   RateMeter(Instant now) {
-    this.at = now;
+    this.began = now;
   }
 
-  /** Counts an arrival and returns its measured rate a second. */
-  double arrived(Instant now, double rate) {
-    advance(now, rate);
-    arrivals += 1;
+  /** Counts an arrival and returns the measured arrivals a second. */
+  double arrived(Instant now) {
+    arrivals = arrivals(now) + 1;
+    arrivalsAt = seconds(now);
     return arrivals;
   }
 
-  /** Takes a token if there is one. */
+  /** Returns the measured arrivals a second. */
+  double arrivals(Instant now) {
+    return arrivals * Math.exp(arrivalsAt - seconds(now));
+  }
+
+  /** Takes a token if there is one, at a rate that may have changed. */
   boolean take(Instant now, double rate) {
-    advance(now, rate);
+    double seconds = seconds(now);
+    tokens = Math.min(Math.max(1, rate), tokens + (seconds - tokensAt) * rate);
+    tokensAt = seconds;
     if (tokens < 1) {
       return false;
     }
@@ -36,21 +45,11 @@
 
   /** Returns when the next token comes. */
   Duration wait(double rate) {
-    return Duration.ofNanos((long) (Math.max(0, 1 - tokens) / Math.max(rate, 1e-3) * NANOS));
-  }
-
-  /** Returns the measured arrivals a second. */
-  double arrivals(Instant now, double rate) {
-    advance(now, rate);
-    return arrivals;
+    double seconds = Math.max(0, 1 - tokens) / Math.max(rate, LEAST_RATE);
+    return Duration.ofNanos((long) (seconds * NANOS));
   }
 
-  private void advance(Instant now, double rate) {
-    double seconds = Math.max(0, Duration.between(at, now).toNanos() / NANOS);
-    double burst = Math.max(1, rate);
-    tokens = fresh ? burst : Math.min(burst, tokens + seconds * rate);
-    fresh = false;
-    arrivals *= Math.exp(-seconds);
-    at = now.isAfter(at) ? now : at;
+  private double seconds(Instant now) {
+    return Math.max(0, Duration.between(began, now).toNanos() / NANOS);
   }
 }
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/admission/support/ServicePool.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/admission/support/ServicePool.java
@@ -66,16 +66,22 @@
     byDeadline.remove(ticket);
   }
 
-  void started(Ticket ticket, Instant now) {
+  /** Moves a waiting request that {@link #next} has named to those in progress. */
+  void start(Ticket ticket, Instant now) {
+    queues.get(ticket.request().requestClass()).start(ticket);
+    byDeadline.remove(ticket);
     ticket.start(now);
     running++;
+    starts++;
   }
 
   void ended(Ticket ticket, Instant now) {
     running--;
     double millis = Duration.between(ticket.startedAt(), now).toMillis();
     serviceMillis =
-        serviceMillis == 0 ? millis : serviceMillis + SMOOTHING * (millis - serviceMillis);
+        serviceMillis == 0
+            ? Math.max(1, millis)
+            : serviceMillis + SMOOTHING * (millis - serviceMillis);
     endsInWindow = endsInWindow(now) + 1;
     endsAt = now;
   }
@@ -87,20 +93,10 @@
     boolean turnOfBulk = starts % bulkEvery == bulkEvery - 1;
     // Interactive requests go first; without a turn now and then a steady stream of them would
     // hold up bulk requests for as long as it lasts.
-    if (interactive.next() != null && !(turnOfBulk && bulk.next() != null)) {
+    if (interactive.peek() != null && !(turnOfBulk && bulk.peek() != null)) {
       return interactive;
     }
-    return bulk.next() != null ? bulk : nonEmpty(queues.get(RequestClass.BATCH));
-  }
-
-  /** Removes the next request of a queue that {@link #next} returned. */
-  @Nullable Ticket poll(FairQueue queue) {
-    Ticket ticket = queue.poll();
-    if (ticket != null) {
-      byDeadline.remove(ticket);
-      starts++;
-    }
-    return ticket;
+    return bulk.peek() != null ? bulk : nonEmpty(queues.get(RequestClass.BATCH));
   }
 
   void release(WorkspaceId workspace) {
@@ -130,14 +126,15 @@
   }
 
   private double millisPerEnd(Instant now) {
-    double perMilli = Math.max(endsInWindow(now) / WINDOW_MILLIS, running / safeServiceMillis());
+    // Before the first request has ended nothing is known about the pace; refusing on a guess
+    // would turn callers away from idle endpoints.
+    if (serviceMillis == 0) {
+      return 0;
+    }
+    double perMilli = Math.max(endsInWindow(now) / WINDOW_MILLIS, running / serviceMillis);
     return perMilli == 0 ? 0 : 1 / perMilli;
   }
 
-  private double safeServiceMillis() {
-    return serviceMillis == 0 ? Double.MAX_VALUE : serviceMillis;
-  }
-
   private double endsInWindow(Instant now) {
     if (endsAt == Instant.MIN) {
       return 0;
@@ -146,6 +143,6 @@
   }
 
   private static @Nullable FairQueue nonEmpty(FairQueue queue) {
-    return queue.next() == null ? null : queue;
+    return queue.peek() == null ? null : queue;
   }
 }
