Measure the policy in seeded runs against fake engines

13 entries with their deciders, engines that batch continuously and admit in order of arrival, and an event queue in virtual time.

--- /dev/null
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/policy/Fleet.java
@@ -0,0 +1,64 @@
+package io.hawthornlb.core.policy;
+
+import io.hawthornlb.core.model.DataCentre;
+import java.util.List;
+
+/**
+ * Sizes of one example fleet.
+ *
+ * @param name its name in reports
+ * @param dataCentres where entries and endpoints run, in turn
+ * @param engineService name of the service of its model engines
+ * @param engines how many engines
+ * @param plainService name of its plain service
+ * @param plainEndpoints how many endpoints of it
+ * @param farMicros one way between data centres
+ * @param batchWeight weight of batch throughput in the catalogue
+ */
+record Fleet(
+    String name,
+    List<DataCentre> dataCentres,
+    String engineService,
+    int engines,
+    String plainService,
+    int plainEndpoints,
+    long farMicros,
+    double batchWeight) {
+
+  static final int ENTRIES = 13;
+  static final long NEAR_MICROS = 100;
+
+  static final Fleet VATUWAQA =
+      new Fleet(
+          "Vatuwaqa",
+          centres("lautoka-a", "nadi-b", "suva-c", "sigatoka-d"),
+          "log-reader",
+          6,
+          "sheet-svc",
+          4,
+          500,
+          0.8);
+
+  static final Fleet AL_HARTHY =
+      new Fleet(
+          "Al Harthy",
+          centres("ghala", "ruwi", "seeb", "qurum"),
+          "brief-llm",
+          13,
+          "checkin-app",
+          4,
+          1_500,
+          0.2);
+
+  DataCentre centre(int index) {
+    return dataCentres.get(index % dataCentres.size());
+  }
+
+  long latency(DataCentre from, DataCentre to) {
+    return from.equals(to) ? NEAR_MICROS : farMicros;
+  }
+
+  private static List<DataCentre> centres(String... names) {
+    return java.util.Arrays.stream(names).map(DataCentre::new).toList();
+  }
+}
--- /dev/null
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/policy/PolicyMeasurement.java
@@ -0,0 +1,94 @@
+package io.hawthornlb.core.policy;
+
+import io.hawthornlb.core.routing.RouterTerm;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/** Prints the tables of docs/measurements/policy.md; arguments: seed, seconds, what. */
+public final class PolicyMeasurement {
+
+  private PolicyMeasurement() {}
+
+  public static void main(String[] arguments) {
+    long seed = arguments.length > 0 ? Long.parseLong(arguments[0]) : 1;
+    int seconds = arguments.length > 1 ? Integer.parseInt(arguments[1]) : 120;
+    String what = arguments.length > 2 ? arguments[2] : "scenarios";
+    for (Fleet fleet : List.of(Fleet.VATUWAQA, Fleet.AL_HARTHY)) {
+      boolean terms = what.equals("terms");
+      List<Scenario> scenarios = terms ? loaded(seconds) : scenarios(fleet, seconds);
+      List<PolicySet> policies = terms ? withoutEach() : compared();
+      scenarios.forEach(scenario -> table(fleet, scenario, policies, seed));
+    }
+  }
+
+  static List<Scenario> scenarios(Fleet fleet, int seconds) {
+    return List.of(
+        Scenario.steady(0.4, 0, seconds),
+        Scenario.steady(0.4, 1_000_000, seconds),
+        Scenario.steady(0.4, 5_000_000, seconds),
+        Scenario.burst(seconds),
+        Scenario.desks(fleet.engines() * 8, seconds),
+        Scenario.roster(fleet.engines() * seconds, seconds),
+        Scenario.engineLost(seconds),
+        Scenario.centreCut(seconds));
+  }
+
+  static List<Scenario> loaded(int seconds) {
+    return List.of(
+        Scenario.steady(0.7, 1_000_000, seconds),
+        Scenario.engineLost(seconds),
+        Scenario.centreCut(seconds));
+  }
+
+  private static List<PolicySet> compared() {
+    return List.of(
+        PolicySet.guarded(false),
+        PolicySet.guarded(true),
+        PolicySet.naive(false),
+        PolicySet.naive(true));
+  }
+
+  private static List<PolicySet> withoutEach() {
+    List<PolicySet> policies = new ArrayList<>();
+    policies.add(PolicySet.guarded(true));
+    for (RouterTerm term : RouterTerm.values()) {
+      policies.add(PolicySet.without(term));
+    }
+    return policies;
+  }
+
+  private static void table(Fleet fleet, Scenario scenario, List<PolicySet> policies, long seed) {
+    System.out.printf("%n### %s: %s%n%n", fleet.name(), scenario.name());
+    System.out.println(
+        "| policy | batch/s | of bound | p50 | p95 | p99 | p99.9 | first p99 | bulk p99 |"
+            + " plain p99 | behind batch | longest | refused | failed | preempted | late |");
+    System.out.println("|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|");
+    policies.parallelStream()
+        .map(policy -> row(policy, FleetRun.run(fleet, scenario, policy, seed)))
+        .forEachOrdered(System.out::println);
+  }
+
+  private static String row(PolicySet policy, RunResult r) {
+    return String.format(
+        Locale.ROOT,
+        "| %s | %.2f | %.1f%% | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f | %.1f | %d | %.0f |"
+            + " %d | %d | %d | %d |",
+        policy.name(),
+        r.batchPerSecond(),
+        100 * r.partOfBound(),
+        r.answerMillis(0.5),
+        r.answerMillis(0.95),
+        r.answerMillis(0.99),
+        r.answerMillis(0.999),
+        r.firstMillis(0.99),
+        r.bulkMillis(0.99),
+        r.plainMillis(0.99),
+        r.behindBatch,
+        r.longestWaitMicros / 1e3,
+        r.onlineRefused,
+        r.onlineFailed,
+        r.preempted,
+        r.dueLate);
+  }
+}
