Let the batch weight set how far batch items fill slots beside online requests

The harm is linear in the slots that batch takes: each item makes the steps of the engine 0.1 ms longer and its prefill stalls one step. Below one half the fill falls to 0.6 of the slots.

--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/batch/StewardSettings.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/batch/StewardSettings.java
@@ -6,48 +6,46 @@
 /**
  * How a steward weighs batch throughput against online tail latency.
  *
- * @param batchWeight weight of throughput, 0 to 1, from the catalogue
  * @param slots slots of the endpoint until it reports
- * @param ahead items that wait at the steward, for each slot
+ * @param fillBesideOnline part of the slots that may be taken while online requests run
  * @param prefillsBesideOnline items that may be in prefill at once while online requests run
+ * @param ahead items that wait at the steward, for each slot
  * @param returnAfter how long a preempted item waits before it goes back to its coordinator
  * @param moveMillis fixed cost of moving KV cache
  * @param moveMillisPerToken cost of moving one token of KV cache
  * @param prefillMillisPerToken cost of computing it again
  */
 public record StewardSettings(
-    double batchWeight,
     int slots,
-    double ahead,
+    double fillBesideOnline,
     int prefillsBesideOnline,
+    double ahead,
     Duration returnAfter,
     double moveMillis,
     double moveMillisPerToken,
     double prefillMillisPerToken) {
 
-  /** Checks weight and slots. */
+  private static final double LEAST_FILL = 0.6;
+  private static final double EVEN_WEIGHT = 0.5;
+
+  /** Checks the counts and parts. */
   public StewardSettings {
-    Checks.isTrue(batchWeight >= 0 && batchWeight <= 1, "batch weight must be from 0 to 1");
     Checks.isTrue(slots > 0, "slots must be positive");
+    Checks.isTrue(fillBesideOnline >= 0 && fillBesideOnline <= 1, "fill must be from 0 to 1");
     Checks.isTrue(ahead > 0, "ahead must be positive");
   }
 
-  /** Returns the defaults for a weight and a number of slots. */
+  /**
+   * Returns the settings for a batch weight of the catalogue.
+   *
+   * <p>From a weight of one half on, all slots are filled; below it, batch work gives up slots
+   * beside online requests, so that the steps of the engine stay shorter.
+   */
   public static StewardSettings of(double batchWeight, int slots) {
-    return new StewardSettings(batchWeight, slots, 1.0, 1, Duration.ofSeconds(2), 20, 0.01, 0.1);
-  }
-
-  /** Returns these settings with another limit of prefills beside online requests. */
-  public StewardSettings withPrefillsBesideOnline(int count) {
-    return new StewardSettings(
-        batchWeight,
-        slots,
-        ahead,
-        count,
-        returnAfter,
-        moveMillis,
-        moveMillisPerToken,
-        prefillMillisPerToken);
+    Checks.isTrue(batchWeight >= 0 && batchWeight <= 1, "batch weight must be from 0 to 1");
+    double fill = Math.min(1, LEAST_FILL + (1 - LEAST_FILL) * batchWeight / EVEN_WEIGHT);
+    int prefills = batchWeight >= EVEN_WEIGHT ? 2 : 1;
+    return new StewardSettings(slots, fill, prefills, 1.0, Duration.ofSeconds(2), 20, 0.01, 0.1);
   }
 
   /** Returns whether moving KV cache of so many tokens is cheaper than computing it again. */
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/batch/support/HeadroomSteward.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/batch/support/HeadroomSteward.java
@@ -148,7 +148,7 @@
     if (stopped) {
       return effects;
     }
-    int room = Math.max(0, slots - online.total());
+    int room = room();
     // An online request that finds all slots taken waits inside the endpoint for a batch item to
     // end, which takes seconds. Cancelling in this event frees the slot in milliseconds.
     cancel(running.active() - room, effects);
@@ -157,6 +157,15 @@
     return effects;
   }
 
+  private int room() {
+    if (online.total() == 0) {
+      return slots;
+    }
+    // Each item makes the steps of the engine longer, for the online requests in it as well.
+    int filled = (int) Math.round(slots * settings.fillBesideOnline());
+    return Math.max(0, filled - online.total());
+  }
+
   private void cancel(int count, List<Effect> effects) {
     for (int i = 0; i < count; i++) {
       running.cancelCheapest().ifPresent(ref -> effects.add(new CancelItem(endpoint, ref)));
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/policy/PolicyMeasurement.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/policy/PolicyMeasurement.java
@@ -8,7 +8,8 @@
 /**
  * Prints the tables of docs/measurements/policy.md.
  *
- * <p>Arguments: seed, measured seconds, and {@code scenarios}, {@code batch} or {@code terms}.
+ * <p>Arguments: seed, measured seconds, and {@code scenarios}, {@code batch}, {@code weights} or
+ * {@code terms}.
  */
 public final class PolicyMeasurement {
 
@@ -19,7 +20,7 @@
     int seconds = arguments.length > 1 ? Integer.parseInt(arguments[1]) : 120;
     String what = arguments.length > 2 ? arguments[2] : "scenarios";
     for (Fleet fleet : List.of(Fleet.VATUWAQA, Fleet.AL_HARTHY)) {
-      List<PolicySet> policies = what.equals("terms") ? withoutEach() : compared(what);
+      List<PolicySet> policies = policies(what);
       chosen(fleet, seconds, what).forEach(scenario -> table(fleet, scenario, policies, seed));
     }
   }
@@ -27,6 +28,7 @@
   private static List<Scenario> chosen(Fleet fleet, int seconds, String what) {
     return switch (what) {
       case "terms" -> loaded(seconds);
+      case "weights" -> List.of(Scenario.steady(0.4, Scenario.DEFAULT_LAG, seconds));
       case "batch" ->
           List.of(Scenario.steady(0.4, Scenario.DEFAULT_LAG, seconds), Scenario.burst(seconds));
       default -> scenarios(fleet, seconds);
@@ -52,6 +54,23 @@
         Scenario.centreCut(seconds));
   }
 
+  private static List<PolicySet> policies(String what) {
+    return switch (what) {
+      case "terms" -> withoutEach();
+      case "weights" -> weights();
+      default -> compared(what);
+    };
+  }
+
+  private static List<PolicySet> weights() {
+    List<PolicySet> policies = new ArrayList<>();
+    policies.add(PolicySet.guarded(false));
+    for (double weight : new double[] {0, 0.1, 0.2, 0.3, 0.4, 0.5, 1}) {
+      policies.add(PolicySet.guarded(true).withWeight(weight));
+    }
+    return policies;
+  }
+
   private static List<PolicySet> compared(String what) {
     List<PolicySet> policies = new ArrayList<>();
     policies.add(PolicySet.guarded(false));
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/policy/PolicySet.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/policy/PolicySet.java
@@ -1,9 +1,8 @@
 package io.hawthornlb.core.policy;
 
-import io.hawthornlb.core.batch.StewardSettings;
 import io.hawthornlb.core.routing.RouterSettings;
 import io.hawthornlb.core.routing.RouterTerm;
-import java.util.function.UnaryOperator;
+import java.util.OptionalDouble;
 
 /**
  * Which implementations a run uses.
@@ -12,33 +11,29 @@
  * @param naive whether routing, admission, retries and batch are the naive ones
  * @param batch whether there is batch work
  * @param router settings of the cost router
- * @param steward changes the settings of stewards
+ * @param batchWeight weight of batch throughput instead of the fleet's
  */
 record PolicySet(
-    String name,
-    boolean naive,
-    boolean batch,
-    RouterSettings router,
-    UnaryOperator<StewardSettings> steward) {
+    String name, boolean naive, boolean batch, RouterSettings router, OptionalDouble batchWeight) {
 
   static PolicySet guarded(boolean batch) {
     String name = batch ? "policy" : "policy, no batch";
     return new PolicySet(
-        name, false, batch, RouterSettings.builder().build(), UnaryOperator.identity());
+        name, false, batch, RouterSettings.builder().build(), OptionalDouble.empty());
   }
 
   static PolicySet naive(boolean batch) {
     String name = batch ? "naive" : "naive, no batch";
     return new PolicySet(
-        name, true, batch, RouterSettings.builder().build(), UnaryOperator.identity());
+        name, true, batch, RouterSettings.builder().build(), OptionalDouble.empty());
   }
 
   static PolicySet without(RouterTerm term) {
     RouterSettings settings = RouterSettings.builder().without(term).build();
-    return new PolicySet("without " + term, false, true, settings, UnaryOperator.identity());
+    return new PolicySet("without " + term, false, true, settings, OptionalDouble.empty());
   }
 
-  PolicySet withSteward(String label, UnaryOperator<StewardSettings> change) {
-    return new PolicySet(label, naive, batch, router, change);
+  PolicySet withWeight(double weight) {
+    return new PolicySet("weight " + weight, naive, batch, router, OptionalDouble.of(weight));
   }
 }
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/policy/SimEntry.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/policy/SimEntry.java
@@ -78,7 +78,7 @@
 
   void takeSteward(FakeEngine engine, double batchWeight) {
     int slots = engine.model.slots();
-    StewardSettings settings = policy.steward().apply(StewardSettings.of(batchWeight, slots));
+    StewardSettings settings = StewardSettings.of(policy.batchWeight().orElse(batchWeight), slots);
     stewards.put(
         engine.id,
         policy.naive()
