--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/admission/support/FairAdmissionController.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/admission/support/FairAdmissionController.java
@@ -15,6 +15,7 @@
 import io.hawthornlb.core.effect.Effect;
 import io.hawthornlb.core.model.Refusal;
 import io.hawthornlb.core.model.RefusalReason;
+import io.hawthornlb.core.model.RequestClass;
 import io.hawthornlb.core.model.RequestId;
 import io.hawthornlb.core.model.ServiceName;
 import io.hawthornlb.core.model.WorkspaceId;
@@ -64,11 +65,12 @@
   public AdmissionDecision offer(AdmissionRequest request, Instant now) {
     ServicePool pool = pool(request.service());
     WorkspaceUse use = use(request.workspace(), now);
-    Refusal refusal = refusal(request, pool, use, now);
+    Instant startBy = startBy(request, pool, now);
+    Refusal refusal = refusal(request, startBy, pool, use, now);
     if (refusal != null) {
       return new AdmissionDecision.Refused(refusal);
     }
-    Ticket ticket = new Ticket(request, nextNumber++);
+    Ticket ticket = new Ticket(request, nextNumber++, startBy);
     tickets.put(request.id(), ticket);
     pool.add(ticket, weight(request.workspace()));
     use.addWaiting(1);
@@ -119,18 +121,31 @@
     return pools.values().stream().mapToInt(ServicePool::waiting).sum();
   }
 
+  /** Returns when a request must start to be of use: first token and answer both in time. */
+  private Instant startBy(AdmissionRequest request, ServicePool pool, Instant now) {
+    Instant forAnswer = request.deadline().minus(pool.serviceTime());
+    if (request.requestClass() != RequestClass.INTERACTIVE) {
+      return forAnswer;
+    }
+    Instant forFirstToken =
+        catalogue
+            .service(request.service())
+            .map(entry -> now.plus(entry.firstToken()))
+            .orElse(forAnswer);
+    return forFirstToken.isBefore(forAnswer) ? forFirstToken : forAnswer;
+  }
+
   private @Nullable Refusal refusal(
-      AdmissionRequest request, ServicePool pool, WorkspaceUse use, Instant now) {
+      AdmissionRequest request, Instant startBy, ServicePool pool, WorkspaceUse use, Instant now) {
+    Duration wait = wait(request, pool, now);
     if (pool.waiting() >= settings.waitingPerService()
         || pool.waiting(request.workspace()) >= settings.waitingPerWorkspace()) {
-      Duration estimate = estimate(request, pool, now);
-      return limit("too many requests wait", estimate);
+      return limit("too many requests wait", wait);
     }
-    Duration estimate = estimate(request, pool, now);
-    Duration late = Duration.between(request.deadline(), now.plus(estimate));
+    Duration late = Duration.between(startBy, now.plus(wait));
     // The final answer is given now: a caller that is held back until its deadline has lost the
     // time in which it could have come back or gone elsewhere.
-    if (!late.isNegative()) {
+    if (!late.isNegative() && !late.isZero()) {
       return Refusal.notRun(
               RefusalReason.DEADLINE_UNREACHABLE, "the request would miss its deadline")
           .retryAfter(bounded(late));
@@ -198,11 +213,10 @@
       WorkspaceUse use = use(request.workspace(), now);
       use.addWaiting(-1);
       declare(request.service(), pool, request.workspace(), use);
-      Duration estimate = estimate(request, pool, now);
       Refusal refusal =
           Refusal.notRun(
                   RefusalReason.DEADLINE_UNREACHABLE, "the request can no longer meet its deadline")
-              .retryAfter(bounded(estimate));
+              .retryAfter(bounded(wait(request, pool, now)));
       effects.add(new RefuseRequest(request.id(), refusal));
       ticket = pool.hopeless(now);
     }
@@ -246,9 +260,8 @@
             });
   }
 
-  private Duration estimate(AdmissionRequest request, ServicePool pool, Instant now) {
-    return pool.estimate(
-        request.requestClass(), request.workspace(), weight(request.workspace()), now);
+  private Duration wait(AdmissionRequest request, ServicePool pool, Instant now) {
+    return pool.wait(request.requestClass(), request.workspace(), weight(request.workspace()), now);
   }
 
   private Refusal limit(String detail, Duration wait) {
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/admission/support/ServicePool.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/admission/support/ServicePool.java
@@ -17,10 +17,8 @@
   private static final double WINDOW_MILLIS = 2_000;
 
   private final Map<RequestClass, FairQueue> queues = new EnumMap<>(RequestClass.class);
-  private final TreeSet<Ticket> byDeadline =
-      new TreeSet<>(
-          Comparator.comparing((Ticket ticket) -> ticket.request().deadline())
-              .thenComparingLong(Ticket::number));
+  private final TreeSet<Ticket> byStart =
+      new TreeSet<>(Comparator.comparing(Ticket::startBy).thenComparingLong(Ticket::number));
   private final int bulkEvery;
   private int slots;
   private int running;
@@ -49,7 +47,7 @@
   }
 
   int waiting() {
-    return byDeadline.size();
+    return byStart.size();
   }
 
   int waiting(WorkspaceId workspace) {
@@ -58,18 +56,18 @@
 
   void add(Ticket ticket, double weight) {
     queues.get(ticket.request().requestClass()).add(ticket, weight);
-    byDeadline.add(ticket);
+    byStart.add(ticket);
   }
 
   void remove(Ticket ticket) {
     queues.get(ticket.request().requestClass()).remove(ticket);
-    byDeadline.remove(ticket);
+    byStart.remove(ticket);
   }
 
   /** Moves a waiting request that {@link #next} has named to those in progress. */
   void start(Ticket ticket, Instant now) {
     queues.get(ticket.request().requestClass()).start(ticket);
-    byDeadline.remove(ticket);
+    byStart.remove(ticket);
     ticket.start(now);
     running++;
     starts++;
@@ -107,22 +105,27 @@
     queues.values().forEach(FairQueue::releaseAll);
   }
 
-  /** Returns a waiting request that can no longer meet its deadline, or null. */
+  /** Returns a waiting request that should have started before now, or null. */
   @Nullable Ticket hopeless(Instant now) {
-    if (byDeadline.isEmpty()) {
+    if (byStart.isEmpty()) {
       return null;
     }
-    Ticket first = byDeadline.first();
-    return now.plusMillis((long) serviceMillis).isAfter(first.request().deadline()) ? first : null;
+    Ticket first = byStart.first();
+    return now.isAfter(first.startBy()) ? first : null;
   }
 
-  /** Returns the time that a new request would probably need, waiting included. */
-  Duration estimate(RequestClass requestClass, WorkspaceId workspace, double weight, Instant now) {
+  /** Returns how long requests take from their start to their end. */
+  Duration serviceTime() {
+    return Duration.ofMillis((long) serviceMillis);
+  }
+
+  /** Returns how long a new request would probably wait. */
+  Duration wait(RequestClass requestClass, WorkspaceId workspace, double weight, Instant now) {
     double ahead = queues.get(requestClass).ahead(workspace, weight);
     if (requestClass == RequestClass.BULK) {
       ahead += queues.get(RequestClass.INTERACTIVE).size();
     }
-    return Duration.ofMillis((long) (ahead * millisPerEnd(now) + serviceMillis));
+    return Duration.ofMillis((long) (ahead * millisPerEnd(now)));
   }
 
   private double millisPerEnd(Instant now) {
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/admission/support/Ticket.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/admission/support/Ticket.java
@@ -8,12 +8,14 @@
 
   private final AdmissionRequest request;
   private final long number;
+  private final Instant startBy;
   private Instant startedAt = Instant.MIN;
   private boolean running;
 
-  Ticket(AdmissionRequest request, long number) {
+  Ticket(AdmissionRequest request, long number, Instant startBy) {
     this.request = request;
     this.number = number;
+    this.startBy = startBy;
   }
 
   AdmissionRequest request() {
@@ -25,6 +27,11 @@
     return number;
   }
 
+  /** Returns the time after which starting it is of no use to its caller. */
+  Instant startBy() {
+    return startBy;
+  }
+
   boolean running() {
     return running;
   }
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/policy/Fleet.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/policy/Fleet.java
@@ -1,7 +1,12 @@
 package io.hawthornlb.core.policy;
 
+import io.hawthornlb.core.catalogue.Catalogue;
+import io.hawthornlb.core.catalogue.ServiceEntry;
+import io.hawthornlb.core.catalogue.ServiceKind;
 import io.hawthornlb.core.model.DataCentre;
+import io.hawthornlb.core.model.ServiceName;
 import java.util.List;
+import java.util.Map;
 
 /**
  * Sizes of one example fleet.
@@ -58,6 +63,16 @@
     return from.equals(to) ? NEAR_MICROS : farMicros;
   }
 
+  Catalogue catalogue() {
+    ServiceEntry engine =
+        ServiceEntry.builder(new ServiceName(engineService), "owner", ServiceKind.ENGINE)
+            .batchWeight(batchWeight)
+            .build();
+    ServiceEntry plain =
+        ServiceEntry.builder(new ServiceName(plainService), "owner", ServiceKind.PLAIN).build();
+    return new Catalogue(1, Map.of(engine.name(), engine, plain.name(), plain), Map.of());
+  }
+
   private static List<DataCentre> centres(String... names) {
     return java.util.Arrays.stream(names).map(DataCentre::new).toList();
   }
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/policy/FleetRun.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/policy/FleetRun.java
@@ -116,6 +116,7 @@
     for (SimEntry entry : entries) {
       entry.table.onList(listed, events.now(), events.now());
       entry.shares.onEntries(members, events.now());
+      entry.admission.onCatalogue(fleet.catalogue());
       for (FakeEngine engine : engines.values()) {
         int slots = engine.model.slots() * count(engine.service);
         entry.admission.onCapacity(engine.service, slots, events.now());
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/policy/PolicyMeasurement.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/policy/PolicyMeasurement.java
@@ -28,6 +28,7 @@
   private static List<Scenario> chosen(Fleet fleet, int seconds, String what) {
     return switch (what) {
       case "terms" -> loaded(seconds);
+      case "overload" -> List.of(Scenario.overload(seconds));
       case "weights" -> List.of(Scenario.steady(0.4, Scenario.DEFAULT_LAG, seconds));
       case "batch" ->
           List.of(Scenario.steady(0.4, Scenario.DEFAULT_LAG, seconds), Scenario.burst(seconds));
@@ -44,7 +45,8 @@
         Scenario.desks(fleet.engines() * 8, seconds),
         Scenario.roster(fleet.engines() * seconds, seconds),
         Scenario.engineLost(seconds),
-        Scenario.centreCut(seconds));
+        Scenario.centreCut(seconds),
+        Scenario.overload(Math.min(seconds, 120)));
   }
 
   static List<Scenario> loaded(int seconds) {
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/policy/Scenario.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/policy/Scenario.java
@@ -53,6 +53,10 @@
         "engine lost under load", seconds, at -> 0.5, 0, 0, DEFAULT_LAG, seconds / 3, 0, 0);
   }
 
+  static Scenario overload(int seconds) {
+    return new Scenario("ten times the load", seconds, at -> 4, 0, 0, DEFAULT_LAG, 0, 0, 0);
+  }
+
   static Scenario centreCut(int seconds) {
     return new Scenario(
         "data centre cut", seconds, at -> 0.3, 0, 0, DEFAULT_LAG, 0, seconds / 3, 0);
