Keep a request in its own data centre once it has failed in another

In a cut, a request of the smaller side tried one unreachable endpoint after the other and had used up its attempts before the table knew.

--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/routing/RouterSettings.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/routing/RouterSettings.java
@@ -12,6 +12,7 @@
  * @param crowdingShare part of that time by which a full endpoint is slower than an idle one
  * @param prefillMillisPerToken time to read one prompt token that is not cached
  * @param failureMillis cost of one recent failure
+ * @param doubtMillis cost of another data centre once this request has failed in one
  * @param defaultSlots slots of an endpoint that has not reported
  * @param scanAtMost services with at most so many endpoints are looked at whole
  * @param samples endpoints that are drawn from larger ones
@@ -23,6 +24,7 @@
     double crowdingShare,
     double prefillMillisPerToken,
     double failureMillis,
+    double doubtMillis,
     int defaultSlots,
     int scanAtMost,
     int samples) {
@@ -46,6 +48,7 @@
     private double crowdingShare = 0.2;
     private double prefillMillisPerToken = 0.1;
     private double failureMillis = 500;
+    private double doubtMillis = 2_000;
 
     private Builder() {}
 
@@ -85,6 +88,12 @@
       return this;
     }
 
+    /** Sets the cost of doubt about other data centres; 2 seconds by default. */
+    public Builder doubtMillis(double value) {
+      this.doubtMillis = value;
+      return this;
+    }
+
     /** Returns the settings. */
     public RouterSettings build() {
       return new RouterSettings(
@@ -94,6 +103,7 @@
           crowdingShare,
           prefillMillisPerToken,
           failureMillis,
+          doubtMillis,
           16,
           16,
           6);
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/routing/support/CostRouter.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/routing/support/CostRouter.java
@@ -2,6 +2,7 @@
 
 import io.hawthornlb.core.endpoint.Endpoint;
 import io.hawthornlb.core.endpoint.EndpointTable;
+import io.hawthornlb.core.model.DataCentre;
 import io.hawthornlb.core.model.EndpointId;
 import io.hawthornlb.core.model.Refusal;
 import io.hawthornlb.core.model.RefusalReason;
@@ -15,7 +16,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 
@@ -52,14 +55,16 @@
   @Override
   public Either<Refusal, Route> choose(RouteRequest request, Instant now) {
     List<Endpoint> all = endpoints.of(request.service());
-    Route best = best(candidates(request, all, now), request, now);
+    Set<DataCentre> doubtful = doubtful(request);
+    Route best = best(candidates(request, all, now), doubtful, request, now);
     if (best == null && all.size() > settings.scanAtMost()) {
-      best = best(all, request, now);
+      best = best(all, doubtful, request, now);
     }
     return best == null ? Either.left(noEndpoint()) : Either.right(best);
   }
 
-  private @Nullable Route best(List<Endpoint> candidates, RouteRequest request, Instant now) {
+  private @Nullable Route best(
+      List<Endpoint> candidates, Set<DataCentre> doubtful, RouteRequest request, Instant now) {
     Endpoint best = null;
     double least = Double.MAX_VALUE;
     int offset = candidates.isEmpty() ? 0 : random.nextInt(candidates.size());
@@ -69,6 +74,7 @@
         continue;
       }
       double millis = cost.millis(endpoint, request, now);
+      millis += doubtful.contains(endpoint.dataCentre()) ? settings.doubtMillis() : 0;
       if (millis < least) {
         least = millis;
         best = endpoint;
@@ -77,6 +83,24 @@
     return best == null ? null : new Route(best.id(), best.address(), best.dataCentre(), least);
   }
 
+  /** Returns the other data centres where this request has failed. */
+  private Set<DataCentre> doubtful(RouteRequest request) {
+    if (request.excluded().isEmpty()) {
+      return Set.of();
+    }
+    // In a cut all endpoints of the other side fail. A request that tries one after the other has
+    // used up its attempts before the table knows; the second one stays where it can be reached.
+    Set<DataCentre> doubtful = new HashSet<>();
+    for (EndpointId failed : request.excluded()) {
+      endpoints.find(failed).map(Endpoint::dataCentre).ifPresent(doubtful::add);
+    }
+    if (doubtful.stream().anyMatch(place -> !place.equals(request.origin()))) {
+      endpoints.of(request.service()).forEach(each -> doubtful.add(each.dataCentre()));
+    }
+    doubtful.remove(request.origin());
+    return doubtful;
+  }
+
   private List<Endpoint> candidates(RouteRequest request, List<Endpoint> all, Instant now) {
     if (all.size() <= settings.scanAtMost()) {
       return all;
