Measure slow start with an engine that is added cold

Slow start was worth nothing when an engine came back from a crash: its recent failures keep it from work for as long.

--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/policy/FakeEngine.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/policy/FakeEngine.java
@@ -17,6 +17,8 @@
 final class FakeEngine {
 
   private static final int PROGRESS_EVERY = 16;
+  private static final long COLD_MICROS = 10_000_000;
+  private static final long COLD_FACTOR = 3;
 
   final EndpointId id;
   final ServiceName service;
@@ -30,6 +32,7 @@
   private final List<FakeTask> running = new ArrayList<>();
   private final Map<String, Integer> cache = new LinkedHashMap<>(16, 0.75f, true);
   private final Set<String> early = new HashSet<>();
+  private long coldUntil;
   private int cached;
   private boolean stepping;
 
@@ -93,8 +96,10 @@
     lost.forEach(task -> task.listener.crashed());
   }
 
+  /** Comes back; its first seconds are slow, as after any start of an engine. */
   void recover() {
     down = false;
+    coldUntil = events.micros() + COLD_MICROS;
   }
 
   void importCache(String key, int tokens) {
@@ -121,7 +126,7 @@
     }
     double prefill = (model.chunk() - chunk) * model.prefillMicros();
     long micros = (long) (model.baseMicros() + decoding * model.slotMicros() + prefill);
-    events.after(micros, this::stepped);
+    events.after(events.micros() < coldUntil ? COLD_FACTOR * micros : micros, this::stepped);
   }
 
   private void stepped() {
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/policy/FleetRun.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/policy/FleetRun.java
@@ -112,7 +112,8 @@
   private void begin() {
     Map<InstanceId, DataCentre> members = new HashMap<>();
     entries.forEach(entry -> members.put(entry.id, entry.dataCentre));
-    List<ListedProcess> listed = engines.values().stream().map(FleetRun::listed).toList();
+    List<ListedProcess> all = engines.values().stream().map(FleetRun::listed).toList();
+    List<ListedProcess> listed = scenario.addAt() > 0 ? all.subList(1, all.size()) : all;
     for (SimEntry entry : entries) {
       entry.table.onList(listed, events.now(), events.now());
       entry.shares.onEntries(members, events.now());
@@ -133,9 +134,18 @@
       events.after(at, victim::crash);
       events.after(at + FAULT_SECONDS * 1_000_000L, victim::recover);
     }
+    if (scenario.addAt() > 0) {
+      long at = 1_000_000L * (Scenario.WARM_UP + scenario.addAt());
+      events.after(at, () -> addEngine(all));
+    }
     new OnlineLoad(this).begin();
   }
 
+  private void addEngine(List<ListedProcess> all) {
+    engines.values().iterator().next().recover();
+    entries.forEach(entry -> entry.table.onList(all, events.now(), events.now()));
+  }
+
   private void electStewards() {
     for (FakeEngine engine : engines.values()) {
       List<InstanceId> near = new ArrayList<>();
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/policy/PolicyMeasurement.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/policy/PolicyMeasurement.java
@@ -28,6 +28,7 @@
   private static List<Scenario> chosen(Fleet fleet, int seconds, String what) {
     return switch (what) {
       case "terms" -> loaded(seconds);
+      case "added" -> List.of(Scenario.engineAdded(seconds));
       case "overload" -> List.of(Scenario.overload(seconds));
       case "weights" -> List.of(Scenario.steady(0.4, Scenario.DEFAULT_LAG, seconds));
       case "batch" ->
@@ -53,12 +54,13 @@
     return List.of(
         Scenario.steady(0.7, 1_000_000, seconds),
         Scenario.engineLost(seconds),
+        Scenario.engineAdded(seconds),
         Scenario.centreCut(seconds));
   }
 
   private static List<PolicySet> policies(String what) {
     return switch (what) {
-      case "terms" -> withoutEach();
+      case "terms", "added" -> withoutEach();
       case "weights" -> weights();
       default -> compared(what);
     };
