--- /dev/null
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/platform/PlatformUnavailableException.java
@@ -0,0 +1,14 @@
+package io.hawthornlb.net.platform;
+
+import org.jspecify.annotations.Nullable;
+
+/** Thrown when the platform gave no usable answer; ask again, the call may be repeated. */
+public class PlatformUnavailableException extends RuntimeException {
+
+  private static final long serialVersionUID = 1L;
+
+  /** Creates the exception with its cause. */
+  public PlatformUnavailableException(String message, @Nullable Throwable cause) {
+    super(message, cause);
+  }
+}
--- /dev/null
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/platform/support/RecordCodec.java
@@ -0,0 +1,80 @@
+package io.hawthornlb.net.platform.support;
+
+import io.hawthornlb.core.effect.AppendRecord;
+import io.hawthornlb.core.log.LogRecord;
+import io.hawthornlb.core.log.RecordBody;
+import io.hawthornlb.core.log.RecordId;
+import io.hawthornlb.core.log.UnknownRecord;
+import io.hawthornlb.core.model.InstanceId;
+import io.hawthornlb.net.codec.CodecException;
+import io.hawthornlb.net.codec.MessagePackCodec;
+import io.hawthornlb.net.codec.TypeRegistry;
+import io.hawthornlb.net.platform.StoredRecord;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/** Encodes log records as the MessagePack array {@code [writer, sequence, typeName, content]}. */
+public final class RecordCodec {
+
+  private static final int MEMBERS = 4;
+  private static final int BODY_MEMBERS = 2;
+  private static final int BODY_HEADER_BYTES = 1;
+
+  private final MessagePackCodec<RecordBody> bodies;
+
+  /** Creates a codec for the types of a registry. */
+  public RecordCodec(TypeRegistry<RecordBody> registry) {
+    this.bodies = new MessagePackCodec<>(registry);
+  }
+
+  /** Returns the encoded record. */
+  public byte[] encode(AppendRecord effect) {
+    byte[] body = bodies.encode(effect.body());
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packer.packArrayHeader(MEMBERS);
+      packer.packString(effect.id().writer().value());
+      packer.packLong(effect.id().sequence());
+      packer.writePayload(body, BODY_HEADER_BYTES, body.length - BODY_HEADER_BYTES);
+      return packer.toByteArray();
+    } catch (IOException e) {
+      throw new CodecException("cannot encode a record", e);
+    }
+  }
+
+  /**
+   * Returns the decoded record; its body is an {@link UnknownRecord} if its type is unknown.
+   *
+   * @throws CodecException if the bytes are no record
+   */
+  public LogRecord decode(StoredRecord stored) {
+    byte[] data = stored.data();
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(data)) {
+      if (unpacker.unpackArrayHeader() != MEMBERS) {
+        throw new CodecException("expected writer, sequence, type name and content", null);
+      }
+      InstanceId writer = new InstanceId(unpacker.unpackString());
+      RecordId id = new RecordId(writer, unpacker.unpackLong());
+      int bodyStart = (int) unpacker.getTotalReadBytes();
+      String typeName = unpacker.unpackString();
+      RecordBody body =
+          bodies.decode(bodyArray(data, bodyStart)).orElseGet(() -> new UnknownRecord(typeName));
+      return new LogRecord(stored.offset(), stored.appendedAt(), id, body);
+    } catch (IOException | MessagePackException | IllegalArgumentException e) {
+      throw new CodecException("cannot decode the record at offset " + stored.offset(), e);
+    }
+  }
+
+  private static byte[] bodyArray(byte[] data, int bodyStart) throws IOException {
+    ByteArrayOutputStream array = new ByteArrayOutputStream(data.length - bodyStart + 1);
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packer.packArrayHeader(BODY_MEMBERS);
+      array.write(packer.toByteArray());
+    }
+    array.write(data, bodyStart, data.length - bodyStart);
+    return array.toByteArray();
+  }
+}
