--- /dev/null
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/platform/support/JitteredBackoff.java
@@ -0,0 +1,27 @@
+package io.hawthornlb.net.platform.support;
+
+import java.time.Duration;
+import java.util.random.RandomGenerator;
+
+/** Doubles the wait after each failure and takes a random part from half of it to the whole. */
+final class JitteredBackoff {
+
+  private static final int MAX_DOUBLINGS = 20;
+
+  private final Duration first;
+  private final Duration longest;
+  private final RandomGenerator random;
+
+  JitteredBackoff(Duration first, Duration longest, RandomGenerator random) {
+    this.first = first;
+    this.longest = longest;
+    this.random = random;
+  }
+
+  /** Returns the wait after a number of failures in a row, which counts from 1. */
+  Duration delay(int failures) {
+    long doubled = first.toMillis() << Math.min(failures - 1, MAX_DOUBLINGS);
+    long whole = Math.min(doubled, longest.toMillis());
+    return Duration.ofMillis(whole / 2 + random.nextLong(whole / 2 + 1));
+  }
+}
