--- /dev/null
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/http/MetricsController.java
@@ -0,0 +1,26 @@
+package io.hawthornlb.app.http;
+
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.micronaut.context.annotation.Requires;
+import io.micronaut.http.MediaType;
+import io.micronaut.http.annotation.Controller;
+import io.micronaut.http.annotation.Get;
+
+/** Gives all meters in the text format of Prometheus. */
+@Controller("/metrics")
+@Requires(property = "hawthornlb.role", value = "entry")
+public class MetricsController {
+
+  private final PrometheusMeterRegistry registry;
+
+  /** Creates the controller. */
+  public MetricsController(PrometheusMeterRegistry registry) {
+    this.registry = registry;
+  }
+
+  /** Returns the meters. */
+  @Get(produces = MediaType.TEXT_PLAIN)
+  public String scrape() {
+    return registry.scrape();
+  }
+}
--- /dev/null
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/http/ServicesController.java
@@ -0,0 +1,202 @@
+package io.hawthornlb.app.http;
+
+import io.hawthornlb.app.dispatch.PlainCall;
+import io.hawthornlb.app.dispatch.PlainService;
+import io.hawthornlb.core.catalogue.ServiceEntry;
+import io.hawthornlb.core.catalogue.ServiceKind;
+import io.hawthornlb.core.catalogue.WorkspaceEntry;
+import io.hawthornlb.core.model.Finding;
+import io.hawthornlb.core.model.Refusal;
+import io.hawthornlb.core.model.RefusalReason;
+import io.hawthornlb.core.model.ServiceName;
+import io.hawthornlb.net.endpoint.HeaderField;
+import io.hawthornlb.net.endpoint.WholeAnswer;
+import io.micronaut.context.annotation.Requires;
+import io.micronaut.http.HttpHeaders;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.MediaType;
+import io.micronaut.http.MutableHttpResponse;
+import io.micronaut.http.annotation.Body;
+import io.micronaut.http.annotation.Controller;
+import io.micronaut.http.annotation.Delete;
+import io.micronaut.http.annotation.Get;
+import io.micronaut.http.annotation.Head;
+import io.micronaut.http.annotation.Patch;
+import io.micronaut.http.annotation.Post;
+import io.micronaut.http.annotation.Put;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
+
+/** Passes calls of any method to plain services. */
+@Controller("/services")
+@Requires(property = "hawthornlb.role", value = "entry")
+public class ServicesController {
+
+  /** The header that names a call which must not run twice. */
+  public static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+
+  private static final int LONGEST_KEY = 255;
+  private static final String PREFIX = "/services/";
+  private static final String PATH = "/{service}{/rest:.*}";
+  private static final Set<String> OWN_HEADERS =
+      Set.of(
+          "authorization",
+          "connection",
+          "content-length",
+          "expect",
+          "host",
+          "keep-alive",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade");
+
+  private final Authenticator authenticator;
+  private final CatalogueSource catalogue;
+  private final PlainService services;
+
+  /** Creates the controller. */
+  public ServicesController(
+      Authenticator authenticator, CatalogueSource catalogue, PlainService services) {
+    this.authenticator = authenticator;
+    this.catalogue = catalogue;
+    this.services = services;
+  }
+
+  /** Passes a GET. */
+  @Get(uri = PATH, produces = MediaType.ALL)
+  public Publisher<MutableHttpResponse<?>> read(HttpRequest<?> request, String service) {
+    return pass(request, service, null);
+  }
+
+  /** Passes a HEAD. */
+  @Head(uri = PATH)
+  public Publisher<MutableHttpResponse<?>> head(HttpRequest<?> request, String service) {
+    return pass(request, service, null);
+  }
+
+  /** Passes a POST. */
+  @Post(uri = PATH, consumes = MediaType.ALL, produces = MediaType.ALL)
+  public Publisher<MutableHttpResponse<?>> post(
+      HttpRequest<?> request, String service, @Body @Nullable byte[] body) {
+    return pass(request, service, body);
+  }
+
+  /** Passes a PUT. */
+  @Put(uri = PATH, consumes = MediaType.ALL, produces = MediaType.ALL)
+  public Publisher<MutableHttpResponse<?>> put(
+      HttpRequest<?> request, String service, @Body @Nullable byte[] body) {
+    return pass(request, service, body);
+  }
+
+  /** Passes a PATCH. */
+  @Patch(uri = PATH, consumes = MediaType.ALL, produces = MediaType.ALL)
+  public Publisher<MutableHttpResponse<?>> patch(
+      HttpRequest<?> request, String service, @Body @Nullable byte[] body) {
+    return pass(request, service, body);
+  }
+
+  /** Passes a DELETE. */
+  @Delete(uri = PATH, consumes = MediaType.ALL, produces = MediaType.ALL)
+  public Publisher<MutableHttpResponse<?>> delete(
+      HttpRequest<?> request, String service, @Body @Nullable byte[] body) {
+    return pass(request, service, body);
+  }
+
+  private Publisher<MutableHttpResponse<?>> pass(
+      HttpRequest<?> request, String service, byte @Nullable [] body) {
+    Either<Refusal, PlainCall> call =
+        authenticator
+            .workspace(request)
+            .flatMap(who -> call(request, who, service, body == null ? new byte[0] : body));
+    if (call.isLeft()) {
+      return Mono.just(ProblemResponses.of(call.getLeft()));
+    }
+    return services
+        .call(call.get())
+        .<MutableHttpResponse<?>>map(ServicesController::response)
+        .onErrorResume(error -> Mono.just(ProblemResponses.of(error)));
+  }
+
+  private Either<Refusal, PlainCall> call(
+      HttpRequest<?> request, WorkspaceEntry workspace, String name, byte[] body) {
+    Optional<ServiceEntry> service =
+        catalogue
+            .current()
+            .catalogue()
+            .service(new ServiceName(name))
+            .filter(entry -> entry.kind() == ServiceKind.PLAIN);
+    if (service.isEmpty()) {
+      return Either.left(Refusal.notRun(RefusalReason.NOT_FOUND, "no service named " + name));
+    }
+    if (body.length > service.get().limits().bodyBytes()) {
+      return Either.left(Refusal.notRun(RefusalReason.TOO_LARGE, "the body is over the limit"));
+    }
+    List<String> keys = request.getHeaders().getAll(IDEMPOTENCY_KEY);
+    Optional<Finding> fault = fault(keys);
+    if (fault.isPresent()) {
+      return Either.left(
+          Refusal.notRun(RefusalReason.INVALID_REQUEST, "the request has 1 fault(s)")
+              .withFindings(List.of(fault.get())));
+    }
+    return Either.right(
+        new PlainCall(
+            workspace,
+            service.get(),
+            request.getMethodName(),
+            uriBelow(request, name),
+            headers(request),
+            keys.stream().findFirst(),
+            body));
+  }
+
+  private static Optional<Finding> fault(List<String> keys) {
+    boolean valid =
+        keys.isEmpty()
+            || (keys.size() == 1 && !keys.get(0).isBlank() && keys.get(0).length() <= LONGEST_KEY);
+    String message = "expected one value of 1 to " + LONGEST_KEY + " characters";
+    return valid
+        ? Optional.empty()
+        : Optional.of(new Finding("header", 0, IDEMPOTENCY_KEY, message));
+  }
+
+  private static String uriBelow(HttpRequest<?> request, String service) {
+    String path = request.getUri().getRawPath();
+    int rest = path.indexOf('/', PREFIX.length());
+    String below = rest < 0 ? "/" : path.substring(rest);
+    String query = request.getUri().getRawQuery();
+    return query == null ? below : below + "?" + query;
+  }
+
+  private static List<HeaderField> headers(HttpRequest<?> request) {
+    List<HeaderField> fields = new ArrayList<>();
+    request
+        .getHeaders()
+        .forEach(
+            (name, values) -> {
+              if (!OWN_HEADERS.contains(name.toLowerCase(Locale.ROOT))) {
+                values.forEach(value -> fields.add(new HeaderField(name, value)));
+              }
+            });
+    return fields;
+  }
+
+  private static MutableHttpResponse<?> response(WholeAnswer answer) {
+    MutableHttpResponse<byte[]> response = HttpResponse.status(answer.status(), "");
+    for (HeaderField field : answer.headers()) {
+      response.header(field.name(), field.value());
+    }
+    if (!response.getHeaders().contains(HttpHeaders.CONTENT_TYPE)) {
+      response.contentType(MediaType.APPLICATION_OCTET_STREAM_TYPE);
+    }
+    return response.body(answer.body());
+  }
+}
--- /dev/null
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/endpoint/HeaderField.java
@@ -0,0 +1,12 @@
+package io.hawthornlb.net.endpoint;
+
+import io.hawthornlb.core.util.Checks;
+
+/** One HTTP header field. */
+public record HeaderField(String name, String value) {
+
+  /** Checks the name. */
+  public HeaderField {
+    Checks.hasText(name, "header name");
+  }
+}
--- /dev/null
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/endpoint/support/HttpEndpointClient.java
@@ -0,0 +1,220 @@
+package io.hawthornlb.net.endpoint.support;
+
+import io.hawthornlb.net.endpoint.EndpointCall;
+import io.hawthornlb.net.endpoint.EndpointCallException;
+import io.hawthornlb.net.endpoint.EndpointClient;
+import io.hawthornlb.net.endpoint.EndpointFault;
+import io.hawthornlb.net.endpoint.HeaderField;
+import io.hawthornlb.net.endpoint.TrafficKind;
+import io.hawthornlb.net.endpoint.WholeAnswer;
+import io.micronaut.http.HttpHeaders;
+import io.micronaut.http.HttpMethod;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.MutableHttpRequest;
+import io.micronaut.http.client.DefaultHttpClientConfiguration;
+import io.micronaut.http.client.HttpClient;
+import io.micronaut.http.client.HttpClientConfiguration;
+import io.micronaut.http.client.exceptions.ContentLengthExceededException;
+import io.micronaut.http.client.exceptions.HttpClientResponseException;
+import io.micronaut.http.client.exceptions.ReadTimeoutException;
+import io.micronaut.http.client.sse.SseClient;
+import io.micronaut.http.sse.Event;
+import io.netty.channel.ConnectTimeoutException;
+import java.net.ConnectException;
+import java.net.MalformedURLException;
+import java.net.NoRouteToHostException;
+import java.net.URL;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeoutException;
+import org.jspecify.annotations.Nullable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/**
+ * Calls endpoints with the HTTP client of the framework.
+ *
+ * <p>Each kind of traffic has connections of its own, so that an online request never waits behind
+ * a batch item for a connection.
+ */
+public final class HttpEndpointClient implements EndpointClient {
+
+  private static final int SERVICE_UNAVAILABLE = 503;
+  private static final int TOO_MANY_REQUESTS = 429;
+  private static final Set<String> HOP_HEADERS =
+      Set.of(
+          "connection",
+          "keep-alive",
+          "proxy-authenticate",
+          "proxy-authorization",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade",
+          "content-length",
+          "host");
+
+  private final Map<TrafficKind, HttpClient> clients = new EnumMap<>(TrafficKind.class);
+  private final Map<String, SseClient> streamClients = new ConcurrentHashMap<>();
+  private final EndpointClientSettings settings;
+
+  /** Creates a client without any connection. */
+  public HttpEndpointClient(EndpointClientSettings settings) {
+    this.settings = settings;
+    for (TrafficKind kind : TrafficKind.values()) {
+      clients.put(kind, HttpClient.create(null, configuration()));
+    }
+  }
+
+  @Override
+  public Mono<WholeAnswer> exchange(EndpointCall call, Duration timeout) {
+    HttpClient client = clients.get(call.kind());
+    return Mono.from(client.exchange(request(call), byte[].class))
+        .timeout(timeout)
+        .map(HttpEndpointClient::answer)
+        .onErrorResume(HttpEndpointClient::answerOfErrorStatus)
+        .onErrorMap(error -> failure(call, error));
+  }
+
+  @Override
+  public Flux<String> events(EndpointCall call, Duration silence) {
+    MutableHttpRequest<byte[]> request = request(call);
+    request.header(HttpHeaders.ACCEPT, "text/event-stream");
+    return Flux.from(streamClient(call).eventStream(request, String.class))
+        .map(Event::getData)
+        .timeout(silence)
+        .onErrorMap(error -> failure(call, error));
+  }
+
+  @Override
+  public void close() {
+    clients.values().forEach(HttpClient::close);
+    streamClients.values().forEach(client -> closeQuietly(client));
+  }
+
+  private HttpClientConfiguration configuration() {
+    DefaultHttpClientConfiguration configuration = new DefaultHttpClientConfiguration();
+    configuration.setConnectTimeout(settings.connectTimeout());
+    configuration.setReadTimeout(settings.readTimeout());
+    configuration.setMaxContentLength(settings.maxAnswerBytes());
+    configuration.setExceptionOnErrorStatus(true);
+    configuration.setFollowRedirects(false);
+    configuration.setNumOfThreads(settings.threads());
+    HttpClientConfiguration.ConnectionPoolConfiguration pool =
+        configuration.getConnectionPoolConfiguration();
+    pool.setMaxConcurrentHttp1Connections(settings.connectionsPerEndpoint());
+    pool.setMaxPendingAcquires(settings.connectionsPerEndpoint());
+    return configuration;
+  }
+
+  private SseClient streamClient(EndpointCall call) {
+    String key = call.kind() + " " + call.address();
+    return streamClients.computeIfAbsent(
+        key, ignored -> SseClient.create(url(call.address()), configuration()));
+  }
+
+  private static URL url(String address) {
+    try {
+      return new URL("http://" + address);
+    } catch (MalformedURLException e) {
+      throw new EndpointCallException(
+          EndpointFault.NOT_SENT, "endpoint address " + address + " is no host and port", e);
+    }
+  }
+
+  private static MutableHttpRequest<byte[]> request(EndpointCall call) {
+    String uri = "http://" + call.address() + call.uri();
+    HttpMethod method = HttpMethod.parse(call.method());
+    MutableHttpRequest<byte[]> request = HttpRequest.create(method, uri, call.method());
+    if (call.body().length > 0) {
+      request.body(call.body());
+    }
+    for (HeaderField field : call.headers()) {
+      request.header(field.name(), field.value());
+    }
+    return request;
+  }
+
+  private static WholeAnswer answer(HttpResponse<byte[]> response) {
+    byte[] body = response.getBody(byte[].class).orElseGet(() -> new byte[0]);
+    return new WholeAnswer(response.code(), endToEndHeaders(response), body);
+  }
+
+  private static Mono<WholeAnswer> answerOfErrorStatus(Throwable error) {
+    if (!(error instanceof HttpClientResponseException failed)) {
+      return Mono.error(error);
+    }
+    Optional<byte[]> body = failed.getResponse().getBody(byte[].class);
+    List<HeaderField> headers = endToEndHeaders(failed.getResponse());
+    return Mono.just(new WholeAnswer(failed.code(), headers, body.orElseGet(() -> new byte[0])));
+  }
+
+  private static List<HeaderField> endToEndHeaders(HttpResponse<?> response) {
+    List<HeaderField> fields = new ArrayList<>();
+    response
+        .getHeaders()
+        .forEach(
+            (name, values) -> {
+              if (!HOP_HEADERS.contains(name.toLowerCase(Locale.ROOT))) {
+                values.forEach(value -> fields.add(new HeaderField(name, value)));
+              }
+            });
+    return fields;
+  }
+
+  private static EndpointCallException failure(EndpointCall call, Throwable error) {
+    if (error instanceof EndpointCallException known) {
+      return known;
+    }
+    EndpointFault fault = fault(error);
+    return new EndpointCallException(
+        fault, call.method() + " " + call.address() + call.uri() + " failed: " + fault, error);
+  }
+
+  private static EndpointFault fault(Throwable error) {
+    if (error instanceof HttpClientResponseException refused) {
+      boolean declined =
+          refused.code() == SERVICE_UNAVAILABLE || refused.code() == TOO_MANY_REQUESTS;
+      return declined ? EndpointFault.DECLINED : EndpointFault.UNREADABLE;
+    }
+    if (error instanceof ContentLengthExceededException) {
+      return EndpointFault.UNREADABLE;
+    }
+    if (error instanceof TimeoutException || error instanceof ReadTimeoutException) {
+      return EndpointFault.TIMED_OUT;
+    }
+    return neverConnected(error) ? EndpointFault.NOT_SENT : EndpointFault.BROKEN;
+  }
+
+  /**
+   * Tells a connection that never came about from one that ended.
+   *
+   * <p>Only these causes prove that no byte was sent. Any other failure counts as one after which
+   * the endpoint may have executed the request: a wrong guess here would repeat a request that must
+   * run at most once.
+   */
+  private static boolean neverConnected(@Nullable Throwable error) {
+    for (Throwable cause = error; cause != null; cause = cause.getCause()) {
+      if (cause instanceof ConnectException
+          || cause instanceof ConnectTimeoutException
+          || cause instanceof NoRouteToHostException) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static void closeQuietly(SseClient client) {
+    if (client instanceof HttpClient closeable) {
+      closeable.close();
+    }
+  }
+}
