Ask the deciders about online requests on one thread

Cause: the deciders are confined to one thread, while requests arrive on many. Ruled out: a break counted as a crash for each request that it ended; all requests of an endpoint break together, so one probe answers for all and counts once.

--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/dispatch/ChatCall.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/dispatch/ChatCall.java
@@ -13,7 +13,7 @@
  * @param stream whether the caller wants a token stream
  * @param maxTokens the most tokens to generate
  * @param promptTokens estimate of the length of the prompt
- * @param prefixHashes hashes of the prompt's prefixes, longest first
+ * @param prefixHashes hashes of the prompt's prefixes, shortest first
  * @param body the request as it came
  */
 public record ChatCall(
--- /dev/null
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/dispatch/StreamSession.java
@@ -0,0 +1,245 @@
+package io.hawthornlb.app.dispatch;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.hawthornlb.core.model.Refusal;
+import io.hawthornlb.core.model.RefusalReason;
+import io.hawthornlb.net.endpoint.EndpointCall;
+import io.hawthornlb.net.endpoint.EndpointCallException;
+import io.hawthornlb.net.endpoint.EndpointClient;
+import io.hawthornlb.net.endpoint.EndpointFault;
+import io.hawthornlb.net.endpoint.TrafficKind;
+import java.time.Duration;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.jspecify.annotations.Nullable;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+
+/**
+ * One token stream from its admission to its end marker.
+ *
+ * <p>Before the first event a failed try moves to another endpoint. After it the stream is resumed
+ * at the same endpoint from the first token that the caller lacks, since another endpoint would
+ * generate other text.
+ */
+final class StreamSession {
+
+  /** The data of the event that ends a whole stream. */
+  static final String END_MARKER = "[DONE]";
+
+  private static final String TOKEN_FIELD = "hawthornlb_token";
+  private static final int BUFFERED_EVENTS = 4_096;
+  private static final int RESUMES_WITHOUT_PROGRESS = 3;
+  private static final Duration SHORTEST_SILENCE = Duration.ofSeconds(2);
+  private static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(1);
+
+  private final OnlineRequest request;
+  private final ChatCall call;
+  private final OnlineDecisions decisions;
+  private final EndpointClient endpoints;
+  private final ObjectMapper mapper;
+  private final Sinks.One<Flux<String>> started = Sinks.one();
+  private final Sinks.Many<String> events =
+      Sinks.many().unicast().onBackpressureBuffer(new ArrayBlockingQueue<>(BUFFERED_EVENTS));
+  private final Disposable.Swap upstream = reactor.core.Disposables.swap();
+  private final AtomicBoolean over = new AtomicBoolean();
+
+  private volatile @Nullable RoutedAttempt attempt;
+  private volatile boolean begun;
+  private volatile long nextToken;
+  private volatile int resumes;
+
+  StreamSession(
+      OnlineRequest request,
+      ChatCall call,
+      OnlineDecisions decisions,
+      EndpointClient endpoints,
+      ObjectMapper mapper) {
+    this.request = request;
+    this.call = call;
+    this.decisions = decisions;
+    this.endpoints = endpoints;
+    this.mapper = mapper;
+  }
+
+  /** Returns the stream once its first event is there. */
+  Mono<Flux<String>> start() {
+    return decisions
+        .admit(request)
+        .then(
+            Mono.defer(
+                () -> {
+                  route();
+                  return started.asMono();
+                }))
+        .doOnCancel(this::callerLeft);
+  }
+
+  private void route() {
+    upstream.update(decisions.route(request).subscribe(this::open, this::refuse));
+  }
+
+  private void open(RoutedAttempt routed) {
+    attempt = routed;
+    subscribe(endpoints.events(ChatDispatcher.engineCall(routed, call), silence()));
+  }
+
+  private void subscribe(Flux<String> source) {
+    if (!over.get()) {
+      upstream.update(source.subscribe(this::event, this::broken, this::ended));
+    }
+  }
+
+  private void event(String data) {
+    if (over.get()) {
+      return;
+    }
+    if (END_MARKER.equals(data)) {
+      publish(data);
+      end(null);
+      return;
+    }
+    long token = token(data);
+    if (token >= 0 && token < nextToken) {
+      return;
+    }
+    resumes = 0;
+    nextToken = token >= 0 ? token + 1 : nextToken;
+    publish(data);
+  }
+
+  private void publish(String data) {
+    if (!begun) {
+      begun = true;
+      RoutedAttempt current = attempt;
+      if (current != null) {
+        decisions.answering(current);
+      }
+      started.tryEmitValue(events.asFlux().doOnCancel(this::callerLeft));
+    }
+    if (events.tryEmitNext(data).isFailure()) {
+      callerLeft();
+    }
+  }
+
+  /** A connection that ends without the end marker has lost the rest of the answer. */
+  private void ended() {
+    broken(new EndpointCallException(EndpointFault.BROKEN, "stream ended early", null));
+  }
+
+  private void broken(Throwable error) {
+    RoutedAttempt current = attempt;
+    if (over.get() || current == null) {
+      return;
+    }
+    EndpointFault fault = fault(error);
+    boolean mayBeThere = fault == EndpointFault.TIMED_OUT || fault == EndpointFault.BROKEN;
+    if (mayBeThere && resumes < RESUMES_WITHOUT_PROGRESS) {
+      resumes++;
+      resume(current);
+      return;
+    }
+    if (begun) {
+      decisions.failed(current, fault).subscribe(delay -> {}, refusal -> {});
+      end(new RefusalException(lost()));
+      return;
+    }
+    retry(current, fault);
+  }
+
+  /**
+   * Asks the endpoint for the rest over another connection.
+   *
+   * <p>Something between the two ends may have lost track of the first connection: it stays open,
+   * no byte comes, and the endpoint goes on generating. The new connection shows whether the
+   * endpoint still has the stream, and tokens that arrive twice are dropped by their number.
+   */
+  private void resume(RoutedAttempt current) {
+    String uri = "/v1/streams/" + request.id() + "?from=" + nextToken;
+    subscribe(
+        endpoints.events(
+            EndpointCall.bare(current.address(), "GET", uri, TrafficKind.ONLINE), silence()));
+  }
+
+  private void retry(RoutedAttempt failed, EndpointFault fault) {
+    upstream.update(
+        decisions
+            .failed(failed, fault)
+            .flatMap(Mono::delay)
+            .subscribe(tick -> route(), this::refuse));
+  }
+
+  private void refuse(Throwable error) {
+    if (over.compareAndSet(false, true)) {
+      started.tryEmitError(error);
+      decisions.finished(request);
+    }
+  }
+
+  private void end(@Nullable RefusalException error) {
+    if (!over.compareAndSet(false, true)) {
+      return;
+    }
+    RoutedAttempt current = attempt;
+    if (error == null) {
+      if (current != null) {
+        decisions.succeeded(current);
+      }
+      events.tryEmitComplete();
+    } else {
+      events.tryEmitError(error);
+    }
+    decisions.finished(request);
+  }
+
+  private void callerLeft() {
+    if (!over.compareAndSet(false, true)) {
+      return;
+    }
+    upstream.dispose();
+    RoutedAttempt current = attempt;
+    if (current != null) {
+      cancelAtEngine(current);
+      decisions.cancelled(current);
+    }
+    decisions.finished(request);
+  }
+
+  private void cancelAtEngine(RoutedAttempt current) {
+    String uri = "/v1/streams/" + request.id();
+    endpoints
+        .exchange(
+            EndpointCall.bare(current.address(), "DELETE", uri, TrafficKind.CONTROL),
+            CANCEL_TIMEOUT)
+        .subscribe(answer -> {}, error -> {});
+  }
+
+  /** Returns how long the connection may give nothing; longer with each resume in vain. */
+  private Duration silence() {
+    return SHORTEST_SILENCE.multipliedBy(1L << resumes);
+  }
+
+  private long token(String data) {
+    try {
+      JsonNode token = mapper.readTree(data).path(TOKEN_FIELD);
+      return token.isIntegralNumber() ? token.asLong() : -1;
+    } catch (JsonProcessingException e) {
+      return -1;
+    }
+  }
+
+  private static EndpointFault fault(Throwable error) {
+    return error instanceof EndpointCallException failed
+        ? failed.fault()
+        : EndpointFault.UNREADABLE;
+  }
+
+  private static Refusal lost() {
+    return Refusal.mayHaveRun(
+        RefusalReason.ENDPOINT_FAILED, "the endpoint was lost; the text so far is not the whole");
+  }
+}
--- /dev/null
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/package-info.java
@@ -0,0 +1,5 @@
+/** The entry process: its decision loop, its adapters and their wiring. */
+@NullMarked
+package io.hawthornlb.app.entry;
+
+import org.jspecify.annotations.NullMarked;
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/http/PrefixHashes.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/http/PrefixHashes.java
@@ -5,7 +5,6 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HexFormat;
 import java.util.List;
 
@@ -17,7 +16,7 @@
 
   private PrefixHashes() {}
 
-  /** Returns the hash of each proper prefix of the messages, longest first. */
+  /** Returns the hash of each proper prefix of the messages, shortest first. */
   static List<String> of(JsonNode messages) {
     MessageDigest digest = sha256();
     List<String> hashes = new ArrayList<>();
@@ -25,7 +24,6 @@
       update(digest, messages.get(i));
       hashes.add(cut(digest));
     }
-    Collections.reverse(hashes);
     return hashes;
   }
 
--- a/hawthornlb-net/src/main/java/io/hawthornlb/net/endpoint/EndpointFault.java
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/endpoint/EndpointFault.java
@@ -6,6 +6,8 @@
   NOT_SENT,
   /** The endpoint said itself that it does not take the request. */
   DECLINED,
+  /** The endpoint answered that it failed. */
+  ERRORED,
   /** The connection ended before the whole answer. */
   BROKEN,
   /** No answer came in time. */
