--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/config/support/package-info.java
@@ -0,0 +1,5 @@
+/** Reads settings from the node graph of a YAML document. */
+@NullMarked
+package io.hawthornlb.core.config.support;
+
+import org.jspecify.annotations.NullMarked;
