--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/catalogue/ServiceEntry.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/catalogue/ServiceEntry.java
@@ -31,6 +31,12 @@
     double batchWeight,
     Duration resultRetention) {
 
+  /** The deadline of an entry that declares none. */
+  public static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(60);
+
+  /** The time to the first token of an entry that declares none. */
+  public static final Duration DEFAULT_FIRST_TOKEN = Duration.ofMillis(1_600);
+
   /** Checks owner, times and weight. */
   public ServiceEntry {
     Checks.hasText(owner, "owner");
@@ -53,8 +59,8 @@
     private final ServiceKind kind;
     private RequestClass requestClass = RequestClass.INTERACTIVE;
     private Limits limits = Limits.DEFAULT;
-    private Duration deadline = Duration.ofSeconds(60);
-    private Duration firstToken = Duration.ofMillis(1_600);
+    private Duration deadline = DEFAULT_DEADLINE;
+    private Duration firstToken = DEFAULT_FIRST_TOKEN;
     private Repeatability repeatability;
     private double batchWeight = 0.5;
     private Duration resultRetention = Duration.ofHours(24);
