Lay the records, messages and contracts of batch jobs

Every item of a job has to end once although holders die, pause and wake up, so the records of a partition carry the epoch of their writer and a new holder opens the stream itself.

--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/ItemsDispatched.java
@@ -0,0 +1,22 @@
+package io.hawthornlb.core.job;
+
+import io.hawthornlb.core.model.PartitionId;
+import io.hawthornlb.core.model.ServiceName;
+import io.hawthornlb.core.peer.PeerMessage;
+import java.util.List;
+
+/**
+ * Gives items to a steward, which reads them from the stream of the partition.
+ *
+ * @param partition the partition
+ * @param service the service that runs them
+ * @param items the items
+ */
+public record ItemsDispatched(PartitionId partition, ServiceName service, List<ItemDispatch> items)
+    implements PeerMessage {
+
+  /** Copies the items. */
+  public ItemsDispatched {
+    items = List.copyOf(items);
+  }
+}
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/JobEvent.java
@@ -0,0 +1,4 @@
+package io.hawthornlb.core.job;
+
+/** What a job coordinator reacts to. */
+public interface JobEvent {}
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/RefreshRecord.java
@@ -0,0 +1,12 @@
+package io.hawthornlb.core.job;
+
+import io.hawthornlb.core.effect.Effect;
+import io.hawthornlb.core.log.StreamName;
+
+/**
+ * Asks for a record to be read from the log and handed back as {@link RecordReadBack}.
+ *
+ * @param stream the stream
+ * @param offset the offset of the record
+ */
+public record RefreshRecord(StreamName stream, long offset) implements Effect {}
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/StewardLost.java
@@ -0,0 +1,10 @@
+package io.hawthornlb.core.job;
+
+import io.hawthornlb.core.model.InstanceId;
+
+/**
+ * Says that a steward has left or is taken for lost.
+ *
+ * @param steward the steward
+ */
+public record StewardLost(InstanceId steward) implements JobEvent {}
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/partition/SnapshotCompleted.java
@@ -0,0 +1,18 @@
+package io.hawthornlb.core.partition;
+
+import io.hawthornlb.core.model.Epoch;
+import io.hawthornlb.core.util.Checks;
+
+/**
+ * Ends a round of snapshots of one partition.
+ *
+ * @param epoch the epoch of the holder
+ * @param openedAt the offset of the {@link PartitionOpened} record that began the round
+ */
+public record SnapshotCompleted(Epoch epoch, long openedAt) implements PartitionRecord {
+
+  /** Checks the offset. */
+  public SnapshotCompleted {
+    Checks.notNegative(openedAt, "opened at");
+  }
+}
