--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/log/support/AbstractStreamFold.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/log/support/AbstractStreamFold.java
@@ -29,7 +29,7 @@
   private final SnapshotAssembly<P> assembly;
   private final SnapshotAge snapshotAge = new SnapshotAge();
   private long nextOffset;
-  private boolean complete = true;
+  private long stateOffset;
   private boolean lacksNewer;
 
   /**
@@ -48,13 +48,13 @@
     Checks.isTrue(
         entry.offset() >= nextOffset,
         "offset " + entry.offset() + " was applied before; next is " + nextOffset);
+    boolean whole = complete();
     nextOffset = entry.offset() + 1;
     snapshotAge.noteRecord(entry.appendedAt());
     if (partType.isInstance(entry.body())) {
-      notePart(entry, partType.cast(entry.body()));
-      applyOrKeep(new LogRecord(entry.offset(), entry.appendedAt(), entry.id(), new PassedPart()));
+      notePart(entry, partType.cast(entry.body()), whole);
     } else {
-      applyOrKeep(entry);
+      applyOrKeep(entry, whole);
     }
   }
 
@@ -64,18 +64,14 @@
   }
 
   @Override
-  public final boolean complete() {
-    return complete;
+  public final long stateOffset() {
+    return stateOffset;
   }
 
   @Override
   public final void restartAt(long firstOffset) {
-    Checks.isTrue(firstOffset >= nextOffset, "the fold is already past offset " + firstOffset);
-    if (firstOffset == nextOffset) {
-      return;
-    }
+    Checks.isTrue(firstOffset >= stateOffset, "the fold is already past offset " + firstOffset);
     nextOffset = firstOffset;
-    complete = false;
     assembly.restart(firstOffset);
   }
 
@@ -86,7 +82,7 @@
    * snapshot without its effect would make the newer version forget it.
    */
   public final List<P> snapshot() {
-    if (!complete || lacksNewer) {
+    if (!complete() || lacksNewer) {
       return List.of();
     }
     return createSnapshot(nextOffset, duplicates.windows());
@@ -106,33 +102,42 @@
   /** Replaces the state by that of a snapshot, whose parts are in order. */
   protected abstract void install(List<P> parts);
 
-  private void applyOrKeep(LogRecord entry) {
-    if (complete) {
+  private void applyOrKeep(LogRecord entry, boolean whole) {
+    if (whole) {
       applyInOrder(entry);
     } else {
       assembly.keep(entry);
     }
   }
 
-  private void notePart(LogRecord entry, P part) {
-    Optional<List<P>> whole = assembly.add(entry.id().writer(), part);
-    if (whole.isEmpty()) {
+  private void notePart(LogRecord entry, P part, boolean whole) {
+    applyOrKeep(
+        new LogRecord(entry.offset(), entry.appendedAt(), entry.id(), new PassedPart()), whole);
+    Optional<List<P>> parts = assembly.add(entry.id().writer(), part);
+    if (parts.isEmpty()) {
       return;
     }
     snapshotAge.noteSnapshot(entry, part.upTo());
     // A snapshot that was written by a paused instance or read late is older than the state. It
     // would show as state that goes back. A complete fold therefore never takes one, and an
     // incomplete one only if it has every record after the snapshot.
-    if (!complete && assembly.covers(part.upTo())) {
-      install(whole.get());
-      duplicates.install(whole.get().get(0).writers());
-      lacksNewer = part.version() > version;
-      complete = true;
-      assembly.takeKept(part.upTo()).forEach(this::applyInOrder);
+    if (!whole && assembly.covers(part.upTo())) {
+      startFrom(parts.get());
     }
   }
 
+  private void startFrom(List<P> parts) {
+    P first = parts.get(0);
+    install(parts);
+    duplicates.install(first.writers());
+    lacksNewer = first.version() > version;
+    stateOffset = first.upTo();
+    assembly.takeKept(stateOffset).forEach(this::applyInOrder);
+    stateOffset = nextOffset;
+  }
+
   private void applyInOrder(LogRecord entry) {
+    stateOffset = entry.offset() + 1;
     // An append whose answer was lost is sent again, so a record can stand in the stream twice. It
     // would show as an effect that happens twice. The second occurrence has the same id.
     if (!duplicates.isFirst(entry.id())) {
