--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/claim/support/DefaultClaimManager.java
@@ -0,0 +1,249 @@
+package io.hawthornlb.core.claim.support;
+
+import io.hawthornlb.core.claim.Claim;
+import io.hawthornlb.core.claim.ClaimManager;
+import io.hawthornlb.core.claim.ClaimRecord;
+import io.hawthornlb.core.claim.ClaimSnapshot;
+import io.hawthornlb.core.claim.PlacementPolicy;
+import io.hawthornlb.core.claim.ReleaseRecord;
+import io.hawthornlb.core.claim.RendezvousHash;
+import io.hawthornlb.core.claim.RenewalRecord;
+import io.hawthornlb.core.effect.AppendRecord;
+import io.hawthornlb.core.log.LogRecord;
+import io.hawthornlb.core.log.RecordBody;
+import io.hawthornlb.core.log.RecordId;
+import io.hawthornlb.core.log.RecordIdSource;
+import io.hawthornlb.core.log.StreamName;
+import io.hawthornlb.core.log.support.SnapshotSchedule;
+import io.hawthornlb.core.model.DataCentre;
+import io.hawthornlb.core.model.InstanceId;
+import io.hawthornlb.core.model.PartitionId;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Places partitions by rendezvous hashing over the instances that renew.
+ *
+ * <p>It claims what belongs to it and nobody holds, or whose holder is silent; it hands over what
+ * belongs to another; and it claims anew what it holds when a witness has gone silent.
+ */
+public final class DefaultClaimManager implements ClaimManager {
+
+  /** Own renewals to wait for before the first claim, so that everybody else was heard. */
+  private static final int SETTLED_AFTER = 2;
+
+  private record Pending(RecordId id, Instant since) {}
+
+  private final ClaimFold fold;
+  private final RecordIdSource ids;
+  private final DataCentre dataCentre;
+  private final PlacementPolicy policy;
+  private final InstantSource clock;
+  private final ClaimSettings settings;
+  private final LifeSigns lifeSigns;
+  private final WitnessSelector witnessSelector;
+  private final Placement placement;
+  private final SnapshotSchedule<ClaimSnapshot> snapshots;
+  private final Map<PartitionId, Pending> pending = new HashMap<>();
+  private final Map<PartitionId, Instant> heldSince = new HashMap<>();
+  private @Nullable Pending pendingRenewal;
+  private boolean leaving;
+
+  /** Creates a manager for the writer of the record ids. */
+  public DefaultClaimManager(
+      ClaimFold fold,
+      RecordIdSource ids,
+      DataCentre dataCentre,
+      PlacementPolicy policy,
+      InstantSource clock,
+      ClaimSettings settings) {
+    this.fold = fold;
+    this.ids = ids;
+    this.dataCentre = dataCentre;
+    this.policy = policy;
+    this.clock = clock;
+    this.settings = settings;
+    this.lifeSigns = new LifeSigns(ids.writer(), settings);
+    this.witnessSelector = new WitnessSelector(lifeSigns);
+    this.placement = new Placement(fold.partitions());
+    this.snapshots = new SnapshotSchedule<>(fold, settings.snapshots(), clock);
+  }
+
+  @Override
+  public void onRecord(LogRecord entry) {
+    Instant now = clock.instant();
+    lifeSigns.note(entry, now, interval());
+    if (pendingRenewal != null && pendingRenewal.id().equals(entry.id())) {
+      pendingRenewal = null;
+    }
+    if (entry.body() instanceof ClaimRecord claim) {
+      noteSeen(claim.partition(), entry.id(), now);
+    } else if (entry.body() instanceof ReleaseRecord release) {
+      noteSeen(release.partition(), entry.id(), now);
+    }
+  }
+
+  @Override
+  public void onListed(Set<InstanceId> listed) {
+    lifeSigns.noteListed(listed);
+  }
+
+  @Override
+  public List<AppendRecord> onTick() {
+    Instant now = clock.instant();
+    List<AppendRecord> effects = new ArrayList<>();
+    if (renewalDue(now)) {
+      AppendRecord renewal = append(new RenewalRecord(dataCentre, leaving));
+      pendingRenewal = new Pending(renewal.id(), now);
+      effects.add(renewal);
+    }
+    if (fold.complete() && (leaving || lifeSigns.ownRenewals() >= SETTLED_AFTER)) {
+      decideAll(now, effects);
+      snapshots.onTick(writesFirst(StreamName.CLAIMS)).forEach(part -> effects.add(append(part)));
+    }
+    return effects;
+  }
+
+  @Override
+  public List<AppendRecord> stop() {
+    leaving = true;
+    pendingRenewal = null;
+    return onTick();
+  }
+
+  @Override
+  public boolean stopped() {
+    return leaving && held().isEmpty();
+  }
+
+  @Override
+  public Set<InstanceId> live() {
+    Set<InstanceId> live = lifeSigns.live();
+    if (leaving) {
+      live.remove(ids.writer());
+    } else {
+      live.add(ids.writer());
+    }
+    return live;
+  }
+
+  @Override
+  public boolean writesFirst(StreamName stream) {
+    long key = stream.value().hashCode();
+    return new RendezvousHash(live()).owner(key).equals(Optional.of(ids.writer()));
+  }
+
+  private boolean renewalDue(Instant now) {
+    if (pendingRenewal != null) {
+      return !now.isBefore(pendingRenewal.since().plus(settings.appendTimeout()));
+    }
+    Optional<Instant> last = lifeSigns.lastOwnAt();
+    return leaving || last.isEmpty() || !now.isBefore(last.get().plus(interval()));
+  }
+
+  private Duration interval() {
+    return settings.interval(lifeSigns.live().size());
+  }
+
+  private void decideAll(Instant now, List<AppendRecord> effects) {
+    Set<InstanceId> live = live();
+    placement.update(leaving ? live : policy.members(live, now));
+    pending.values().removeIf(each -> !now.isBefore(each.since().plus(settings.appendTimeout())));
+    for (int number = 0; number < fold.partitions(); number++) {
+      PartitionId partition = new PartitionId(number);
+      if (!pending.containsKey(partition)) {
+        decide(partition, live, now).ifPresent(body -> effects.add(appendPending(partition, body)));
+      }
+    }
+  }
+
+  private Optional<RecordBody> decide(PartitionId partition, Set<InstanceId> live, Instant now) {
+    Optional<InstanceId> owner = placement.owner(partition);
+    Optional<Claim> claim = fold.current(partition);
+    boolean isOwner = owner.equals(Optional.of(ids.writer()));
+    if (claim.isPresent() && claim.get().holder().equals(ids.writer())) {
+      return isOwner
+          ? replaceWitnesses(claim.get(), live)
+          : moveAway(claim.get(), owner, live, now);
+    }
+    boolean isFree = claim.isEmpty() || lifeSigns.silent(claim.get().holder());
+    return isOwner && isFree ? Optional.of(claim(partition, ids.writer(), live)) : Optional.empty();
+  }
+
+  private Optional<RecordBody> replaceWitnesses(Claim claim, Set<InstanceId> live) {
+    List<InstanceId> best = witnessSelector.select(claim.partition(), ids.writer(), live);
+    boolean isIntact = live.containsAll(claim.witnesses());
+    if (best.size() < claim.witnesses().size()
+        || (isIntact && best.size() == claim.witnesses().size())) {
+      return Optional.empty();
+    }
+    return Optional.of(claim(claim.partition(), ids.writer(), live));
+  }
+
+  private Optional<RecordBody> moveAway(
+      Claim claim, Optional<InstanceId> owner, Set<InstanceId> live, Instant now) {
+    if (owner.isPresent() && live.contains(owner.get())) {
+      return leaving || heldLongEnough(claim.partition(), now)
+          ? Optional.of(claim(claim.partition(), owner.get(), live))
+          : Optional.empty();
+    }
+    return leaving
+        ? Optional.of(new ReleaseRecord(claim.partition(), claim.epoch()))
+        : Optional.empty();
+  }
+
+  private boolean heldLongEnough(PartitionId partition, Instant now) {
+    Instant since = heldSince.getOrDefault(partition, Instant.MIN);
+    return since.equals(Instant.MIN) || !now.isBefore(since.plus(settings.shortestHold()));
+  }
+
+  private ClaimRecord claim(PartitionId partition, InstanceId holder, Set<InstanceId> live) {
+    List<InstanceId> witnesses = witnessSelector.select(partition, holder, live);
+    return new ClaimRecord(partition, holder, fold.epoch(partition), witnesses);
+  }
+
+  private AppendRecord appendPending(PartitionId partition, RecordBody body) {
+    AppendRecord effect = append(body);
+    pending.put(partition, new Pending(effect.id(), clock.instant()));
+    return effect;
+  }
+
+  private AppendRecord append(RecordBody body) {
+    return new AppendRecord(StreamName.CLAIMS, ids.next(), body);
+  }
+
+  private void noteSeen(PartitionId partition, RecordId id, Instant now) {
+    Pending own = pending.get(partition);
+    if (own != null && own.id().equals(id)) {
+      pending.remove(partition);
+    }
+    if (partition.value() < fold.partitions() && isHeld(partition)) {
+      heldSince.putIfAbsent(partition, now);
+    } else {
+      heldSince.remove(partition);
+    }
+  }
+
+  private List<PartitionId> held() {
+    List<PartitionId> held = new ArrayList<>();
+    for (int number = 0; number < fold.partitions(); number++) {
+      PartitionId partition = new PartitionId(number);
+      if (isHeld(partition)) {
+        held.add(partition);
+      }
+    }
+    return held;
+  }
+
+  private boolean isHeld(PartitionId partition) {
+    return fold.current(partition).filter(claim -> claim.holder().equals(ids.writer())).isPresent();
+  }
+}
--- /dev/null
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/claim/support/ClaimFleet.java
@@ -0,0 +1,160 @@
+package io.hawthornlb.core.claim.support;
+
+import io.hawthornlb.core.claim.Claim;
+import io.hawthornlb.core.claim.PlacementPolicy;
+import io.hawthornlb.core.effect.AppendRecord;
+import io.hawthornlb.core.log.LogRecord;
+import io.hawthornlb.core.log.RecordIdSource;
+import io.hawthornlb.core.model.DataCentre;
+import io.hawthornlb.core.model.InstanceId;
+import io.hawthornlb.core.model.PartitionId;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+/** Claim managers over one list of records, on a clock that the test moves. */
+final class ClaimFleet {
+
+  static final Duration TICK = Duration.ofMillis(250);
+
+  /** One instance: its own fold and how far it has read. */
+  final class Node {
+
+    final InstanceId id;
+    final DataCentre dataCentre;
+    final ClaimFold fold = new ClaimFold(partitions);
+    final DefaultClaimManager manager;
+    boolean paused;
+
+    private Node(InstanceId id, DataCentre dataCentre) {
+      this.id = id;
+      this.dataCentre = dataCentre;
+      this.manager =
+          new DefaultClaimManager(
+              fold, new RecordIdSource(id), dataCentre, policies.get(), () -> now, settings);
+    }
+
+    void read(int end) {
+      while (fold.nextOffset() < end) {
+        LogRecord entry = log.get((int) fold.nextOffset());
+        fold.apply(entry);
+        manager.onRecord(entry);
+      }
+    }
+  }
+
+  private final int partitions;
+  private final ClaimSettings settings;
+  private final Supplier<PlacementPolicy> policies;
+  private final List<LogRecord> log = new ArrayList<>();
+  private final List<AppendRecord> waiting = new ArrayList<>();
+  private final Map<InstanceId, Node> nodes = new LinkedHashMap<>();
+  private final ClaimFold judge;
+  private Instant now = Instant.EPOCH;
+  private int started;
+  private int renewals;
+
+  boolean logDown;
+
+  ClaimFleet(int partitions, ClaimSettings settings, Supplier<PlacementPolicy> policies) {
+    this.partitions = partitions;
+    this.settings = settings;
+    this.policies = policies;
+    this.judge = new ClaimFold(partitions);
+  }
+
+  Node start(String dataCentre) {
+    InstanceId id = new InstanceId("n-" + started++);
+    Node node = new Node(id, new DataCentre(dataCentre));
+    nodes.put(id, node);
+    return node;
+  }
+
+  void startMany(int count, int dataCentres) {
+    for (int i = 0; i < count; i++) {
+      start("dc-" + i % dataCentres);
+    }
+  }
+
+  void kill(Node node) {
+    nodes.remove(node.id);
+  }
+
+  void stop(Node node) {
+    waiting.addAll(node.manager.stop());
+  }
+
+  List<Node> nodes() {
+    return List.copyOf(nodes.values());
+  }
+
+  List<LogRecord> log() {
+    return log;
+  }
+
+  Instant now() {
+    return now;
+  }
+
+  int renewals() {
+    return renewals;
+  }
+
+  /** Appends what was written in the last tick, lets all read and decide, and moves the clock. */
+  void tick() {
+    if (!logDown) {
+      waiting.forEach(this::append);
+      waiting.clear();
+    }
+    for (Node node : nodes()) {
+      if (!node.paused) {
+        if (!logDown) {
+          node.read(log.size());
+        }
+        waiting.addAll(node.manager.onTick());
+      }
+    }
+    now = now.plus(TICK);
+  }
+
+  void run(Duration time) {
+    for (long left = time.dividedBy(TICK); left > 0; left--) {
+      tick();
+    }
+  }
+
+  Optional<Claim> current(int partition) {
+    return judge.current(new PartitionId(partition));
+  }
+
+  /** Returns the partitions whose holder is not running or that nobody holds. */
+  int unheld() {
+    int unheld = 0;
+    for (int partition = 0; partition < partitions; partition++) {
+      boolean held =
+          current(partition).filter(claim -> nodes.containsKey(claim.holder())).isPresent();
+      unheld += held ? 0 : 1;
+    }
+    return unheld;
+  }
+
+  List<Optional<InstanceId>> holders() {
+    List<Optional<InstanceId>> holders = new ArrayList<>();
+    for (int partition = 0; partition < partitions; partition++) {
+      holders.add(current(partition).map(Claim::holder));
+    }
+    return holders;
+  }
+
+  private void append(AppendRecord effect) {
+    renewals += effect.body() instanceof io.hawthornlb.core.claim.RenewalRecord ? 1 : 0;
+    LogRecord entry = new LogRecord(log.size(), now, effect.id(), effect.body());
+    log.add(entry);
+    judge.apply(entry);
+  }
+}
