--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/chart/StateChartReader.java
@@ -0,0 +1,20 @@
+package io.hawthornlb.core.chart;
+
+import io.hawthornlb.core.model.Finding;
+import io.vavr.control.Validation;
+import java.util.List;
+
+/** Reads a chart, or finds all its faults with their places. */
+public interface StateChartReader {
+
+  /**
+   * Reads a chart from the text of its file.
+   *
+   * <p>Faults are: unknown, missing and unreachable states; states that no final state can be
+   * reached from; unknown and unused events; unknown actions; an event that is both handled and
+   * ignored in a state, or handled twice.
+   */
+  <S extends Enum<S>, E extends Enum<E>, A extends Enum<A>>
+      Validation<List<Finding>, StateChart<S, E, A>> read(
+          String source, String content, ChartTypes<S, E, A> types);
+}
