Carry messages between entries over TCP and find silent connections

Each instance opens one connection to a peer. Whatever arrives counts as life; after peers.probe without a byte a probe is sent, after peers.silence the connection is given up, requests in progress fail, and a new one is made after a jittered backoff.

Time of silence is counted in idle periods, not read from a clock, so that a pause of the own process does not look like a silent peer. Idle time is measured on raw bytes: a large frame on a slow link is not silence. TCP keepalive was ruled out: its times belong to the machine and it does not see a peer whose process hangs.

The peer counts as reachable only after its hello: with TLS 1.3 a client's handshake ends before the server has judged its certificate.

--- /dev/null
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/peer/package-info.java
@@ -0,0 +1,5 @@
+/** Messages between entry instances over TCP. */
+@NullMarked
+package io.hawthornlb.net.peer;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/peer/support/NettyPeerClient.java
@@ -0,0 +1,150 @@
+package io.hawthornlb.net.peer.support;
+
+import io.hawthornlb.core.membership.ListedKind;
+import io.hawthornlb.core.membership.ListedProcess;
+import io.hawthornlb.core.model.InstanceId;
+import io.hawthornlb.core.peer.PeerMessage;
+import io.hawthornlb.core.peer.PeerUnavailableException;
+import io.hawthornlb.net.peer.PeerClient;
+import io.hawthornlb.net.peer.PeerNode;
+import io.netty.util.NetUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+
+/** Keeps one link to each listed peer. */
+public final class NettyPeerClient implements PeerClient {
+
+  private static final System.Logger LOG = System.getLogger(NettyPeerClient.class.getName());
+
+  private final PeerNode node;
+  private final Predicate<ListedProcess> keepConnected;
+  private final RandomGenerator random;
+  private final Map<InstanceId, PeerLink> links = new ConcurrentHashMap<>();
+  private final Map<InstanceId, PeerLink> reachable = new ConcurrentHashMap<>();
+  private boolean closed;
+
+  /**
+   * Creates a client that knows the given peers.
+   *
+   * @param node the own instance
+   * @param known peers to reach before the platform's list has come
+   * @param keepConnected which peers to connect to before there is a message for them
+   * @param random jitters the times between tries to connect; must be safe for many threads
+   */
+  public NettyPeerClient(
+      PeerNode node,
+      List<ListedProcess> known,
+      Predicate<ListedProcess> keepConnected,
+      RandomGenerator random) {
+    this.node = node;
+    this.keepConnected = keepConnected;
+    this.random = random;
+    updatePeers(known);
+  }
+
+  @Override
+  public synchronized void updatePeers(List<ListedProcess> listed) {
+    if (closed) {
+      return;
+    }
+    Map<InstanceId, PeerLink> gone = new HashMap<>(links);
+    for (ListedProcess process : listed) {
+      InstanceId id = new InstanceId(process.id());
+      if (process.kind() == ListedKind.ENTRY && !id.equals(node.self())) {
+        gone.remove(id);
+        update(id, process);
+      }
+    }
+    gone.forEach(this::remove);
+  }
+
+  private void update(InstanceId id, ListedProcess process) {
+    @Nullable InetSocketAddress address = address(process);
+    @Nullable PeerLink link = links.get(id);
+    if (link != null && !link.address().equals(address)) {
+      remove(id, link);
+      link = null;
+    }
+    if (link == null && address != null) {
+      link = new PeerLink(id, address, node, reachable, random);
+      links.put(id, link);
+    }
+    if (link != null && keepConnected.test(process)) {
+      link.connect();
+    }
+  }
+
+  /**
+   * Returns the address of a listed peer, or null if it must not be used.
+   *
+   * <p>Without TLS nothing proves who answers, and a wrong list would have messages sent in clear
+   * through the network; so only loopback addresses are used then.
+   */
+  private @Nullable InetSocketAddress address(ListedProcess process) {
+    String text = process.address();
+    int colon = text.lastIndexOf(':');
+    String host = text.substring(0, Math.max(colon, 0)).replaceAll("[\\[\\]]", "");
+    @Nullable InetAddress ip = NetUtil.createInetAddressFromIpAddressString(host);
+    if (ip == null || !text.substring(colon + 1).matches("\\d{1,5}")) {
+      LOG.log(System.Logger.Level.WARNING, "passed over peer with no IP address: " + process);
+      return null;
+    }
+    if (!node.security().authenticates() && !ip.isLoopbackAddress()) {
+      LOG.log(System.Logger.Level.WARNING, "passed over peer off loopback, no TLS: " + process);
+      return null;
+    }
+    return new InetSocketAddress(ip, Integer.parseInt(text.substring(colon + 1)));
+  }
+
+  private void remove(InstanceId id, PeerLink link) {
+    links.remove(id, link);
+    link.close();
+  }
+
+  @Override
+  public void send(InstanceId target, PeerMessage message) {
+    @Nullable PeerLink link = links.get(target);
+    if (link != null) {
+      link.send(encode(message));
+    }
+  }
+
+  @Override
+  public CompletionStage<PeerMessage> request(
+      InstanceId target, PeerMessage message, Duration timeout) {
+    @Nullable PeerLink link = links.get(target);
+    if (link == null) {
+      return CompletableFuture.failedStage(
+          new PeerUnavailableException(target, "it is not listed"));
+    }
+    return link.request(encode(message), timeout);
+  }
+
+  private byte[] encode(PeerMessage message) {
+    byte[] content = node.codec().encode(message);
+    PeerFrameCodec.requireFits(content, node.options());
+    return content;
+  }
+
+  @Override
+  public Set<InstanceId> reachable() {
+    return Set.copyOf(reachable.keySet());
+  }
+
+  @Override
+  public synchronized void close() {
+    closed = true;
+    Map.copyOf(links).forEach(this::remove);
+  }
+}
--- /dev/null
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/peer/support/PeerHello.java
@@ -0,0 +1,41 @@
+package io.hawthornlb.net.peer.support;
+
+import io.hawthornlb.core.model.InstanceId;
+import io.hawthornlb.core.peer.PeerMessage;
+import io.hawthornlb.net.codec.CodecException;
+import io.hawthornlb.net.codec.MessagePackCodec;
+import io.hawthornlb.net.codec.TypeRegistry;
+
+/**
+ * Names the sender of all further frames of a connection.
+ *
+ * @param sender the sender
+ * @param version the newest version of the protocol that it speaks
+ */
+record PeerHello(InstanceId sender, int version) implements PeerMessage {
+
+  private static final int VERSION = 1;
+
+  private static final MessagePackCodec<PeerHello> CODEC =
+      new MessagePackCodec<>(
+          TypeRegistry.<PeerHello>builder().register("hello", PeerHello.class).build());
+
+  static PeerFrame frame(InstanceId self) {
+    return new PeerFrame(0, FrameKind.HELLO, CODEC.encode(new PeerHello(self, VERSION)));
+  }
+
+  /**
+   * Returns the sender that a frame names.
+   *
+   * @throws CodecException if it is no hello
+   */
+  static InstanceId senderOf(PeerFrame frame) {
+    if (frame.kind() != FrameKind.HELLO) {
+      throw new CodecException("the first frame must be a hello", null);
+    }
+    return CODEC
+        .decode(frame.content())
+        .map(PeerHello::sender)
+        .orElseThrow(() -> new CodecException("the hello names no sender", null));
+  }
+}
--- /dev/null
+++ b/hawthornlb-net/src/test/java/io/hawthornlb/net/peer/support/Ping.java
@@ -0,0 +1,6 @@
+package io.hawthornlb.net.peer.support;
+
+import io.hawthornlb.core.peer.PeerMessage;
+
+/** A message for tests. */
+record Ping(String text) implements PeerMessage {}
