--- /dev/null
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/package-info.java
@@ -0,0 +1,5 @@
+/** The stand-in of a model engine: an emulator with continuous batching. */
+@NullMarked
+package io.hawthornlb.standin.engine;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/LruPrefixCache.java
@@ -0,0 +1,81 @@
+package io.hawthornlb.standin.engine.support;
+
+import io.hawthornlb.standin.engine.PrefixCache;
+import io.hawthornlb.standin.engine.Prompt;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Evicts the least recently used prefix when the tokens exceed the limit.
+ *
+ * <p>A prefix costs only the tokens by which it exceeds the prefix before it. Longer prefixes are
+ * touched before the shorter ones they rest on, so that they go first.
+ */
+public final class LruPrefixCache implements PrefixCache {
+
+  private static final int INITIAL = 256;
+  private static final float LOAD_FACTOR = 0.75f;
+
+  private final int maxTokens;
+  private final Listener listener;
+  private final Map<String, Integer> costs = new LinkedHashMap<>(INITIAL, LOAD_FACTOR, true);
+  private long tokens;
+
+  /** Starts empty. */
+  public LruPrefixCache(int maxTokens, Listener listener) {
+    this.maxTokens = maxTokens;
+    this.listener = listener;
+  }
+
+  @Override
+  public int lookup(Prompt prompt) {
+    int found = 0;
+    for (Prompt.Prefix prefix : PrefixCache.longestFirst(prompt)) {
+      boolean cached = costs.get(prefix.hash()) != null;
+      if (cached && found == 0) {
+        found = prefix.tokens();
+      }
+    }
+    return found;
+  }
+
+  @Override
+  public void store(Prompt prompt) {
+    int index = prompt.prefixes().size();
+    for (Prompt.Prefix prefix : PrefixCache.longestFirst(prompt)) {
+      index--;
+      int before = index == 0 ? 0 : prompt.prefixes().get(index - 1).tokens();
+      add(prefix.hash(), prefix.tokens() - before);
+    }
+    evict();
+  }
+
+  @Override
+  public void clear() {
+    for (String hash : costs.keySet()) {
+      listener.changed(hash, false);
+    }
+    costs.clear();
+    tokens = 0;
+  }
+
+  private void add(String hash, int cost) {
+    if (costs.get(hash) != null) {
+      return;
+    }
+    costs.put(hash, cost);
+    tokens += cost;
+    listener.changed(hash, true);
+  }
+
+  private void evict() {
+    Iterator<Map.Entry<String, Integer>> oldest = costs.entrySet().iterator();
+    while (tokens > maxTokens && oldest.hasNext()) {
+      Map.Entry<String, Integer> entry = oldest.next();
+      oldest.remove();
+      tokens -= entry.getValue();
+      listener.changed(entry.getKey(), false);
+    }
+  }
+}
--- /dev/null
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/fault/support/FaultController.java
@@ -0,0 +1,58 @@
+package io.hawthornlb.standin.fault.support;
+
+import io.hawthornlb.standin.fault.FaultBoard;
+import io.hawthornlb.standin.fault.FaultKind;
+import io.hawthornlb.standin.fault.FaultOrder;
+import io.hawthornlb.standin.support.StandinServer;
+import io.hawthornlb.standin.support.WireJson;
+import io.micronaut.context.annotation.Requires;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.HttpStatus;
+import io.micronaut.http.MediaType;
+import io.micronaut.http.annotation.Body;
+import io.micronaut.http.annotation.Consumes;
+import io.micronaut.http.annotation.Controller;
+import io.micronaut.http.annotation.Delete;
+import io.micronaut.http.annotation.Post;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+
+/** Switches faults on and off. */
+@Controller("/standin/faults")
+@Requires(property = StandinServer.STANDIN_PROPERTY)
+final class FaultController {
+
+  private static final Duration UNTIL_DELETED = Duration.ofDays(365);
+
+  private final FaultBoard faults;
+
+  FaultController(FaultBoard faults) {
+    this.faults = faults;
+  }
+
+  @Post
+  @Consumes(MediaType.ALL)
+  HttpResponse<byte[]> start(@Body byte[] body) {
+    FaultOrder order = WireJson.read(body, FaultOrder.class);
+    Optional<FaultKind> kind =
+        Optional.ofNullable(order.kind()).flatMap(FaultKind::ofWireName);
+    String match = Objects.requireNonNullElse(order.match(), "");
+    if (kind.isEmpty()) {
+      return WireJson.error(HttpStatus.BAD_REQUEST, "unknown kind " + order.kind());
+    }
+    if (kind.get() == FaultKind.CRASH_ON && match.isEmpty()) {
+      return WireJson.error(HttpStatus.BAD_REQUEST, "crash-on needs match");
+    }
+    Duration duration =
+        order.forMillis() <= 0 ? UNTIL_DELETED : Duration.ofMillis(order.forMillis());
+    faults.start(kind.get(), duration, order.value(), match);
+    return HttpResponse.noContent();
+  }
+
+  @Delete
+  HttpResponse<byte[]> clear() {
+    faults.clear();
+    return HttpResponse.noContent();
+  }
+}
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/package-info.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/package-info.java
@@ -1,4 +1,4 @@
-/** Stand-ins of the platform, the engines and plain services. */
+/** Stand-ins of the platform, the engines and plain services, and what starts them. */
 @NullMarked
 package io.hawthornlb.standin;
 
--- /dev/null
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/platform/support/AppendLimit.java
@@ -0,0 +1,6 @@
+package io.hawthornlb.standin.platform.support;
+
+import io.hawthornlb.standin.support.TokenBucket;
+
+/** The rate of append calls over all streams. */
+public record AppendLimit(TokenBucket bucket) {}
--- /dev/null
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/platform/support/package-info.java
@@ -0,0 +1,5 @@
+/** In-memory stores and controllers of the platform stand-in. */
+@NullMarked
+package io.hawthornlb.standin.platform.support;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/service/ServiceStandin.java
@@ -0,0 +1,39 @@
+package io.hawthornlb.standin.service;
+
+import io.hawthornlb.standin.RunningStandin;
+import io.hawthornlb.standin.fault.FaultBoard;
+import io.hawthornlb.standin.service.support.EchoService;
+import io.hawthornlb.standin.support.Announcer;
+import io.hawthornlb.standin.support.ProcessExit;
+import io.hawthornlb.standin.support.RunningEndpoint;
+import io.hawthornlb.standin.support.StandinIdentity;
+import io.hawthornlb.standin.support.StandinServer;
+import java.time.InstantSource;
+import java.util.List;
+
+/** Starts stand-ins of plain services. */
+public final class ServiceStandin {
+
+  /** The role of this kind of process. */
+  public static final String ROLE = "standin-service";
+
+  private ServiceStandin() {}
+
+  /** Starts a service that ends the process when a request crashes it. */
+  public static RunningStandin start(ServiceSettings settings) {
+    return start(settings, ProcessExit::crash);
+  }
+
+  /** Starts a service that calls {@code exit} when a request crashes it. */
+  public static RunningStandin start(ServiceSettings settings, Runnable exit) {
+    StandinIdentity identity = settings.identity();
+    FaultBoard faults = new FaultBoard(InstantSource.system(), exit);
+    CallCounter counter = new CallCounter(settings.maxKeys());
+    EchoService echo = new EchoService(settings, counter);
+    StandinServer server =
+        StandinServer.start(
+            ROLE, identity.port(), identity.eventLoopThreads(), faults, List.of(counter, echo));
+    Announcer announcer = Announcer.start(identity, server.port(), faults);
+    return new RunningEndpoint(server, faults, announcer, echo::running, () -> {});
+  }
+}
--- /dev/null
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/service/support/CallsController.java
@@ -0,0 +1,27 @@
+package io.hawthornlb.standin.service.support;
+
+import io.hawthornlb.standin.service.CallCounter;
+import io.hawthornlb.standin.service.ServiceStandin;
+import io.hawthornlb.standin.support.StandinServer;
+import io.hawthornlb.standin.support.WireJson;
+import io.micronaut.context.annotation.Requires;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.annotation.Controller;
+import io.micronaut.http.annotation.Get;
+
+/** Shows how often each call ran. */
+@Controller("/standin/calls")
+@Requires(property = StandinServer.ROLE_PROPERTY, value = ServiceStandin.ROLE)
+final class CallsController {
+
+  private final CallCounter counter;
+
+  CallsController(CallCounter counter) {
+    this.counter = counter;
+  }
+
+  @Get
+  HttpResponse<byte[]> calls() {
+    return WireJson.ok(counter.counts());
+  }
+}
--- /dev/null
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/service/support/package-info.java
@@ -0,0 +1,5 @@
+/** The call counter and controllers of the service stand-in. */
+@NullMarked
+package io.hawthornlb.standin.service.support;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/support/Announcer.java
@@ -0,0 +1,99 @@
+package io.hawthornlb.standin.support;
+
+import io.hawthornlb.standin.fault.FaultBoard;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/** Announces an endpoint to the platform again and again, and withdraws it at the end. */
+public final class Announcer implements AutoCloseable {
+
+  private static final Logger LOG = System.getLogger(Announcer.class.getName());
+  private static final Duration CALL_LIMIT = Duration.ofSeconds(1);
+
+  private final StandinIdentity identity;
+  private final int port;
+  private final FaultBoard faults;
+  private final HttpClient client = HttpClient.newBuilder().connectTimeout(CALL_LIMIT).build();
+  private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+  private boolean failed;
+
+  private Announcer(StandinIdentity identity, int port, FaultBoard faults) {
+    this.identity = identity;
+    this.port = port;
+    this.faults = faults;
+  }
+
+  /** Starts to announce; does nothing when the identity names no platform. */
+  public static Announcer start(StandinIdentity identity, int port, FaultBoard faults) {
+    Announcer announcer = new Announcer(identity, port, faults);
+    if (!identity.platform().isBlank()) {
+      announcer.timer.scheduleWithFixedDelay(
+          announcer::announce, 0, identity.announceMillis(), TimeUnit.MILLISECONDS);
+    }
+    return announcer;
+  }
+
+  /** Announces the present state at once. */
+  public void announceNow() {
+    if (!identity.platform().isBlank()) {
+      timer.execute(this::announce);
+    }
+  }
+
+  /** Stops announcing and withdraws the announcement. */
+  @Override
+  public void close() {
+    timer.shutdownNow();
+    if (!identity.platform().isBlank()) {
+      call(HttpRequest.newBuilder(uri()).DELETE());
+    }
+  }
+
+  private void announce() {
+    String state = faults.leaving() ? Announcement.LEAVING : Announcement.LIVE;
+    Announcement announcement =
+        new Announcement(
+            identity.id(),
+            Announcement.ENDPOINT,
+            identity.service(),
+            identity.dataCentre(),
+            "127.0.0.1:" + port,
+            state);
+    byte[] body = WireJson.write(announcement);
+    call(HttpRequest.newBuilder(uri()).PUT(BodyPublishers.ofByteArray(body)));
+  }
+
+  private void call(HttpRequest.Builder request) {
+    try {
+      client.send(
+          request.timeout(CALL_LIMIT).header("Content-Type", "application/json").build(),
+          BodyHandlers.discarding());
+      failed = false;
+    } catch (IOException e) {
+      logOnce(e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void logOnce(IOException cause) {
+    if (!failed) {
+      LOG.log(Level.WARNING, "standin: platform not reached, goes on trying: {0}", cause);
+    }
+    failed = true;
+  }
+
+  private URI uri() {
+    return URI.create("http://" + identity.platform() + "/instances/" + identity.id());
+  }
+}
--- /dev/null
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/support/MalformedBodyHandler.java
@@ -0,0 +1,21 @@
+package io.hawthornlb.standin.support;
+
+import io.micronaut.context.annotation.Requires;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.HttpStatus;
+import io.micronaut.http.server.exceptions.ExceptionHandler;
+import jakarta.inject.Singleton;
+
+/** Answers 400 to a malformed body. */
+@Singleton
+@Requires(property = StandinServer.STANDIN_PROPERTY)
+final class MalformedBodyHandler
+    implements ExceptionHandler<MalformedBodyException, HttpResponse<byte[]>> {
+
+  @Override
+  public HttpResponse<byte[]> handle(
+      @SuppressWarnings("rawtypes") HttpRequest request, MalformedBodyException exception) {
+    return WireJson.error(HttpStatus.BAD_REQUEST, exception.getMessage());
+  }
+}
--- /dev/null
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/support/SettingsChecks.java
@@ -0,0 +1,29 @@
+package io.hawthornlb.standin.support;
+
+/** Checks of settings that throw {@link IllegalArgumentException} naming the key. */
+public final class SettingsChecks {
+
+  private SettingsChecks() {}
+
+  /** Checks that a text has a visible character. */
+  public static void hasText(String text, String key) {
+    isTrue(text != null && !text.isBlank(), key + " must not be blank");
+  }
+
+  /** Checks that a number is above zero. */
+  public static void positive(double value, String key) {
+    isTrue(value > 0, key + " must be above 0, was " + value);
+  }
+
+  /** Checks that a number is zero or more. */
+  public static void notNegative(double value, String key) {
+    isTrue(value >= 0, key + " must not be negative, was " + value);
+  }
+
+  /** Checks a condition. */
+  public static void isTrue(boolean condition, String message) {
+    if (!condition) {
+      throw new IllegalArgumentException(message);
+    }
+  }
+}
--- /dev/null
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/support/StandinIdentity.java
@@ -0,0 +1,104 @@
+package io.hawthornlb.standin.support;
+
+import com.fasterxml.jackson.databind.annotation.JsonDeserialize;
+import com.fasterxml.jackson.databind.annotation.JsonPOJOBuilder;
+
+/**
+ * Who an endpoint stand-in is and where it announces itself.
+ *
+ * @param id the id in the instance list
+ * @param service the service it belongs to
+ * @param dataCentre the data centre it claims to stand in
+ * @param port the port on 127.0.0.1, or 0 for any free one
+ * @param platform address of the platform as {@code host:port}; blank announces nothing
+ * @param announceMillis time between two announcements
+ * @param eventLoopThreads threads that serve connections
+ */
+@JsonDeserialize(builder = StandinIdentity.Builder.class)
+public record StandinIdentity(
+    String id,
+    String service,
+    String dataCentre,
+    int port,
+    String platform,
+    long announceMillis,
+    int eventLoopThreads) {
+
+  /** Checks the values. */
+  public StandinIdentity {
+    SettingsChecks.hasText(id, "id");
+    SettingsChecks.hasText(service, "service");
+    SettingsChecks.hasText(dataCentre, "dataCentre");
+    SettingsChecks.isTrue(port >= 0 && port <= 65_535, "port must be 0 to 65535, was " + port);
+    SettingsChecks.positive(announceMillis, "announceMillis");
+    SettingsChecks.positive(eventLoopThreads, "eventLoopThreads");
+  }
+
+  /** Returns a builder with the defaults. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Collects the values. */
+  @JsonPOJOBuilder(withPrefix = "")
+  public static final class Builder {
+
+    private String id = "";
+    private String service = "";
+    private String dataCentre = "";
+    private int port;
+    private String platform = "";
+    private long announceMillis = 1_000;
+    private int eventLoopThreads = 2;
+
+    private Builder() {}
+
+    /** Sets the id; required. */
+    public Builder id(String value) {
+      id = value;
+      return this;
+    }
+
+    /** Sets the service; required. */
+    public Builder service(String value) {
+      service = value;
+      return this;
+    }
+
+    /** Sets the data centre; required. */
+    public Builder dataCentre(String value) {
+      dataCentre = value;
+      return this;
+    }
+
+    /** Sets the port; 0 by default. */
+    public Builder port(int value) {
+      port = value;
+      return this;
+    }
+
+    /** Sets the address of the platform; blank by default. */
+    public Builder platform(String value) {
+      platform = value;
+      return this;
+    }
+
+    /** Sets the time between announcements; 1,000 by default. */
+    public Builder announceMillis(long value) {
+      announceMillis = value;
+      return this;
+    }
+
+    /** Sets the number of threads that serve connections; 2 by default. */
+    public Builder eventLoopThreads(int value) {
+      eventLoopThreads = value;
+      return this;
+    }
+
+    /** Returns the checked values. */
+    public StandinIdentity build() {
+      return new StandinIdentity(
+          id, service, dataCentre, port, platform, announceMillis, eventLoopThreads);
+    }
+  }
+}
