Add the command line, one-line logs and the program in one file

Logs go through java.util.logging with a manager that keeps its handlers during shutdown: the JDK's own hook closes them beside the one that drains an entry, and the events of a graceful stop were lost. SLF4J has no provider in reach (slf4j-jdk14 stands in the cache as a pom only), so Micronaut's own logs stay off; Netty falls back to java.util.logging by itself.

target/hawthornlb is a launcher text before the shaded jar. A Maven step by maven-antrun-plugin was tried and reverted: one of its dependencies is not in the cache. Tried by hand: from another directory, through a symlink, from the path, and by sh.

--- a/bin/lib/build.sh
+++ b/bin/lib/build.sh
@@ -9,3 +9,29 @@
     apt-get install -y -qq --no-install-recommends "${missing[@]}"
   fi
 }
+
+# Builds target/hawthornlb unless it is newer than every source file.
+build_program() {
+  local program=target/hawthornlb
+  if [ -x "$program" ] && [ -z "$(newer_sources "$program")" ]; then
+    return
+  fi
+  echo "building $program"
+  mvn -B -ntp -q -Dstyle.color=never -DskipTests package "$@"
+  join_program "$program"
+}
+
+newer_sources() {
+  find bin/lib pom.xml hawthornlb-*/pom.xml hawthornlb-*/src/main -newer "$1" -print -quit
+}
+
+# Puts the launcher before the jar. Java finds a jar by the directory at the end of the file, so
+# the text before it does no harm. The move at the end replaces the program at once: a process that
+# runs the former one keeps reading the former file.
+join_program() {
+  local jars=(hawthornlb-app/target/hawthornlb-app-*-all.jar)
+  mkdir -p target
+  cat bin/lib/launcher.sh "${jars[0]}" > "$1.new"
+  chmod 755 "$1.new"
+  mv "$1.new" "$1"
+}
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/HawthornlbApplication.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/HawthornlbApplication.java
@@ -1,5 +1,14 @@
 package io.hawthornlb.app;
 
+import io.hawthornlb.app.command.CommandLine;
+import io.hawthornlb.app.command.Launchers;
+import io.hawthornlb.app.command.Output;
+import io.hawthornlb.app.entry.EntryProcess;
+import io.hawthornlb.app.logging.LogSetup;
+import io.hawthornlb.app.settings.EntrySettings;
+import io.hawthornlb.standin.StandinRunner;
+import java.util.concurrent.CountDownLatch;
+
 /** Starts the program. */
 public final class HawthornlbApplication {
 
@@ -7,6 +16,34 @@
 
   /** Runs the command that the arguments name and exits with its code. */
   public static void main(String[] arguments) {
-    System.exit(2);
+    LogSetup.prepare();
+    Launchers launchers =
+        new Launchers(
+            HawthornlbApplication::runEntry,
+            StandinRunner::run,
+            (scenario, out) -> {
+              throw new UnsupportedOperationException("the load tool is not part of this build");
+            });
+    Output output = new Output(System.out, System.err);
+    CommandLine commandLine = new CommandLine(launchers, System.getenv(), output);
+    System.exit(commandLine.run(arguments).code());
+  }
+
+  private static void runEntry(EntrySettings settings) {
+    EntryProcess process = EntryProcess.start(settings);
+    CountDownLatch stopped = new CountDownLatch(1);
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  process.close();
+                  stopped.countDown();
+                },
+                "entry-stop"));
+    try {
+      stopped.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 }
--- /dev/null
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/command/JobCancelCommand.java
@@ -0,0 +1,27 @@
+package io.hawthornlb.app.command;
+
+import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.micronaut.http.HttpRequest;
+import java.util.Map;
+
+/** Cancels a job. */
+@Parameters(
+    commandNames = "cancel",
+    commandDescription = "Cancel a job; results that it has stay readable")
+final class JobCancelCommand extends AbstractJobCommand {
+
+  JobCancelCommand(Map<String, String> environment) {
+    super(environment);
+  }
+
+  @Override
+  protected void run(EntryClient client, Output output) {
+    JsonNode answer = client.exchange(HttpRequest.POST(path() + "/cancel", "")).json();
+    if (wantsJson()) {
+      output.json(answer);
+    } else {
+      output.line(answer.path("id").asText() + " " + answer.path("phase").asText("cancelled"));
+    }
+  }
+}
--- /dev/null
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/command/JobStatusCommand.java
@@ -0,0 +1,33 @@
+package io.hawthornlb.app.command;
+
+import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.micronaut.http.HttpRequest;
+import java.util.Map;
+
+/** Shows where a job stands. */
+@Parameters(commandNames = "status", commandDescription = "Show where a job stands")
+final class JobStatusCommand extends AbstractJobCommand {
+
+  JobStatusCommand(Map<String, String> environment) {
+    super(environment);
+  }
+
+  @Override
+  protected void run(EntryClient client, Output output) {
+    JsonNode status = client.exchange(HttpRequest.GET(path())).json();
+    if (wantsJson()) {
+      output.json(status);
+      return;
+    }
+    output.line(
+        "%s %s: %d of %d items completed, %d failed, due %s"
+            .formatted(
+                status.path("id").asText(),
+                status.path("phase").asText(),
+                status.path("completed").asInt(),
+                status.path("items").asInt(),
+                status.path("failed").asInt(),
+                status.path("due").asText()));
+  }
+}
--- /dev/null
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/command/KeyHashCommand.java
@@ -0,0 +1,33 @@
+package io.hawthornlb.app.command;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import io.hawthornlb.app.settings.KeyHashes;
+import io.hawthornlb.app.settings.TextFiles;
+import java.nio.file.Path;
+import java.util.Objects;
+import org.jspecify.annotations.Nullable;
+
+/** Hashes a key for settings and catalogue. */
+@Parameters(
+    commandNames = "hash",
+    commandDescription = "Write the hash of a key as it stands in settings and catalogue")
+final class KeyHashCommand extends AbstractCommand {
+
+  @Parameter(names = "--key-file", required = true, description = "File with the key")
+  private @Nullable Path keyFile;
+
+  @Override
+  public void run(Output output) {
+    String key =
+        TextFiles.read(Objects.requireNonNull(keyFile))
+            .toEither()
+            .getOrElseThrow(CommandFailedException::wrongInput);
+    String hash = KeyHashes.hash(key.strip());
+    if (wantsJson()) {
+      output.json(Output.object().put("hash", hash));
+    } else {
+      output.line(hash);
+    }
+  }
+}
--- /dev/null
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/command/ShortUsageFormatter.java
@@ -0,0 +1,39 @@
+package io.hawthornlb.app.command;
+
+import com.beust.jcommander.DefaultUsageFormatter;
+import com.beust.jcommander.JCommander;
+import java.util.Map;
+
+/** Lists commands with one line each; their parameters stand in their own help. */
+final class ShortUsageFormatter extends DefaultUsageFormatter {
+
+  private static final int NAME_WIDTH = 22;
+
+  private final JCommander commander;
+
+  ShortUsageFormatter(JCommander commander) {
+    super(commander);
+    this.commander = commander;
+  }
+
+  @Override
+  public void appendCommands(
+      StringBuilder out, int indentCount, int descriptionIndent, String indent) {
+    out.append("  Commands:\n");
+    append(out, commander, "");
+  }
+
+  private static void append(StringBuilder out, JCommander parent, String path) {
+    for (Map.Entry<String, JCommander> named : parent.getCommands().entrySet()) {
+      String name = path + named.getKey();
+      JCommander command = named.getValue();
+      if (command.getCommands().isEmpty()) {
+        String description = parent.getUsageFormatter().getCommandDescription(named.getKey());
+        String padding = " ".repeat(Math.max(1, NAME_WIDTH - name.length()));
+        out.append("    ").append(name).append(padding).append(description).append('\n');
+      } else {
+        append(out, command, name + " ");
+      }
+    }
+  }
+}
--- a/hawthornlb-net/src/main/java/io/hawthornlb/net/peer/support/NettyPeerClient.java
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/peer/support/NettyPeerClient.java
@@ -97,11 +97,13 @@
     String host = text.substring(0, Math.max(colon, 0)).replaceAll("[\\[\\]]", "");
     @Nullable InetAddress ip = NetUtil.createInetAddressFromIpAddressString(host);
     if (ip == null || !text.substring(colon + 1).matches("\\d{1,5}")) {
-      LOG.log(System.Logger.Level.WARNING, "passed over peer with no IP address: " + process);
+      LOG.log(
+          System.Logger.Level.WARNING, "peers: passed over peer with no IP address: " + process);
       return null;
     }
     if (!node.security().authenticates() && !ip.isLoopbackAddress()) {
-      LOG.log(System.Logger.Level.WARNING, "passed over peer off loopback, no TLS: " + process);
+      LOG.log(
+          System.Logger.Level.WARNING, "peers: passed over peer off loopback, no TLS: " + process);
       return null;
     }
     return new InetSocketAddress(ip, Integer.parseInt(text.substring(colon + 1)));
--- a/hawthornlb-net/src/main/java/io/hawthornlb/net/peer/support/PeerConnection.java
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/peer/support/PeerConnection.java
@@ -65,7 +65,7 @@
     try {
       return node.codec().decode(frame.content());
     } catch (CodecException e) {
-      LOG.log(System.Logger.Level.WARNING, "a message of " + sender + " is unreadable", e);
+      LOG.log(System.Logger.Level.WARNING, "peers: a message of " + sender + " is unreadable", e);
       return Optional.empty();
     }
   }
@@ -88,7 +88,7 @@
   private void answer(
       Channel channel, PeerFrame frame, @Nullable PeerMessage answer, @Nullable Throwable failure) {
     if (failure != null) {
-      LOG.log(System.Logger.Level.WARNING, "a message of " + sender + " failed", failure);
+      LOG.log(System.Logger.Level.WARNING, "peers: a message of " + sender + " failed", failure);
       reply(channel, frame, PeerFrame.failure(frame.correlation(), "its handler failed"));
     } else if (answer == null) {
       reply(channel, frame, PeerFrame.failure(frame.correlation(), "it has no answer"));
@@ -103,7 +103,7 @@
       PeerFrameCodec.requireFits(content, node.options());
       return new PeerFrame(request.correlation(), FrameKind.ANSWER, content);
     } catch (CodecException | IllegalArgumentException e) {
-      LOG.log(System.Logger.Level.ERROR, "an answer to " + sender + " cannot be sent", e);
+      LOG.log(System.Logger.Level.ERROR, "peers: an answer to " + sender + " cannot be sent", e);
       return PeerFrame.failure(request.correlation(), "its answer cannot be sent");
     }
   }
@@ -136,7 +136,8 @@
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     Object peer = sender == null ? context.channel().remoteAddress() : sender;
     LOG.log(
-        System.Logger.Level.WARNING, "connection of " + peer + " closed: " + Causes.text(cause));
+        System.Logger.Level.WARNING,
+        "peers: connection of " + peer + " closed: " + Causes.text(cause));
     context.close();
   }
 }
--- a/hawthornlb-net/src/main/java/io/hawthornlb/net/peer/support/PeerLink.java
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/peer/support/PeerLink.java
@@ -210,7 +210,7 @@
     LinkState before = state.state();
     state.fire(event).forEach(this::perform);
     if (before == LinkState.READY && event == LinkEvent.LOST) {
-      LOG.log(System.Logger.Level.WARNING, "connection to " + peer + " lost: " + lastCause);
+      LOG.log(System.Logger.Level.WARNING, "peers: connection to " + peer + " lost: " + lastCause);
     }
   }
 
@@ -236,7 +236,7 @@
   private void announce() {
     backoff.reset();
     reachable.put(peer, this);
-    LOG.log(System.Logger.Level.DEBUG, "connected to " + peer + " at " + address);
+    LOG.log(System.Logger.Level.DEBUG, "peers: connected to " + peer + " at " + address);
   }
 
   private void flush() {
--- a/hawthornlb-net/src/main/java/io/hawthornlb/net/tls/support/MutualTlsPeerSecurity.java
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/tls/support/MutualTlsPeerSecurity.java
@@ -68,11 +68,12 @@
         return false;
       }
       contexts = load(fingerprint);
-      LOG.log(System.Logger.Level.INFO, "key files reloaded");
+      LOG.log(System.Logger.Level.INFO, "tls: key files reloaded");
       return true;
     } catch (InvalidKeyFilesException e) {
       LOG.log(
-          System.Logger.Level.ERROR, "key files not reloaded, former ones kept: " + e.getMessage());
+          System.Logger.Level.ERROR,
+          "tls: key files not reloaded, former ones kept: " + e.getMessage());
       return false;
     }
   }
