Test the stand-ins and mend what the tests found

Found: the loop over the readers of a stream broke when a reader left within it, and the cancelling call answered 500; readers are now kept in a list that may change meanwhile. Handing tokens over from the engine's thread made the server log an error whenever a caller hung up; they now change to the thread of the connection first.

--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/EngineMemory.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/EngineMemory.java
@@ -109,7 +109,15 @@
 
     /** Returns the checked values. */
     public EngineMemory build() {
-      return new EngineMemory(slots, kvTokens, cacheTokens, maxWaiting, keepMillis, maxKept, detachedMillis, kvBytesPerToken);
+      return new EngineMemory(
+          slots,
+          kvTokens,
+          cacheTokens,
+          maxWaiting,
+          keepMillis,
+          maxKept,
+          detachedMillis,
+          kvBytesPerToken);
     }
   }
 }
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/EngineOrders.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/EngineOrders.java
@@ -14,10 +14,7 @@
  */
 @JsonDeserialize(builder = EngineOrders.Builder.class)
 public record EngineOrders(
-    boolean checkFencing,
-    long loadMillis,
-    long adapterMillis,
-    boolean loadPauses) {
+    boolean checkFencing, long loadMillis, long adapterMillis, boolean loadPauses) {
 
   /** Checks the values. */
   public EngineOrders {
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/EngineReports.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/EngineReports.java
@@ -80,7 +80,8 @@
 
     /** Returns the checked values. */
     public EngineReports build() {
-      return new EngineReports(loadLagMillis, cacheEventLagMillis, cacheEventLossPercent, cacheEventsKept, seed);
+      return new EngineReports(
+          loadLagMillis, cacheEventLagMillis, cacheEventLossPercent, cacheEventsKept, seed);
     }
   }
 }
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/CacheEventFeed.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/CacheEventFeed.java
@@ -23,8 +23,10 @@
   private final Deque<Dated> events = new ArrayDeque<>();
   private long nextSeq;
 
+  /** A change of the cache. */
   record Event(long seq, String prefix, String kind) {}
 
+  /** Changes in order, and where to read on. */
   record Page(List<Event> events, long nextSeq) {}
 
   private record Dated(Instant at, Event event) {}
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/ChatController.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/ChatController.java
@@ -5,6 +5,7 @@
 import io.hawthornlb.standin.support.StandinServer;
 import io.hawthornlb.standin.support.WireJson;
 import io.micronaut.context.annotation.Requires;
+import io.micronaut.http.HttpRequest;
 import io.micronaut.http.HttpResponse;
 import io.micronaut.http.HttpStatus;
 import io.micronaut.http.MediaType;
@@ -17,9 +18,11 @@
 import io.micronaut.http.annotation.PathVariable;
 import io.micronaut.http.annotation.Post;
 import io.micronaut.http.annotation.QueryValue;
+import io.micronaut.http.server.netty.NettyHttpRequest;
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import org.jspecify.annotations.Nullable;
 
 /** Chat completions and their streams over HTTP. */
@@ -33,26 +36,31 @@
     this.engine = engine;
   }
 
+  /** The tokens that a cancelled stream has. */
   record Cancelled(int generated) {}
 
   @Post("/chat/completions")
   @Consumes(MediaType.ALL)
   CompletableFuture<HttpResponse<?>> complete(
-      @Header("X-Request-Id") @Nullable String requestId, @Body byte[] body) {
+      HttpRequest<?> http, @Header("X-Request-Id") @Nullable String requestId, @Body byte[] body) {
     ChatRequest request = WireJson.read(body, ChatRequest.class);
     String id = requestId == null ? UUID.randomUUID().toString() : requestId;
     TokenStream stream = engine.submit(request, id);
     return request.stream()
-        ? CompletableFuture.completedFuture(StreamAnswers.events(stream, 0))
+        ? CompletableFuture.completedFuture(StreamAnswers.events(stream, 0, eventLoop(http)))
         : StreamAnswers.whole(stream);
   }
 
   @Get("/streams/{requestId}")
   CompletableFuture<HttpResponse<?>> resume(
-      @PathVariable String requestId, @QueryValue(defaultValue = "0") int from) {
+      HttpRequest<?> http,
+      @PathVariable String requestId,
+      @QueryValue(defaultValue = "0") int from) {
     Optional<TokenStream> stream = engine.resume(requestId);
     HttpResponse<?> answer =
-        stream.isPresent() ? StreamAnswers.events(stream.get(), from) : unknown(requestId);
+        stream.isPresent()
+            ? StreamAnswers.events(stream.get(), from, eventLoop(http))
+            : unknown(requestId);
     return CompletableFuture.completedFuture(answer);
   }
 
@@ -64,6 +72,10 @@
         .orElseGet(() -> unknown(requestId));
   }
 
+  private static Executor eventLoop(HttpRequest<?> http) {
+    return ((NettyHttpRequest<?>) http).getChannelHandlerContext().channel().eventLoop();
+  }
+
   static HttpResponse<byte[]> unknown(String requestId) {
     return WireJson.error(HttpStatus.NOT_FOUND, "no request " + requestId);
   }
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/ChatWire.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/ChatWire.java
@@ -18,22 +18,21 @@
 
   private ChatWire() {}
 
+  /** A whole answer. */
   record Completion(
-      String id,
-      String object,
-      long created,
-      String model,
-      List<Choice> choices,
-      Usage usage) {}
+      String id, String object, long created, String model, List<Choice> choices, Usage usage) {}
 
+  /** The only choice of a whole answer. */
   record Choice(
       int index, ChatMessage message, @JsonProperty("finish_reason") String finishReason) {}
 
+  /** Counts of tokens. */
   record Usage(
       @JsonProperty("prompt_tokens") int promptTokens,
       @JsonProperty("completion_tokens") int completionTokens,
       @JsonProperty("total_tokens") int totalTokens) {}
 
+  /** A part of a stream. */
   @JsonInclude(JsonInclude.Include.NON_NULL)
   record Chunk(
       String id,
@@ -44,9 +43,11 @@
       @Nullable Usage usage,
       @JsonProperty("hawthornlb_token") int token) {}
 
+  /** The only choice of a chunk. */
   record DeltaChoice(
       int index, Delta delta, @JsonProperty("finish_reason") @Nullable String finishReason) {}
 
+  /** What a chunk adds. */
   @JsonInclude(JsonInclude.Include.NON_NULL)
   record Delta(@Nullable String role, @Nullable String content) {}
 
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/EngineEmulator.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/EngineEmulator.java
@@ -39,8 +39,7 @@
   public EngineEmulator(EngineSettings settings, InstantSource clock) {
     this.settings = settings;
     var memory = settings.memory();
-    this.streams =
-        new StreamStore(Duration.ofMillis(memory.keepMillis()), memory.maxKept(), clock);
+    this.streams = new StreamStore(Duration.ofMillis(memory.keepMillis()), memory.maxKept(), clock);
     this.cacheEvents = new CacheEventFeed(settings.reports(), clock);
     this.load =
         new LaggingValue<>(
@@ -73,9 +72,7 @@
     checkModel(request.model());
     Prompt prompt = Prompt.of(request.messages());
     int total =
-        request.maxTokens() == null
-            ? AnswerText.naturalLength(prompt.hash())
-            : request.maxTokens();
+        request.maxTokens() == null ? AnswerText.naturalLength(prompt.hash()) : request.maxTokens();
     checkSize(prompt, total);
     TokenStream stream =
         new TokenStream(
@@ -143,11 +140,7 @@
     checkModel(export.model());
     TokenStream stream =
         TokenStream.imported(
-            requestId,
-            export.model(),
-            export.messages(),
-            export.maxTokens(),
-            export.generated());
+            requestId, export.model(), export.messages(), export.maxTokens(), export.generated());
     checkSize(stream.prompt(), stream.total());
     boolean fits =
         export.generated() >= 0
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/EngineLoop.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/EngineLoop.java
@@ -71,8 +71,7 @@
         () -> {
           runs.put(run.key(), run);
           scheduler.submit(
-              new SequenceSpec(
-                  run.key(), stream.prompt(), done, contextReady, stream.total()));
+              new SequenceSpec(run.key(), stream.prompt(), done, contextReady, stream.total()));
         });
   }
 
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/ModelShelf.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/ModelShelf.java
@@ -52,8 +52,7 @@
   }
 
   synchronized EngineState state() {
-    return new EngineState(
-        names(models), names(adapters), role, lastFencing, List.copyOf(loading));
+    return new EngineState(names(models), names(adapters), role, lastFencing, List.copyOf(loading));
   }
 
   private void addNamed(String named) {
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/StreamAnswers.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/StreamAnswers.java
@@ -7,8 +7,10 @@
 import io.micronaut.http.MediaType;
 import io.micronaut.http.sse.Event;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.FluxSink;
+import reactor.core.scheduler.Schedulers;
 
 /** Turns streams of tokens into HTTP answers. */
 final class StreamAnswers {
@@ -17,8 +19,13 @@
 
   private StreamAnswers() {}
 
-  /** Returns server-sent events for the tokens from an index on. */
-  static HttpResponse<Flux<Event<String>>> events(TokenStream stream, int from) {
+  /**
+   * Returns server-sent events for the tokens from an index on.
+   *
+   * @param eventLoop the thread of the connection
+   */
+  static HttpResponse<Flux<Event<String>>> events(
+      TokenStream stream, int from, Executor eventLoop) {
     Flux<Event<String>> events =
         Flux.create(
             sink -> {
@@ -26,7 +33,10 @@
               sink.onDispose(() -> stream.leave(listener));
               stream.read(from, listener);
             });
-    return HttpResponse.ok(events).contentType(MediaType.TEXT_EVENT_STREAM_TYPE);
+    // Tokens change to the thread of the connection here. Otherwise one that comes while a caller
+    // hangs up reaches a response that is gone, which the server logs as an error.
+    Flux<Event<String>> onEventLoop = events.publishOn(Schedulers.fromExecutor(eventLoop));
+    return HttpResponse.ok(onEventLoop).contentType(MediaType.TEXT_EVENT_STREAM_TYPE);
   }
 
   /** Completes with the whole answer, or with an error when the stream is cancelled. */
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/TokenStream.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/TokenStream.java
@@ -4,9 +4,9 @@
 import io.hawthornlb.standin.engine.Prompt;
 import io.hawthornlb.standin.engine.StreamListener;
 import io.hawthornlb.standin.engine.StreamListener.Ending;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
  * The answer to one request while it grows, and for a time after. Safe for use by many threads.
@@ -21,7 +21,8 @@
   private final List<ChatMessage> messages;
   private final Prompt prompt;
   private final int total;
-  private final List<StreamListener> listeners = new ArrayList<>();
+  // A listener whose reader has gone leaves while it is told of a token, in the midst of the loop.
+  private final List<StreamListener> listeners = new CopyOnWriteArrayList<>();
   private int generated;
   private int run;
   private Optional<Ending> ending = Optional.empty();
@@ -38,8 +39,7 @@
   /** Returns a stream that another engine began and that can be resumed here. */
   static TokenStream imported(
       String id, String model, List<ChatMessage> messages, int total, int generated) {
-    TokenStream stream =
-        new TokenStream(id, model, messages, Prompt.of(messages), total);
+    TokenStream stream = new TokenStream(id, model, messages, Prompt.of(messages), total);
     stream.generated = generated;
     stream.ending = Optional.of(generated == total ? Ending.COMPLETE : Ending.CANCELLED);
     return stream;
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/WeightFetcher.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/WeightFetcher.java
@@ -75,10 +75,7 @@
     if (answer == null) {
       return RETRY_MILLIS;
     }
-    return answer
-        .headers()
-        .firstValueAsLong("Retry-After")
-        .stream()
+    return answer.headers().firstValueAsLong("Retry-After").stream()
         .map(TimeUnit.SECONDS::toMillis)
         .findFirst()
         .orElse(RETRY_MILLIS);
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/fault/support/FaultChannelHandler.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/fault/support/FaultChannelHandler.java
@@ -132,8 +132,7 @@
     Optional<Fault> slow = faults.hitting(FaultKind.SLOW, line);
     if (slow.isPresent()) {
       holding = true;
-      ctx.executor()
-          .schedule(() -> release(ctx), slow.get().value(), TimeUnit.MILLISECONDS);
+      ctx.executor().schedule(() -> release(ctx), slow.get().value(), TimeUnit.MILLISECONDS);
     }
   }
 
@@ -163,9 +162,7 @@
       answeringDown = false;
       FullHttpResponse answer =
           new DefaultFullHttpResponse(
-              HttpVersion.HTTP_1_1,
-              HttpResponseStatus.SERVICE_UNAVAILABLE,
-              Unpooled.EMPTY_BUFFER);
+              HttpVersion.HTTP_1_1, HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER);
       answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
       ctx.writeAndFlush(answer);
     }
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/fault/support/FaultController.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/fault/support/FaultController.java
@@ -35,8 +35,7 @@
   @Consumes(MediaType.ALL)
   HttpResponse<byte[]> start(@Body byte[] body) {
     FaultOrder order = WireJson.read(body, FaultOrder.class);
-    Optional<FaultKind> kind =
-        Optional.ofNullable(order.kind()).flatMap(FaultKind::ofWireName);
+    Optional<FaultKind> kind = Optional.ofNullable(order.kind()).flatMap(FaultKind::ofWireName);
     String match = Objects.requireNonNullElse(order.match(), "");
     if (kind.isEmpty()) {
       return WireJson.error(HttpStatus.BAD_REQUEST, "unknown kind " + order.kind());
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/platform/support/AppendWaiters.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/platform/support/AppendWaiters.java
@@ -27,8 +27,6 @@
   /** Returns what completes with {@code appended}, or after a limit. */
   public CompletableFuture<Void> within(CompletableFuture<Void> appended, Duration limit) {
     // A copy, as the time limit of one reader must not end the wait of the others.
-    return appended
-        .copy()
-        .completeOnTimeout(null, limit.toMillis(), TimeUnit.MILLISECONDS);
+    return appended.copy().completeOnTimeout(null, limit.toMillis(), TimeUnit.MILLISECONDS);
   }
 }
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/platform/support/InMemoryRecordLog.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/platform/support/InMemoryRecordLog.java
@@ -48,8 +48,7 @@
     }
     int start = (int) Math.min(from - first, stream.size());
     int end = Math.min(start + max, stream.size());
-    List<Stored> records =
-        stream.kept.subList(stream.expired + start, stream.expired + end);
+    List<Stored> records = stream.kept.subList(stream.expired + start, stream.expired + end);
     long next = records.isEmpty() ? from : first + end;
     return new Page(records, next, first, false);
   }
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/platform/support/InstanceController.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/platform/support/InstanceController.java
@@ -32,6 +32,7 @@
     this.directory = directory;
   }
 
+  /** The list with its age. */
   record ListAnswer(String asOf, List<Announcement> instances) {}
 
   @Get
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/platform/support/LogController.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/platform/support/LogController.java
@@ -40,14 +40,19 @@
     this.waiters = waiters;
   }
 
+  /** The body of an append: records in base64. */
   record AppendBody(@Nullable List<String> records) {}
 
+  /** Where the records went. */
   record Appended(long firstOffset, int count) {}
 
+  /** A record as it is read. */
   record ReadRecord(long offset, String appendedAt, String data) {}
 
+  /** A page of records. */
   record ReadPage(List<ReadRecord> records, long nextOffset, long firstOffset) {}
 
+  /** The lowest offset that is still kept. */
   record Expired(long firstOffset) {}
 
   @Post("/{stream}/records")
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/service/CallCounter.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/service/CallCounter.java
@@ -27,8 +27,7 @@
    * @param beyondLimit calls whose key came after the highest number of keys
    * @param calls calls by key
    */
-  public record Counts(
-      long total, long withoutKey, long beyondLimit, Map<String, Long> calls) {}
+  public record Counts(long total, long withoutKey, long beyondLimit, Map<String, Long> calls) {}
 
   /** Counts a call and returns how often its key has now run; 1 for a call without a key. */
   public long count(String key) {
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/support/HealthController.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/support/HealthController.java
@@ -18,6 +18,7 @@
     this.faults = faults;
   }
 
+  /** The state of the process. */
   record Health(String state) {}
 
   @Get
--- /dev/null
+++ b/hawthornlb-standin/src/test/java/io/hawthornlb/standin/fault/FaultsTest.java
@@ -0,0 +1,154 @@
+package io.hawthornlb.standin.fault;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.hawthornlb.standin.RunningStandin;
+import io.hawthornlb.standin.TestCalls;
+import io.hawthornlb.standin.TestSettings;
+import io.hawthornlb.standin.engine.EngineStandin;
+import io.hawthornlb.standin.platform.PlatformSettings;
+import io.hawthornlb.standin.platform.PlatformStandin;
+import io.hawthornlb.standin.service.ServiceStandin;
+import java.io.IOException;
+import java.net.http.HttpTimeoutException;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class FaultsTest {
+
+  private final AtomicInteger exits = new AtomicInteger();
+  private RunningStandin service;
+  private TestCalls calls;
+
+  @BeforeEach
+  void start() {
+    service = ServiceStandin.start(TestSettings.service("s-1"), exits::incrementAndGet);
+    calls = new TestCalls(service);
+  }
+
+  @AfterEach
+  void stop() {
+    service.close();
+  }
+
+  @Test
+  void downAnswers503UntilItIsDeleted() throws IOException {
+    calls.fault("{\"kind\":\"down\"}");
+    assertEquals(503, calls.post("/checkin", "{}").statusCode());
+    assertEquals(503, calls.get("/health").statusCode());
+
+    assertEquals(204, calls.delete("/standin/faults").statusCode());
+    assertEquals(200, calls.post("/checkin", "{}").statusCode());
+    assertEquals(1, calls.json("/standin/calls").path("total").asInt());
+  }
+
+  @Test
+  void downHitsOnlyWhatMatches() throws IOException {
+    calls.fault("{\"kind\":\"down\",\"match\":\"POST /a\"}");
+
+    assertEquals(503, calls.post("/a", "{}").statusCode());
+    assertEquals(200, calls.post("/b", "{}").statusCode());
+    assertEquals(200, calls.get("/a").statusCode());
+  }
+
+  @Test
+  void faultEndsByItself() throws IOException {
+    calls.fault("{\"kind\":\"down\",\"forMillis\":1}");
+
+    Awaitility.await().until(() -> calls.post("/checkin", "{}").statusCode() == 200);
+  }
+
+  @Test
+  void refuseClosesWithoutActing() throws IOException {
+    calls.fault("{\"kind\":\"refuse\"}");
+    assertThrows(IOException.class, () -> calls.post("/checkin", "{}", "Idempotency-Key", "k"));
+
+    calls.delete("/standin/faults");
+    assertEquals(0, calls.json("/standin/calls").path("total").asInt());
+  }
+
+  @Test
+  void slowDelaysTheAction() throws IOException {
+    calls.fault("{\"kind\":\"slow\",\"value\":200}");
+    long start = System.nanoTime();
+    assertEquals(200, calls.post("/checkin", "{}").statusCode());
+
+    assertTrue(System.nanoTime() - start >= Duration.ofMillis(200).toNanos());
+  }
+
+  @Test
+  void loseAnswerActsAndThenCloses() throws IOException {
+    calls.fault("{\"kind\":\"lose-answer\"}");
+    assertThrows(IOException.class, () -> calls.post("/checkin", "{}", "Idempotency-Key", "k"));
+
+    calls.delete("/standin/faults");
+    assertTrue(calls.json("/standin/calls").path("calls").path("k").asInt() >= 1);
+  }
+
+  /**
+   * A caller waits for ever on a connection that looks open: something between the ends has
+   * forgotten it, its bytes reach nobody, and a new connection to the same place works.
+   */
+  @Test
+  void silentHoldsOpenConnectionsAndServesNewOnes() throws IOException {
+    TestCalls old = new TestCalls(service);
+    assertEquals(200, old.post("/checkin", "{}").statusCode());
+    calls.fault("{\"kind\":\"silent\"}");
+
+    assertThrows(
+        HttpTimeoutException.class,
+        () -> old.send(old.request("/late").GET().timeout(Duration.ofMillis(300))));
+    assertEquals(200, new TestCalls(service).get("/new").statusCode());
+    assertEquals(2, calls.json("/standin/calls").path("total").asInt());
+  }
+
+  @Test
+  void crashOnEndsTheProcessWithoutAnAnswer() throws IOException {
+    calls.fault("{\"kind\":\"crash-on\",\"match\":\"poison\"}");
+    assertEquals(200, calls.post("/checkin", "{\"text\":\"fine\"}").statusCode());
+    assertEquals(0, exits.get());
+
+    assertThrows(IOException.class, () -> calls.post("/checkin", "{\"text\":\"poison\"}"));
+    assertTrue(exits.get() >= 1);
+    assertEquals(1, calls.json("/standin/calls").path("total").asInt());
+  }
+
+  @Test
+  void leavingShowsInHealthAndServesOn() throws IOException {
+    calls.fault("{\"kind\":\"leaving\"}");
+
+    assertEquals(503, calls.get("/health").statusCode());
+    assertTrue(calls.get("/health").body().contains("\"leaving\""));
+    assertEquals(200, calls.post("/checkin", "{}").statusCode());
+  }
+
+  @Test
+  void unknownKindsAreRefused() throws IOException {
+    assertEquals(400, calls.post("/standin/faults", "{\"kind\":\"flood\"}").statusCode());
+    assertEquals(400, calls.post("/standin/faults", "{\"kind\":\"crash-on\"}").statusCode());
+    assertEquals(400, calls.post("/standin/faults", "{").statusCode());
+  }
+
+  @Test
+  void everyKindOfStandinTakesFaults() throws IOException {
+    try (RunningStandin platform = PlatformStandin.start(PlatformSettings.builder().build());
+        RunningStandin engine = EngineStandin.start(TestSettings.engine("e-1").build())) {
+      TestCalls log = new TestCalls(platform);
+      TestCalls model = new TestCalls(engine);
+      assertEquals(200, log.get("/instances").statusCode());
+      assertEquals(200, model.get("/v1/load").statusCode());
+
+      log.fault("{\"kind\":\"down\"}");
+      assertEquals(503, log.get("/instances").statusCode());
+      assertEquals(200, model.get("/v1/load").statusCode());
+      model.fault("{\"kind\":\"down\"}");
+      assertEquals(503, model.get("/v1/load").statusCode());
+    }
+  }
+}
