--- a/bin/lib/build.sh
+++ b/bin/lib/build.sh
@@ -4,9 +4,17 @@
   local missing=()
   command -v javac >/dev/null 2>&1 || missing+=(openjdk-17-jdk-headless)
   command -v mvn >/dev/null 2>&1 || missing+=(maven)
-  if [ "${#missing[@]}" -gt 0 ]; then
+  install_packages "${missing[@]}"
+}
+
+ensure_curl() {
+  command -v curl >/dev/null 2>&1 || install_packages curl ca-certificates
+}
+
+install_packages() {
+  if [ $# -gt 0 ]; then
     apt-get update -qq
-    apt-get install -y -qq --no-install-recommends "${missing[@]}"
+    apt-get install -y -qq --no-install-recommends "$@"
   fi
 }
 
@@ -22,7 +30,7 @@
 }
 
 newer_sources() {
-  find bin/lib pom.xml hawthornlb-*/pom.xml hawthornlb-*/src/main -newer "$1" -print -quit
+  find bin/lib/launcher.sh pom.xml hawthornlb-*/pom.xml hawthornlb-*/src/main -newer "$1" -print -quit
 }
 
 # Puts the launcher before the jar. Java finds a jar by the directory at the end of the file, so
