Keep connections to a bounded number of peers, others on demand

A selector now names the peers that are kept, own data centre first, drawn by a hash of both instances; the rest connect on demand and close after a minute without use, by a new event in the chart.

--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/settings/PeerSettings.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/settings/PeerSettings.java
@@ -1,5 +1,7 @@
 package io.hawthornlb.app.settings;
 
+import io.hawthornlb.core.membership.ListedProcess;
+import io.hawthornlb.net.peer.PeerOptions;
 import java.time.Duration;
 import java.util.List;
 
@@ -34,4 +36,14 @@
   public PeerSettings {
     known = List.copyOf(known);
   }
+
+  /** Returns the times and bounds for connections; those without a key have their defaults. */
+  public PeerOptions options() {
+    return PeerOptions.DEFAULT.withProbes(probe, silence).withFrameLimit(frameLimit);
+  }
+
+  /** Returns the peers to reach before the platform's list has come. */
+  public List<ListedProcess> knownProcesses() {
+    return known.stream().map(KnownPeer::listed).toList();
+  }
 }
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/settings/TlsSettings.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/settings/TlsSettings.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.app.settings;
 
+import io.hawthornlb.net.tls.TlsFiles;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Optional;
@@ -27,4 +28,12 @@
   public static final TlsSettings PLAIN =
       new TlsSettings(
           TlsMode.PLAIN, Optional.empty(), Optional.empty(), Optional.empty(), DEFAULT_RELOAD);
+
+  /** Returns the key files, or empty without TLS. */
+  public Optional<TlsFiles> files() {
+    return mode == TlsMode.PLAIN
+        ? Optional.empty()
+        : Optional.of(
+            new TlsFiles(certificate.orElseThrow(), key.orElseThrow(), trust.orElseThrow()));
+  }
 }
--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/settings/EntrySettingsReaderTest.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/settings/EntrySettingsReaderTest.java
@@ -81,6 +81,9 @@
 
     assertEquals(folder.resolve("cert.pem"), settings.peers().tls().certificate().orElseThrow());
     assertEquals(Duration.ofSeconds(5), settings.peers().tls().reload());
+    assertEquals(folder.resolve("key.pem"), settings.peers().tls().files().orElseThrow().key());
+    assertEquals(Duration.ofSeconds(3), settings.peers().options().silence());
+    assertEquals(1 << 20, settings.peers().options().frameLimit());
     assertEquals("[::1]:8181", settings.peers().known().get(0).listed().address());
     assertEquals(
         new ClaimSettings(16, Duration.ofSeconds(1), Duration.ofSeconds(4)), settings.claims());
--- a/hawthornlb-net/src/main/java/io/hawthornlb/net/peer/PeerOptions.java
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/peer/PeerOptions.java
@@ -11,6 +11,7 @@
  * @param connectTimeout how long to wait for a new connection
  * @param minBackoff the shortest time between two tries to connect
  * @param maxBackoff the longest time between two tries to connect
+ * @param idleTimeout how long a connection that need not be kept may go unused
  * @param frameLimit the largest frame in bytes
  * @param writeLimit how many bytes may wait to be written before messages are refused
  * @param pendingLimit how many requests may wait for the answers of one peer
@@ -21,6 +22,7 @@
     Duration connectTimeout,
     Duration minBackoff,
     Duration maxBackoff,
+    Duration idleTimeout,
     int frameLimit,
     int writeLimit,
     int pendingLimit) {
@@ -33,6 +35,7 @@
           Duration.ofSeconds(1),
           Duration.ofMillis(100),
           Duration.ofSeconds(2),
+          Duration.ofMinutes(1),
           4 << 20,
           8 << 20,
           10_000);
@@ -54,6 +57,21 @@
         connectTimeout,
         minBackoff,
         maxBackoff,
+        idleTimeout,
+        frameLimit,
+        writeLimit,
+        pendingLimit);
+  }
+
+  /** Returns these options with another time that an unused connection stays. */
+  public PeerOptions withIdleTimeout(Duration newIdleTimeout) {
+    return new PeerOptions(
+        probe,
+        silence,
+        connectTimeout,
+        minBackoff,
+        maxBackoff,
+        newIdleTimeout,
         frameLimit,
         writeLimit,
         pendingLimit);
@@ -67,6 +85,7 @@
         connectTimeout,
         minBackoff,
         maxBackoff,
+        idleTimeout,
         newFrameLimit,
         Math.max(writeLimit, newFrameLimit),
         pendingLimit);
--- a/hawthornlb-net/src/main/java/io/hawthornlb/net/peer/support/LinkAction.java
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/peer/support/LinkAction.java
@@ -14,6 +14,8 @@
   FAIL_REQUESTS,
   /** Starts the time to the next try. */
   BACK_OFF,
+  /** Looks again and again whether somebody still uses the connection. */
+  WATCH_USE,
   /** Closes the connection. */
   DISCONNECT
 }
--- a/hawthornlb-net/src/main/java/io/hawthornlb/net/peer/support/LinkEvent.java
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/peer/support/LinkEvent.java
@@ -10,6 +10,8 @@
   GREETED,
   /** The connection failed, ended or went silent. */
   LOST,
+  /** Nobody used the connection for long, and it need not be kept. */
+  UNUSED,
   /** The time between two tries is over. */
   DUE,
   /** The peer is no longer wanted. */
--- a/hawthornlb-net/src/main/java/io/hawthornlb/net/peer/support/NettyPeerClient.java
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/peer/support/NettyPeerClient.java
@@ -7,6 +7,7 @@
 import io.hawthornlb.core.peer.PeerUnavailableException;
 import io.hawthornlb.net.peer.PeerClient;
 import io.hawthornlb.net.peer.PeerNode;
+import io.hawthornlb.net.peer.PeerSelector;
 import io.netty.util.NetUtil;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -18,7 +19,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 
@@ -28,7 +28,7 @@
   private static final System.Logger LOG = System.getLogger(NettyPeerClient.class.getName());
 
   private final PeerNode node;
-  private final Predicate<ListedProcess> keepConnected;
+  private final PeerSelector selector;
   private final RandomGenerator random;
   private final Map<InstanceId, PeerLink> links = new ConcurrentHashMap<>();
   private final Map<InstanceId, PeerLink> reachable = new ConcurrentHashMap<>();
@@ -39,16 +39,13 @@
    *
    * @param node the own instance
    * @param known peers to reach before the platform's list has come
-   * @param keepConnected which peers to connect to before there is a message for them
+   * @param selector which peers to connect to before there is a message for them
    * @param random jitters the times between tries to connect; must be safe for many threads
    */
   public NettyPeerClient(
-      PeerNode node,
-      List<ListedProcess> known,
-      Predicate<ListedProcess> keepConnected,
-      RandomGenerator random) {
+      PeerNode node, List<ListedProcess> known, PeerSelector selector, RandomGenerator random) {
     this.node = node;
-    this.keepConnected = keepConnected;
+    this.selector = selector;
     this.random = random;
     updatePeers(known);
   }
@@ -58,18 +55,22 @@
     if (closed) {
       return;
     }
+    List<ListedProcess> entries = listed.stream().filter(this::isPeer).toList();
+    Set<InstanceId> kept = selector.select(entries);
     Map<InstanceId, PeerLink> gone = new HashMap<>(links);
-    for (ListedProcess process : listed) {
+    for (ListedProcess process : entries) {
       InstanceId id = new InstanceId(process.id());
-      if (process.kind() == ListedKind.ENTRY && !id.equals(node.self())) {
-        gone.remove(id);
-        update(id, process);
-      }
+      gone.remove(id);
+      update(id, process, kept.contains(id));
     }
     gone.forEach(this::remove);
   }
 
-  private void update(InstanceId id, ListedProcess process) {
+  private boolean isPeer(ListedProcess process) {
+    return process.kind() == ListedKind.ENTRY && !process.id().equals(node.self().value());
+  }
+
+  private void update(InstanceId id, ListedProcess process, boolean keep) {
     @Nullable InetSocketAddress address = address(process);
     @Nullable PeerLink link = links.get(id);
     if (link != null && !link.address().equals(address)) {
@@ -80,8 +81,8 @@
       link = new PeerLink(id, address, node, reachable, random);
       links.put(id, link);
     }
-    if (link != null && keepConnected.test(process)) {
-      link.connect();
+    if (link != null) {
+      link.keep(keep);
     }
   }
 
--- a/hawthornlb-net/src/main/java/io/hawthornlb/net/peer/support/PeerLink.java
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/peer/support/PeerLink.java
@@ -51,9 +51,11 @@
   private final ChartInstance<LinkState, LinkEvent, LinkAction> state = new ChartInstance<>(CHART);
   private final Deque<PeerFrame> held = new ArrayDeque<>();
   private @Nullable Channel channel;
-  private @Nullable ScheduledFuture<?> retry;
+  private @Nullable ScheduledFuture<?> timer;
   private String lastCause = "never connected";
   private long nextCorrelation = 1;
+  private boolean kept;
+  private boolean used;
 
   PeerLink(
       InstanceId peer,
@@ -75,9 +77,15 @@
     return address;
   }
 
-  /** Connects unless that is under way. */
-  void connect() {
-    onEventLoop(() -> fire(LinkEvent.USE));
+  /** Connects and stays connected, or lets the connection go once nobody uses it. */
+  void keep(boolean wanted) {
+    onEventLoop(
+        () -> {
+          kept = wanted;
+          if (wanted) {
+            fire(LinkEvent.USE);
+          }
+        });
   }
 
   /** Closes for good. */
@@ -87,9 +95,7 @@
 
   private void remove() {
     lastCause = "it is no longer listed";
-    if (retry != null) {
-      retry.cancel(false);
-    }
+    cancelTimer();
     fire(LinkEvent.REMOVED);
   }
 
@@ -97,7 +103,7 @@
   void send(byte[] content) {
     onEventLoop(
         () -> {
-          fire(LinkEvent.USE);
+          use();
           write(new PeerFrame(0, FrameKind.SEND, content));
         });
   }
@@ -112,7 +118,7 @@
 
   private void startRequest(
       byte[] content, Duration timeout, CompletableFuture<PeerMessage> result) {
-    fire(LinkEvent.USE);
+    use();
     if (pending.size() >= node.options().pendingLimit()) {
       result.completeExceptionally(new PeerUnavailableException(peer, "too many requests wait"));
       return;
@@ -124,6 +130,11 @@
     }
   }
 
+  private void use() {
+    used = true;
+    fire(LinkEvent.USE);
+  }
+
   private String refusalCause() {
     return state.state() == LinkState.READY ? "its connection is congested" : lastCause;
   }
@@ -222,6 +233,7 @@
       case FLUSH -> flush();
       case FAIL_REQUESTS -> failRequests();
       case BACK_OFF -> backOff();
+      case WATCH_USE -> watchUse();
       case DISCONNECT -> disconnect();
       default -> throw new IllegalStateException("unknown action " + action);
     }
@@ -254,10 +266,36 @@
     pending.failAll(lastCause);
   }
 
+  private void watchUse() {
+    used = false;
+    later(node.options().idleTimeout(), this::closeIfUnused);
+  }
+
+  private void closeIfUnused() {
+    if (state.state() != LinkState.READY) {
+      return;
+    }
+    if (kept || used || pending.size() > 0) {
+      watchUse();
+    } else {
+      fire(LinkEvent.UNUSED);
+    }
+  }
+
   private void backOff() {
-    retry =
-        eventLoop.schedule(
-            () -> fire(LinkEvent.DUE), backoff.next().toMillis(), TimeUnit.MILLISECONDS);
+    later(backoff.next(), () -> fire(LinkEvent.DUE));
+  }
+
+  /** Runs a task later in place of the one that waits; a state waits for one thing only. */
+  private void later(Duration delay, Runnable task) {
+    cancelTimer();
+    timer = eventLoop.schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private void cancelTimer() {
+    if (timer != null) {
+      timer.cancel(false);
+    }
   }
 
   private void disconnect() {
--- a/hawthornlb-net/src/test/java/io/hawthornlb/net/peer/support/NettyPeerTransportTest.java
+++ b/hawthornlb-net/src/test/java/io/hawthornlb/net/peer/support/NettyPeerTransportTest.java
@@ -2,6 +2,7 @@
 
 import static io.hawthornlb.net.peer.support.PeerFixture.CLIENT;
 import static io.hawthornlb.net.peer.support.PeerFixture.FAST;
+import static io.hawthornlb.net.peer.support.PeerFixture.GHALA;
 import static io.hawthornlb.net.peer.support.PeerFixture.LONG;
 import static io.hawthornlb.net.peer.support.PeerFixture.SERVER;
 import static io.hawthornlb.net.peer.support.PeerFixture.SHORT;
@@ -14,9 +15,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.hawthornlb.core.membership.ListedProcess;
+import io.hawthornlb.core.model.DataCentre;
 import io.hawthornlb.core.model.InstanceId;
 import io.hawthornlb.core.peer.PeerMessage;
 import io.hawthornlb.core.peer.PeerUnavailableException;
@@ -29,6 +33,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -153,6 +158,44 @@
     assertTrue(ask(client, SERVER, "d", LONG).join() instanceof Pong);
   }
 
+  @Test
+  void connectsOnDemandAndLetsUnusedConnectionsGo() {
+    NettyPeerServer server = fixture.server(PLAIN);
+    NettyPeerClient client =
+        fixture.client(PLAIN, FAST, List.of(listed(SERVER, server.address())), entries -> Set.of());
+    assertEquals(Set.of(), client.reachable());
+
+    assertTrue(ask(client, SERVER, "a", LONG).join() instanceof Pong);
+    await().atMost(LONG).until(() -> client.reachable().isEmpty());
+    assertTrue(ask(client, SERVER, "b", LONG).join() instanceof Pong);
+  }
+
+  @Test
+  void keepsABoundedNumberOfPeersNearbyFirst() {
+    List<ListedProcess> entries = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      String place = i < 5 ? "ghala" : "ruwi";
+      ListedProcess entry = listed(new InstanceId("e-" + i), new InetSocketAddress("127.0.0.1", 1));
+      entries.add(
+          new ListedProcess(
+              entry.id(),
+              entry.kind(),
+              entry.service(),
+              new DataCentre(place),
+              entry.address(),
+              entry.state()));
+    }
+
+    Set<InstanceId> kept = new NearbyPeerSelector(CLIENT, GHALA, 8).select(entries);
+    Set<InstanceId> others = new NearbyPeerSelector(SERVER, GHALA, 8).select(entries);
+
+    assertEquals(8, kept.size());
+    for (int i = 0; i < 5; i++) {
+      assertTrue(kept.contains(new InstanceId("e-" + i)));
+    }
+    assertNotEquals(kept, others);
+  }
+
   @Test
   void plainConnectionsStayOnLoopback() {
     InetSocketAddress open = new InetSocketAddress("0.0.0.0", 0);
--- a/hawthornlb-net/src/test/java/io/hawthornlb/net/peer/support/PeerFixture.java
+++ b/hawthornlb-net/src/test/java/io/hawthornlb/net/peer/support/PeerFixture.java
@@ -11,6 +11,7 @@
 import io.hawthornlb.net.peer.PeerHandlerRegistry;
 import io.hawthornlb.net.peer.PeerNode;
 import io.hawthornlb.net.peer.PeerOptions;
+import io.hawthornlb.net.peer.PeerSelector;
 import io.hawthornlb.net.tls.PeerSecurity;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -32,6 +33,7 @@
 
   static final InstanceId CLIENT = new InstanceId("entry-1");
   static final InstanceId SERVER = new InstanceId("entry-2");
+  static final DataCentre GHALA = new DataCentre("ghala");
   static final Duration LONG = Duration.ofSeconds(20);
   static final Duration SHORT = Duration.ofMillis(200);
 
@@ -42,10 +44,13 @@
           Duration.ofSeconds(5),
           Duration.ofMillis(20),
           Duration.ofMillis(100),
+          Duration.ofMillis(100),
           64 << 10,
           256 << 10,
           1_000);
 
+  private static final int MANY = 1_000;
+
   /** The guard taken out: a connection is never probed within a test. */
   static final PeerOptions UNGUARDED = FAST.withProbes(Duration.ofHours(1), Duration.ofHours(2));
 
@@ -88,8 +93,16 @@
   }
 
   NettyPeerClient client(PeerSecurity security, PeerOptions options, List<ListedProcess> peers) {
+    return client(security, options, peers, new NearbyPeerSelector(CLIENT, GHALA, MANY));
+  }
+
+  NettyPeerClient client(
+      PeerSecurity security,
+      PeerOptions options,
+      List<ListedProcess> peers,
+      PeerSelector selector) {
     PeerNode node = node(CLIENT, security, options);
-    return keep(new NettyPeerClient(node, peers, peer -> true, new Random(7)));
+    return keep(new NettyPeerClient(node, peers, selector, new Random(7)));
   }
 
   <T extends AutoCloseable> T keep(T closeable) {
@@ -102,7 +115,7 @@
         id.value(),
         ListedKind.ENTRY,
         Optional.empty(),
-        new DataCentre("ghala"),
+        GHALA,
         address.getAddress().getHostAddress() + ":" + address.getPort(),
         ListedState.LIVE);
   }
