Fold the stream of a partition and the jobs in it

A new holder opens the partition's own stream with its epoch, so that validity follows from the order of one stream; an order between the streams of claims and partitions is not needed.

--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/FairDeadlineJobOrder.java
@@ -0,0 +1,102 @@
+package io.hawthornlb.core.job.support;
+
+import io.hawthornlb.core.job.JobCandidate;
+import io.hawthornlb.core.job.JobOrder;
+import io.hawthornlb.core.model.WorkspaceId;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
+
+/**
+ * Earliest deadline first with aging in a workspace, and equal turns among workspaces.
+ *
+ * <p>Every second turn goes to the earliest deadline of all jobs that are due within the urgent
+ * window, whatever their workspace; so urgent jobs of one workspace take half of the turns at most
+ * beyond its share.
+ */
+public final class FairDeadlineJobOrder implements JobOrder {
+
+  private static final double AGING = 2.0;
+
+  private final Duration urgentWindow;
+  private final ToDoubleFunction<WorkspaceId> weights;
+  private final Map<WorkspaceId, Double> virtualTimes = new HashMap<>();
+  private boolean urgentTurn;
+
+  /**
+   * Creates the order.
+   *
+   * @param urgentWindow how long before its due time a job is urgent
+   * @param weights the share of a workspace relative to others, above zero
+   */
+  public FairDeadlineJobOrder(Duration urgentWindow, ToDoubleFunction<WorkspaceId> weights) {
+    this.urgentWindow = urgentWindow;
+    this.weights = weights;
+  }
+
+  @Override
+  public JobCandidate next(List<JobCandidate> candidates, Instant now) {
+    urgentTurn = !urgentTurn;
+    List<JobCandidate> urgent = urgentTurn ? urgent(candidates, now) : List.of();
+    JobCandidate chosen =
+        urgent.isEmpty() ? fairest(candidates, now) : earliest(urgent, JobCandidate::due);
+    charge(chosen.workspace(), candidates);
+    return chosen;
+  }
+
+  private List<JobCandidate> urgent(List<JobCandidate> candidates, Instant now) {
+    Instant limit = now.plus(urgentWindow);
+    return candidates.stream().filter(job -> job.due().isBefore(limit)).toList();
+  }
+
+  private JobCandidate fairest(List<JobCandidate> candidates, Instant now) {
+    WorkspaceId workspace =
+        candidates.stream()
+            .map(JobCandidate::workspace)
+            .min(Comparator.comparingDouble(this::virtualTime).thenComparing(id -> id))
+            .orElseThrow();
+    List<JobCandidate> own =
+        candidates.stream().filter(job -> job.workspace().equals(workspace)).toList();
+    return earliest(own, job -> agedDue(job, now));
+  }
+
+  /**
+   * Returns the due time less a multiple of the time that the job has waited.
+   *
+   * <p>Without it a stream of new jobs with near due times holds up a job that is due later, for as
+   * long as they come. Each turn that passes a job by brings it nearer.
+   */
+  private static Instant agedDue(JobCandidate job, Instant now) {
+    Duration waited = Duration.between(job.waitingSince(), now);
+    return job.due().minusMillis((long) (AGING * Math.max(0, waited.toMillis())));
+  }
+
+  private static JobCandidate earliest(
+      List<JobCandidate> jobs, java.util.function.Function<JobCandidate, Instant> due) {
+    return jobs.stream().min(Comparator.comparing(due)).orElseThrow();
+  }
+
+  private double virtualTime(WorkspaceId workspace) {
+    return virtualTimes.getOrDefault(workspace, floor());
+  }
+
+  private double floor() {
+    return virtualTimes.values().stream().mapToDouble(Double::doubleValue).min().orElse(0);
+  }
+
+  private void charge(WorkspaceId workspace, List<JobCandidate> candidates) {
+    double floor = floor();
+    Set<WorkspaceId> present =
+        candidates.stream().map(JobCandidate::workspace).collect(Collectors.toSet());
+    // A workspace that was away must not be owed the turns that it had no use for.
+    virtualTimes.keySet().retainAll(present);
+    present.forEach(id -> virtualTimes.putIfAbsent(id, floor));
+    virtualTimes.merge(workspace, 1 / weights.applyAsDouble(workspace), Double::sum);
+  }
+}
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/partition/support/DefaultHeldPartition.java
@@ -0,0 +1,92 @@
+package io.hawthornlb.core.partition.support;
+
+import io.hawthornlb.core.claim.Claim;
+import io.hawthornlb.core.effect.AppendRecord;
+import io.hawthornlb.core.effect.Effect;
+import io.hawthornlb.core.log.StreamName;
+import io.hawthornlb.core.model.Epoch;
+import io.hawthornlb.core.partition.HeldPartition;
+import io.hawthornlb.core.partition.PartitionFold;
+import io.hawthornlb.core.partition.PartitionOpened;
+import io.hawthornlb.core.partition.RecordIdSource;
+import io.hawthornlb.core.util.Checks;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Opens the stream of a partition that this instance has claimed, and begins rounds of snapshots.
+ *
+ * <p>Confined to one thread. The claim is valid by the stream of claims; the opening carries its
+ * epoch over into the partition's own stream, so that no order between streams is needed.
+ */
+public final class DefaultHeldPartition implements HeldPartition {
+
+  private static final int ROUNDS_IN_RETENTION = 4;
+
+  private final PartitionFold fold;
+  private final RecordIdSource ids;
+  private final Duration roundInterval;
+  private @Nullable Claim claimed;
+  private @Nullable Instant roundRequestedAt;
+
+  /** Creates the state of a partition that is not held. */
+  public DefaultHeldPartition(PartitionFold fold, RecordIdSource ids, Duration logRetention) {
+    this.fold = fold;
+    this.ids = ids;
+    this.roundInterval = logRetention.dividedBy(ROUNDS_IN_RETENTION);
+  }
+
+  /**
+   * Takes a claim of this instance that is valid by the stream of claims.
+   *
+   * @throws IllegalArgumentException if an earlier claim is above it
+   */
+  public List<Effect> claimGained(Claim claim) {
+    boolean later = claimed == null || claim.epoch().compareTo(claimed.epoch()) > 0;
+    Checks.isTrue(later, "the claim of epoch " + claim.epoch().value() + " was superseded before");
+    claimed = claim;
+    return List.of(opening(claim));
+  }
+
+  /** Takes notice that the claim of an epoch, and those before it, have ended. */
+  public void claimLost(Epoch epoch) {
+    if (claimed != null && claimed.epoch().compareTo(epoch) <= 0) {
+      claimed = null;
+    }
+  }
+
+  /** Begins a round of snapshots when one is due; called every second or so. */
+  public List<Effect> tick(Instant now) {
+    Claim claim = claim().orElse(null);
+    if (claim == null || !roundDue(now)) {
+      return List.of();
+    }
+    roundRequestedAt = now;
+    return List.of(opening(claim));
+  }
+
+  @Override
+  public Optional<Claim> claim() {
+    if (claimed == null || !fold.complete()) {
+      return Optional.empty();
+    }
+    PartitionOpened own = new PartitionOpened(claimed.epoch(), claimed.holder());
+    return fold.opened().filter(own::equals).map(opened -> claimed);
+  }
+
+  private boolean roundDue(Instant now) {
+    Instant last = fold.lastRoundAt().orElse(now);
+    boolean old = last.plus(roundInterval).isBefore(now);
+    boolean requested =
+        roundRequestedAt != null && roundRequestedAt.plus(roundInterval).isAfter(now);
+    return old && !requested;
+  }
+
+  private Effect opening(Claim claim) {
+    StreamName stream = StreamName.ofPartition(claim.partition());
+    return new AppendRecord(stream, ids.next(), new PartitionOpened(claim.epoch(), claim.holder()));
+  }
+}
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/EntryMark.java
@@ -0,0 +1,16 @@
+package io.hawthornlb.core.runonce;
+
+/**
+ * Names an attempt in a certain state.
+ *
+ * @param key the key of the request
+ * @param attempt the attempt
+ * @param state the state that is meant
+ */
+public record EntryMark(RunOnceKey key, AttemptId attempt, EntryState state) {
+
+  /** Returns the mark of an entry. */
+  public static EntryMark of(RunOnceEntry entry) {
+    return new EntryMark(entry.key(), entry.attempt(), entry.state());
+  }
+}
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/ServiceCall.java
@@ -0,0 +1,22 @@
+package io.hawthornlb.core.runonce;
+
+import io.hawthornlb.core.util.Checks;
+import java.util.List;
+
+/**
+ * The call that the endpoint gets.
+ *
+ * @param method the HTTP method
+ * @param path path and query
+ * @param headers header fields that are passed on
+ * @param body the body
+ */
+public record ServiceCall(String method, String path, List<HeaderField> headers, String body) {
+
+  /** Checks method and path and copies the headers. */
+  public ServiceCall {
+    Checks.hasText(method, "method");
+    Checks.hasText(path, "path");
+    headers = List.copyOf(headers);
+  }
+}
