Schedule items of jobs and lay the parts of run-once requests

Stewards pull; the holder hands out, retries within bounds, and gathers outcomes of all its jobs into few records. Items that may not be executed twice are sent only after the log says that they are started.

Run-once entries merge by attempt and state, so that the order and number of appends of a key's records doesn't matter, and one entry a key waits for the log however long it is away.

--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/job/SubmitJob.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/SubmitJob.java
@@ -12,6 +12,7 @@
  * @param replyTo the entry that asks
  * @param request identifies the question
  * @param header the job
+ * @param firstSend whether nobody can have sent the key before, since an entry made it just now
  */
-public record SubmitJob(InstanceId replyTo, RequestId request, JobHeader header)
+public record SubmitJob(InstanceId replyTo, RequestId request, JobHeader header, boolean firstSend)
     implements JobEvent, PeerMessage {}
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/DefaultJobCoordinator.java
@@ -0,0 +1,169 @@
+package io.hawthornlb.core.job.support;
+
+import io.hawthornlb.core.claim.Claim;
+import io.hawthornlb.core.effect.AppendRecord;
+import io.hawthornlb.core.effect.Effect;
+import io.hawthornlb.core.job.CancelJob;
+import io.hawthornlb.core.job.ItemDispatch;
+import io.hawthornlb.core.job.ItemFailed;
+import io.hawthornlb.core.job.ItemFinished;
+import io.hawthornlb.core.job.ItemsHeld;
+import io.hawthornlb.core.job.JobCoordinator;
+import io.hawthornlb.core.job.JobEvent;
+import io.hawthornlb.core.job.JobOrder;
+import io.hawthornlb.core.job.JobSettings;
+import io.hawthornlb.core.job.PullItems;
+import io.hawthornlb.core.job.RecordReadBack;
+import io.hawthornlb.core.job.ServiceBacklog;
+import io.hawthornlb.core.job.StewardLost;
+import io.hawthornlb.core.job.SubmitJob;
+import io.hawthornlb.core.log.StreamName;
+import io.hawthornlb.core.model.Epoch;
+import io.hawthornlb.core.model.PartitionId;
+import io.hawthornlb.core.partition.HeldPartition;
+import io.hawthornlb.core.partition.PartitionFold;
+import io.hawthornlb.core.partition.RecordIdSource;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import org.jspecify.annotations.Nullable;
+
+/** The coordinator that every instance uses; one a partition that it holds or held. */
+public final class DefaultJobCoordinator implements JobCoordinator {
+
+  private final StreamName stream;
+  private final PartitionFold partition;
+  private final HeldPartition held;
+  private final RecordIdSource ids;
+  private final OutcomeBuffer buffer;
+  private final ItemScheduler scheduler;
+  private final StartingItems starting;
+  private final JobQuestions questions;
+  private final JobMaintenance maintenance;
+  private @Nullable Epoch epoch;
+  private long followedTo = -1;
+
+  /**
+   * Creates the coordinator of a partition.
+   *
+   * @param id the partition
+   * @param partition the fold of its stream
+   * @param jobs the jobs that this fold feeds
+   * @param held whether this instance decides for the partition
+   * @param ids numbers the records of this instance
+   * @param order chooses among jobs
+   * @param settings limits and times
+   */
+  public DefaultJobCoordinator(
+      PartitionId id,
+      PartitionFold partition,
+      JobFold jobs,
+      HeldPartition held,
+      RecordIdSource ids,
+      JobOrder order,
+      JobSettings settings) {
+    this.stream = StreamName.ofPartition(id);
+    this.partition = partition;
+    this.held = held;
+    this.ids = ids;
+    this.buffer = new OutcomeBuffer(settings);
+    this.scheduler = new ItemScheduler(jobs, settings, order, buffer);
+    this.starting = new StartingItems(id, jobs, scheduler, ids);
+    this.questions = new JobQuestions(id, jobs, settings, ids);
+    this.maintenance = new JobMaintenance(id, partition, jobs, settings, ids);
+  }
+
+  @Override
+  public List<Effect> on(JobEvent event, Instant now) {
+    List<Effect> out = new ArrayList<>();
+    followClaim(now, out);
+    if (epoch == null) {
+      redirect(event, out);
+      return out;
+    }
+    followLog(epoch, now, out);
+    decide(event, epoch, now, out);
+    flush(epoch, now, out);
+    return out;
+  }
+
+  @Override
+  public List<ServiceBacklog> backlog() {
+    return scheduler.backlog();
+  }
+
+  private void followClaim(Instant now, List<Effect> out) {
+    Epoch current = held.claim().map(Claim::epoch).orElse(null);
+    if (Objects.equals(current, epoch)) {
+      return;
+    }
+    questions.end(out);
+    starting.clear();
+    scheduler.end();
+    epoch = current;
+    if (current != null) {
+      scheduler.begin(now);
+      maintenance.begin();
+    }
+  }
+
+  private void followLog(Epoch current, Instant now, List<Effect> out) {
+    if (partition.nextOffset() == followedTo) {
+      return;
+    }
+    followedTo = partition.nextOffset();
+    scheduler.advance(out);
+    starting.advance(now, out);
+    questions.advance(current, out);
+  }
+
+  private static void redirect(JobEvent event, List<Effect> out) {
+    if (event instanceof SubmitJob submit) {
+      out.add(JobQuestions.notHolder(submit));
+    } else if (event instanceof CancelJob cancel) {
+      out.add(JobQuestions.notHolder(cancel));
+    }
+  }
+
+  private void decide(JobEvent event, Epoch current, Instant now, List<Effect> out) {
+    if (event instanceof SubmitJob submit) {
+      questions.submit(submit, current, now, out);
+    } else if (event instanceof CancelJob cancel) {
+      cancel(cancel, current, now, out);
+    } else if (event instanceof PullItems pull) {
+      List<ItemDispatch> items = scheduler.pull(pull, now);
+      starting.send(pull, items, current, out);
+    } else if (event instanceof ItemsHeld report) {
+      scheduler.held(report, now, out);
+    } else if (event instanceof ItemFinished report) {
+      scheduler.finished(report, now);
+    } else if (event instanceof ItemFailed report) {
+      scheduler.failed(report, now);
+    } else if (event instanceof StewardLost lost) {
+      starting.lost(lost.steward());
+      scheduler.lost(lost.steward(), now);
+    } else if (event instanceof RecordReadBack back) {
+      maintenance.readBack(back.entry(), current, out);
+    }
+    tick(current, now, out);
+  }
+
+  private void cancel(CancelJob event, Epoch current, Instant now, List<Effect> out) {
+    if (questions.cancel(event, current, now, out)) {
+      scheduler.stop(event.job(), out);
+    }
+  }
+
+  private void tick(Epoch current, Instant now, List<Effect> out) {
+    scheduler.tick(now);
+    questions.tick(now, out);
+    maintenance.tick(current, now, out);
+  }
+
+  private void flush(Epoch current, Instant now, List<Effect> out) {
+    if (buffer.due(now)) {
+      out.add(new AppendRecord(stream, ids.next(), buffer.flush(current)));
+    }
+  }
+}
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/FairDeadlineJobOrder.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/FairDeadlineJobOrder.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.Collectors;
 
@@ -78,7 +79,7 @@
   }
 
   private static JobCandidate earliest(
-      List<JobCandidate> jobs, java.util.function.Function<JobCandidate, Instant> due) {
+      List<JobCandidate> jobs, Function<JobCandidate, Instant> due) {
     return jobs.stream().min(Comparator.comparing(due)).orElseThrow();
   }
 
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/JobMaintenance.java
@@ -0,0 +1,138 @@
+package io.hawthornlb.core.job.support;
+
+import io.hawthornlb.core.effect.AppendRecord;
+import io.hawthornlb.core.effect.Effect;
+import io.hawthornlb.core.job.ItemOutcomes;
+import io.hawthornlb.core.job.JobChunk;
+import io.hawthornlb.core.job.JobSettings;
+import io.hawthornlb.core.job.RefreshRecord;
+import io.hawthornlb.core.log.LogRecord;
+import io.hawthornlb.core.log.RecordBody;
+import io.hawthornlb.core.log.StreamName;
+import io.hawthornlb.core.model.Epoch;
+import io.hawthornlb.core.model.JobId;
+import io.hawthornlb.core.model.PartitionId;
+import io.hawthornlb.core.partition.PartitionFold;
+import io.hawthornlb.core.partition.RecordIdSource;
+import io.hawthornlb.core.partition.SnapshotCompleted;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Keeps the state of jobs readable for longer than the platform keeps records.
+ *
+ * <p>A repeated opening of the partition begins a round: each job's state is appended as a
+ * snapshot. Records with items and results that are still needed are appended again once they reach
+ * half of the retention.
+ */
+final class JobMaintenance {
+
+  private static final int SNAPSHOTS_PER_TICK = 4;
+  private static final int MAX_REFRESHES = 8;
+  private static final Duration SCAN_INTERVAL = Duration.ofSeconds(5);
+  private static final Duration REFRESH_TIMEOUT = Duration.ofSeconds(30);
+
+  private final StreamName stream;
+  private final PartitionFold partition;
+  private final JobFold jobs;
+  private final RecordIdSource ids;
+  private final Duration refreshAge;
+  private final Deque<JobId> toSnapshot = new ArrayDeque<>();
+  private final Map<Long, Instant> refreshing = new HashMap<>();
+  private long roundAt = -1;
+  private boolean inRound;
+  private Instant scannedAt = Instant.MIN;
+
+  JobMaintenance(
+      PartitionId id,
+      PartitionFold partition,
+      JobFold jobs,
+      JobSettings settings,
+      RecordIdSource ids) {
+    this.stream = StreamName.ofPartition(id);
+    this.partition = partition;
+    this.jobs = jobs;
+    this.ids = ids;
+    this.refreshAge = settings.logRetention().dividedBy(2);
+  }
+
+  /** Begins as the holder; the opening of the epoch itself begins no round. */
+  void begin() {
+    toSnapshot.clear();
+    refreshing.clear();
+    inRound = false;
+    roundAt = partition.openedAt();
+  }
+
+  void tick(Epoch epoch, Instant now, List<Effect> out) {
+    if (partition.openedAt() != roundAt) {
+      roundAt = partition.openedAt();
+      inRound = true;
+      toSnapshot.clear();
+      toSnapshot.addAll(jobs.jobs());
+    }
+    continueRound(epoch, out);
+    scan(now, out);
+  }
+
+  /** Appends a record again that has been read back. */
+  void readBack(LogRecord entry, Epoch epoch, List<Effect> out) {
+    if (refreshing.containsKey(entry.offset())) {
+      refreshed(entry.body(), epoch, entry.offset())
+          .ifPresent(body -> out.add(new AppendRecord(stream, ids.next(), body)));
+    }
+  }
+
+  private void continueRound(Epoch epoch, List<Effect> out) {
+    for (int i = 0; i < SNAPSHOTS_PER_TICK && !toSnapshot.isEmpty(); i++) {
+      JobState state = jobs.state(toSnapshot.removeFirst());
+      if (state != null) {
+        RecordBody snapshot = state.snapshot(epoch, partition.nextOffset() - 1);
+        out.add(new AppendRecord(stream, ids.next(), snapshot));
+      }
+    }
+    if (inRound && toSnapshot.isEmpty()) {
+      inRound = false;
+      out.add(new AppendRecord(stream, ids.next(), new SnapshotCompleted(epoch, roundAt)));
+    }
+  }
+
+  private void scan(Instant now, List<Effect> out) {
+    if (now.isBefore(scannedAt.plus(SCAN_INTERVAL)) && scannedAt != Instant.MIN) {
+      return;
+    }
+    scannedAt = now;
+    refreshing.values().removeIf(since -> since.plus(REFRESH_TIMEOUT).isBefore(now));
+    long limit = partition.offsetAt(now.minus(refreshAge));
+    for (JobState state : jobs.states()) {
+      for (long offset : state.neededBelow(limit, MAX_REFRESHES)) {
+        if (refreshing.size() < MAX_REFRESHES && refreshing.putIfAbsent(offset, now) == null) {
+          out.add(new RefreshRecord(stream, offset));
+        }
+      }
+    }
+  }
+
+  private static Optional<RecordBody> refreshed(RecordBody body, Epoch epoch, long offset) {
+    if (body instanceof ItemOutcomes outcomes) {
+      return Optional.of(new ItemOutcomes(epoch, outcomes.groups(), Optional.of(offset)));
+    }
+    if (body instanceof JobChunk chunk) {
+      return Optional.of(
+          new JobChunk(
+              chunk.job(),
+              chunk.submission(),
+              chunk.index(),
+              chunk.service(),
+              chunk.items(),
+              Optional.of(offset)));
+    }
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/JobQuestions.java
@@ -0,0 +1,259 @@
+package io.hawthornlb.core.job.support;
+
+import io.hawthornlb.core.effect.AppendRecord;
+import io.hawthornlb.core.effect.Effect;
+import io.hawthornlb.core.effect.SendPeerMessage;
+import io.hawthornlb.core.job.CancelJob;
+import io.hawthornlb.core.job.JobAccepted;
+import io.hawthornlb.core.job.JobAnswer;
+import io.hawthornlb.core.job.JobAnswerKind;
+import io.hawthornlb.core.job.JobCancelled;
+import io.hawthornlb.core.job.JobHeader;
+import io.hawthornlb.core.job.JobSettings;
+import io.hawthornlb.core.job.SubmitJob;
+import io.hawthornlb.core.log.RecordBody;
+import io.hawthornlb.core.log.StreamName;
+import io.hawthornlb.core.model.Epoch;
+import io.hawthornlb.core.model.InstanceId;
+import io.hawthornlb.core.model.JobId;
+import io.hawthornlb.core.model.PartitionId;
+import io.hawthornlb.core.model.Refusal;
+import io.hawthornlb.core.model.RefusalReason;
+import io.hawthornlb.core.model.RequestId;
+import io.hawthornlb.core.partition.RecordIdSource;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Submissions and cancellations whose answer waits for the log. */
+final class JobQuestions {
+
+  private static final Duration RETRY_AFTER = Duration.ofSeconds(2);
+
+  private final StreamName stream;
+  private final JobFold fold;
+  private final JobSettings settings;
+  private final RecordIdSource ids;
+  private final Map<JobId, Submission> submissions = new LinkedHashMap<>();
+  private final Map<JobId, List<Question>> cancellations = new LinkedHashMap<>();
+
+  JobQuestions(PartitionId partition, JobFold fold, JobSettings settings, RecordIdSource ids) {
+    this.stream = StreamName.ofPartition(partition);
+    this.fold = fold;
+    this.settings = settings;
+    this.ids = ids;
+  }
+
+  void submit(SubmitJob event, Epoch epoch, Instant now, List<Effect> out) {
+    JobHeader header = event.header();
+    Question question =
+        new Question(event.replyTo(), event.request(), event.firstSend(), deadline(now));
+    JobState known = fold.state(header.id());
+    if (known != null) {
+      out.add(known(question, header, known.header()));
+      return;
+    }
+    Submission pending = submissions.get(header.id());
+    if (pending != null && !sameContent(pending.header, header)) {
+      out.add(conflict(question, header.id(), false));
+      return;
+    }
+    if (pending == null && full()) {
+      out.add(refuse(question, header.id(), RefusalReason.LIMIT_EXCEEDED, false));
+      return;
+    }
+    Submission submission = submissions.computeIfAbsent(header.id(), id -> new Submission(header));
+    submission.questions.add(question);
+    append(submission, epoch, out);
+  }
+
+  /** Takes a cancellation; returns whether the job is to be stopped. */
+  boolean cancel(CancelJob event, Epoch epoch, Instant now, List<Effect> out) {
+    Question question = new Question(event.replyTo(), event.request(), false, deadline(now));
+    JobState state = fold.state(event.job());
+    if (state == null || !state.header().workspace().equals(event.workspace())) {
+      Refusal refusal = Refusal.notRun(RefusalReason.NOT_FOUND, "no such job");
+      out.add(answer(question, event.job(), JobAnswerKind.REFUSED, Optional.of(refusal)));
+      return false;
+    }
+    if (!state.running()) {
+      out.add(ended(question, state));
+      return false;
+    }
+    boolean first = !cancellations.containsKey(event.job());
+    cancellations.computeIfAbsent(event.job(), id -> new ArrayList<>()).add(question);
+    if (first) {
+      out.add(record(new JobCancelled(epoch, event.job())));
+    }
+    return first;
+  }
+
+  /** Answers what the log has decided since. */
+  void advance(Epoch epoch, List<Effect> out) {
+    submissions
+        .values()
+        .removeIf(
+            submission -> {
+              JobState state = fold.state(submission.header.id());
+              if (state == null) {
+                append(submission, epoch, out);
+                return false;
+              }
+              submission.questions.forEach(
+                  question -> out.add(known(question, submission.header, state.header())));
+              return true;
+            });
+    cancellations
+        .entrySet()
+        .removeIf(
+            entry -> {
+              JobState state = fold.state(entry.getKey());
+              if (state != null && state.running()) {
+                return false;
+              }
+              entry.getValue().forEach(question -> out.add(over(question, entry.getKey(), state)));
+              return true;
+            });
+  }
+
+  void tick(Instant now, List<Effect> out) {
+    submissions.values().removeIf(submission -> expire(submission, now, out));
+    cancellations.forEach((job, questions) -> expire(job, questions, true, now, out));
+  }
+
+  /** Sends everyone to the new holder. */
+  void end(List<Effect> out) {
+    submissions.forEach(
+        (job, submission) ->
+            submission.questions.forEach(question -> out.add(notHolder(question, job))));
+    cancellations.forEach(
+        (job, questions) -> questions.forEach(question -> out.add(notHolder(question, job))));
+    submissions.clear();
+    cancellations.clear();
+  }
+
+  static Effect notHolder(SubmitJob event) {
+    return notHolder(
+        new Question(event.replyTo(), event.request(), false, Instant.MAX), event.header().id());
+  }
+
+  static Effect notHolder(CancelJob event) {
+    return notHolder(
+        new Question(event.replyTo(), event.request(), false, Instant.MAX), event.job());
+  }
+
+  private static Effect notHolder(Question question, JobId job) {
+    return answer(question, job, JobAnswerKind.NOT_HOLDER, Optional.empty());
+  }
+
+  private boolean full() {
+    return fold.states().size() + submissions.size() >= settings.maxJobs()
+        || submissions.size() + cancellations.size() >= settings.maxQuestions();
+  }
+
+  private Instant deadline(Instant now) {
+    return now.plus(settings.answerTimeout());
+  }
+
+  private void append(Submission submission, Epoch epoch, List<Effect> out) {
+    if (!submission.appended && fold.uploaded(submission.header)) {
+      submission.appended = true;
+      out.add(record(new JobAccepted(epoch, submission.header)));
+    }
+  }
+
+  private boolean expire(Submission submission, Instant now, List<Effect> out) {
+    JobId job = submission.header.id();
+    expire(job, submission.questions, submission.appended, now, out);
+    // An upload that has expired makes the record void, so that nothing is left to wait for.
+    boolean undecided = submission.appended && fold.uploaded(submission.header);
+    return submission.questions.isEmpty() && !undecided;
+  }
+
+  private void expire(
+      JobId job, List<Question> questions, boolean appended, Instant now, List<Effect> out) {
+    questions.removeIf(
+        question -> {
+          boolean late = !question.deadline.isAfter(now);
+          if (late) {
+            out.add(refuse(question, job, RefusalReason.NOT_DURABLE, appended));
+          }
+          return late;
+        });
+  }
+
+  private static Effect known(Question question, JobHeader asked, JobHeader held) {
+    return sameContent(asked, held)
+        ? answer(question, held.id(), JobAnswerKind.ACCEPTED, Optional.empty())
+        : conflict(question, held.id(), true);
+  }
+
+  private static boolean sameContent(JobHeader one, JobHeader other) {
+    return one.contentHash().equals(other.contentHash());
+  }
+
+  private static Effect over(Question question, JobId job, JobState state) {
+    return state == null
+        ? answer(question, job, JobAnswerKind.ALREADY_ENDED, Optional.empty())
+        : ended(question, state);
+  }
+
+  private static Effect ended(Question question, JobState state) {
+    JobAnswerKind kind = state.cancelled() ? JobAnswerKind.CANCELLED : JobAnswerKind.ALREADY_ENDED;
+    return answer(question, state.header().id(), kind, Optional.empty());
+  }
+
+  private static Effect conflict(Question question, JobId job, boolean durable) {
+    String detail = "the idempotency key was used with other content";
+    Refusal refusal =
+        durable
+            ? Refusal.notRun(RefusalReason.KEY_CONFLICT, detail)
+            : Refusal.mayHaveRun(RefusalReason.KEY_CONFLICT, detail);
+    return answer(question, job, JobAnswerKind.REFUSED, Optional.of(refusal));
+  }
+
+  /**
+   * Refuses a question that the log has not decided.
+   *
+   * <p>"Not run" would be false of a key that was sent before: a holder that was superseded without
+   * knowing can't see that its successor accepted the job.
+   */
+  private static Effect refuse(
+      Question question, JobId job, RefusalReason reason, boolean appended) {
+    String detail = "the job could not be accepted for sure; send it again with the same key";
+    Refusal refusal =
+        question.firstSend && !appended
+            ? Refusal.notRun(reason, detail)
+            : Refusal.mayHaveRun(reason, detail);
+    return answer(
+        question, job, JobAnswerKind.REFUSED, Optional.of(refusal.retryAfter(RETRY_AFTER)));
+  }
+
+  private static Effect answer(
+      Question question, JobId job, JobAnswerKind kind, Optional<Refusal> refusal) {
+    JobAnswer message = new JobAnswer(question.request, job, kind, refusal);
+    return new SendPeerMessage(question.replyTo, message);
+  }
+
+  private Effect record(RecordBody body) {
+    return new AppendRecord(stream, ids.next(), body);
+  }
+
+  private record Question(
+      InstanceId replyTo, RequestId request, boolean firstSend, Instant deadline) {}
+
+  private static final class Submission {
+
+    private final JobHeader header;
+    private final List<Question> questions = new ArrayList<>();
+    private boolean appended;
+
+    private Submission(JobHeader header) {
+      this.header = header;
+    }
+  }
+}
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/JobState.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/JobState.java
@@ -17,9 +17,13 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 
 /** State of one job: two bits an item, and offsets of its chunks and results. */
@@ -144,16 +148,14 @@
     return results.page(cursor, maxSpans);
   }
 
-  /** Returns the lowest offset whose record is still needed. */
-  long lowestOffset() {
-    long lowest = results.lowestOffset();
-    if (endedAt != null) {
-      return lowest;
-    }
-    for (ChunkLocation chunk : chunks) {
-      lowest = Math.min(lowest, chunk.offset());
-    }
-    return lowest;
+  /** Returns up to a number of offsets below a limit whose records are still needed. */
+  Set<Long> neededBelow(long limit, int max) {
+    Stream<Long> chunkOffsets =
+        running() ? chunks.stream().map(ChunkLocation::offset) : Stream.of();
+    return Stream.concat(chunkOffsets, results.offsets().boxed())
+        .filter(offset -> offset < limit)
+        .limit(max)
+        .collect(Collectors.toCollection(LinkedHashSet::new));
   }
 
   ItemLocation locate(int index) {
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/ResultIndex.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/ResultIndex.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.LongStream;
 
 /** Offsets of the results of one job; twelve bytes a group, and the void places of the few. */
 final class ResultIndex {
@@ -53,12 +54,8 @@
     return page(0, size).spans();
   }
 
-  long lowestOffset() {
-    long lowest = Long.MAX_VALUE;
-    for (int i = 0; i < size; i++) {
-      lowest = Math.min(lowest, offsets[i]);
-    }
-    return lowest;
+  LongStream offsets() {
+    return Arrays.stream(offsets, 0, size);
   }
 
   private ResultSpan span(int place) {
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/ForwardRunOnce.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/ForwardRunOnce.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.core.runonce;
 
+import io.hawthornlb.core.model.Epoch;
 import io.hawthornlb.core.model.InstanceId;
 import io.hawthornlb.core.model.RequestId;
 import io.hawthornlb.core.peer.PeerMessage;
@@ -9,6 +10,7 @@
  *
  * <p>Answered by one {@link RunOnceAnswered}, unless the holder is lost.
  *
+ * @param epoch the epoch of the claim by which the entry knows the holder
  * @param replyTo the entry that asks
  * @param id identifies the question
  * @param request the request
@@ -16,5 +18,5 @@
  *     first time that it is sent on
  */
 public record ForwardRunOnce(
-    InstanceId replyTo, RequestId id, RunOnceRequest request, boolean firstSend)
+    Epoch epoch, InstanceId replyTo, RequestId id, RunOnceRequest request, boolean firstSend)
     implements RunOnceEvent, PeerMessage {}
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/RunOnceAnswer.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/RunOnceAnswer.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.core.runonce;
 
 import io.hawthornlb.core.model.Refusal;
+import io.hawthornlb.core.model.RefusalReason;
 import io.hawthornlb.core.util.Checks;
 import java.util.Optional;
 
@@ -25,7 +26,22 @@
     return new RunOnceAnswer(Optional.of(result), Optional.empty(), Optional.empty());
   }
 
-  /** Returns the answer to a request that stopped. */
+  /** Returns the answer to a request that stopped before its dispatch, for a reason of its own. */
+  public static RunOnceAnswer notDispatched(RefusalReason reason) {
+    Refusal standard = StopPoint.NOT_DISPATCHED.refusal(true);
+    Refusal refusal =
+        new Refusal(
+            reason, standard.run(), standard.retryAfter(), standard.detail(), standard.findings());
+    return new RunOnceAnswer(
+        Optional.empty(), Optional.of(StopPoint.NOT_DISPATCHED), Optional.of(refusal));
+  }
+
+  /**
+   * Returns the answer to a request that stopped.
+   *
+   * @param point where it stopped
+   * @param firstSend whether nobody can have sent the key before
+   */
   public static RunOnceAnswer stopped(StopPoint point, boolean firstSend) {
     Refusal refusal = point.refusal(firstSend);
     return new RunOnceAnswer(Optional.empty(), Optional.of(point), Optional.of(refusal));
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/RunOnceAnswered.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/RunOnceAnswered.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.core.runonce;
 
+import io.hawthornlb.core.model.Epoch;
 import io.hawthornlb.core.model.RequestId;
 import io.hawthornlb.core.peer.PeerMessage;
 import java.util.Optional;
@@ -8,8 +9,9 @@
  * The holder's answer to a {@link ForwardRunOnce}.
  *
  * @param id identifies the question
- * @param answer what the caller is told, or empty if this instance does not decide for the key and
- *     the current holder is to be asked
+ * @param epoch the epoch of the question
+ * @param answer what the caller is told, or empty if this instance has run nothing for the question
+ *     and never will, so that the current holder is to be asked
  */
-public record RunOnceAnswered(RequestId id, Optional<RunOnceAnswer> answer)
+public record RunOnceAnswered(RequestId id, Epoch epoch, Optional<RunOnceAnswer> answer)
     implements PeerMessage {}
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/RunOnceDirectory.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/RunOnceDirectory.java
@@ -1,7 +1,5 @@
 package io.hawthornlb.core.runonce;
 
-import io.hawthornlb.core.model.InstanceId;
-import java.time.Instant;
 import java.util.Optional;
 
 /** The run-once requests of a partition as far as its stream has been folded. */
@@ -13,14 +11,11 @@
   /** Returns whether a key has this fingerprint. */
   boolean sameContent(KeyState state, String fingerprint);
 
-  /** Returns the last record that named witnesses and was not released since. */
+  /** Returns the last record that named witnesses. */
   Optional<WitnessesNamed> witnesses();
 
-  /** Returns until when a key that is not known may have run. */
-  Optional<Instant> unknownUntil();
-
-  /** Returns the current holder as the stream names it. */
-  Optional<InstanceId> holder();
+  /** Returns whether the holder that named the witnesses has released them since. */
+  boolean released();
 
   /** Returns the number of remembered keys. */
   int size();
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/StoreEntries.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/StoreEntries.java
@@ -14,10 +14,16 @@
  * @param holder the holder that asks
  * @param partition the partition
  * @param epoch the epoch of the holder
+ * @param settled the epoch below which every intent stands in the log, so that the witness may drop
+ *     what it keeps of those epochs
  * @param entries the attempts
  */
 public record StoreEntries(
-    InstanceId holder, PartitionId partition, Epoch epoch, List<RunOnceEntry> entries)
+    InstanceId holder,
+    PartitionId partition,
+    Epoch epoch,
+    Epoch settled,
+    List<RunOnceEntry> entries)
     implements PeerMessage {
 
   /** Copies the entries. */
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/WitnessesNamed.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/WitnessesNamed.java
@@ -4,27 +4,43 @@
 import io.hawthornlb.core.model.InstanceId;
 import io.hawthornlb.core.partition.PartitionRecord;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
 /**
- * Says that every intent of earlier epochs stands before this record, and names the instances that
- * may hold intents of this epoch before the log does.
+ * Says that every intent of earlier epochs stands before this record, but for those that are named
+ * as unresolved, and names the witnesses of this epoch.
  *
  * <p>A holder runs nothing before it has seen its own record of this type.
  *
  * @param epoch the epoch of the holder
  * @param holder the holder, which is a witness itself
  * @param witnesses the other witnesses; with none, intents are durable in the log only
- * @param unknownUntil until when a key that is not known may have run, because no witness of an
- *     earlier epoch could be asked
+ * @param unresolved earlier epochs of which no witness could be asked
+ * @param unknownUntil until when a key that is not known may have run under one of them
  */
 public record WitnessesNamed(
-    Epoch epoch, InstanceId holder, List<InstanceId> witnesses, Optional<Instant> unknownUntil)
+    Epoch epoch,
+    InstanceId holder,
+    List<InstanceId> witnesses,
+    List<WitnessSet> unresolved,
+    Optional<Instant> unknownUntil)
     implements PartitionRecord {
 
-  /** Copies the witnesses. */
+  /** Copies the lists. */
   public WitnessesNamed {
     witnesses = List.copyOf(witnesses);
+    unresolved = List.copyOf(unresolved);
+  }
+
+  /** Returns the witnesses of this epoch, the holder among them. */
+  public WitnessSet set() {
+    if (witnesses.isEmpty()) {
+      return new WitnessSet(epoch, List.of());
+    }
+    List<InstanceId> members = new ArrayList<>(witnesses);
+    members.add(holder);
+    return new WitnessSet(epoch, members);
   }
 }
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/Run.java
@@ -0,0 +1,137 @@
+package io.hawthornlb.core.runonce.support;
+
+import io.hawthornlb.core.effect.Effect;
+import io.hawthornlb.core.model.InstanceId;
+import io.hawthornlb.core.runonce.EntryState;
+import io.hawthornlb.core.runonce.RunOnceAnswer;
+import io.hawthornlb.core.runonce.RunOnceEntry;
+import io.hawthornlb.core.runonce.RunOnceRequest;
+import io.hawthornlb.core.runonce.ServiceResult;
+import io.hawthornlb.core.runonce.StopPoint;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** One attempt that this instance makes, until its end stands in the log. */
+final class Run {
+
+  private final RunOnceRequest request;
+  private final Instant createdAt;
+  private final Set<InstanceId> acks = new HashSet<>();
+  private final List<Waiter> waiters = new ArrayList<>();
+  private RunOnceEntry entry;
+  private Phase phase = Phase.STORING;
+  private Instant endedAt = Instant.MAX;
+  private Instant sentAt;
+
+  Run(RunOnceRequest request, RunOnceEntry intent, Instant now) {
+    this.request = request;
+    this.entry = intent;
+    this.createdAt = now;
+    this.sentAt = now;
+  }
+
+  RunOnceRequest request() {
+    return request;
+  }
+
+  RunOnceEntry entry() {
+    return entry;
+  }
+
+  Phase phase() {
+    return phase;
+  }
+
+  Instant createdAt() {
+    return createdAt;
+  }
+
+  Instant endedAt() {
+    return endedAt;
+  }
+
+  Instant sentAt() {
+    return sentAt;
+  }
+
+  void sent(Instant now) {
+    sentAt = now;
+  }
+
+  Set<InstanceId> acks() {
+    return acks;
+  }
+
+  List<Waiter> waiters() {
+    return waiters;
+  }
+
+  void dispatched() {
+    phase = Phase.RUNNING;
+  }
+
+  void end(RunOnceEntry ended, Instant now) {
+    entry = ended;
+    phase = Phase.ENDED;
+    endedAt = now;
+    acks.clear();
+  }
+
+  int resultBytes() {
+    return entry.result().map(result -> result.body().length()).orElse(0);
+  }
+
+  /** Answers all that wait with the end of this attempt. */
+  void answerAll(List<Effect> out) {
+    waiters.forEach(waiter -> out.add(waiter.answer(answer())));
+    waiters.clear();
+  }
+
+  void stopAll(StopPoint point, List<Effect> out) {
+    waiters.forEach(waiter -> out.add(waiter.stopped(point)));
+    waiters.clear();
+  }
+
+  void redirectAll(List<Effect> out) {
+    waiters.forEach(waiter -> out.add(waiter.redirected()));
+    waiters.clear();
+  }
+
+  /** Answers those whose deadline has passed, truthfully for the phase. */
+  void stopLate(Instant now, List<Effect> out) {
+    StopPoint point =
+        phase == Phase.STORING ? StopPoint.INTENT_NOT_DURABLE : StopPoint.STILL_RUNNING;
+    waiters.removeIf(
+        waiter -> {
+          if (waiter.late(now)) {
+            out.add(waiter.stopped(point));
+          }
+          return waiter.late(now);
+        });
+  }
+
+  private RunOnceAnswer answer() {
+    if (entry.state() == EntryState.COMPLETED) {
+      ServiceResult result = entry.result().orElseThrow();
+      return RunOnceAnswer.of(result);
+    }
+    StopPoint point =
+        entry.state() == EntryState.ABANDONED
+            ? StopPoint.NOT_DISPATCHED
+            : StopPoint.ENDPOINT_FAILED;
+    return RunOnceAnswer.stopped(point, false);
+  }
+
+  /** How far the attempt has come. */
+  enum Phase {
+    /** The intent is not known to be durable; nothing has been sent. */
+    STORING,
+    /** The call has been handed out. */
+    RUNNING,
+    /** The call has ended, or was given up before it was handed out. */
+    ENDED
+  }
+}
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/SimpleWitnessTable.java
@@ -0,0 +1,159 @@
+package io.hawthornlb.core.runonce.support;
+
+import io.hawthornlb.core.model.Epoch;
+import io.hawthornlb.core.model.InstanceId;
+import io.hawthornlb.core.model.PartitionId;
+import io.hawthornlb.core.runonce.EntriesStored;
+import io.hawthornlb.core.runonce.EntryMark;
+import io.hawthornlb.core.runonce.FenceAndCollect;
+import io.hawthornlb.core.runonce.ForgetEntries;
+import io.hawthornlb.core.runonce.RunOnceEntry;
+import io.hawthornlb.core.runonce.RunOnceKey;
+import io.hawthornlb.core.runonce.StoreEntries;
+import io.hawthornlb.core.runonce.WitnessContents;
+import io.hawthornlb.core.runonce.WitnessTable;
+import io.hawthornlb.core.util.Checks;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Keeps entries in hash maps; confined to one thread. */
+public final class SimpleWitnessTable implements WitnessTable {
+
+  private static final int PAGE_ENTRIES = 200;
+  private static final int ENTRY_BYTES = 256;
+
+  private final InstanceId self;
+  private final long maxBytes;
+  private final Map<PartitionId, Store> stores = new HashMap<>();
+  private int size;
+  private long bytes;
+
+  /**
+   * Creates an empty table.
+   *
+   * @param self the instance that is the witness
+   * @param maxBytes how much the entries may take together
+   */
+  public SimpleWitnessTable(InstanceId self, long maxBytes) {
+    Checks.isTrue(maxBytes > 0, "max bytes must be positive");
+    this.self = self;
+    this.maxBytes = maxBytes;
+  }
+
+  @Override
+  public EntriesStored store(StoreEntries question, Instant now) {
+    Store store = stores.computeIfAbsent(question.partition(), id -> new Store());
+    if (question.epoch().compareTo(store.fence) < 0) {
+      // A successor has collected what was stored; an entry that came after would be missing there,
+      // and the paused holder that now sends it would run what the successor may run as well.
+      return answer(question, List.of(), store.fence);
+    }
+    store.fence = question.epoch();
+    dropSettled(store, question.settled());
+    Map<RunOnceKey, RunOnceEntry> entries =
+        store.epochs.computeIfAbsent(question.epoch(), epoch -> new LinkedHashMap<>());
+    List<EntryMark> stored = new ArrayList<>();
+    for (RunOnceEntry entry : question.entries()) {
+      if (keep(entries, entry)) {
+        stored.add(EntryMark.of(entry));
+      }
+    }
+    return answer(question, stored, question.epoch());
+  }
+
+  @Override
+  public void forget(ForgetEntries message) {
+    Store store = stores.get(message.partition());
+    if (store == null || message.epoch().compareTo(store.fence) < 0) {
+      // What a successor collects page by page must not shift under it.
+      return;
+    }
+    Map<RunOnceKey, RunOnceEntry> entries =
+        store.epochs.getOrDefault(message.epoch(), new HashMap<>());
+    for (EntryMark mark : message.entries()) {
+      RunOnceEntry entry = entries.get(mark.key());
+      if (entry != null && EntryMark.of(entry).equals(mark)) {
+        entries.remove(mark.key());
+        count(entry, -1);
+      }
+    }
+  }
+
+  @Override
+  public WitnessContents fence(FenceAndCollect question) {
+    Store store = stores.computeIfAbsent(question.partition(), id -> new Store());
+    if (store.fence.compareTo(question.epoch()) < 0) {
+      store.fence = question.epoch();
+    }
+    List<RunOnceEntry> entries =
+        List.copyOf(store.epochs.getOrDefault(question.oldEpoch(), Map.of()).values());
+    int from = Math.min(question.from(), entries.size());
+    int end = Math.min(from + PAGE_ENTRIES, entries.size());
+    return new WitnessContents(
+        self,
+        question.partition(),
+        question.epoch(),
+        question.oldEpoch(),
+        from,
+        entries.subList(from, end),
+        end < entries.size());
+  }
+
+  @Override
+  public Epoch fence(PartitionId partition) {
+    Store store = stores.get(partition);
+    return store == null ? Epoch.NONE : store.fence;
+  }
+
+  @Override
+  public int size() {
+    return size;
+  }
+
+  private EntriesStored answer(StoreEntries question, List<EntryMark> stored, Epoch fence) {
+    return new EntriesStored(self, question.partition(), question.epoch(), stored, fence);
+  }
+
+  private boolean keep(Map<RunOnceKey, RunOnceEntry> entries, RunOnceEntry entry) {
+    RunOnceEntry held = entries.get(entry.key());
+    if (held != null && !entry.supersedes(held)) {
+      return true;
+    }
+    long added = bytes(entry) - (held == null ? 0 : bytes(held));
+    if (bytes + added > maxBytes) {
+      return false;
+    }
+    if (held != null) {
+      count(held, -1);
+    }
+    entries.put(entry.key(), entry);
+    count(entry, 1);
+    return true;
+  }
+
+  private void dropSettled(Store store, Epoch settled) {
+    Map<Epoch, Map<RunOnceKey, RunOnceEntry>> old = store.epochs.headMap(settled, false);
+    old.values().forEach(entries -> entries.values().forEach(entry -> count(entry, -1)));
+    old.clear();
+  }
+
+  private void count(RunOnceEntry entry, int sign) {
+    size += sign;
+    bytes += sign * bytes(entry);
+  }
+
+  private static long bytes(RunOnceEntry entry) {
+    return ENTRY_BYTES + entry.result().map(result -> result.body().length()).orElse(0);
+  }
+
+  private static final class Store {
+
+    private final TreeMap<Epoch, Map<RunOnceKey, RunOnceEntry>> epochs = new TreeMap<>();
+    private Epoch fence = Epoch.NONE;
+  }
+}
