Decide for run-once requests with durable intents at witnesses or in the log

The holder hands a call out only once its intent stands in the log, or is held by every witness that the stream names. A successor fences the old witnesses and collects from one before it runs anything; where none can be asked, keys that it doesn't know are refused as may-have-run until they can't matter.

--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/DefaultRunOnceCoordinator.java
@@ -0,0 +1,200 @@
+package io.hawthornlb.core.runonce.support;
+
+import io.hawthornlb.core.claim.Claim;
+import io.hawthornlb.core.effect.AppendRecord;
+import io.hawthornlb.core.effect.Effect;
+import io.hawthornlb.core.log.StreamName;
+import io.hawthornlb.core.model.Epoch;
+import io.hawthornlb.core.model.PartitionId;
+import io.hawthornlb.core.partition.HeldPartition;
+import io.hawthornlb.core.partition.PartitionFold;
+import io.hawthornlb.core.partition.RecordIdSource;
+import io.hawthornlb.core.runonce.CallAnswered;
+import io.hawthornlb.core.runonce.CallFailed;
+import io.hawthornlb.core.runonce.CallNotStarted;
+import io.hawthornlb.core.runonce.Drain;
+import io.hawthornlb.core.runonce.EntriesStored;
+import io.hawthornlb.core.runonce.ForwardRunOnce;
+import io.hawthornlb.core.runonce.LateOutcome;
+import io.hawthornlb.core.runonce.OutcomeRead;
+import io.hawthornlb.core.runonce.OutcomeUnreadable;
+import io.hawthornlb.core.runonce.RunOnceCoordinator;
+import io.hawthornlb.core.runonce.RunOnceEvent;
+import io.hawthornlb.core.runonce.RunOnceSettings;
+import io.hawthornlb.core.runonce.StopPoint;
+import io.hawthornlb.core.runonce.WitnessContents;
+import io.hawthornlb.core.runonce.WitnessTable;
+import io.hawthornlb.core.runonce.WitnessesReleased;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import org.jspecify.annotations.Nullable;
+
+/** The coordinator that every instance uses; one a partition that it holds or held. */
+public final class DefaultRunOnceCoordinator implements RunOnceCoordinator {
+
+  private final PartitionId id;
+  private final StreamName stream;
+  private final PartitionFold partition;
+  private final RunOnceFold fold;
+  private final HeldPartition held;
+  private final WitnessTable table;
+  private final RecordIdSource ids;
+  private final RunOnceSettings settings;
+  private final EntryLog log;
+  private final Runs runs;
+  private final RunOnceMaintenance maintenance;
+  private @Nullable HolderTerm term;
+  private long followedTo = -1;
+  private boolean draining;
+  private boolean releaseRequested;
+
+  /**
+   * Creates the coordinator of a partition.
+   *
+   * @param id the partition
+   * @param partition the fold of its stream
+   * @param fold the run-once requests that this fold feeds
+   * @param held whether this instance decides for the partition
+   * @param table the entries that this instance keeps as a witness, for all partitions
+   * @param ids numbers the records of this instance
+   * @param settings limits and times
+   */
+  public DefaultRunOnceCoordinator(
+      PartitionId id,
+      PartitionFold partition,
+      RunOnceFold fold,
+      HeldPartition held,
+      WitnessTable table,
+      RecordIdSource ids,
+      RunOnceSettings settings) {
+    this.id = id;
+    this.stream = StreamName.ofPartition(id);
+    this.partition = partition;
+    this.fold = fold;
+    this.held = held;
+    this.table = table;
+    this.ids = ids;
+    this.settings = settings;
+    this.log = new EntryLog(settings);
+    this.runs = new Runs(id, fold, log, new OutcomeReader(stream), settings);
+    this.maintenance = new RunOnceMaintenance(stream, partition, fold, log, settings);
+  }
+
+  @Override
+  public List<Effect> on(RunOnceEvent event, Instant now) {
+    List<Effect> out = new ArrayList<>();
+    followClaim(now, out);
+    followLog(now, out);
+    decide(event, now, out);
+    tick(now, out);
+    return out;
+  }
+
+  @Override
+  public boolean drained() {
+    boolean released = term == null || fold.released();
+    return draining && released && runs.empty() && log.empty();
+  }
+
+  private void followClaim(Instant now, List<Effect> out) {
+    Claim claim = held.claim().orElse(null);
+    Epoch current = claim == null ? null : claim.epoch();
+    if (Objects.equals(current, term == null ? null : term.epoch())) {
+      return;
+    }
+    runs.leave(out);
+    log.clear();
+    term = null;
+    releaseRequested = false;
+    if (claim != null) {
+      term = new HolderTerm(claim, partition, fold, table, ids, settings, log, now);
+    }
+  }
+
+  private void followLog(Instant now, List<Effect> out) {
+    if (term == null || partition.nextOffset() == followedTo) {
+      return;
+    }
+    followedTo = partition.nextOffset();
+    runs.seen(log.advance(fold, now), term.client(), now, out);
+  }
+
+  private void decide(RunOnceEvent event, Instant now, List<Effect> out) {
+    if (event instanceof ForwardRunOnce question) {
+      forward(question, now, out);
+    } else if (event instanceof CallAnswered answer) {
+      runs.answered(answer, client(), now, out);
+    } else if (event instanceof CallNotStarted answer) {
+      runs.notStarted(answer, client(), now, out);
+    } else if (event instanceof CallFailed failure) {
+      runs.failed(failure, client(), now, out);
+    } else if (event instanceof OutcomeRead read) {
+      maintenance.read(read, now);
+      runs.reader().answer(read, out);
+    } else if (event instanceof OutcomeUnreadable read) {
+      runs.reader().unreadable(read.offset(), out);
+    } else if (event instanceof Drain) {
+      draining = true;
+    } else if (term != null) {
+      decideAsHolder(event, term, now, out);
+    }
+  }
+
+  private void decideAsHolder(
+      RunOnceEvent event, HolderTerm current, Instant now, List<Effect> out) {
+    if (event instanceof EntriesStored stored && stored.epoch().equals(current.epoch())) {
+      runs.stored(stored, current.client(), now, out);
+    } else if (event instanceof WitnessContents contents) {
+      current.collected(contents, now, out);
+    } else if (event instanceof LateOutcome late && current.ready()) {
+      log.add(late.entry(), now);
+    }
+  }
+
+  private void forward(ForwardRunOnce question, Instant now, List<Effect> out) {
+    Waiter waiter = Waiter.of(question);
+    boolean asked = term != null && term.epoch().equals(question.epoch());
+    if (!asked || draining) {
+      out.add(waiter.redirected());
+      return;
+    }
+    if (term.ready()) {
+      runs.take(question, term, now, out);
+    } else if (term.slow(now)) {
+      out.add(waiter.stopped(StopPoint.RECOVERING));
+    } else {
+      out.add(waiter.redirected());
+    }
+  }
+
+  private void tick(Instant now, List<Effect> out) {
+    runs.sweep(client(), now, out);
+    runs.sendLate(partition.opened().orElse(null), out);
+    if (term == null) {
+      return;
+    }
+    term.tick(now, out);
+    if (term.ready()) {
+      maintenance.tick(now, out);
+    }
+    Duration delay = term.ready() ? runs.logDelay(term.client()) : settings.groupDelay();
+    log.flush(term.epoch(), delay, now)
+        .ifPresent(entries -> out.add(new AppendRecord(stream, ids.next(), entries)));
+    release(term, out);
+  }
+
+  private void release(HolderTerm current, List<Effect> out) {
+    boolean idle = draining && current.ready() && runs.empty() && log.empty();
+    if (idle && !releaseRequested) {
+      releaseRequested = true;
+      out.add(new AppendRecord(stream, ids.next(), new WitnessesReleased(current.epoch())));
+    }
+  }
+
+  private @Nullable WitnessClient client() {
+    return term == null ? null : term.client();
+  }
+}
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/EntryLog.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/EntryLog.java
@@ -74,7 +74,7 @@
 
   /** Returns the entries that stand in the log now and did not before. */
   List<RunOnceEntry> advance(RunOnceFold fold, Instant now) {
-    if (sent.isEmpty() || !seen(sent.get(0), fold, now)) {
+    if (!sent.stream().allMatch(entry -> seen(entry, fold, now))) {
       return List.of();
     }
     List<RunOnceEntry> seen = sent;
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/Run.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/Run.java
@@ -25,6 +25,7 @@
   private Phase phase = Phase.STORING;
   private Instant endedAt = Instant.MAX;
   private Instant sentAt;
+  private boolean offered;
 
   Run(RunOnceRequest request, RunOnceEntry intent, Instant now) {
     this.request = request;
@@ -61,6 +62,15 @@
     sentAt = now;
   }
 
+  /** Notes that witnesses are asked to keep this attempt. */
+  void offered() {
+    offered = true;
+  }
+
+  boolean isOffered() {
+    return offered;
+  }
+
   Set<InstanceId> acks() {
     return acks;
   }
--- /dev/null
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/harness/Steward.java
@@ -0,0 +1,107 @@
+package io.hawthornlb.core.harness;
+
+import io.hawthornlb.core.claim.Claim;
+import io.hawthornlb.core.job.FailureKind;
+import io.hawthornlb.core.job.ItemDispatch;
+import io.hawthornlb.core.job.ItemFailed;
+import io.hawthornlb.core.job.ItemFinished;
+import io.hawthornlb.core.job.ItemKey;
+import io.hawthornlb.core.job.ItemsCancelled;
+import io.hawthornlb.core.job.ItemsDispatched;
+import io.hawthornlb.core.job.ItemsHeld;
+import io.hawthornlb.core.job.PullItems;
+import io.hawthornlb.core.model.ServiceName;
+import io.hawthornlb.core.peer.PeerMessage;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.IntPredicate;
+
+/** Pulls items and runs each for a while. */
+public final class Steward {
+
+  private static final ServiceName SERVICE = new ServiceName("log-reader");
+
+  private final Node node;
+  private final Cluster cluster;
+  private final Map<ItemKey, Integer> executions = new HashMap<>();
+  private final Set<ItemKey> running = new LinkedHashSet<>();
+  private int width;
+  private Duration duration = Duration.ofMillis(30);
+  private IntPredicate impossible = index -> false;
+  private Instant namedAt = Instant.EPOCH;
+  private Instant pulledAt = Instant.EPOCH;
+
+  Steward(Node node, Cluster cluster) {
+    this.node = node;
+    this.cluster = cluster;
+  }
+
+  /** Sets how many items run at once; none by default. */
+  public void width(int value) {
+    width = value;
+  }
+
+  public void duration(Duration value) {
+    duration = value;
+  }
+
+  /** Sets which items always fail. */
+  public void impossible(IntPredicate items) {
+    impossible = items;
+  }
+
+  public Map<ItemKey, Integer> executions() {
+    return executions;
+  }
+
+  public int running() {
+    return running.size();
+  }
+
+  void tick() {
+    Instant now = cluster.now();
+    if (width > 0 && !namedAt.plusMillis(500).isAfter(now)) {
+      namedAt = now;
+      toHolder(new ItemsHeld(node.id(), List.copyOf(running)));
+    }
+    if (running.size() < width && !pulledAt.plusMillis(20).isAfter(now)) {
+      pulledAt = now;
+      toHolder(new PullItems(node.id(), SERVICE, width - running.size()));
+    }
+  }
+
+  void run(ItemsDispatched dispatched) {
+    for (ItemDispatch item : dispatched.items()) {
+      ItemKey key = new ItemKey(item.job(), item.location().index());
+      if (running.add(key)) {
+        executions.merge(key, 1, Integer::sum);
+        cluster.schedule(duration, () -> node.deliver(() -> finish(key)));
+      }
+    }
+  }
+
+  void cancel(ItemsCancelled cancelled) {
+    cancelled.items().forEach(index -> running.remove(new ItemKey(cancelled.job(), index)));
+  }
+
+  private void finish(ItemKey key) {
+    if (!running.remove(key)) {
+      return;
+    }
+    String name = "item-" + key.index();
+    if (impossible.test(key.index())) {
+      toHolder(new ItemFailed(node.id(), key, name, FailureKind.TRANSIENT, "broken item"));
+    } else {
+      toHolder(new ItemFinished(node.id(), key, name, "result " + key.index()));
+    }
+  }
+
+  private void toHolder(PeerMessage message) {
+    node.current(Cluster.PARTITION).map(Claim::holder).ifPresent(id -> node.send(id, message));
+  }
+}
--- /dev/null
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/runonce/RunOnceScenario.java
@@ -0,0 +1,151 @@
+package io.hawthornlb.core.runonce;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.hawthornlb.core.harness.Cluster;
+import io.hawthornlb.core.harness.Delays;
+import io.hawthornlb.core.harness.FakeEndpoint;
+import io.hawthornlb.core.harness.Node;
+import io.hawthornlb.core.harness.NodeParts;
+import io.hawthornlb.core.job.JobSettings;
+import io.hawthornlb.core.job.support.FirstComeJobOrder;
+import io.hawthornlb.core.model.InstanceId;
+import io.hawthornlb.core.model.RequestId;
+import io.hawthornlb.core.model.RunStatus;
+import io.hawthornlb.core.model.ServiceName;
+import io.hawthornlb.core.model.WorkspaceId;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Five instances in three data centres, of which three keep intents, and callers that resend. */
+final class RunOnceScenario {
+
+  static final Duration DEADLINE = Duration.ofSeconds(4);
+
+  private final Cluster cluster;
+  private final List<Node> nodes = new ArrayList<>();
+  private final Map<RequestId, RunOnceAnswer> answers = new LinkedHashMap<>();
+  private final Map<RequestId, RunOnceKey> keys = new LinkedHashMap<>();
+  private int nextRequest;
+
+  RunOnceScenario(long seed, RunOnceSettings settings, boolean naive) {
+    this(seed, settings, naive, Delays.COARSE);
+  }
+
+  RunOnceScenario(long seed, RunOnceSettings settings, boolean naive, Delays delays) {
+    cluster = new Cluster(seed, delays);
+    JobSettings jobs = JobSettings.builder().build();
+    NodeParts parts = new NodeParts(settings, jobs, new FirstComeJobOrder(), naive);
+    for (int i = 0; i < 5; i++) {
+      Node node = cluster.addNode("i" + i, parts);
+      node.onAnswer(this::answered);
+      nodes.add(node);
+    }
+  }
+
+  static RunOnceSettings settings() {
+    return RunOnceSettings.builder().recoveryTimeout(Duration.ofSeconds(3)).build();
+  }
+
+  Cluster cluster() {
+    return cluster;
+  }
+
+  Node node(int index) {
+    return nodes.get(index);
+  }
+
+  /** Lets a node hold the partition, with the two next ones as witnesses. */
+  void claim(int holder) {
+    claim(holder, (holder + 1) % 5, (holder + 2) % 5);
+  }
+
+  void claim(int holder, Integer... witnesses) {
+    List<InstanceId> ids = new ArrayList<>();
+    for (int witness : witnesses) {
+      ids.add(nodes.get(witness).id());
+    }
+    cluster.claim(nodes.get(holder), ids);
+  }
+
+  /** Claims and waits until the holder answers requests. */
+  void settle(int holder) {
+    claim(holder);
+    assertTrue(cluster.runUntil(() -> ready(holder), Duration.ofSeconds(10)), "holder is ready");
+  }
+
+  RequestId send(int entry, RunOnceKey key, boolean generated) {
+    return send(entry, key, "content", generated);
+  }
+
+  RequestId send(int entry, RunOnceKey key, String content, boolean generated) {
+    RequestId id = new RequestId("r" + nextRequest++);
+    keys.put(id, key);
+    ServiceCall call = new ServiceCall("POST", "/check-in", List.of(), content);
+    nodes
+        .get(entry)
+        .submit(
+            id,
+            new RunOnceRequest(
+                key,
+                generated,
+                content,
+                new ServiceName("checkin-app"),
+                call,
+                cluster.now().plus(DEADLINE),
+                Duration.ofHours(1)));
+    return id;
+  }
+
+  RunOnceAnswer await(RequestId id) {
+    cluster.runUntil(() -> answers.containsKey(id), DEADLINE.plusSeconds(2));
+    assertTrue(answers.containsKey(id), "the caller gets an answer");
+    return answers.get(id);
+  }
+
+  StopPoint awaitStop(RequestId id) {
+    return await(id).stopPoint().orElseThrow();
+  }
+
+  RunOnceAnswer answer(RequestId id) {
+    return answers.get(id);
+  }
+
+  static RunOnceKey key(String value) {
+    return new RunOnceKey(new WorkspaceId("al-harthy"), value);
+  }
+
+  int executions(RunOnceKey key) {
+    return cluster.endpoint().executions(key);
+  }
+
+  static RunStatus status(RunOnceAnswer answer) {
+    return answer.refusal().orElseThrow().run();
+  }
+
+  private boolean ready(int holder) {
+    return nodes.get(holder).holds()
+        && nodes
+            .get(holder)
+            .runOnceFold()
+            .witnesses()
+            .filter(named -> named.holder().equals(nodes.get(holder).id()))
+            .isPresent();
+  }
+
+  private void answered(AnswerCaller effect) {
+    assertTrue(answers.put(effect.id(), effect.answer()) == null, "one answer a request");
+    RunOnceKey key = keys.get(effect.id());
+    RunOnceAnswer answer = effect.answer();
+    if (answer.result().isPresent()) {
+      assertEquals(FakeEndpoint.result(key), answer.result().get(), "the caller's own result");
+    } else if (status(answer) == RunStatus.NOT_RUN
+        && answer.stopPoint().orElseThrow() != StopPoint.CONTENT_CONFLICT) {
+      assertEquals(0, executions(key), "not run is true at " + answer.stopPoint());
+    }
+  }
+}
