--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/JobFold.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/JobFold.java
@@ -67,7 +67,7 @@
     } else if (entry.body() instanceof JobCancelled cancelled) {
       change(cancelled.job(), entry);
     } else if (entry.body() instanceof JobSnapshot snapshot) {
-      adopt(snapshot);
+      adopt(snapshot, entry.offset());
     } else if (entry.body() instanceof PartitionOpened) {
       firstOpenedAt = firstOpenedAt < 0 ? entry.offset() : firstOpenedAt;
     } else if (entry.body() instanceof SnapshotCompleted end && end.openedAt() >= firstOpenedAt) {
@@ -164,12 +164,18 @@
     }
   }
 
-  private void adopt(JobSnapshot snapshot) {
+  private void adopt(JobSnapshot snapshot, long offset) {
     JobId job = snapshot.header().id();
-    if (jobs.containsKey(job) || !early.open()) {
+    JobState known = jobs.get(job);
+    if (known != null) {
+      known.snapshotSeen(offset);
+    }
+    if (known != null || !early.open()) {
       return;
     }
-    jobs.put(job, new JobState(snapshot));
+    JobState adopted = new JobState(snapshot);
+    adopted.snapshotSeen(offset);
+    jobs.put(job, adopted);
     for (LogRecord entry : early.take(job, snapshot.asOf())) {
       replay(job, entry);
     }
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/JobMaintenance.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/JobMaintenance.java
@@ -20,9 +20,11 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Keeps the state of jobs readable for longer than the platform keeps records.
@@ -44,6 +46,7 @@
   private final RecordIdSource ids;
   private final Duration refreshAge;
   private final Deque<JobId> toSnapshot = new ArrayDeque<>();
+  private final Set<JobId> unseen = new HashSet<>();
   private final Map<Long, Instant> refreshing = new HashMap<>();
   private long roundAt = -1;
   private boolean inRound;
@@ -65,6 +68,7 @@
   /** Begins as the holder; the opening of the epoch itself begins no round. */
   void begin() {
     toSnapshot.clear();
+    unseen.clear();
     refreshing.clear();
     inRound = false;
     roundAt = partition.openedAt();
@@ -75,6 +79,7 @@
       roundAt = partition.openedAt();
       inRound = true;
       toSnapshot.clear();
+      unseen.clear();
       toSnapshot.addAll(jobs.jobs());
     }
     continueRound(epoch, out);
@@ -93,16 +98,26 @@
     for (int i = 0; i < SNAPSHOTS_PER_TICK && !toSnapshot.isEmpty(); i++) {
       JobState state = jobs.state(toSnapshot.removeFirst());
       if (state != null) {
+        unseen.add(state.header().id());
         RecordBody snapshot = state.snapshot(epoch, partition.nextOffset() - 1);
         out.add(new AppendRecord(stream, ids.next(), snapshot));
       }
     }
-    if (inRound && toSnapshot.isEmpty()) {
+    // The end of the round says that its snapshots stand before it. Appends of one writer may
+    // change
+    // places when an answer is lost; a reader would take the state for whole without the late ones.
+    unseen.removeIf(this::snapshotSeen);
+    if (inRound && toSnapshot.isEmpty() && unseen.isEmpty()) {
       inRound = false;
       out.add(new AppendRecord(stream, ids.next(), new SnapshotCompleted(epoch, roundAt)));
     }
   }
 
+  private boolean snapshotSeen(JobId job) {
+    JobState state = jobs.state(job);
+    return state == null || state.snapshotAt() > roundAt;
+  }
+
   private void scan(Instant now, List<Effect> out) {
     if (now.isBefore(scannedAt.plus(SCAN_INTERVAL)) && scannedAt != Instant.MIN) {
       return;
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/JobState.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/JobState.java
@@ -39,6 +39,7 @@
   private int endedCount;
   private int failedCount;
   private boolean cancelled;
+  private long snapshotAt = -1;
   private @Nullable Instant endedAt;
 
   JobState(JobHeader header, List<ChunkLocation> chunks) {
@@ -103,6 +104,15 @@
     chunks.replaceAll(chunk -> chunk.offset() == from ? chunk.at(to) : chunk);
   }
 
+  void snapshotSeen(long offset) {
+    snapshotAt = offset;
+  }
+
+  /** Returns the offset of the last snapshot of this job, or -1. */
+  long snapshotAt() {
+    return snapshotAt;
+  }
+
   JobHeader header() {
     return header;
   }
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/harness/Node.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/harness/Node.java
@@ -67,8 +67,7 @@
   private final Cluster cluster;
   private final JobFold jobFold = new JobFold(true);
   private final RunOnceFold runOnceFold = new RunOnceFold();
-  private final PartitionFold fold =
-      new DefaultPartitionFold(0, Duration.ofHours(24), List.of(jobFold, runOnceFold));
+  private final PartitionFold fold;
   private final WitnessTable table;
   private final DefaultHeldPartition held;
   private final RunOnceCoordinator runOnce;
@@ -90,7 +89,9 @@
     WitnessTable fenced = new SimpleWitnessTable(id, 1 << 22);
     this.table = parts.variant() == Variant.WITHOUT_FENCE ? new UnfencedWitnessTable(id) : fenced;
     RecordIdSource ids = new SequentialRecordIdSource(id);
-    this.held = new DefaultHeldPartition(fold, ids, Duration.ofHours(24));
+    Duration retention = parts.jobs().logRetention();
+    this.fold = new DefaultPartitionFold(0, retention, List.of(jobFold, runOnceFold));
+    this.held = new DefaultHeldPartition(fold, ids, retention);
     this.runOnce =
         parts.variant() == Variant.WITHOUT_INTENTS
             ? new NaiveRunOnceCoordinator(Cluster.PARTITION, held)
