Ask again for appends that were given up

The log writer gives up after a long outage or with too many records waiting. A job then stood still for good at its last group of outcomes. Each decider now asks again until the record has come back or is not wanted any more; content of these records makes a second copy harmless. Without this the new test fails (trial: 200 items, half of the appends given up). Answers to stewards carry the endpoint and are sent for empty pulls too, so that a steward knows both.

--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/DefaultJobCoordinator.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/DefaultJobCoordinator.java
@@ -7,12 +7,13 @@
 import io.hawthornlb.core.job.ItemDispatch;
 import io.hawthornlb.core.job.ItemFailed;
 import io.hawthornlb.core.job.ItemFinished;
+import io.hawthornlb.core.job.ItemOutcomes;
 import io.hawthornlb.core.job.ItemsHeld;
 import io.hawthornlb.core.job.JobCoordinator;
 import io.hawthornlb.core.job.JobEvent;
 import io.hawthornlb.core.job.JobOrder;
 import io.hawthornlb.core.job.JobSettings;
-import io.hawthornlb.core.job.PullItems;
+import io.hawthornlb.core.job.PullJobItems;
 import io.hawthornlb.core.job.RecordReadBack;
 import io.hawthornlb.core.job.ServiceBacklog;
 import io.hawthornlb.core.job.StewardLost;
@@ -23,6 +24,7 @@
 import io.hawthornlb.core.partition.HeldPartition;
 import io.hawthornlb.core.partition.PartitionFold;
 import io.hawthornlb.core.partition.RecordIdSource;
+import io.hawthornlb.core.partition.support.ResentAppends;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -36,6 +38,8 @@
   private final PartitionFold partition;
   private final HeldPartition held;
   private final RecordIdSource ids;
+  private final JobFold jobs;
+  private final ResentAppends appends;
   private final OutcomeBuffer buffer;
   private final ItemScheduler scheduler;
   private final StartingItems starting;
@@ -69,8 +73,10 @@
     this.ids = ids;
     this.buffer = new OutcomeBuffer(settings);
     this.scheduler = new ItemScheduler(jobs, settings, order, buffer);
-    this.starting = new StartingItems(id, jobs, scheduler, ids);
-    this.questions = new JobQuestions(id, jobs, settings, ids);
+    this.jobs = jobs;
+    this.appends = new ResentAppends();
+    this.starting = new StartingItems(id, jobs, scheduler, ids, appends);
+    this.questions = new JobQuestions(id, jobs, settings, ids, appends);
     this.maintenance = new JobMaintenance(id, partition, jobs, settings, ids);
   }
 
@@ -100,6 +106,7 @@
     }
     questions.end(out);
     starting.clear();
+    appends.clear();
     scheduler.end();
     epoch = current;
     if (current != null) {
@@ -115,14 +122,16 @@
     followedTo = partition.nextOffset();
     scheduler.advance(out);
     starting.advance(now, out);
-    questions.advance(current, out);
+    questions.advance(current, now, out);
   }
 
-  private static void redirect(JobEvent event, List<Effect> out) {
+  private void redirect(JobEvent event, List<Effect> out) {
     if (event instanceof SubmitJob submit) {
       out.add(JobQuestions.notHolder(submit));
     } else if (event instanceof CancelJob cancel) {
       out.add(JobQuestions.notHolder(cancel));
+    } else if (event instanceof PullJobItems pull) {
+      starting.sendNone(pull, out);
     }
   }
 
@@ -131,9 +140,9 @@
       questions.submit(submit, current, now, out);
     } else if (event instanceof CancelJob cancel) {
       cancel(cancel, current, now, out);
-    } else if (event instanceof PullItems pull) {
+    } else if (event instanceof PullJobItems pull) {
       List<ItemDispatch> items = scheduler.pull(pull, now);
-      starting.send(pull, items, current, out);
+      starting.send(pull, items, current, now, out);
     } else if (event instanceof ItemsHeld report) {
       scheduler.held(report, now, out);
     } else if (event instanceof ItemFinished report) {
@@ -159,11 +168,14 @@
     scheduler.tick(now);
     questions.tick(now, out);
     maintenance.tick(current, now, out);
+    appends.tick(now, out);
   }
 
   private void flush(Epoch current, Instant now, List<Effect> out) {
     if (buffer.due(now)) {
-      out.add(new AppendRecord(stream, ids.next(), buffer.flush(current)));
+      ItemOutcomes outcomes = buffer.flush(current);
+      AppendRecord effect = new AppendRecord(stream, ids.next(), outcomes);
+      appends.add(effect, () -> OutcomeBuffer.seen(outcomes, jobs), now, out);
     }
   }
 }
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/ItemScheduler.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/ItemScheduler.java
@@ -14,7 +14,7 @@
 import io.hawthornlb.core.job.JobCandidate;
 import io.hawthornlb.core.job.JobOrder;
 import io.hawthornlb.core.job.JobSettings;
-import io.hawthornlb.core.job.PullItems;
+import io.hawthornlb.core.job.PullJobItems;
 import io.hawthornlb.core.job.ServiceBacklog;
 import io.hawthornlb.core.model.InstanceId;
 import io.hawthornlb.core.model.JobId;
@@ -99,7 +99,7 @@
     buffer.advance(fold);
   }
 
-  List<ItemDispatch> pull(PullItems question, Instant now) {
+  List<ItemDispatch> pull(PullJobItems question, Instant now) {
     List<ItemDispatch> items = new ArrayList<>();
     int inFlight = inFlight();
     while (!adopting
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/JobQuestions.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/JobQuestions.java
@@ -21,6 +21,7 @@
 import io.hawthornlb.core.model.RefusalReason;
 import io.hawthornlb.core.model.RequestId;
 import io.hawthornlb.core.partition.RecordIdSource;
+import io.hawthornlb.core.partition.support.ResentAppends;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -38,14 +39,21 @@
   private final JobFold fold;
   private final JobSettings settings;
   private final RecordIdSource ids;
+  private final ResentAppends appends;
   private final Map<JobId, Submission> submissions = new LinkedHashMap<>();
   private final Map<JobId, List<Question>> cancellations = new LinkedHashMap<>();
 
-  JobQuestions(PartitionId partition, JobFold fold, JobSettings settings, RecordIdSource ids) {
+  JobQuestions(
+      PartitionId partition,
+      JobFold fold,
+      JobSettings settings,
+      RecordIdSource ids,
+      ResentAppends appends) {
     this.stream = StreamName.ofPartition(partition);
     this.fold = fold;
     this.settings = settings;
     this.ids = ids;
+    this.appends = appends;
   }
 
   void submit(SubmitJob event, Epoch epoch, Instant now, List<Effect> out) {
@@ -68,7 +76,7 @@
     }
     Submission submission = submissions.computeIfAbsent(header.id(), id -> new Submission(header));
     submission.questions.add(question);
-    append(submission, epoch, out);
+    append(submission, epoch, now, out);
   }
 
   /** Takes a cancellation; returns whether the job is to be stopped. */
@@ -87,20 +95,20 @@
     boolean first = !cancellations.containsKey(event.job());
     cancellations.computeIfAbsent(event.job(), id -> new ArrayList<>()).add(question);
     if (first) {
-      out.add(record(new JobCancelled(epoch, event.job())));
+      appends.add(record(new JobCancelled(epoch, event.job())), () -> over(event.job()), now, out);
     }
     return first;
   }
 
   /** Answers what the log has decided since. */
-  void advance(Epoch epoch, List<Effect> out) {
+  void advance(Epoch epoch, Instant now, List<Effect> out) {
     submissions
         .values()
         .removeIf(
             submission -> {
               JobState state = fold.state(submission.header.id());
               if (state == null) {
-                append(submission, epoch, out);
+                append(submission, epoch, now, out);
                 return false;
               }
               submission.questions.forEach(
@@ -115,7 +123,9 @@
               if (state != null && state.running()) {
                 return false;
               }
-              entry.getValue().forEach(question -> out.add(over(question, entry.getKey(), state)));
+              entry
+                  .getValue()
+                  .forEach(question -> out.add(overAnswer(question, entry.getKey(), state)));
               return true;
             });
   }
@@ -150,6 +160,15 @@
     return answer(question, job, JobAnswerKind.NOT_HOLDER, Optional.empty());
   }
 
+  private boolean over(JobId job) {
+    JobState state = fold.state(job);
+    return state == null || !state.running();
+  }
+
+  private boolean decided(JobHeader header) {
+    return fold.state(header.id()) != null || !fold.uploaded(header);
+  }
+
   private boolean full() {
     return fold.states().size() + submissions.size() >= settings.maxJobs()
         || submissions.size() + cancellations.size() >= settings.maxQuestions();
@@ -159,10 +178,11 @@
     return now.plus(settings.answerTimeout());
   }
 
-  private void append(Submission submission, Epoch epoch, List<Effect> out) {
+  private void append(Submission submission, Epoch epoch, Instant now, List<Effect> out) {
     if (!submission.appended && fold.uploaded(submission.header)) {
       submission.appended = true;
-      out.add(record(new JobAccepted(epoch, submission.header)));
+      AppendRecord effect = record(new JobAccepted(epoch, submission.header));
+      appends.add(effect, () -> decided(submission.header), now, out);
     }
   }
 
@@ -196,7 +216,7 @@
     return one.contentHash().equals(other.contentHash());
   }
 
-  private static Effect over(Question question, JobId job, JobState state) {
+  private static Effect overAnswer(Question question, JobId job, JobState state) {
     return state == null
         ? answer(question, job, JobAnswerKind.ALREADY_ENDED, Optional.empty())
         : ended(question, state);
@@ -239,7 +259,7 @@
     return new SendPeerMessage(question.replyTo, message);
   }
 
-  private Effect record(RecordBody body) {
+  private AppendRecord record(RecordBody body) {
     return new AppendRecord(stream, ids.next(), body);
   }
 
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/JobWork.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/JobWork.java
@@ -76,7 +76,9 @@
         header.id(),
         header.workspace(),
         state.locate(index),
+        header.submittedAt(),
         header.due(),
+        state.openItems(),
         attempts(index),
         header.atMostOnce());
   }
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/OutcomeBuffer.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/OutcomeBuffer.java
@@ -84,6 +84,11 @@
         });
   }
 
+  /** Returns whether a flushed record has been folded. */
+  static boolean seen(ItemOutcomes outcomes, JobFold fold) {
+    return probe(outcomes.groups()).map(item -> ended(fold, item)).orElse(true);
+  }
+
   private static boolean ended(JobFold fold, ItemKey item) {
     JobState state = fold.state(item.job());
     return state == null || !state.open(item.index());
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/StartingItems.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/StartingItems.java
@@ -7,13 +7,14 @@
 import io.hawthornlb.core.job.ItemKey;
 import io.hawthornlb.core.job.ItemsDispatched;
 import io.hawthornlb.core.job.ItemsStarted;
-import io.hawthornlb.core.job.PullItems;
+import io.hawthornlb.core.job.PullJobItems;
 import io.hawthornlb.core.log.StreamName;
 import io.hawthornlb.core.model.Epoch;
 import io.hawthornlb.core.model.InstanceId;
 import io.hawthornlb.core.model.JobId;
 import io.hawthornlb.core.model.PartitionId;
 import io.hawthornlb.core.partition.RecordIdSource;
+import io.hawthornlb.core.partition.support.ResentAppends;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -33,37 +34,53 @@
   private final JobFold fold;
   private final ItemScheduler scheduler;
   private final RecordIdSource ids;
+  private final ResentAppends appends;
   private final List<Batch> waiting = new ArrayList<>();
 
-  StartingItems(PartitionId partition, JobFold fold, ItemScheduler scheduler, RecordIdSource ids) {
+  StartingItems(
+      PartitionId partition,
+      JobFold fold,
+      ItemScheduler scheduler,
+      RecordIdSource ids,
+      ResentAppends appends) {
     this.partition = partition;
     this.fold = fold;
     this.scheduler = scheduler;
     this.ids = ids;
+    this.appends = appends;
   }
 
   void clear() {
     waiting.clear();
   }
 
-  void send(PullItems question, List<ItemDispatch> items, Epoch epoch, List<Effect> out) {
+  void send(
+      PullJobItems question, List<ItemDispatch> items, Epoch epoch, Instant now, List<Effect> out) {
     Map<Boolean, List<ItemDispatch>> parts =
         items.stream().collect(Collectors.partitioningBy(ItemDispatch::atMostOnce));
-    dispatch(question, parts.get(false), out);
+    if (items.isEmpty() || !parts.get(false).isEmpty()) {
+      dispatch(question, parts.get(false), out);
+    }
     Map<JobId, List<ItemDispatch>> byJob =
         parts.get(true).stream().collect(Collectors.groupingBy(ItemDispatch::job));
     byJob.forEach(
         (job, own) -> {
           List<Integer> indexes = own.stream().map(item -> item.location().index()).toList();
-          out.add(
+          AppendRecord effect =
               new AppendRecord(
                   StreamName.ofPartition(partition),
                   ids.next(),
-                  new ItemsStarted(epoch, job, indexes)));
+                  new ItemsStarted(epoch, job, indexes));
+          appends.add(effect, () -> settled(job, indexes), now, out);
           waiting.add(new Batch(question, own));
         });
   }
 
+  /** Answers that there is nothing here. */
+  void sendNone(PullJobItems question, List<Effect> out) {
+    dispatch(question, List.of(), out);
+  }
+
   /** Sends what the log has confirmed since. */
   void advance(Instant now, List<Effect> out) {
     waiting.removeIf(
@@ -93,25 +110,31 @@
         });
   }
 
+  private boolean settled(JobId job, List<Integer> indexes) {
+    JobState state = fold.state(job);
+    return state == null || !state.running() || indexes.stream().allMatch(state::started);
+  }
+
   private void sendStarted(Batch batch, Instant now, List<Effect> out) {
     InstanceId steward = batch.question().steward();
     // A job that was stopped in between has no item with a steward any more.
     List<ItemDispatch> items =
         batch.items().stream().filter(item -> scheduler.assigned(key(item), steward)).toList();
     items.forEach(item -> scheduler.sent(key(item), steward, now));
-    dispatch(batch.question(), items, out);
+    if (!items.isEmpty()) {
+      dispatch(batch.question(), items, out);
+    }
   }
 
   private static ItemKey key(ItemDispatch item) {
     return new ItemKey(item.job(), item.location().index());
   }
 
-  private void dispatch(PullItems question, List<ItemDispatch> items, List<Effect> out) {
-    if (!items.isEmpty()) {
-      ItemsDispatched message = new ItemsDispatched(partition, question.service(), items);
-      out.add(new SendPeerMessage(question.steward(), message));
-    }
+  private void dispatch(PullJobItems question, List<ItemDispatch> items, List<Effect> out) {
+    ItemsDispatched message =
+        new ItemsDispatched(partition, question.endpoint(), question.service(), items);
+    out.add(new SendPeerMessage(question.steward(), message));
   }
 
-  private record Batch(PullItems question, List<ItemDispatch> items) {}
+  private record Batch(PullJobItems question, List<ItemDispatch> items) {}
 }
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/partition/support/DefaultHeldPartition.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/partition/support/DefaultHeldPartition.java
@@ -25,12 +25,14 @@
 public final class DefaultHeldPartition implements HeldPartition {
 
   private static final int ROUNDS_IN_RETENTION = 4;
+  private static final Duration RESEND_AFTER = Duration.ofSeconds(10);
 
   private final PartitionFold fold;
   private final RecordIdSource ids;
   private final Duration roundInterval;
   private @Nullable Claim claimed;
   private @Nullable Instant roundRequestedAt;
+  private @Nullable Instant openingSentAt;
 
   /** Creates the state of a partition that is not held. */
   public DefaultHeldPartition(PartitionFold fold, RecordIdSource ids, Duration logRetention) {
@@ -48,6 +50,7 @@
     boolean later = claimed == null || claim.epoch().compareTo(claimed.epoch()) > 0;
     Checks.isTrue(later, "the claim of epoch " + claim.epoch().value() + " was superseded before");
     claimed = claim;
+    openingSentAt = null;
     return List.of(opening(claim));
   }
 
@@ -58,10 +61,13 @@
     }
   }
 
-  /** Begins a round of snapshots when one is due; called every second or so. */
+  /** Sends a lost opening again, and begins rounds of snapshots; called every second or so. */
   public List<Effect> tick(Instant now) {
     Claim claim = claim().orElse(null);
-    if (claim == null || !roundDue(now)) {
+    if (claim == null) {
+      return resendOpening(now);
+    }
+    if (!roundDue(now)) {
       return List.of();
     }
     roundRequestedAt = now;
@@ -77,6 +83,19 @@
     return fold.opened().filter(own::equals).map(opened -> claimed);
   }
 
+  private List<Effect> resendOpening(Instant now) {
+    if (claimed == null || !openedBelow(claimed.epoch())) {
+      return List.of();
+    }
+    boolean late = openingSentAt != null && openingSentAt.plus(RESEND_AFTER).isBefore(now);
+    openingSentAt = openingSentAt == null || late ? now : openingSentAt;
+    return late ? List.of(opening(claimed)) : List.of();
+  }
+
+  private boolean openedBelow(Epoch epoch) {
+    return fold.opened().map(PartitionOpened::epoch).orElse(Epoch.NONE).compareTo(epoch) < 0;
+  }
+
   private boolean roundDue(Instant now) {
     Instant last = fold.lastRoundAt().orElse(now);
     boolean old = last.plus(roundInterval).isBefore(now);
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/DefaultRunOnceCoordinator.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/DefaultRunOnceCoordinator.java
@@ -9,10 +9,12 @@
 import io.hawthornlb.core.partition.HeldPartition;
 import io.hawthornlb.core.partition.PartitionFold;
 import io.hawthornlb.core.partition.RecordIdSource;
+import io.hawthornlb.core.partition.support.ResentAppends;
 import io.hawthornlb.core.runonce.CallAnswered;
 import io.hawthornlb.core.runonce.CallFailed;
 import io.hawthornlb.core.runonce.CallNotStarted;
 import io.hawthornlb.core.runonce.Drain;
+import io.hawthornlb.core.runonce.EntriesRecorded;
 import io.hawthornlb.core.runonce.EntriesStored;
 import io.hawthornlb.core.runonce.ForwardRunOnce;
 import io.hawthornlb.core.runonce.LateOutcome;
@@ -43,6 +45,7 @@
   private final WitnessTable table;
   private final RecordIdSource ids;
   private final RunOnceSettings settings;
+  private final ResentAppends appends = new ResentAppends();
   private final EntryLog log;
   private final Runs runs;
   private final RunOnceMaintenance maintenance;
@@ -107,10 +110,11 @@
     }
     runs.leave(out);
     log.clear();
+    appends.clear();
     term = null;
     releaseRequested = false;
     if (claim != null) {
-      term = new HolderTerm(claim, partition, fold, table, ids, settings, log, now);
+      term = new HolderTerm(claim, partition, fold, table, ids, settings, appends, log, now);
     }
   }
 
@@ -181,16 +185,22 @@
       maintenance.tick(now, out);
     }
     Duration delay = term.ready() ? runs.logDelay(term.client()) : settings.groupDelay();
-    log.flush(term.epoch(), delay, now)
-        .ifPresent(entries -> out.add(new AppendRecord(stream, ids.next(), entries)));
-    release(term, out);
+    log.flush(term.epoch(), delay, now).ifPresent(entries -> append(entries, now, out));
+    release(term, now, out);
+    appends.tick(now, out);
   }
 
-  private void release(HolderTerm current, List<Effect> out) {
+  private void append(EntriesRecorded entries, Instant now, List<Effect> out) {
+    AppendRecord effect = new AppendRecord(stream, ids.next(), entries);
+    appends.add(effect, () -> log.settled(entries.entries()), now, out);
+  }
+
+  private void release(HolderTerm current, Instant now, List<Effect> out) {
     boolean idle = draining && current.ready() && runs.empty() && log.empty();
     if (idle && !releaseRequested) {
       releaseRequested = true;
-      out.add(new AppendRecord(stream, ids.next(), new WitnessesReleased(current.epoch())));
+      WitnessesReleased record = new WitnessesReleased(current.epoch());
+      appends.add(new AppendRecord(stream, ids.next(), record), fold::released, now, out);
     }
   }
 
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/EntryLog.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/EntryLog.java
@@ -72,6 +72,11 @@
     return Optional.of(new EntriesRecorded(epoch, sent));
   }
 
+  /** Returns whether a group need not be sent again. */
+  boolean settled(List<RunOnceEntry> group) {
+    return !sent.equals(group);
+  }
+
   /** Returns the entries that stand in the log now and did not before. */
   List<RunOnceEntry> advance(RunOnceFold fold, Instant now) {
     if (!sent.stream().allMatch(entry -> seen(entry, fold, now))) {
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/HolderTerm.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/HolderTerm.java
@@ -8,6 +8,7 @@
 import io.hawthornlb.core.model.InstanceId;
 import io.hawthornlb.core.partition.PartitionFold;
 import io.hawthornlb.core.partition.RecordIdSource;
+import io.hawthornlb.core.partition.support.ResentAppends;
 import io.hawthornlb.core.runonce.RunOnceEntry;
 import io.hawthornlb.core.runonce.RunOnceSettings;
 import io.hawthornlb.core.runonce.WitnessContents;
@@ -35,6 +36,7 @@
   private final RunOnceFold fold;
   private final RecordIdSource ids;
   private final RunOnceSettings settings;
+  private final ResentAppends appends;
   private final EntryLog log;
   private final WitnessRecovery recovery;
   private final WitnessClient client;
@@ -52,6 +54,7 @@
       WitnessTable table,
       RecordIdSource ids,
       RunOnceSettings settings,
+      ResentAppends appends,
       EntryLog log,
       Instant now) {
     this.claim = claim;
@@ -59,6 +62,7 @@
     this.fold = fold;
     this.ids = ids;
     this.settings = settings;
+    this.appends = appends;
     this.log = log;
     this.begunAt = now;
     this.roundAt = partition.openedAt();
@@ -137,7 +141,12 @@
             unresolved,
             unknownUntil(unresolved, now));
     StreamName stream = StreamName.ofPartition(claim.partition());
-    out.add(new AppendRecord(stream, ids.next(), requested));
+    WitnessesNamed named = requested;
+    appends.add(new AppendRecord(stream, ids.next(), named), () -> seen(named), now, out);
+  }
+
+  private boolean seen(WitnessesNamed named) {
+    return fold.witnesses().filter(named::equals).isPresent();
   }
 
   /**
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/harness/Cluster.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/harness/Cluster.java
@@ -35,6 +35,7 @@
   private final FakeLog log = new FakeLog();
   private final FakeEndpoint endpoint;
   private double lostAnswers;
+  private double givenUp;
   private Instant now = START;
   private long nextOrder;
 
@@ -107,6 +108,15 @@
     lostAnswers = share;
   }
 
+  /** Sets the share of appends that the log writer of an instance gives up. */
+  public void givenUpAppends(double share) {
+    givenUp = share;
+  }
+
+  public boolean appendGivenUp() {
+    return givenUp > 0 && random.nextDouble() < givenUp;
+  }
+
   public boolean answerLost() {
     return random.nextDouble() < lostAnswers;
   }
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/harness/Node.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/harness/Node.java
@@ -183,8 +183,11 @@
   }
 
   public void append(AppendRecord effect) {
-    unacknowledged.put(effect.id(), effect);
-    sendAppends();
+    if (!cluster.appendGivenUp()) {
+      unacknowledged.put(effect.id(), effect);
+      sentAt.remove(effect.id());
+      sendAppends();
+    }
   }
 
   void start() {
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/harness/Steward.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/harness/Steward.java
@@ -9,7 +9,8 @@
 import io.hawthornlb.core.job.ItemsCancelled;
 import io.hawthornlb.core.job.ItemsDispatched;
 import io.hawthornlb.core.job.ItemsHeld;
-import io.hawthornlb.core.job.PullItems;
+import io.hawthornlb.core.job.PullJobItems;
+import io.hawthornlb.core.model.EndpointId;
 import io.hawthornlb.core.model.ServiceName;
 import io.hawthornlb.core.peer.PeerMessage;
 import java.time.Duration;
@@ -25,6 +26,7 @@
 public final class Steward {
 
   private static final ServiceName SERVICE = new ServiceName("log-reader");
+  private static final EndpointId ENDPOINT = new EndpointId("engine-1");
 
   private final Node node;
   private final Cluster cluster;
@@ -71,7 +73,7 @@
     }
     if (running.size() < width && !pulledAt.plusMillis(20).isAfter(now)) {
       pulledAt = now;
-      toHolder(new PullItems(node.id(), SERVICE, width - running.size()));
+      toHolder(new PullJobItems(node.id(), ENDPOINT, SERVICE, width - running.size()));
     }
   }
 
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/job/JobFailureTest.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/job/JobFailureTest.java
@@ -224,6 +224,30 @@
             .count();
   }
 
+  // A job stands at 199 of 200 items for good: the log writer had given up one append after a long
+  // outage, and the holder still waited for its record to come back.
+  @Test
+  void appendsThatWereGivenUpAreAskedForAgain() {
+    scenario.hold(0);
+    JobId job = scenario.accepted("reports", 200);
+    scenario.cluster().givenUpAppends(0.5);
+    scenario.stewards(4);
+    assertTrue(scenario.awaitEnd(job, LONG));
+    assertEquals(200, scenario.status(job).completed());
+
+    JobId roster = scenario.upload("roster", 5_000, "content", false).id();
+    scenario.cluster().givenUpAppends(0);
+    assertEquals(roster, scenario.accepted("roster", 5_000));
+    scenario.cluster().givenUpAppends(0.9);
+    scenario.cancel(roster);
+    scenario.cluster().runUntil(() -> cancelled(roster), LONG);
+    assertTrue(cancelled(roster));
+  }
+
+  private boolean cancelled(JobId job) {
+    return scenario.status(job).phase() == JobPhase.CANCELLED;
+  }
+
   // Memory grows without bound in an outage of the platform, because endpoints go on and results
   // can't be stored: items are given out only as long as there is room for their results.
   @Test
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/runonce/RunOnceExplorationTest.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/runonce/RunOnceExplorationTest.java
@@ -56,6 +56,7 @@
     scenario.cluster().endpoint().failures(0.05);
     scenario.cluster().endpoint().refusals(0.05);
     scenario.cluster().lostAnswers(0.1);
+    scenario.cluster().givenUpAppends(0.05);
     scenario.claim(0);
     scenario.cluster().run(Duration.ofMillis(300));
     List<Caller> callers = new ArrayList<>();
