--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/runonce/RunOnceExplorationTest.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/runonce/RunOnceExplorationTest.java
@@ -18,7 +18,7 @@
 /** Random failures, alone and together, by seed. */
 class RunOnceExplorationTest {
 
-  private static final int SEEDS = 150;
+  private static final int SEEDS = Integer.getInteger("hawthornlb.exploration.seeds", 150);
   private static final int CALLERS = 12;
 
   // Check-ins run twice, or are said not to have run, in some order of kills, pauses, outages, lost
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/runonce/RunOnceScenario.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/runonce/RunOnceScenario.java
@@ -21,6 +21,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 
 /** Five instances in three data centres, of which three keep intents, and callers that resend. */
 final class RunOnceScenario {
@@ -33,6 +34,7 @@
   private final Map<RequestId, RunOnceKey> keys = new LinkedHashMap<>();
   private final Map<RunOnceKey, RequestId> lastSends = new LinkedHashMap<>();
   private final List<RunOnceKey> falselyTold = new ArrayList<>();
+  private Consumer<AnswerCaller> listener = answer -> {};
   private int nextRequest;
 
   RunOnceScenario(long seed, RunOnceSettings settings, Variant variant) {
@@ -54,6 +56,10 @@
     return RunOnceSettings.builder().recoveryTimeout(Duration.ofSeconds(3)).build();
   }
 
+  void onAnswer(Consumer<AnswerCaller> consumer) {
+    listener = consumer;
+  }
+
   Cluster cluster() {
     return cluster;
   }
@@ -148,6 +154,7 @@
 
   private void answered(AnswerCaller effect) {
     assertTrue(answers.put(effect.id(), effect.answer()) == null, "one answer a request");
+    listener.accept(effect);
     RunOnceKey key = keys.get(effect.id());
     RunOnceAnswer answer = effect.answer();
     if (answer.result().isPresent()) {
