Let stewards keep results until they are durable, and drain holders

A holder that died took the results with it that it had gathered and not yet stored, and the engines did that work again. Stewards now keep each report until the holder says that its outcome is in the log, and send it again to whoever holds the partition. In the new test 600 items are run 600 times although the holder dies in the middle.

--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/job/JobCoordinator.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/JobCoordinator.java
@@ -15,6 +15,9 @@
   /** Takes an event and returns what is to be done. */
   List<Effect> on(JobEvent event, Instant now);
 
+  /** Returns whether nothing is left that is not in the log; true for an instance that may stop. */
+  boolean drained();
+
   /** Returns the items that wait for a steward, by service. */
   List<ServiceBacklog> backlog();
 }
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/DefaultJobCoordinator.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/DefaultJobCoordinator.java
@@ -4,6 +4,7 @@
 import io.hawthornlb.core.effect.AppendRecord;
 import io.hawthornlb.core.effect.Effect;
 import io.hawthornlb.core.job.CancelJob;
+import io.hawthornlb.core.job.DrainJobs;
 import io.hawthornlb.core.job.ItemDispatch;
 import io.hawthornlb.core.job.ItemFailed;
 import io.hawthornlb.core.job.ItemFinished;
@@ -47,6 +48,7 @@
   private final JobMaintenance maintenance;
   private @Nullable Epoch epoch;
   private long followedTo = -1;
+  private boolean draining;
 
   /**
    * Creates the coordinator of a partition.
@@ -84,16 +86,26 @@
   public List<Effect> on(JobEvent event, Instant now) {
     List<Effect> out = new ArrayList<>();
     followClaim(now, out);
+    draining |= event instanceof DrainJobs;
     if (epoch == null) {
       redirect(event, out);
       return out;
     }
     followLog(epoch, now, out);
+    if (draining) {
+      redirect(event, out);
+    }
     decide(event, epoch, now, out);
     flush(epoch, now, out);
     return out;
   }
 
+  @Override
+  public boolean drained() {
+    boolean done = epoch == null || buffer.empty() && questions.empty();
+    return draining && done;
+  }
+
   @Override
   public List<ServiceBacklog> backlog() {
     return scheduler.backlog();
@@ -136,6 +148,10 @@
   }
 
   private void decide(JobEvent event, Epoch current, Instant now, List<Effect> out) {
+    if (draining && takesNew(event)) {
+      tick(current, now, out);
+      return;
+    }
     if (event instanceof SubmitJob submit) {
       questions.submit(submit, current, now, out);
     } else if (event instanceof CancelJob cancel) {
@@ -146,9 +162,9 @@
     } else if (event instanceof ItemsHeld report) {
       scheduler.held(report, now, out);
     } else if (event instanceof ItemFinished report) {
-      scheduler.finished(report, now);
+      scheduler.finished(report, now, out);
     } else if (event instanceof ItemFailed report) {
-      scheduler.failed(report, now);
+      scheduler.failed(report, now, out);
     } else if (event instanceof StewardLost lost) {
       starting.lost(lost.steward());
       scheduler.lost(lost.steward(), now);
@@ -158,6 +174,12 @@
     tick(current, now, out);
   }
 
+  private static boolean takesNew(JobEvent event) {
+    return event instanceof SubmitJob
+        || event instanceof CancelJob
+        || event instanceof PullJobItems;
+  }
+
   private void cancel(CancelJob event, Epoch current, Instant now, List<Effect> out) {
     if (questions.cancel(event, current, now, out)) {
       scheduler.stop(event.job(), out);
@@ -172,7 +194,7 @@
   }
 
   private void flush(Epoch current, Instant now, List<Effect> out) {
-    if (buffer.due(now)) {
+    if (buffer.due(now) || draining && buffer.waits()) {
       ItemOutcomes outcomes = buffer.flush(current);
       AppendRecord effect = new AppendRecord(stream, ids.next(), outcomes);
       appends.add(effect, () -> OutcomeBuffer.seen(outcomes, jobs), now, out);
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/ItemScheduler.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/ItemScheduler.java
@@ -11,6 +11,7 @@
 import io.hawthornlb.core.job.ItemOutcome;
 import io.hawthornlb.core.job.ItemsCancelled;
 import io.hawthornlb.core.job.ItemsHeld;
+import io.hawthornlb.core.job.ItemsSettled;
 import io.hawthornlb.core.job.JobCandidate;
 import io.hawthornlb.core.job.JobOrder;
 import io.hawthornlb.core.job.JobSettings;
@@ -29,6 +30,7 @@
 import java.util.PriorityQueue;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
 
 /** Gives items of running jobs to stewards and takes their outcomes. */
 final class ItemScheduler {
@@ -96,7 +98,7 @@
               }
               return false;
             });
-    buffer.advance(fold);
+    settle(buffer.advance(fold), out);
   }
 
   List<ItemDispatch> pull(PullJobItems question, Instant now) {
@@ -126,15 +128,18 @@
     unwanted.forEach((job, items) -> out.add(cancel(report.steward(), job, items)));
   }
 
-  void finished(ItemFinished report, Instant now) {
+  void finished(ItemFinished report, Instant now, List<Effect> out) {
+    settleEnded(report.steward(), report.item(), out);
     JobWork work = works.get(report.item().job());
     int index = report.item().index();
     if (work != null && work.wanted(index)) {
-      endItem(work, ItemOutcome.completed(index, report.customId(), report.result()), now);
+      ItemOutcome outcome = ItemOutcome.completed(index, report.customId(), report.result());
+      endItem(work, outcome, report.steward(), now);
     }
   }
 
-  void failed(ItemFailed report, Instant now) {
+  void failed(ItemFailed report, Instant now, List<Effect> out) {
+    settleEnded(report.steward(), report.item(), out);
     JobWork work = works.get(report.item().job());
     int index = report.item().index();
     if (work == null || !work.wanted(index) || !holds(work, index, report.steward())) {
@@ -144,7 +149,8 @@
     if (report.kind() == FailureKind.NOT_RUN) {
       work.giveBack(index);
     } else if (last) {
-      endItem(work, ItemOutcome.failed(index, report.customId(), report.cause()), now);
+      ItemOutcome outcome = ItemOutcome.failed(index, report.customId(), report.cause());
+      endItem(work, outcome, report.steward(), now);
     } else {
       retry(work, index, report.customId(), report.cause(), now);
     }
@@ -264,7 +270,7 @@
 
   private void loseItem(JobWork work, int index, Instant now) {
     if (work.header().atMostOnce()) {
-      endItem(work, ItemOutcome.failed(index, "", MAY_HAVE_RUN), now);
+      endItem(work, ItemOutcome.failed(index, "", MAY_HAVE_RUN), null, now);
     } else {
       retry(work, index, "", "the instance that ran the item was lost", now);
     }
@@ -274,7 +280,7 @@
     int attempts = work.countAttempt(index);
     if (attempts >= settings.maxAttempts()) {
       String why = "failed " + attempts + " times, last: " + cause;
-      endItem(work, ItemOutcome.failed(index, customId, why), now);
+      endItem(work, ItemOutcome.failed(index, customId, why), null, now);
       return;
     }
     int doublings = Math.min(attempts - 1, MAX_BACKOFF_DOUBLINGS);
@@ -284,9 +290,33 @@
     buffer.add(work.header().id(), new ItemAttempts(index, attempts), now);
   }
 
-  private void endItem(JobWork work, ItemOutcome outcome, Instant now) {
+  private void endItem(
+      JobWork work, ItemOutcome outcome, @Nullable InstanceId steward, Instant now) {
     work.end(outcome.index());
-    buffer.add(work.header().id(), outcome, now);
+    buffer.add(work.header().id(), outcome, steward, now);
+  }
+
+  /** Answers a report on an item whose end is durable, or whose job is over or unknown. */
+  private void settleEnded(InstanceId steward, ItemKey item, List<Effect> out) {
+    JobState state = fold.state(item.job());
+    if (state == null || !state.open(item.index())) {
+      settle(List.of(new OutcomeBuffer.Report(steward, item)), out);
+    }
+  }
+
+  private static void settle(List<OutcomeBuffer.Report> reports, List<Effect> out) {
+    Map<InstanceId, Map<JobId, List<Integer>>> byJob = new TreeMap<>();
+    for (OutcomeBuffer.Report report : reports) {
+      byJob
+          .computeIfAbsent(report.steward(), steward -> new LinkedHashMap<>())
+          .computeIfAbsent(report.item().job(), job -> new ArrayList<>())
+          .add(report.item().index());
+    }
+    byJob.forEach(
+        (steward, jobs) ->
+            jobs.forEach(
+                (job, items) ->
+                    out.add(new SendPeerMessage(steward, new ItemsSettled(job, items)))));
   }
 
   private void endStarted(JobWork work, Instant now) {
@@ -295,7 +325,7 @@
     }
     for (int index = 0; index < work.header().items(); index++) {
       if (work.state().started(index) && work.free(index)) {
-        endItem(work, ItemOutcome.failed(index, "", MAY_HAVE_RUN), now);
+        endItem(work, ItemOutcome.failed(index, "", MAY_HAVE_RUN), null, now);
       }
     }
   }
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/JobQuestions.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/JobQuestions.java
@@ -135,6 +135,10 @@
     cancellations.forEach((job, questions) -> expire(job, questions, true, now, out));
   }
 
+  boolean empty() {
+    return submissions.isEmpty() && cancellations.isEmpty();
+  }
+
   /** Sends everyone to the new holder. */
   void end(List<Effect> out) {
     submissions.forEach(
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/OutcomeBuffer.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/OutcomeBuffer.java
@@ -7,6 +7,7 @@
 import io.hawthornlb.core.job.JobOutcomeGroup;
 import io.hawthornlb.core.job.JobSettings;
 import io.hawthornlb.core.model.Epoch;
+import io.hawthornlb.core.model.InstanceId;
 import io.hawthornlb.core.model.JobId;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -26,6 +27,7 @@
   private final JobSettings settings;
   private final Map<JobId, Gathered> gathered = new LinkedHashMap<>();
   private final Deque<Sent> unseen = new ArrayDeque<>();
+  private List<Report> reports = new ArrayList<>();
   private int count;
   private int bytes;
   private int unseenBytes;
@@ -37,12 +39,17 @@
 
   void clear() {
     reset();
+    reports.clear();
     unseen.clear();
     unseenBytes = 0;
   }
 
-  void add(JobId job, ItemOutcome outcome, Instant now) {
+  /** Adds an outcome and the steward that reported it, if one did. */
+  void add(JobId job, ItemOutcome outcome, @Nullable InstanceId steward, Instant now) {
     gathered(job).outcomes().add(outcome);
+    if (steward != null) {
+      reports.add(new Report(steward, new ItemKey(job, outcome.index())));
+    }
     grow(OVERHEAD_BYTES + outcome.result().length() + outcome.cause().length(), now);
   }
 
@@ -56,6 +63,14 @@
     return bytes + unseenBytes >= settings.maxBufferedBytes();
   }
 
+  boolean waits() {
+    return count > 0;
+  }
+
+  boolean empty() {
+    return count == 0 && unseen.isEmpty();
+  }
+
   boolean due(Instant now) {
     if (oldestAt == null) {
       return false;
@@ -68,20 +83,26 @@
   ItemOutcomes flush(Epoch epoch) {
     List<JobOutcomeGroup> groups = new ArrayList<>();
     gathered.forEach((job, own) -> groups.add(own.group(job)));
-    unseen.addLast(new Sent(bytes, probe(groups)));
+    unseen.addLast(new Sent(bytes, probe(groups), reports));
     unseenBytes += bytes;
+    reports = new ArrayList<>();
     reset();
     return new ItemOutcomes(epoch, groups, Optional.empty());
   }
 
-  /** Takes notice of what has been folded. */
-  void advance(JobFold fold) {
+  /** Takes notice of what has been folded; returns the reports that are durable now. */
+  List<Report> advance(JobFold fold) {
+    List<Report> durable = new ArrayList<>();
     unseen.removeIf(
         sent -> {
           boolean seen = sent.probe().map(item -> ended(fold, item)).orElse(true);
-          unseenBytes -= seen ? sent.bytes() : 0;
+          if (seen) {
+            unseenBytes -= sent.bytes();
+            durable.addAll(sent.reports());
+          }
           return seen;
         });
+    return durable;
   }
 
   /** Returns whether a flushed record has been folded. */
@@ -126,5 +147,13 @@
     }
   }
 
-  private record Sent(int bytes, Optional<ItemKey> probe) {}
+  private record Sent(int bytes, Optional<ItemKey> probe, List<Report> reports) {}
+
+  /**
+   * A steward's report of an item.
+   *
+   * @param steward the steward
+   * @param item the item
+   */
+  record Report(InstanceId steward, ItemKey item) {}
 }
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/harness/Node.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/harness/Node.java
@@ -8,6 +8,7 @@
 import io.hawthornlb.core.harness.NodeParts.Variant;
 import io.hawthornlb.core.job.ItemsCancelled;
 import io.hawthornlb.core.job.ItemsDispatched;
+import io.hawthornlb.core.job.ItemsSettled;
 import io.hawthornlb.core.job.JobAnswer;
 import io.hawthornlb.core.job.JobCoordinator;
 import io.hawthornlb.core.job.JobEvent;
@@ -124,6 +125,10 @@
     return table;
   }
 
+  public JobCoordinator jobs() {
+    return jobs;
+  }
+
   public RunOnceCoordinator coordinator() {
     return runOnce;
   }
@@ -218,6 +223,8 @@
       steward.run(dispatched);
     } else if (message instanceof ItemsCancelled cancelled) {
       steward.cancel(cancelled);
+    } else if (message instanceof ItemsSettled settled) {
+      steward.settled(settled);
     } else if (message instanceof RunOnceEvent event) {
       runOnce(event);
     } else if (message instanceof JobEvent event) {
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/harness/Steward.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/harness/Steward.java
@@ -9,6 +9,7 @@
 import io.hawthornlb.core.job.ItemsCancelled;
 import io.hawthornlb.core.job.ItemsDispatched;
 import io.hawthornlb.core.job.ItemsHeld;
+import io.hawthornlb.core.job.ItemsSettled;
 import io.hawthornlb.core.job.PullJobItems;
 import io.hawthornlb.core.model.EndpointId;
 import io.hawthornlb.core.model.ServiceName;
@@ -16,6 +17,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -32,6 +34,7 @@
   private final Cluster cluster;
   private final Map<ItemKey, Integer> executions = new HashMap<>();
   private final Set<ItemKey> running = new LinkedHashSet<>();
+  private final Map<ItemKey, Report> reports = new LinkedHashMap<>();
   private int width;
   private Duration duration = Duration.ofMillis(30);
   private IntPredicate impossible = index -> false;
@@ -71,6 +74,7 @@
       namedAt = now;
       toHolder(new ItemsHeld(node.id(), List.copyOf(running)));
     }
+    resend(now);
     if (running.size() < width && !pulledAt.plusMillis(20).isAfter(now)) {
       pulledAt = now;
       toHolder(new PullJobItems(node.id(), ENDPOINT, SERVICE, width - running.size()));
@@ -97,13 +101,37 @@
     }
     String name = "item-" + key.index();
     if (impossible.test(key.index())) {
-      toHolder(new ItemFailed(node.id(), key, name, FailureKind.TRANSIENT, "broken item"));
+      report(key, new ItemFailed(node.id(), key, name, FailureKind.TRANSIENT, "broken item"));
     } else {
-      toHolder(new ItemFinished(node.id(), key, name, "result " + key.index()));
+      report(key, new ItemFinished(node.id(), key, name, "result " + key.index()));
     }
   }
 
+  void settled(ItemsSettled settled) {
+    settled.items().forEach(index -> reports.remove(new ItemKey(settled.job(), index)));
+  }
+
+  private void report(ItemKey key, PeerMessage message) {
+    if (message instanceof ItemFinished) {
+      reports.put(key, new Report(message, cluster.now()));
+    }
+    toHolder(message);
+  }
+
+  private void resend(Instant now) {
+    reports.replaceAll(
+        (key, report) -> {
+          if (report.sentAt().plusSeconds(1).isAfter(now)) {
+            return report;
+          }
+          toHolder(report.message());
+          return new Report(report.message(), now);
+        });
+  }
+
   private void toHolder(PeerMessage message) {
     node.current(Cluster.PARTITION).map(Claim::holder).ifPresent(id -> node.send(id, message));
   }
+
+  private record Report(PeerMessage message, Instant sentAt) {}
 }
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/job/JobFailureTest.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/job/JobFailureTest.java
@@ -110,6 +110,42 @@
     results.forEach(end -> assertEquals("result " + end.index(), end.result()));
   }
 
+  // Engines do the same reports again after each loss of an instance: results that a holder had
+  // gathered and not yet stored were gone with it. The stewards have kept them.
+  @Test
+  void noWorkIsRedoneWhenOnlyTheHolderDies() {
+    scenario.hold(0);
+    JobId job = scenario.accepted("reports", 600);
+    scenario.stewards(6);
+    scenario.cluster().run(Duration.ofMillis(530));
+    scenario.node(0).kill();
+    scenario.hold(1);
+
+    assertTrue(scenario.awaitEnd(job, LONG));
+    assertEquals(600, scenario.status(job).completed());
+    assertEquals(600, scenario.allExecutions());
+  }
+
+  @Test
+  void drainedHolderLeavesNothingBehind() {
+    scenario.hold(0);
+    JobId job = scenario.accepted("reports", 600);
+    scenario.stewards(6);
+    scenario.cluster().run(Duration.ofMillis(530));
+    scenario.node(0).job(new DrainJobs());
+    JobHeader next = scenario.upload("next", 20, "content", false);
+    assertEquals(JobAnswerKind.NOT_HOLDER, scenario.await(scenario.submit(next)).kind());
+    assertTrue(
+        scenario
+            .cluster()
+            .runUntil(() -> scenario.node(0).jobs().drained(), Duration.ofSeconds(2)));
+    scenario.node(0).kill();
+    scenario.hold(1);
+
+    assertTrue(scenario.awaitEnd(job, LONG));
+    assertEquals(600, scenario.allExecutions());
+  }
+
   // A cancelled roster goes on after the instance that took the cancellation has died.
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
--- a/hawthornlb-net/src/main/java/io/hawthornlb/net/codec/PartitionTypes.java
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/codec/PartitionTypes.java
@@ -7,6 +7,7 @@
 import io.hawthornlb.core.job.ItemsCancelled;
 import io.hawthornlb.core.job.ItemsDispatched;
 import io.hawthornlb.core.job.ItemsHeld;
+import io.hawthornlb.core.job.ItemsSettled;
 import io.hawthornlb.core.job.ItemsStarted;
 import io.hawthornlb.core.job.JobAccepted;
 import io.hawthornlb.core.job.JobAnswer;
@@ -63,6 +64,7 @@
         .register("items-dispatched", ItemsDispatched.class)
         .register("items-cancelled", ItemsCancelled.class)
         .register("items-held", ItemsHeld.class)
+        .register("items-settled", ItemsSettled.class)
         .register("item-finished", ItemFinished.class)
         .register("item-failed", ItemFailed.class)
         .register("forward-run-once", ForwardRunOnce.class)
