--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/job/JobScenario.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/job/JobScenario.java
@@ -85,6 +85,12 @@
     nodes.forEach(node -> node.steward().width(node == nodes.get(0) ? 0 : width));
   }
 
+  void killAtMostOne(int index) {
+    if (nodes.stream().allMatch(Node::alive)) {
+      node(index).kill();
+    }
+  }
+
   JobHeader upload(String key, int items, String content, boolean atMostOnce) {
     String submission = "s" + sequence;
     JobHeader header =
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/runonce/RunOnceScenario.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/runonce/RunOnceScenario.java
@@ -43,7 +43,7 @@
 
   RunOnceScenario(long seed, RunOnceSettings settings, Variant variant, Delays delays) {
     cluster = new Cluster(seed, delays);
-    JobSettings jobs = JobSettings.builder().build();
+    JobSettings jobs = JobSettings.builder().logRetention(settings.logRetention()).build();
     NodeParts parts = new NodeParts(settings, jobs, new FirstComeJobOrder(), variant);
     for (int i = 0; i < 5; i++) {
       Node node = cluster.addNode("i" + i, parts);
