Add the load tool: open-loop load that checks every answer

Arrival times are fixed from a seed before the run and latency counts from them, so that a stall shows in all requests that it holds up; a test with a stalling flow shows it. Chats are compared with the text that follows from their messages, calls with the service's echo and, by idempotency key, with how often the services ran them, jobs with one right result for each item. Results go to JSON, PNG plots and one HTML file.

--- /dev/null
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/support/JobCalls.java
@@ -0,0 +1,100 @@
+package io.hawthornlb.standin.load.support;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.hawthornlb.standin.load.JobFlow;
+import io.hawthornlb.standin.load.support.HttpCaller.Call;
+import io.hawthornlb.standin.support.WireJson;
+import java.io.IOException;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+
+/** The calls of the job protocol, answered or not. */
+final class JobCalls {
+
+  private static final Duration LIMIT = Duration.ofSeconds(10);
+  private static final int OK = 200;
+  private static final int ACCEPTED = 202;
+  private static final int PAGE = 1_000;
+
+  private final HttpCaller caller;
+  private final JobFlow flow;
+
+  /** The last status of a job. */
+  record Status(String status, int completed, int failed) {
+
+    boolean ended() {
+      return status.equals("completed") || status.equals("cancelled");
+    }
+  }
+
+  /** A page of results, and where to read on. */
+  record Page(String lines, Optional<String> next) {}
+
+  JobCalls(HttpCaller caller, JobFlow flow) {
+    this.caller = caller;
+    this.flow = flow;
+  }
+
+  /** Submits a job and returns its id once it is accepted. */
+  Optional<String> submit(String key, String lines, Optional<Instant> due) {
+    Call call = call("POST", "/v1/jobs", lines).with("Idempotency-Key", key);
+    Call dated = due.map(at -> call.with("Due", at.toString())).orElse(call);
+    return answer(dated, ACCEPTED).map(answer -> json(answer).path("id").asText(""));
+  }
+
+  Optional<Status> status(String id) {
+    return answer(call("GET", "/v1/jobs/" + id, ""), OK)
+        .map(
+            answer -> {
+              JsonNode body = json(answer);
+              JsonNode counts = body.path("counts");
+              return new Status(
+                  body.path("status").asText(""),
+                  counts.path("completed").asInt(),
+                  counts.path("failed").asInt());
+            });
+  }
+
+  Optional<Page> results(String id, Optional<String> cursor) {
+    String from = cursor.map(at -> "&cursor=" + at).orElse("");
+    String path = "/v1/jobs/" + id + "/results?limit=" + PAGE + from;
+    return answer(call("GET", path, ""), OK)
+        .map(answer -> new Page(answer.body(), answer.headers().firstValue("Next-Cursor")));
+  }
+
+  /** Cancels a job and returns whether an entry took it. */
+  boolean cancel(String id) {
+    return send(call("POST", "/v1/jobs/" + id + "/cancel", ""))
+        .filter(answer -> answer.statusCode() < Refusals.CLIENT_ERROR)
+        .isPresent();
+  }
+
+  private Optional<HttpResponse<String>> answer(Call call, int status) {
+    return send(call).filter(answer -> answer.statusCode() == status);
+  }
+
+  private Optional<HttpResponse<String>> send(Call call) {
+    try {
+      return Optional.of(caller.send(call, BodyHandlers.ofString()).join());
+    } catch (CompletionException e) {
+      return Optional.empty();
+    }
+  }
+
+  private Call call(String method, String path, String body) {
+    return new Call(method, path, Headers.of(flow.key()), BodyPublishers.ofString(body), LIMIT);
+  }
+
+  private static JsonNode json(HttpResponse<String> answer) {
+    try {
+      return WireJson.mapper().readTree(answer.body());
+    } catch (IOException e) {
+      return WireJson.mapper().missingNode();
+    }
+  }
+}
--- /dev/null
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/support/JobResultsCheck.java
@@ -0,0 +1,93 @@
+package io.hawthornlb.standin.load.support;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.hawthornlb.standin.report.Outcome;
+import io.hawthornlb.standin.support.WireJson;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Checks the results of a job, line by line and then as a whole. */
+public final class JobResultsCheck {
+
+  private static final int MOST_FAULTS = 20;
+
+  private final Map<String, String> expected;
+  private final Set<String> seen = new HashSet<>();
+  private final List<String> faults = new ArrayList<>();
+  private int completed;
+  private int failed;
+
+  /** Expects these answers by item; blank for an item that must fail. */
+  public JobResultsCheck(Map<String, String> expected) {
+    this.expected = Map.copyOf(expected);
+  }
+
+  /** Checks a line of the results. */
+  public void line(String line) {
+    try {
+      item(WireJson.mapper().readTree(line));
+    } catch (IOException e) {
+      fault("a result line is no JSON");
+    }
+  }
+
+  /** Returns the faults of a job that ended, with the items that have no result. */
+  public List<String> faults(boolean cancelled) {
+    List<String> missing =
+        expected.keySet().stream().filter(id -> !seen.contains(id)).sorted().toList();
+    if (!missing.isEmpty() && !cancelled) {
+      fault(missing.size() + " items without result, first " + missing.get(0));
+    }
+    return List.copyOf(faults);
+  }
+
+  /** Returns how many items completed. */
+  public int completed() {
+    return completed;
+  }
+
+  /** Returns how many items failed. */
+  public int failed() {
+    return failed;
+  }
+
+  private void item(JsonNode result) {
+    String id = result.path("custom_id").asText("");
+    String wanted = expected.get(id);
+    if (wanted == null) {
+      fault("result of an unknown item " + id);
+    } else if (!seen.add(id)) {
+      fault("second result of " + id);
+    } else if (result.path("status").asText("").equals("completed")) {
+      completed++;
+      answer(id, wanted, result.path("response"));
+    } else {
+      failed++;
+      if (!wanted.isEmpty()) {
+        fault(id + " failed: " + result.path("error"));
+      }
+    }
+  }
+
+  private void answer(String id, String wanted, JsonNode response) {
+    if (wanted.isEmpty()) {
+      fault(id + " completed although it can never be done");
+      return;
+    }
+    JsonNode body = response.has("body") ? response.path("body") : response;
+    Outcome outcome = AnswerChecks.compare(wanted, AnswerChecks.contentOf(body));
+    if (outcome.kind() != Outcome.Kind.ANSWERED) {
+      fault(id + " has a wrong answer: " + outcome.reason());
+    }
+  }
+
+  private void fault(String text) {
+    if (faults.size() < MOST_FAULTS) {
+      faults.add(text);
+    }
+  }
+}
--- /dev/null
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/support/Promises.java
@@ -0,0 +1,83 @@
+package io.hawthornlb.standin.load.support;
+
+import io.hawthornlb.standin.load.Limits;
+import io.hawthornlb.standin.report.CallComparison;
+import io.hawthornlb.standin.report.FlowResult;
+import io.hawthornlb.standin.report.JobResult;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** Says which promises a run has broken. */
+public final class Promises {
+
+  private static final double PERCENT = 100;
+
+  private final List<String> broken = new ArrayList<>();
+
+  /** Checks a flow: no wrong answers, and its limits. */
+  public Promises flow(FlowResult flow, Limits limits) {
+    String name = flow.label().name();
+    flow.wrong().forEach(wrong -> add(name, wrong.count() + " answers " + wrong.name()));
+    long cut = FlowResult.sum(flow.cut());
+    check(cut > limits.cut(), name, cut + " answers cut");
+    check(flow.unfinished() > 0, name, flow.unfinished() + " requests without an end");
+    atMost(name, "first token p95 ms", flow.firstToken().p95(), limits.firstTokenP95Millis());
+    atMost(name, "p95 ms", flow.total().p95(), limits.p95Millis());
+    atMost(name, "p99 ms", flow.total().p99(), limits.p99Millis());
+    double refused = percent(FlowResult.sum(flow.refused()), flow.sent());
+    check(refused > limits.refusedPercent(), name, refused + "% refused");
+    double failed = percent(FlowResult.sum(flow.failed()), flow.sent());
+    check(failed > limits.failedPercent(), name, failed + "% failed");
+    return this;
+  }
+
+  /** Checks all flows, each against the limits of its name. */
+  public Promises flows(List<FlowResult> flows, Map<String, Limits> limits) {
+    flows.forEach(flow -> flow(flow, limits.get(flow.label().name())));
+    return this;
+  }
+
+  /** Checks jobs: accepted, ended, each item once, on time. */
+  public Promises jobs(List<JobResult> jobs) {
+    for (JobResult job : jobs) {
+      job.faults().forEach(fault -> add(job.flow(), fault));
+      boolean ended = !job.status().equals("cancelled");
+      boolean late = ended && job.dueMillis() > 0 && job.doneMillis() > job.dueMillis();
+      check(late, job.flow(), "job done after it was due");
+    }
+    return this;
+  }
+
+  /** Checks keyed calls: none lost, none doubled, no untrue refusal. */
+  public Promises calls(CallComparison calls) {
+    check(!calls.compared(), "calls", "the counts of a service could not be read");
+    check(!calls.lost().isEmpty(), "calls", calls.lost().size() + " lost");
+    check(!calls.doubled().isEmpty(), "calls", calls.doubled().size() + " doubled");
+    check(!calls.untrue().isEmpty(), "calls", calls.untrue().size() + " ran though refused");
+    return this;
+  }
+
+  /** Returns what is broken, in the order of the checks. */
+  public List<String> broken() {
+    return List.copyOf(broken);
+  }
+
+  private void atMost(String name, String what, double measured, double limit) {
+    check(limit > 0 && measured > limit, name, what + " " + measured + " over " + limit);
+  }
+
+  private void check(boolean bad, String name, String text) {
+    if (bad) {
+      add(name, text);
+    }
+  }
+
+  private void add(String name, String text) {
+    broken.add(name + ": " + text);
+  }
+
+  private static double percent(long part, long whole) {
+    return whole == 0 ? 0 : PERCENT * part / whole;
+  }
+}
--- /dev/null
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/report/Count.java
@@ -0,0 +1,4 @@
+package io.hawthornlb.standin.report;
+
+/** How often something came about. */
+public record Count(String name, long count) {}
--- /dev/null
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/report/support/FlowRecorder.java
@@ -0,0 +1,89 @@
+package io.hawthornlb.standin.report.support;
+
+import io.hawthornlb.standin.report.FlowLabel;
+import io.hawthornlb.standin.report.FlowResult;
+import io.hawthornlb.standin.report.Latency;
+import io.hawthornlb.standin.report.Outcome;
+import java.util.concurrent.atomic.LongAdder;
+import org.HdrHistogram.ConcurrentHistogram;
+
+/** Measures one flow; safe for use by many threads. */
+final class FlowRecorder {
+
+  private final FlowLabel label;
+  private final LongAdder sent = new LongAdder();
+  private final LongAdder answered = new LongAdder();
+  private final LongAdder resent = new LongAdder();
+  private final Counts refused = new Counts();
+  private final Counts refusedRun = new Counts();
+  private final Counts failed = new Counts();
+  private final Counts cut = new Counts();
+  private final Counts wrong = new Counts();
+  private final ConcurrentHistogram firstToken = Histograms.create();
+  private final ConcurrentHistogram tokenGap = Histograms.create();
+  private final ConcurrentHistogram total = Histograms.create();
+
+  FlowRecorder(FlowLabel label) {
+    this.label = label;
+  }
+
+  FlowLabel label() {
+    return label;
+  }
+
+  ConcurrentHistogram total() {
+    return total;
+  }
+
+  void sent() {
+    sent.increment();
+  }
+
+  void resent() {
+    resent.increment();
+  }
+
+  void ended(Outcome outcome, Latency latency) {
+    switch (outcome.kind()) {
+      case ANSWERED -> {
+        answered.increment();
+        time(latency);
+      }
+      case REFUSED -> {
+        refused.add(outcome.reason());
+        refusedRun.add(outcome.run());
+      }
+      case FAILED -> failed.add(outcome.reason());
+      case CUT -> cut.add(outcome.reason());
+      case WRONG -> wrong.add(outcome.reason());
+      default -> throw new IllegalStateException("unknown outcome " + outcome.kind());
+    }
+  }
+
+  FlowResult result() {
+    long ended = answered.sum() + refused.sum() + failed.sum() + cut.sum() + wrong.sum();
+    return new FlowResult(
+        label,
+        sent.sum(),
+        answered.sum(),
+        sent.sum() - ended,
+        resent.sum(),
+        refused.list(),
+        refusedRun.list(),
+        failed.list(),
+        cut.list(),
+        wrong.list(),
+        Histograms.percentiles(firstToken),
+        Histograms.percentiles(tokenGap),
+        Histograms.percentiles(total));
+  }
+
+  private void time(Latency latency) {
+    Histograms.record(total, latency.total());
+    long before = 0;
+    for (long token : latency.tokens()) {
+      Histograms.record(before == 0 ? firstToken : tokenGap, token - before);
+      before = token;
+    }
+  }
+}
--- /dev/null
+++ b/hawthornlb-standin/src/test/java/io/hawthornlb/standin/load/LoadToolTest.java
@@ -0,0 +1,260 @@
+package io.hawthornlb.standin.load;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.hawthornlb.standin.RunningStandin;
+import io.hawthornlb.standin.TestSettings;
+import io.hawthornlb.standin.engine.EngineStandin;
+import io.hawthornlb.standin.fault.FaultOrder;
+import io.hawthornlb.standin.load.TwinEntry.Flaw;
+import io.hawthornlb.standin.report.FlowResult;
+import io.hawthornlb.standin.report.RunResult;
+import io.hawthornlb.standin.service.ServiceStandin;
+import io.hawthornlb.standin.support.InvalidSettingsException;
+import io.hawthornlb.standin.support.WireJson;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class LoadToolTest {
+
+  private static final PrintStream SILENT = new PrintStream(OutputStream.nullOutputStream());
+
+  @TempDir Path dir;
+
+  private static Burst burst(int count) {
+    return Burst.builder().count(count).overMillis(200).build();
+  }
+
+  private static ChatFlow.Builder chats(String name) {
+    return ChatFlow.builder()
+        .name(name)
+        .workspace("coordinators")
+        .service("brief-llm")
+        .shape(ChatShape.builder().answerTokensMin(5).answerTokensMax(15).build())
+        .bursts(List.of(burst(20)));
+  }
+
+  private static CallFlow.Builder calls(String name) {
+    return CallFlow.builder()
+        .name(name)
+        .workspace("door")
+        .service("checkin-app")
+        .bursts(List.of(burst(20)));
+  }
+
+  private static JobFlow.Builder jobs(String name) {
+    return JobFlow.builder()
+        .name(name)
+        .workspace("rosters")
+        .service("brief-llm")
+        .items(10)
+        .pollMillis(10);
+  }
+
+  private static Scenario.Builder scenario(String... entries) {
+    return Scenario.builder()
+        .name("test")
+        .entries(List.of(entries))
+        .durationMillis(400)
+        .drainMillis(8_000);
+  }
+
+  private static RunResult measure(Scenario.Builder scenario) {
+    return LoadTool.measure(scenario.build(), SILENT);
+  }
+
+  @Test
+  void chatsToAnEngineAreAnsweredWholeAndOwn() {
+    try (RunningStandin engine = EngineStandin.start(TestSettings.engine("e-1").build())) {
+      RunResult result =
+          measure(
+              scenario(engine.address())
+                  .chats(List.of(chats("streams").build(), chats("bulk").stream(false).build())));
+
+      assertTrue(result.ok(), result.broken().toString());
+      for (FlowResult flow : result.flows()) {
+        assertEquals(20, flow.answered());
+        assertEquals(20, flow.total().count());
+      }
+      FlowResult streams = result.flows().get(1);
+      assertEquals("streams", streams.label().name());
+      assertEquals(20, streams.firstToken().count());
+      assertTrue(streams.tokenGap().count() >= 20 * 4);
+    }
+  }
+
+  @Test
+  void callsAreComparedWithWhatTheServiceRan() {
+    try (RunningStandin service = ServiceStandin.start(TestSettings.service("s-1"))) {
+      RunResult result =
+          measure(
+              scenario(service.address())
+                  .services(List.of(service.address()))
+                  .calls(List.of(calls("checkins").build())));
+
+      assertTrue(result.ok(), result.broken().toString());
+      assertEquals(20, result.calls().acknowledged());
+    }
+  }
+
+  @Test
+  void entriesThatRefuseConnectionsArePassedOver() throws IOException {
+    TwinEntry gone = new TwinEntry();
+    gone.close();
+    try (TwinEntry entry = new TwinEntry()) {
+      RunResult result =
+          measure(scenario(gone.address(), entry.address()).chats(List.of(chats("c").build())));
+      assertEquals(20, result.flows().get(0).answered());
+    }
+  }
+
+  @Test
+  void jobsAreFollowedToTheirResults() throws IOException {
+    try (TwinEntry entry = new TwinEntry()) {
+      RunResult result =
+          measure(
+              scenario(entry.address()).jobs(List.of(jobs("j").jobs(2).submissions(2).build())));
+
+      assertTrue(result.ok(), result.broken().toString());
+      assertEquals(2, result.jobs().size());
+      assertEquals(10, result.jobs().get(0).completed());
+    }
+  }
+
+  @Test
+  void rightAnswersBreakNothing() throws IOException {
+    assertEquals(List.of(), brokenBy(Flaw.NONE));
+  }
+
+  /**
+   * A caller gets an answer that is cut short, doubled or meant for somebody else, or a call is
+   * lost or run twice, and the run is reported as good, because the tool believed the status codes.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "TRUNCATES_TEXT, streams: 20 answers truncated",
+    "TRUNCATES_TEXT, wholes: 20 answers truncated",
+    "TRUNCATES_TEXT, has a wrong answer: truncated",
+    "CUTS_STREAM, streams: 20 answers cut",
+    "DOUBLES_TOKEN, streams: 20 answers doubled",
+    "DOUBLES_TOKEN, wholes: 20 answers doubled",
+    "ANSWERS_ANOTHER, streams: 20 answers foreign",
+    "ANSWERS_ANOTHER, wholes: 20 answers foreign",
+    "GOES_ON_AFTER_END, streams: 20 answers goes-on-after-the-end",
+    "RUNS_CALLS_TWICE, calls: 20 doubled",
+    "LOSES_CALLS, calls: 20 lost",
+    "REFUSES_AFTER_RUN, calls: 20 ran though refused",
+    "LOSES_ITEM, jobs: 1 items without result",
+    "DOUBLES_ITEM, jobs: second result of item-0",
+    "FAILS_ITEM, jobs: item-0 failed",
+    "NEW_JOB_EACH_TIME, jobs: the same key got a second job"
+  })
+  void flawsAreFound(Flaw flaw, String finding) throws IOException {
+    List<String> broken = brokenBy(flaw);
+    assertTrue(broken.stream().anyMatch(b -> b.contains(finding)), flaw + ": " + broken);
+  }
+
+  private static List<String> brokenBy(Flaw flaw) throws IOException {
+    try (TwinEntry entry = new TwinEntry(flaw)) {
+      return measure(
+              scenario(entry.address())
+                  .services(List.of(entry.address()))
+                  .chats(List.of(chats("streams").build(), chats("wholes").stream(false).build()))
+                  .calls(List.of(calls("checkins").build()))
+                  .jobs(List.of(jobs("jobs").submissions(2).build())))
+          .broken();
+    }
+  }
+
+  @Test
+  void faultsAreSwitchedOnAndRefusalsCounted() {
+    try (RunningStandin engine = EngineStandin.start(TestSettings.engine("e-1").build())) {
+      FaultOrder down = new FaultOrder("down", 0, 0, null);
+      ChatFlow late =
+          chats("c").bursts(List.of(Burst.builder().atMillis(600).count(5).build())).build();
+      RunResult result =
+          measure(
+              scenario(engine.address())
+                  .durationMillis(1_000)
+                  .chats(List.of(late))
+                  .actions(
+                      List.of(Action.builder().address(engine.address()).fault(down).build())));
+
+      FlowResult flow = result.flows().get(0);
+      assertEquals(5, FlowResult.sum(flow.refused()));
+      assertEquals("status-503", flow.refused().get(0).name());
+      assertEquals("unsaid", flow.refusedRun().get(0).name());
+    }
+  }
+
+  @Test
+  void onlineLoadRunsWithoutTheJobsFirst() throws IOException {
+    try (TwinEntry entry = new TwinEntry()) {
+      RunResult result =
+          measure(
+              scenario(entry.address())
+                  .compareWithoutJobs(true)
+                  .chats(List.of(chats("c").build()))
+                  .jobs(List.of(jobs("j").build())));
+      assertEquals(1, result.jobs().size());
+      assertEquals(0, result.withoutJobs().jobs().size());
+      assertEquals(20, result.withoutJobs().flows().get(0).answered());
+    }
+  }
+
+  @Test
+  void writesResultPlotsAndReport() throws IOException {
+    Path out = dir.resolve("out");
+    try (TwinEntry entry = new TwinEntry()) {
+      Path file = dir.resolve("scenario.yaml");
+      Files.writeString(
+          file,
+          """
+          name: steady <day>
+          entries: ["%s"]
+          durationMillis: 300
+          chats:
+            - {name: c, workspace: w, service: brief-llm, bursts: [{count: 3}]}
+          """
+              .formatted(entry.address()));
+      assertTrue(LoadTool.run(file, out).ok());
+    }
+    JsonNode json = WireJson.mapper().readTree(out.resolve("result.json").toFile());
+    assertEquals(3, json.path("flows").path(0).path("answered").asInt());
+    assertTrue(Files.size(out.resolve("latency.png")) > 1_000);
+    String html = Files.readString(out.resolve("report.html"));
+    assertTrue(html.contains("steady &lt;day&gt;"));
+    assertTrue(html.contains("data:image/png;base64,"));
+    assertFalse(html.contains("src=\"http"));
+  }
+
+  @Test
+  void onlyThisMachineIsLoaded() {
+    for (String address : List.of("10.0.0.1:80", "example.org:80", "127.0.0.1.example:80")) {
+      Scenario.Builder scenario = scenario(address).chats(List.of(chats("c").build()));
+      assertThrows(InvalidScenarioException.class, () -> measure(scenario), address);
+    }
+  }
+
+  @Test
+  void tooManyRequestsAndUnknownKeysAreRefused() throws IOException {
+    Scenario.Builder many =
+        scenario("127.0.0.1:1").maxRequests(10).chats(List.of(chats("c").build()));
+    assertThrows(InvalidScenarioException.class, () -> measure(many));
+
+    Path file = Files.writeString(dir.resolve("s.yaml"), "name: x\nentrys: []\n");
+    assertThrows(InvalidSettingsException.class, () -> LoadTool.run(file, dir));
+  }
+}
--- /dev/null
+++ b/hawthornlb-standin/src/test/java/io/hawthornlb/standin/load/TwinEntry.java
@@ -0,0 +1,195 @@
+package io.hawthornlb.standin.load;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import io.hawthornlb.standin.engine.AnswerText;
+import io.hawthornlb.standin.engine.ChatRequest;
+import io.hawthornlb.standin.engine.Prompt;
+import io.hawthornlb.standin.service.CallCounter;
+import io.hawthornlb.standin.service.Echo;
+import io.hawthornlb.standin.support.WireJson;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** An entry that answers at once, and wrongly where it is told to. */
+final class TwinEntry implements AutoCloseable {
+
+  /** What the twin gets wrong. */
+  enum Flaw {
+    NONE,
+    TRUNCATES_TEXT,
+    CUTS_STREAM,
+    DOUBLES_TOKEN,
+    ANSWERS_ANOTHER,
+    GOES_ON_AFTER_END,
+    RUNS_CALLS_TWICE,
+    LOSES_CALLS,
+    REFUSES_AFTER_RUN,
+    LOSES_ITEM,
+    DOUBLES_ITEM,
+    FAILS_ITEM,
+    NEW_JOB_EACH_TIME
+  }
+
+  private final Set<Flaw> flaws;
+  private final ExecutorService threads = Executors.newFixedThreadPool(8);
+  private final HttpServer server;
+  private final CallCounter counter = new CallCounter(10_000);
+  private final Map<String, List<JsonNode>> jobs = new ConcurrentHashMap<>();
+  private final AtomicInteger jobNumbers = new AtomicInteger();
+  private final Map<String, String> jobIds = new ConcurrentHashMap<>();
+
+  TwinEntry(Flaw... flaws) throws IOException {
+    this.flaws = new HashSet<>(List.of(flaws));
+    this.server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    server.setExecutor(threads);
+    server.createContext("/v1/chat/completions", this::chat);
+    server.createContext("/services/", this::call);
+    server.createContext("/standin/calls", x -> send(x, 200, json(counter.counts())));
+    server.createContext("/v1/jobs", this::job);
+    server.start();
+  }
+
+  String address() {
+    return "127.0.0.1:" + server.getAddress().getPort();
+  }
+
+  @Override
+  public void close() {
+    server.stop(0);
+    threads.shutdownNow();
+  }
+
+  private boolean has(Flaw flaw) {
+    return flaws.contains(flaw);
+  }
+
+  private void chat(HttpExchange exchange) throws IOException {
+    ChatRequest request =
+        WireJson.read(exchange.getRequestBody().readAllBytes(), ChatRequest.class);
+    List<String> tokens = tokens(request);
+    if (!request.stream()) {
+      send(exchange, 200, completion(String.join("", tokens)));
+      return;
+    }
+    StringBuilder events = new StringBuilder();
+    tokens.forEach(token -> events.append(chunk(token)));
+    events.append(has(Flaw.CUTS_STREAM) ? "" : "data: [DONE]\n\n");
+    events.append(has(Flaw.GOES_ON_AFTER_END) ? chunk("more") : "");
+    send(exchange, 200, events.toString());
+  }
+
+  private List<String> tokens(ChatRequest request) {
+    String hash = Prompt.of(request.messages()).hash();
+    String written = has(Flaw.ANSWERS_ANOTHER) ? "0123456789abcdef" : hash;
+    List<String> tokens = new ArrayList<>();
+    for (int index = 0; index < request.maxTokens(); index++) {
+      tokens.add(AnswerText.token(written, index));
+    }
+    if (has(Flaw.TRUNCATES_TEXT) || has(Flaw.CUTS_STREAM)) {
+      tokens.remove(tokens.size() - 1);
+    }
+    if (has(Flaw.DOUBLES_TOKEN)) {
+      tokens.add(tokens.get(tokens.size() - 1));
+    }
+    return tokens;
+  }
+
+  private static String chunk(String token) {
+    return "data: {\"id\":\"c\",\"choices\":[{\"delta\":{\"content\":\"" + token + "\"}}]}\n\n";
+  }
+
+  private static String completion(String text) {
+    return "{\"choices\":[{\"message\":{\"content\":\"" + text + "\"}}]}";
+  }
+
+  private void call(HttpExchange exchange) throws IOException {
+    byte[] body = exchange.getRequestBody().readAllBytes();
+    String key = exchange.getRequestHeaders().getFirst("Idempotency-Key");
+    String path = exchange.getRequestURI().toString();
+    long call = has(Flaw.LOSES_CALLS) ? 1 : counter.count(key);
+    if (has(Flaw.RUNS_CALLS_TWICE)) {
+      counter.count(key);
+    }
+    if (has(Flaw.REFUSES_AFTER_RUN)) {
+      String problem = "{\"type\":\"urn:x:not-durable\",\"status\":503,\"run\":\"not-run\"}";
+      send(exchange, 503, problem);
+      return;
+    }
+    String text = new String(body, StandardCharsets.UTF_8);
+    String checksum = Echo.checksum("POST", path, body);
+    send(exchange, 200, json(new Echo("s", "i", "POST", path, text, key, call, checksum)));
+  }
+
+  private void job(HttpExchange exchange) throws IOException {
+    String path = exchange.getRequestURI().getPath();
+    String id = path.length() > 9 ? path.substring(9).split("/")[0] : "";
+    if (path.equals("/v1/jobs")) {
+      String key = exchange.getRequestHeaders().getFirst("Idempotency-Key");
+      String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+      send(exchange, 202, "{\"id\":\"" + accept(key, body) + "\",\"status\":\"running\"}");
+    } else if (path.endsWith("/results")) {
+      send(exchange, 200, results(jobs.get(id)));
+    } else {
+      int failed = has(Flaw.FAILS_ITEM) ? 1 : 0;
+      int completed = jobs.get(id).size() - failed;
+      String status = "{\"status\":\"completed\",\"counts\":{\"completed\":%d,\"failed\":%d}}";
+      send(exchange, 200, status.formatted(completed, failed));
+    }
+  }
+
+  private String accept(String key, String body) throws IOException {
+    List<JsonNode> items = new ArrayList<>();
+    for (String line : body.lines().toList()) {
+      items.add(WireJson.mapper().readTree(line));
+    }
+    String fresh = "job-" + jobNumbers.incrementAndGet();
+    String id = has(Flaw.NEW_JOB_EACH_TIME) ? fresh : jobIds.computeIfAbsent(key, unused -> fresh);
+    jobs.putIfAbsent(id, items);
+    return id;
+  }
+
+  private String results(List<JsonNode> items) throws IOException {
+    List<String> lines = new ArrayList<>();
+    for (JsonNode item : items) {
+      ChatRequest request = WireJson.mapper().treeToValue(item.path("body"), ChatRequest.class);
+      lines.add(
+          "{\"custom_id\":\"%s\",\"status\":\"completed\",\"response\":%s,\"error\":null}"
+              .formatted(
+                  item.path("custom_id").asText(), completion(String.join("", tokens(request)))));
+    }
+    if (has(Flaw.LOSES_ITEM)) {
+      lines.remove(0);
+    }
+    if (has(Flaw.DOUBLES_ITEM)) {
+      lines.add(lines.get(0));
+    }
+    if (has(Flaw.FAILS_ITEM)) {
+      lines.set(0, lines.get(0).replace("\"completed\"", "\"failed\""));
+    }
+    return String.join("\n", lines) + "\n";
+  }
+
+  private static String json(Object value) {
+    return new String(WireJson.write(value), StandardCharsets.UTF_8);
+  }
+
+  private static void send(HttpExchange exchange, int status, String body) throws IOException {
+    byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+    exchange.sendResponseHeaders(status, bytes.length);
+    exchange.getResponseBody().write(bytes);
+    exchange.close();
+  }
+}
--- /dev/null
+++ b/hawthornlb-standin/src/test/java/io/hawthornlb/standin/load/support/PacerTest.java
@@ -0,0 +1,80 @@
+package io.hawthornlb.standin.load.support;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.hawthornlb.standin.load.Burst;
+import io.hawthornlb.standin.load.Phase;
+import io.hawthornlb.standin.load.Scenario;
+import io.hawthornlb.standin.report.FlowLabel;
+import io.hawthornlb.standin.report.Latency;
+import io.hawthornlb.standin.report.Outcome;
+import io.hawthornlb.standin.report.support.RunRecorder;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class PacerTest {
+
+  private static final long STALL = TimeUnit.MILLISECONDS.toNanos(200);
+
+  private final RunClock clock = new RunClock();
+  private final RunRecorder recorder = new RunRecorder();
+
+  /** The sending of its first request stalls, and holds up the nine after it. */
+  private final class StallingFlow implements RequestFlow {
+
+    @Override
+    public FlowLabel label() {
+      return new FlowLabel("f", "interactive", "w");
+    }
+
+    @Override
+    public List<Phase> phases() {
+      return List.of();
+    }
+
+    @Override
+    public List<Burst> bursts() {
+      return List.of(Burst.builder().count(10).overMillis(10).build());
+    }
+
+    @Override
+    public CompletableFuture<Ended> send(int number, long intendedNanos) {
+      if (number == 0) {
+        clock.sleepUntil(STALL);
+      }
+      Latency latency = Latency.whole(clock.nanos() - intendedNanos);
+      return CompletableFuture.completedFuture(new Ended(Outcome.answered(), latency));
+    }
+  }
+
+  /**
+   * An engine stalled for a while and the report showed one slow request: those that should have
+   * come meanwhile were sent late, and their wait was counted from the sending.
+   */
+  @Test
+  void stallsShowInEveryRequestThatTheyHoldUp() {
+    Scenario scenario = Scenario.builder().name("s").entries(List.of("127.0.0.1:1")).build();
+    new Pacer(List.of(new StallingFlow()), scenario, clock, recorder).run();
+
+    var total = recorder.flows().get(0).total();
+    assertEquals(10, total.count());
+    assertTrue(total.p50() >= 190, "p50 was " + total.p50());
+  }
+
+  @Test
+  void arrivalsFollowFromTheSeedAndTheRate() {
+    List<Phase> phases =
+        List.of(Phase.builder().fromMillis(1_000).toMillis(11_000).perSecond(100).build());
+    long[] times = ArrivalTimes.of(phases, List.of(), 60_000, new SplittableRandom(3));
+
+    assertArrayEquals(times, ArrivalTimes.of(phases, List.of(), 60_000, new SplittableRandom(3)));
+    assertEquals(1_000, times.length, 150);
+    assertTrue(times[0] >= TimeUnit.SECONDS.toNanos(1));
+    assertTrue(times[times.length - 1] < TimeUnit.SECONDS.toNanos(11));
+  }
+}
