Add the fault lag-reports to the stand-ins

Measurements of routing under late load reports need the same fleet with several lags; a fault changes the lag while the engine runs, where settings would need a restart of all engines.

--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/EngineStandin.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/EngineStandin.java
@@ -28,7 +28,7 @@
   public static RunningStandin start(EngineSettings settings, Runnable exit) {
     StandinIdentity identity = settings.identity();
     FaultBoard faults = new FaultBoard(InstantSource.system(), exit);
-    EngineEmulator engine = new EngineEmulator(settings, InstantSource.system());
+    EngineEmulator engine = new EngineEmulator(settings, faults, InstantSource.system());
     StandinServer server =
         StandinServer.start(
             ROLE, identity.port(), identity.eventLoopThreads(), faults, List.of(engine));
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/EngineEmulator.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/EngineEmulator.java
@@ -10,6 +10,9 @@
 import io.hawthornlb.standin.engine.KvExport;
 import io.hawthornlb.standin.engine.LoadReport;
 import io.hawthornlb.standin.engine.Prompt;
+import io.hawthornlb.standin.fault.Fault;
+import io.hawthornlb.standin.fault.FaultBoard;
+import io.hawthornlb.standin.fault.FaultKind;
 import io.hawthornlb.standin.support.LaggingValue;
 import io.micronaut.http.HttpStatus;
 import java.time.Duration;
@@ -35,17 +38,14 @@
 
   private record Load(BatchLoad batch, double tokensPerSecond) {}
 
-  /** Starts idle. */
-  public EngineEmulator(EngineSettings settings, InstantSource clock) {
+  /** Starts idle; of the faults, it brings about those that concern reports. */
+  public EngineEmulator(EngineSettings settings, FaultBoard faults, InstantSource clock) {
     this.settings = settings;
     var memory = settings.memory();
     this.streams = new StreamStore(Duration.ofMillis(memory.keepMillis()), memory.maxKept(), clock);
     this.cacheEvents = new CacheEventFeed(settings.reports(), clock);
     this.load =
-        new LaggingValue<>(
-            new Load(new BatchLoad(0, 0, 0), 0),
-            Duration.ofMillis(settings.reports().loadLagMillis()),
-            clock);
+        new LaggingValue<>(new Load(new BatchLoad(0, 0, 0), 0), () -> loadLag(faults), clock);
     LruPrefixCache cache = new LruPrefixCache(memory.cacheTokens(), cacheEvents);
     this.loop =
         new EngineLoop(
@@ -194,6 +194,15 @@
     loop.close();
   }
 
+  private Duration loadLag(FaultBoard faults) {
+    long millis =
+        faults
+            .hitting(FaultKind.LAG_REPORTS, "")
+            .map(Fault::value)
+            .orElse(settings.reports().loadLagMillis());
+    return Duration.ofMillis(millis);
+  }
+
   private void ended(TokenStream stream) {
     inProgress.decrementAndGet();
     streams.ended(stream);
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/fault/Fault.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/fault/Fault.java
@@ -6,7 +6,7 @@
  * A fault that is switched on.
  *
  * @param kind what goes wrong
- * @param value the delay of {@link FaultKind#SLOW} in milliseconds; unused by other kinds
+ * @param value the milliseconds of {@link FaultKind#SLOW} and {@link FaultKind#LAG_REPORTS}
  * @param match text that a request must contain to be hit; blank hits all
  * @param endsAt when it ends by itself
  */
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/fault/FaultKind.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/fault/FaultKind.java
@@ -17,6 +17,8 @@
   SILENT("silent"),
   /** Ends the process when a request body contains a text. */
   CRASH_ON("crash-on"),
+  /** Makes the load report of an engine as old as its value says, in place of its settings. */
+  LAG_REPORTS("lag-reports"),
   /** Says in health and announcements that it leaves, and serves on. */
   LEAVING("leaving");
 
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/support/LaggingValue.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/support/LaggingValue.java
@@ -5,6 +5,7 @@
 import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.Supplier;
 
 /**
  * A value whose readers see it only after a lag, as with reports that take time to spread.
@@ -16,7 +17,7 @@
   private static final Duration GRAIN = Duration.ofMillis(5);
 
   private final InstantSource clock;
-  private final Duration lag;
+  private final Supplier<Duration> lag;
   private final Deque<Dated<T>> history = new ArrayDeque<>();
 
   /** A value with the time from which it holds. */
@@ -24,9 +25,14 @@
 
   /** Starts with a value that holds from now, and which is visible at once. */
   public LaggingValue(T first, Duration lag, InstantSource clock) {
+    this(first, () -> lag, clock);
+  }
+
+  /** Starts with a value that is visible at once; the lag may change at any time. */
+  public LaggingValue(T first, Supplier<Duration> lag, InstantSource clock) {
     this.clock = clock;
     this.lag = lag;
-    history.add(new Dated<>(clock.instant().minus(lag), first));
+    history.add(new Dated<>(clock.instant().minus(lag.get()), first));
   }
 
   /** Records the value of this moment; values closer than a few milliseconds replace each other. */
@@ -48,7 +54,7 @@
   }
 
   private void dropUnseen() {
-    Instant horizon = clock.instant().minus(lag);
+    Instant horizon = clock.instant().minus(lag.get());
     while (history.size() > 1 && !second().asOf().isAfter(horizon)) {
       history.removeFirst();
     }
--- a/hawthornlb-standin/src/test/java/io/hawthornlb/standin/fault/FaultsTest.java
+++ b/hawthornlb-standin/src/test/java/io/hawthornlb/standin/fault/FaultsTest.java
@@ -128,6 +128,23 @@
     assertEquals(200, calls.post("/checkin", "{}").statusCode());
   }
 
+  @Test
+  void lagReportsMakesTheLoadReportOld() throws IOException {
+    String chat =
+        "{\"model\":\"brief-llm\",\"max_tokens\":3,"
+            + "\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}";
+    try (RunningStandin engine = EngineStandin.start(TestSettings.engine("e-1").build())) {
+      TestCalls model = new TestCalls(engine);
+      String idle = model.json("/v1/load").path("asOf").asText();
+      model.fault("{\"kind\":\"lag-reports\",\"value\":60000}");
+      model.post("/v1/chat/completions", chat);
+      assertEquals(idle, model.json("/v1/load").path("asOf").asText());
+
+      model.delete("/standin/faults");
+      Awaitility.await().until(() -> !model.json("/v1/load").path("asOf").asText().equals(idle));
+    }
+  }
+
   @Test
   void unknownKindsAreRefused() throws IOException {
     assertEquals(400, calls.post("/standin/faults", "{\"kind\":\"flood\"}").statusCode());
