Serve the first requests end to end over real sockets

Cause: a stream hung after its first event. Subscribers of a single value cancel right after they have it, which was taken for a caller that left; and a swapped subscription could dispose of its own successor when a step answered at once. Change: a stream is one reactive chain with resume and retry inside it, and a cancellation counts only before the first event. The measured policies take the place of the naive ones. Ruled out: the HTTP client (its events arrived whole in a trial beside it) and the server's event writer (the stand-in streams by the same one).

--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/dispatch/ChatDispatcher.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/dispatch/ChatDispatcher.java
@@ -13,6 +13,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -64,13 +65,20 @@
   }
 
   private Mono<WholeAnswer> whole(RoutedAttempt attempt, ChatCall call) {
+    AtomicBoolean answered = new AtomicBoolean();
     return endpoints
         .exchange(engineCall(attempt, call), wholeTimeout(attempt))
         .flatMap(ChatDispatcher::checked)
+        .doOnNext(answer -> answered.set(true))
         .doOnNext(answer -> decisions.answering(attempt))
         .doOnNext(answer -> decisions.succeeded(attempt))
-        .doOnCancel(() -> cancelAtEngine(attempt))
-        .doOnError(error -> cancelAtEngine(attempt));
+        .doOnError(error -> cancelAtEngine(attempt))
+        .doOnCancel(
+            () -> {
+              if (!answered.get()) {
+                cancelAtEngine(attempt);
+              }
+            });
   }
 
   /**
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/dispatch/StreamSession.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/dispatch/StreamSession.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.jspecify.annotations.Nullable;
 import reactor.core.Disposable;
+import reactor.core.Disposables;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
@@ -45,11 +46,12 @@
   private final Sinks.One<Flux<String>> started = Sinks.one();
   private final Sinks.Many<String> events =
       Sinks.many().unicast().onBackpressureBuffer(new ArrayBlockingQueue<>(BUFFERED_EVENTS));
-  private final Disposable.Swap upstream = reactor.core.Disposables.swap();
+  private final Disposable.Composite upstream = Disposables.composite();
   private final AtomicBoolean over = new AtomicBoolean();
 
   private volatile @Nullable RoutedAttempt attempt;
   private volatile boolean begun;
+  private volatile boolean ended;
   private volatile long nextToken;
   private volatile int resumes;
 
@@ -68,87 +70,80 @@
 
   /** Returns the stream once its first event is there. */
   Mono<Flux<String>> start() {
-    return decisions
-        .admit(request)
-        .then(
-            Mono.defer(
-                () -> {
-                  route();
-                  return started.asMono();
-                }))
-        .doOnCancel(this::callerLeft);
+    return decisions.admit(request).then(Mono.defer(this::begin)).doOnCancel(this::startCancelled);
+  }
+
+  /**
+   * Takes a cancellation of the wait for the first event.
+   *
+   * <p>Subscribers of a single value may cancel right after they have it. Taken for a caller that
+   * left, that would end each stream after its first event.
+   */
+  private void startCancelled() {
+    if (!begun) {
+      callerLeft();
+    }
   }
 
-  private void route() {
-    upstream.update(decisions.route(request).subscribe(this::open, this::refuse));
+  private Mono<Flux<String>> begin() {
+    upstream.add(tries().subscribe(this::publish, this::fail, this::complete));
+    return started.asMono();
   }
 
-  private void open(RoutedAttempt routed) {
+  private Flux<String> tries() {
+    return decisions
+        .route(request)
+        .flatMapMany(this::open)
+        .onErrorResume(EndpointCallException.class, this::recover);
+  }
+
+  private Flux<String> open(RoutedAttempt routed) {
     attempt = routed;
-    subscribe(endpoints.events(ChatDispatcher.engineCall(routed, call), silence()));
+    return whole(endpoints.events(ChatDispatcher.engineCall(routed, call), silence()));
   }
 
-  private void subscribe(Flux<String> source) {
-    if (!over.get()) {
-      upstream.update(source.subscribe(this::event, this::broken, this::ended));
-    }
+  /** Drops tokens that came before, and fails where the end marker is missing. */
+  private Flux<String> whole(Flux<String> source) {
+    return source
+        .filter(this::isNew)
+        .concatWith(Flux.defer(() -> ended ? Flux.empty() : Flux.error(endedEarly())))
+        .takeUntil(END_MARKER::equals);
   }
 
-  private void event(String data) {
-    if (over.get()) {
-      return;
-    }
+  private boolean isNew(String data) {
     if (END_MARKER.equals(data)) {
-      publish(data);
-      end(null);
-      return;
+      ended = true;
+      return true;
     }
     long token = token(data);
     if (token >= 0 && token < nextToken) {
-      return;
+      return false;
     }
     resumes = 0;
     nextToken = token >= 0 ? token + 1 : nextToken;
-    publish(data);
+    return true;
   }
 
-  private void publish(String data) {
-    if (!begun) {
-      begun = true;
-      RoutedAttempt current = attempt;
-      if (current != null) {
-        decisions.answering(current);
-      }
-      started.tryEmitValue(events.asFlux().doOnCancel(this::callerLeft));
-    }
-    if (events.tryEmitNext(data).isFailure()) {
-      callerLeft();
-    }
-  }
-
-  /** A connection that ends without the end marker has lost the rest of the answer. */
-  private void ended() {
-    broken(new EndpointCallException(EndpointFault.BROKEN, "stream ended early", null));
+  private static EndpointCallException endedEarly() {
+    return new EndpointCallException(EndpointFault.BROKEN, "stream ended early", null);
   }
 
-  private void broken(Throwable error) {
+  private Flux<String> recover(EndpointCallException error) {
     RoutedAttempt current = attempt;
-    if (over.get() || current == null) {
-      return;
+    if (current == null) {
+      return Flux.error(error);
     }
-    EndpointFault fault = fault(error);
+    EndpointFault fault = error.fault();
     boolean mayBeThere = fault == EndpointFault.TIMED_OUT || fault == EndpointFault.BROKEN;
     if (mayBeThere && resumes < RESUMES_WITHOUT_PROGRESS) {
       resumes++;
-      resume(current);
-      return;
+      return resume(current).onErrorResume(EndpointCallException.class, this::recover);
     }
-    if (begun) {
-      decisions.failed(current, fault).subscribe(delay -> {}, refusal -> {});
-      end(new RefusalException(lost()));
-      return;
+    resumes = 0;
+    if (nextToken > 0) {
+      return decisions.failed(current, fault).thenMany(Flux.error(new RefusalException(lost())));
     }
-    retry(current, fault);
+    return decisions.failed(current, fault).flatMap(Mono::delay).thenMany(Flux.defer(this::tries));
   }
 
   /**
@@ -158,42 +153,45 @@
    * no byte comes, and the endpoint goes on generating. The new connection shows whether the
    * endpoint still has the stream, and tokens that arrive twice are dropped by their number.
    */
-  private void resume(RoutedAttempt current) {
+  private Flux<String> resume(RoutedAttempt current) {
     String uri = "/v1/streams/" + request.id() + "?from=" + nextToken;
-    subscribe(
+    return whole(
         endpoints.events(
             EndpointCall.bare(current.address(), "GET", uri, TrafficKind.ONLINE), silence()));
   }
 
-  private void retry(RoutedAttempt failed, EndpointFault fault) {
-    upstream.update(
-        decisions
-            .failed(failed, fault)
-            .flatMap(Mono::delay)
-            .subscribe(tick -> route(), this::refuse));
-  }
-
-  private void refuse(Throwable error) {
-    if (over.compareAndSet(false, true)) {
-      started.tryEmitError(error);
-      decisions.finished(request);
+  private void publish(String data) {
+    if (!begun) {
+      begun = true;
+      RoutedAttempt current = attempt;
+      if (current != null) {
+        decisions.answering(current);
+      }
+      started.tryEmitValue(events.asFlux().doOnCancel(this::callerLeft));
+    }
+    if (events.tryEmitNext(data).isFailure()) {
+      callerLeft();
+      events.tryEmitError(new RefusalException(lost()));
     }
   }
 
-  private void end(@Nullable RefusalException error) {
-    if (!over.compareAndSet(false, true)) {
-      return;
-    }
-    RoutedAttempt current = attempt;
-    if (error == null) {
+  private void complete() {
+    if (over.compareAndSet(false, true)) {
+      RoutedAttempt current = attempt;
       if (current != null) {
         decisions.succeeded(current);
       }
       events.tryEmitComplete();
-    } else {
+      decisions.finished(request);
+    }
+  }
+
+  private void fail(Throwable error) {
+    if (over.compareAndSet(false, true)) {
+      started.tryEmitError(error);
       events.tryEmitError(error);
+      decisions.finished(request);
     }
-    decisions.finished(request);
   }
 
   private void callerLeft() {
@@ -232,12 +230,6 @@
     }
   }
 
-  private static EndpointFault fault(Throwable error) {
-    return error instanceof EndpointCallException failed
-        ? failed.fault()
-        : EndpointFault.UNREADABLE;
-  }
-
   private static Refusal lost() {
     return Refusal.mayHaveRun(
         RefusalReason.ENDPOINT_FAILED, "the endpoint was lost; the text so far is not the whole");
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/CoreOnlineDecisions.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/CoreOnlineDecisions.java
@@ -291,7 +291,7 @@
     if (result.crashed() && result.firstToSee()) {
       List<io.hawthornlb.core.suspect.Fingerprint> suspects =
           running.stream().map(OnlineRequest::fingerprint).distinct().toList();
-      policies.prefixes().onLost(endpoint);
+      policies.prefixes().onLost(endpoint, now);
       effects.perform(policies.suspects().onCrash(endpoint, suspects, now));
     } else if (!result.crashed()) {
       clearSuspicion(state, endpoint);
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/EndpointMonitor.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/EndpointMonitor.java
@@ -90,6 +90,9 @@
   }
 
   private void loadReport(EndpointId id, JsonNode tree) {
+    if (tree.path("asOf").asText().isEmpty()) {
+      return;
+    }
     LoadReport report =
         new LoadReport(
             Instant.parse(tree.path("asOf").asText()),
@@ -98,7 +101,8 @@
             Math.max(1, tree.path("slots").asInt()),
             tree.path("kvUsedTokens").asLong(),
             tree.path("kvTotalTokens").asLong(),
-            tree.path("tokensPerSecond").asDouble());
+            tree.path("tokensPerSecond").asDouble(),
+            tree.path("batch").asInt());
     events.loaded(id, report);
   }
 
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/EntryProcess.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/EntryProcess.java
@@ -56,7 +56,8 @@
   private EntryProcess(EntrySettings settings) {
     this.settings = settings;
     this.instances = new HttpInstanceListClient(settings.platform().uri());
-    this.policies = PolicyFactory.create(settings.instance().dataCentre(), clock);
+    this.policies =
+        PolicyFactory.create(settings.instance().id(), settings.instance().dataCentre());
     this.decisions = createDecisions();
     this.monitor = new EndpointMonitor(endpoints, mapper, loop, new MonitorEvents(policies, clock));
     this.server = EntryServer.start(settings.http(), services());
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/OnlinePolicies.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/OnlinePolicies.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.app.entry;
 
 import io.hawthornlb.core.admission.AdmissionController;
+import io.hawthornlb.core.admission.ShareExchange;
 import io.hawthornlb.core.endpoint.EndpointTable;
 import io.hawthornlb.core.retry.RetryPolicy;
 import io.hawthornlb.core.routing.InFlightTracker;
@@ -14,6 +15,7 @@
  * @param endpoints which endpoints are in service
  * @param router where a request goes
  * @param admission when it starts
+ * @param shares how limits of the fleet are divided between entries
  * @param retries whether it is tried again
  * @param suspects whether it crashes endpoints
  * @param inFlight what is in flight where
@@ -23,6 +25,7 @@
     EndpointTable endpoints,
     Router router,
     AdmissionController admission,
+    ShareExchange shares,
     RetryPolicy retries,
     SuspectTable suspects,
     InFlightTracker inFlight,
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/PolicyFactory.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/PolicyFactory.java
@@ -1,32 +1,52 @@
 package io.hawthornlb.app.entry;
 
-import io.hawthornlb.core.admission.support.FifoAdmissionController;
+import io.hawthornlb.core.admission.AdmissionSettings;
+import io.hawthornlb.core.admission.ShareExchange;
+import io.hawthornlb.core.admission.support.DemandShareExchange;
+import io.hawthornlb.core.admission.support.FairAdmissionController;
 import io.hawthornlb.core.endpoint.EndpointTable;
-import io.hawthornlb.core.endpoint.support.ListedEndpointTable;
+import io.hawthornlb.core.endpoint.EndpointTableSettings;
+import io.hawthornlb.core.endpoint.support.ObservedEndpointTable;
 import io.hawthornlb.core.model.DataCentre;
-import io.hawthornlb.core.retry.support.SimpleRetryPolicy;
-import io.hawthornlb.core.routing.support.RoundRobinRouter;
-import io.hawthornlb.core.suspect.support.TrustingSuspectTable;
-import java.time.InstantSource;
+import io.hawthornlb.core.model.InstanceId;
+import io.hawthornlb.core.retry.RetrySettings;
+import io.hawthornlb.core.retry.support.BudgetedRetryPolicy;
+import io.hawthornlb.core.routing.InFlightTracker;
+import io.hawthornlb.core.routing.PrefixIndex;
+import io.hawthornlb.core.routing.RouterSettings;
+import io.hawthornlb.core.routing.support.CostRouter;
+import io.hawthornlb.core.routing.support.DefaultInFlightTracker;
+import io.hawthornlb.core.routing.support.EndpointCost;
+import io.hawthornlb.core.routing.support.HintPrefixIndex;
+import io.hawthornlb.core.suspect.SuspectSettings;
+import io.hawthornlb.core.suspect.support.CountingSuspectTable;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
 
 /** Chooses the implementations of the policies. */
 final class PolicyFactory {
 
-  private static final int ATTEMPTS = 3;
-  private static final int REQUESTS = 1_024;
+  private static final int PREFIXES = 20_000;
 
   private PolicyFactory() {}
 
   /** Returns the policies of an instance. */
-  static OnlinePolicies create(DataCentre dataCentre, InstantSource clock) {
-    EndpointTable endpoints = new ListedEndpointTable();
+  static OnlinePolicies create(InstanceId self, DataCentre dataCentre) {
+    RandomGenerator random = new SplittableRandom();
+    EndpointTable endpoints = new ObservedEndpointTable(EndpointTableSettings.DEFAULT);
+    InFlightTracker inFlight = new DefaultInFlightTracker(self);
+    PrefixIndex prefixes = new HintPrefixIndex(PREFIXES);
+    RouterSettings routing = RouterSettings.builder().build();
+    EndpointCost cost = new EndpointCost(inFlight, prefixes, routing);
+    ShareExchange shares = new DemandShareExchange(self, dataCentre);
     return new OnlinePolicies(
         endpoints,
-        new RoundRobinRouter(endpoints),
-        new FifoAdmissionController(REQUESTS),
-        new SimpleRetryPolicy(ATTEMPTS),
-        new TrustingSuspectTable(),
-        new NoInFlight(),
-        new NoPrefixes());
+        new CostRouter(endpoints, prefixes, cost, routing, random),
+        new FairAdmissionController(shares, AdmissionSettings.DEFAULT),
+        shares,
+        new BudgetedRetryPolicy(RetrySettings.DEFAULT, random),
+        new CountingSuspectTable(self, SuspectSettings.DEFAULT),
+        inFlight,
+        prefixes);
   }
 }
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/http/ServicesController.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/http/ServicesController.java
@@ -45,7 +45,8 @@
 
   private static final int LONGEST_KEY = 255;
   private static final String PREFIX = "/services/";
-  private static final String PATH = "/{service}{/rest:.*}";
+  private static final String ROOT = "/{service}";
+  private static final String BELOW = "/{service}/{+rest}";
   private static final Set<String> OWN_HEADERS =
       Set.of(
           "authorization",
@@ -72,40 +73,54 @@
   }
 
   /** Passes a GET. */
-  @Get(uri = PATH, produces = MediaType.ALL)
+  @Get(
+      uris = {ROOT, BELOW},
+      produces = MediaType.ALL)
   public Publisher<MutableHttpResponse<?>> read(HttpRequest<?> request, String service) {
     return pass(request, service, null);
   }
 
   /** Passes a HEAD. */
-  @Head(uri = PATH)
+  @Head(uris = {ROOT, BELOW})
   public Publisher<MutableHttpResponse<?>> head(HttpRequest<?> request, String service) {
     return pass(request, service, null);
   }
 
   /** Passes a POST. */
-  @Post(uri = PATH, consumes = MediaType.ALL, produces = MediaType.ALL)
+  @Post(
+      uris = {ROOT, BELOW},
+      consumes = MediaType.ALL,
+      produces = MediaType.ALL)
   public Publisher<MutableHttpResponse<?>> post(
       HttpRequest<?> request, String service, @Body @Nullable byte[] body) {
     return pass(request, service, body);
   }
 
   /** Passes a PUT. */
-  @Put(uri = PATH, consumes = MediaType.ALL, produces = MediaType.ALL)
+  @Put(
+      uris = {ROOT, BELOW},
+      consumes = MediaType.ALL,
+      produces = MediaType.ALL)
   public Publisher<MutableHttpResponse<?>> put(
       HttpRequest<?> request, String service, @Body @Nullable byte[] body) {
     return pass(request, service, body);
   }
 
   /** Passes a PATCH. */
-  @Patch(uri = PATH, consumes = MediaType.ALL, produces = MediaType.ALL)
+  @Patch(
+      uris = {ROOT, BELOW},
+      consumes = MediaType.ALL,
+      produces = MediaType.ALL)
   public Publisher<MutableHttpResponse<?>> patch(
       HttpRequest<?> request, String service, @Body @Nullable byte[] body) {
     return pass(request, service, body);
   }
 
   /** Passes a DELETE. */
-  @Delete(uri = PATH, consumes = MediaType.ALL, produces = MediaType.ALL)
+  @Delete(
+      uris = {ROOT, BELOW},
+      consumes = MediaType.ALL,
+      produces = MediaType.ALL)
   public Publisher<MutableHttpResponse<?>> delete(
       HttpRequest<?> request, String service, @Body @Nullable byte[] body) {
     return pass(request, service, body);
--- /dev/null
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/TestFleet.java
@@ -0,0 +1,169 @@
+package io.hawthornlb.app.entry;
+
+import io.hawthornlb.app.http.CatalogueIndex;
+import io.hawthornlb.app.settings.EntrySettings;
+import io.hawthornlb.app.settings.HttpSettings;
+import io.hawthornlb.app.settings.InstanceSettings;
+import io.hawthornlb.app.settings.NetworkAddress;
+import io.hawthornlb.app.settings.PeerSettings;
+import io.hawthornlb.app.settings.PlatformSettings;
+import io.hawthornlb.app.settings.TlsSettings;
+import io.hawthornlb.core.catalogue.Catalogue;
+import io.hawthornlb.core.catalogue.Limits;
+import io.hawthornlb.core.catalogue.ServiceEntry;
+import io.hawthornlb.core.catalogue.ServiceKind;
+import io.hawthornlb.core.catalogue.WorkspaceEntry;
+import io.hawthornlb.core.model.DataCentre;
+import io.hawthornlb.core.model.InstanceId;
+import io.hawthornlb.core.model.ServiceName;
+import io.hawthornlb.core.model.WorkspaceId;
+import io.hawthornlb.standin.RunningStandin;
+import io.hawthornlb.standin.engine.EngineSettings;
+import io.hawthornlb.standin.engine.EngineStandin;
+import io.hawthornlb.standin.platform.PlatformStandin;
+import io.hawthornlb.standin.service.ServiceSettings;
+import io.hawthornlb.standin.service.ServiceStandin;
+import io.hawthornlb.standin.support.StandinIdentity;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.awaitility.Awaitility;
+
+/** Stand-ins and entries of a small fleet in one process, over real sockets. */
+final class TestFleet implements AutoCloseable {
+
+  static final String KEY = "test-key";
+  static final String CHAT_SERVICE = "brief-llm";
+  static final String PLAIN_SERVICE = "checkin-app";
+
+  private static final String LOOPBACK = "127.0.0.1";
+  private static final String DATA_CENTRE = "ruwi";
+  private static final Duration PATIENCE = Duration.ofSeconds(20);
+
+  private final HttpClient http = HttpClient.newHttpClient();
+  private final RunningStandin platform;
+  private final List<RunningStandin> endpoints = new ArrayList<>();
+  private final List<EntryProcess> entries = new ArrayList<>();
+
+  TestFleet() {
+    platform =
+        PlatformStandin.start(
+            io.hawthornlb.standin.platform.PlatformSettings.builder()
+                .instanceListLagMillis(0)
+                .build());
+  }
+
+  RunningStandin addEngine(String id) {
+    return add(
+        EngineStandin.start(
+            EngineSettings.builder().identity(identity(id, CHAT_SERVICE)).build(), () -> {}));
+  }
+
+  RunningStandin addService(String id) {
+    return add(
+        ServiceStandin.start(
+            ServiceSettings.builder().identity(identity(id, PLAIN_SERVICE)).build(), () -> {}));
+  }
+
+  EntryProcess addEntry(String id) {
+    EntryProcess entry = EntryProcess.start(entrySettings(id));
+    entries.add(entry);
+    return entry;
+  }
+
+  void awaitReady(EntryProcess entry) {
+    Awaitility.await()
+        .atMost(PATIENCE)
+        .until(() -> send(get(entry, "/health/ready")).statusCode() == 200);
+  }
+
+  static HttpRequest chat(EntryProcess entry, String body) {
+    return to(entry, "/v1/chat/completions")
+        .header("Content-Type", "application/json")
+        .POST(HttpRequest.BodyPublishers.ofString(body))
+        .build();
+  }
+
+  static HttpRequest get(EntryProcess entry, String path) {
+    return to(entry, path).GET().build();
+  }
+
+  static HttpRequest.Builder to(EntryProcess entry, String path) {
+    return HttpRequest.newBuilder(URI.create("http://" + LOOPBACK + ":" + entry.port() + path))
+        .timeout(PATIENCE)
+        .header("Authorization", "Bearer " + KEY);
+  }
+
+  HttpResponse<String> send(HttpRequest request) {
+    try {
+      return http.send(request, HttpResponse.BodyHandlers.ofString());
+    } catch (java.io.IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException(e);
+    }
+  }
+
+  static Catalogue catalogue() {
+    ServiceEntry chat =
+        ServiceEntry.builder(new ServiceName(CHAT_SERVICE), "roster team", ServiceKind.ENGINE)
+            .build();
+    ServiceEntry plain =
+        ServiceEntry.builder(new ServiceName(PLAIN_SERVICE), "door team", ServiceKind.PLAIN)
+            .deadline(Duration.ofSeconds(10))
+            .build();
+    WorkspaceEntry workspace =
+        new WorkspaceEntry(
+            new WorkspaceId("weddings"),
+            "coordinators",
+            List.of(CatalogueIndex.hash(KEY)),
+            Limits.DEFAULT,
+            1);
+    return new Catalogue(
+        0, Map.of(chat.name(), chat, plain.name(), plain), Map.of(workspace.id(), workspace));
+  }
+
+  @Override
+  public void close() {
+    entries.forEach(EntryProcess::close);
+    endpoints.forEach(RunningStandin::close);
+    platform.close();
+  }
+
+  private RunningStandin add(RunningStandin standin) {
+    endpoints.add(standin);
+    return standin;
+  }
+
+  private StandinIdentity identity(String id, String service) {
+    return StandinIdentity.builder()
+        .id(id)
+        .service(service)
+        .dataCentre(DATA_CENTRE)
+        .platform(platform.address())
+        .announceMillis(200)
+        .build();
+  }
+
+  private EntrySettings entrySettings(String id) {
+    return EntrySettings.builder(
+            new InstanceSettings(new InstanceId(id), new DataCentre(DATA_CENTRE)),
+            new HttpSettings(new NetworkAddress(LOOPBACK, 0), HttpSettings.DEFAULT_BODY_LIMIT),
+            new PeerSettings(
+                new NetworkAddress(LOOPBACK, 0),
+                TlsSettings.PLAIN,
+                PeerSettings.DEFAULT_PROBE,
+                PeerSettings.DEFAULT_SILENCE,
+                1 << 20,
+                List.of()),
+            new PlatformSettings(
+                new NetworkAddress(LOOPBACK, platform.port()), PlatformSettings.DEFAULT_TIMEOUT))
+        .build();
+  }
+}
--- a/hawthornlb-net/src/main/java/io/hawthornlb/net/endpoint/support/HttpEndpointClient.java
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/endpoint/support/HttpEndpointClient.java
@@ -7,7 +7,6 @@
 import io.hawthornlb.net.endpoint.HeaderField;
 import io.hawthornlb.net.endpoint.TrafficKind;
 import io.hawthornlb.net.endpoint.WholeAnswer;
-import io.micronaut.http.HttpHeaders;
 import io.micronaut.http.HttpMethod;
 import io.micronaut.http.HttpRequest;
 import io.micronaut.http.HttpResponse;
@@ -87,7 +86,6 @@
   @Override
   public Flux<String> events(EndpointCall call, Duration silence) {
     MutableHttpRequest<byte[]> request = request(call);
-    request.header(HttpHeaders.ACCEPT, "text/event-stream");
     return Flux.from(streamClient(call).eventStream(request, String.class))
         .map(Event::getData)
         .timeout(silence)
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/ChatController.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/ChatController.java
@@ -39,7 +39,7 @@
   /** The tokens that a cancelled stream has. */
   record Cancelled(int generated) {}
 
-  @Post("/chat/completions")
+  @Post(uri = "/chat/completions", produces = MediaType.ALL)
   @Consumes(MediaType.ALL)
   CompletableFuture<HttpResponse<?>> complete(
       HttpRequest<?> http, @Header("X-Request-Id") @Nullable String requestId, @Body byte[] body) {
@@ -51,7 +51,7 @@
         : StreamAnswers.whole(stream);
   }
 
-  @Get("/streams/{requestId}")
+  @Get(uri = "/streams/{requestId}", produces = MediaType.ALL)
   CompletableFuture<HttpResponse<?>> resume(
       HttpRequest<?> http,
       @PathVariable String requestId,
