--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/ActiveRequest.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/ActiveRequest.java
@@ -1,6 +1,10 @@
 package io.hawthornlb.app.entry;
 
 import io.hawthornlb.app.dispatch.OnlineRequest;
+import io.hawthornlb.core.chart.ChartInstance;
+import io.hawthornlb.core.chart.ChartTypes;
+import io.hawthornlb.core.chart.StateChart;
+import io.hawthornlb.core.chart.support.ChartResources;
 import io.hawthornlb.core.model.EndpointId;
 import io.hawthornlb.core.model.Refusal;
 import io.hawthornlb.core.model.RunStatus;
@@ -12,6 +16,14 @@
 /** What the instance remembers of a request between its offer and its end. */
 final class ActiveRequest {
 
+  private static final StateChart<RequestState, RequestEvent, RequestAction> CHART =
+      ChartResources.load(
+          ActiveRequest.class,
+          "request.yaml",
+          new ChartTypes<>(RequestState.class, RequestEvent.class, RequestAction.class));
+
+  private final ChartInstance<RequestState, RequestEvent, RequestAction> state =
+      new ChartInstance<>(CHART);
   private final OnlineRequest request;
   private final Instant offeredAt;
   private final Set<EndpointId> failed = new HashSet<>();
@@ -58,17 +70,21 @@
   void startedAt(EndpointId target, boolean runsAlone) {
     endpoint = target;
     alone = runsAlone;
-    attempts++;
+    fire(RequestEvent.STARTED);
   }
 
   void leftEndpoint() {
-    endpoint = null;
+    fire(RequestEvent.LEFT);
+  }
+
+  void ended() {
+    fire(RequestEvent.ENDED);
   }
 
   void failedAt(EndpointId target, boolean executionPossible) {
     failed.add(target);
     mayHaveRun |= executionPossible;
-    leftEndpoint();
+    fire(RequestEvent.FAILED);
   }
 
   void exclude(Set<EndpointId> endpoints) {
@@ -92,4 +108,14 @@
         refusal.detail(),
         refusal.findings());
   }
+
+  private void fire(RequestEvent event) {
+    for (RequestAction action : state.fire(event)) {
+      switch (action) {
+        case COUNT_ATTEMPT -> attempts++;
+        case LEAVE_ENDPOINT -> endpoint = null;
+        default -> throw new IllegalStateException("unknown action " + action);
+      }
+    }
+  }
 }
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/CoreOnlineDecisions.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/CoreOnlineDecisions.java
@@ -329,6 +329,7 @@
       return;
     }
     leave(state);
+    state.ended();
     observer.finished(state.request());
     perform(policies.admission().onFinished(id, clock.instant()));
   }
@@ -372,6 +373,7 @@
   private void forget(RequestId id, Refusal refusal) {
     ActiveRequest state = active.remove(id);
     if (state != null) {
+      state.ended();
       observer.refused(state.request(), refusal);
       observer.finished(state.request());
     }
--- /dev/null
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/RequestState.java
@@ -0,0 +1,10 @@
+package io.hawthornlb.app.entry;
+
+/** States of an online request; see {@code request.yaml}. */
+enum RequestState {
+  OFFERED,
+  RUNNING,
+  BETWEEN_ATTEMPTS,
+  ANSWERED,
+  ENDED
+}
