--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/runonce/RunOnceBench.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/runonce/RunOnceBench.java
@@ -2,11 +2,18 @@
 
 import io.hawthornlb.core.harness.Delays;
 import io.hawthornlb.core.harness.NodeParts.Variant;
+import io.hawthornlb.core.log.LogRecord;
+import io.hawthornlb.core.log.RecordId;
+import io.hawthornlb.core.model.Epoch;
+import io.hawthornlb.core.model.InstanceId;
 import io.hawthornlb.core.model.RequestId;
+import io.hawthornlb.core.runonce.support.RunOnceFold;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import org.HdrHistogram.Histogram;
 import org.junit.jupiter.api.Tag;
@@ -35,6 +42,38 @@
     outage("witnesses, one of them lost", Variant.STANDARD, true, true);
   }
 
+  @Test
+  void heapOfKeys() {
+    for (int keys : new int[] {2_000, 20_000, 200_000}) {
+      long before = usedBytes();
+      RunOnceFold fold = new RunOnceFold();
+      for (int i = 0; i < keys; i++) {
+        RunOnceEntry entry =
+            new RunOnceEntry(
+                RunOnceScenario.key("key-" + i),
+                "fingerprint-" + i,
+                new AttemptId(new Epoch(1), i),
+                EntryState.COMPLETED,
+                Optional.of(new ServiceResult(200, List.of(), "r".repeat(400))),
+                "",
+                Instant.EPOCH.plusSeconds(3_600));
+        RecordId id = new RecordId(new InstanceId("i0"), i);
+        EntriesRecorded body = new EntriesRecorded(new Epoch(1), List.of(entry));
+        fold.apply(new LogRecord(i, Instant.EPOCH, id, body));
+      }
+      long used = usedBytes() - before;
+      System.out.printf("%d keys: %.0f bytes a key%n", fold.size(), used / (double) keys);
+    }
+  }
+
+  private static long usedBytes() {
+    for (int i = 0; i < 4; i++) {
+      System.gc();
+    }
+    Runtime runtime = Runtime.getRuntime();
+    return runtime.totalMemory() - runtime.freeMemory();
+  }
+
   private static void measure(String site, Delays delays, int rate) {
     print(site, rate, "no intents", new Trial(delays, Variant.WITHOUT_INTENTS, true), rate);
     print(site, rate, "log only", new Trial(delays, Variant.STANDARD, false), rate);
