Let one of four members be silent when an intent is stored

A set of four now tolerates one silent member, and a successor collects from two, which overlap with any three.

--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/RunOnceSettings.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/RunOnceSettings.java
@@ -11,6 +11,7 @@
   private final int maxKeys;
   private final int maxResultBytes;
   private final int groupEntries;
+  private final int witnessTolerance;
   private final Duration groupDelay;
   private final Duration followDelay;
   private final Duration durabilityTimeout;
@@ -27,6 +28,7 @@
     this.maxKeys = builder.maxKeys;
     this.maxResultBytes = builder.maxResultBytes;
     this.groupEntries = builder.groupEntries;
+    this.witnessTolerance = builder.witnessTolerance;
     this.groupDelay = builder.groupDelay;
     this.followDelay = builder.followDelay;
     this.durabilityTimeout = builder.durabilityTimeout;
@@ -70,6 +72,17 @@
     return groupEntries;
   }
 
+  /**
+   * Returns how many members of a set of witnesses may be silent when an intent is stored; 1 by
+   * default.
+   *
+   * <p>At most one for every three witnesses: a holder with two witnesses tolerates none, one with
+   * three tolerates one, and its entries are then recovered from any two members.
+   */
+  public int witnessTolerance() {
+    return witnessTolerance;
+  }
+
   /** Returns how long an entry waits for others while the log alone is durable; 5 ms. */
   public Duration groupDelay() {
     return groupDelay;
@@ -123,6 +136,7 @@
     private int maxKeys = 200_000;
     private int maxResultBytes = 8 << 20;
     private int groupEntries = 500;
+    private int witnessTolerance = 1;
     private Duration groupDelay = Duration.ofMillis(5);
     private Duration followDelay = Duration.ofMillis(200);
     private Duration durabilityTimeout = Duration.ofSeconds(2);
@@ -165,6 +179,12 @@
       return this;
     }
 
+    /** Sets how many members of a set of witnesses may be silent. */
+    public Builder witnessTolerance(int value) {
+      this.witnessTolerance = value;
+      return this;
+    }
+
     /** Sets how long an entry waits for others while the log alone is durable. */
     public Builder groupDelay(Duration value) {
       this.groupDelay = value;
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/WitnessesNamed.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/WitnessesNamed.java
@@ -17,13 +17,15 @@
  * @param epoch the epoch of the holder
  * @param holder the holder, which is a witness itself
  * @param witnesses the other witnesses; with none, intents are durable in the log only
- * @param unresolved earlier epochs of which no witness could be asked
+ * @param tolerance how many of them, the holder included, may be silent when an intent is stored
+ * @param unresolved earlier epochs of which too few witnesses could be asked
  * @param unknownUntil until when a key that is not known may have run under one of them
  */
 public record WitnessesNamed(
     Epoch epoch,
     InstanceId holder,
     List<InstanceId> witnesses,
+    int tolerance,
     List<WitnessSet> unresolved,
     Optional<Instant> unknownUntil)
     implements PartitionRecord {
@@ -37,10 +39,10 @@
   /** Returns the witnesses of this epoch, the holder among them. */
   public WitnessSet set() {
     if (witnesses.isEmpty()) {
-      return new WitnessSet(epoch, List.of());
+      return new WitnessSet(epoch, List.of(), 0);
     }
     List<InstanceId> members = new ArrayList<>(witnesses);
     members.add(holder);
-    return new WitnessSet(epoch, members);
+    return new WitnessSet(epoch, members, tolerance);
   }
 }
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/HolderTerm.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/HolderTerm.java
@@ -73,7 +73,8 @@
     this.recovery =
         new WitnessRecovery(self, claim.partition(), claim.epoch(), table, earlierSets());
     this.client =
-        new WitnessClient(self, claim.partition(), claim.epoch(), table, claim.witnesses());
+        new WitnessClient(
+            self, claim.partition(), claim.epoch(), table, claim.witnesses(), tolerance());
   }
 
   Epoch epoch() {
@@ -138,6 +139,7 @@
             claim.epoch(),
             claim.holder(),
             claim.witnesses(),
+            tolerance(),
             unresolved,
             unknownUntil(unresolved, now));
     StreamName stream = StreamName.ofPartition(claim.partition());
@@ -145,6 +147,10 @@
     appends.add(new AppendRecord(stream, ids.next(), named), () -> seen(named), now, out);
   }
 
+  private int tolerance() {
+    return Math.min(settings.witnessTolerance(), claim.witnesses().size() / 3);
+  }
+
   private boolean seen(WitnessesNamed named) {
     return fold.witnesses().filter(named::equals).isPresent();
   }
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/Runs.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/Runs.java
@@ -102,9 +102,10 @@
   void stored(EntriesStored answer, WitnessClient client, Instant now, List<Effect> out) {
     for (EntryMark mark : answer.stored()) {
       Run run = runs.get(mark.key());
-      if (run != null && EntryMark.of(run.entry()).equals(mark)) {
+      boolean meant = run != null && EntryMark.of(run.entry()).equals(mark);
+      if (meant && client.isWitness(answer.witness())) {
         run.acks().add(answer.witness());
-        if (client.storedEverywhere(run)) {
+        if (client.stored(run)) {
           witnessesAnswer = true;
           durable(run, client, now, out);
         }
@@ -226,7 +227,7 @@
   private List<Run> toResend(WitnessClient client, Instant now) {
     return runs.values().stream()
         .filter(run -> run.phase() != Run.Phase.RUNNING && run.isOffered())
-        .filter(run -> !client.storedEverywhere(run))
+        .filter(run -> !client.stored(run))
         .filter(run -> !run.sentAt().plus(settings.resendInterval()).isAfter(now))
         .limit(RESEND_BATCH)
         .toList();
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/WitnessClient.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/WitnessClient.java
@@ -21,6 +21,7 @@
   private final Epoch epoch;
   private final WitnessTable table;
   private final List<InstanceId> witnesses;
+  private final int tolerance;
   private Epoch settled;
 
   WitnessClient(
@@ -28,12 +29,14 @@
       PartitionId partition,
       Epoch epoch,
       WitnessTable table,
-      List<InstanceId> witnesses) {
+      List<InstanceId> witnesses,
+      int tolerance) {
     this.self = self;
     this.partition = partition;
     this.epoch = epoch;
     this.table = table;
     this.witnesses = witnesses;
+    this.tolerance = tolerance;
     this.settled = Epoch.NONE;
   }
 
@@ -80,13 +83,21 @@
   }
 
   /**
-   * Returns whether every witness of the epoch holds the entry.
+   * Returns whether enough members of the set hold the entry.
    *
-   * <p>Each of them, since a successor asks only one. The own table counts as one: once a successor
-   * has fenced it, an answer of the others that comes late proves nothing any more.
+   * <p>All but for as many as are tolerated, since a successor asks one more than that. The own
+   * table counts as one: once a successor has fenced it, an answer of the others that comes late
+   * proves nothing any more.
    */
-  boolean storedEverywhere(Run run) {
-    return usable() && run.acks().contains(self) && run.acks().containsAll(witnesses);
+  boolean stored(Run run) {
+    int members = witnesses.size() + 1;
+    boolean enough = run.acks().size() >= members - tolerance;
+    return usable() && run.acks().contains(self) && enough;
+  }
+
+  /** Returns whether an instance is a witness of the epoch. */
+  boolean isWitness(InstanceId instance) {
+    return witnesses.contains(instance);
   }
 
   /** Lets the witnesses drop entries that stand in the log. */
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/WitnessRecovery.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/WitnessRecovery.java
@@ -14,11 +14,13 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
-/** Fences the witnesses of earlier epochs and collects from one of each epoch what it keeps. */
+/** Fences the witnesses of earlier epochs and collects from enough of each epoch what they keep. */
 final class WitnessRecovery {
 
   private final InstanceId self;
@@ -27,6 +29,7 @@
   private final WitnessTable table;
   private final Map<Epoch, WitnessSet> unresolved = new LinkedHashMap<>();
   private final Map<Source, List<RunOnceEntry>> collected = new HashMap<>();
+  private final Map<Epoch, Set<InstanceId>> delivered = new HashMap<>();
   private Instant askedAt = Instant.MIN;
 
   WitnessRecovery(
@@ -50,9 +53,9 @@
   List<RunOnceEntry> collectOwn() {
     List<RunOnceEntry> entries = new ArrayList<>();
     for (WitnessSet set : unresolved()) {
-      if (set.members().contains(self)) {
+      if (set.members().contains(self) && !hasDelivered(self, set.epoch())) {
         entries.addAll(own(set.epoch()));
-        unresolved.remove(set.epoch());
+        deliver(self, set);
       }
     }
     return entries;
@@ -65,11 +68,13 @@
     }
     askedAt = now;
     for (WitnessSet set : unresolved.values()) {
-      set.members().forEach(member -> out.add(question(member, set.epoch())));
+      set.members().stream()
+          .filter(member -> !hasDelivered(member, set.epoch()))
+          .forEach(member -> out.add(question(member, set.epoch())));
     }
   }
 
-  /** Takes an answer; returns all entries of an epoch once one witness has handed them over. */
+  /** Takes an answer; returns all entries of a witness once it has handed them over. */
   List<RunOnceEntry> collected(WitnessContents contents, List<Effect> out) {
     WitnessSet set = unresolved.get(contents.oldEpoch());
     boolean asked = set != null && set.members().contains(contents.witness());
@@ -78,7 +83,8 @@
     }
     Source source = new Source(contents.witness(), contents.oldEpoch());
     List<RunOnceEntry> entries = collected.computeIfAbsent(source, key -> new ArrayList<>());
-    if (contents.from() != entries.size()) {
+    boolean known = hasDelivered(contents.witness(), contents.oldEpoch());
+    if (known || contents.from() != entries.size()) {
       return List.of();
     }
     entries.addAll(contents.entries());
@@ -86,10 +92,22 @@
       out.add(question(contents.witness(), contents.oldEpoch()));
       return List.of();
     }
-    unresolved.remove(contents.oldEpoch());
+    deliver(contents.witness(), set);
     return entries;
   }
 
+  private boolean hasDelivered(InstanceId member, Epoch oldEpoch) {
+    return delivered.getOrDefault(oldEpoch, Set.of()).contains(member);
+  }
+
+  private void deliver(InstanceId member, WitnessSet set) {
+    Set<InstanceId> members = delivered.computeIfAbsent(set.epoch(), id -> new HashSet<>());
+    members.add(member);
+    if (members.size() > set.tolerance()) {
+      unresolved.remove(set.epoch());
+    }
+  }
+
   private List<RunOnceEntry> own(Epoch oldEpoch) {
     List<RunOnceEntry> entries = new ArrayList<>();
     WitnessContents page;
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/runonce/RunOnceFailureTest.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/runonce/RunOnceFailureTest.java
@@ -167,6 +167,44 @@
     assertEquals(1, scenario.executions(KEY));
   }
 
+  // Waiters stand outside again although the platform's outage alone does no harm: one of the
+  // instances that keep intents died in it. With three witnesses one may be silent, and a successor
+  // still learns everything from any two.
+  @Test
+  void checkInsGoOnWhenAWitnessIsLostInAnOutage() {
+    scenario.claim(0, 1, 2, 3);
+    scenario.cluster().run(Duration.ofSeconds(1));
+    scenario.cluster().log().down(true);
+    scenario.node(1).kill();
+    assertTrue(scenario.await(scenario.send(4, KEY, false)).result().isPresent());
+    scenario.node(0).kill();
+    scenario.cluster().healAll();
+    scenario.claim(4, 2, 3);
+    scenario.cluster().run(Duration.ofSeconds(1));
+
+    assertTrue(scenario.await(scenario.send(2, KEY, false)).result().isPresent());
+    assertEquals(1, scenario.executions(KEY));
+  }
+
+  // A successor that finds one member only can't know whether it was the silent one.
+  @Test
+  void oneMemberOfFourIsNotEnoughToRecover() {
+    scenario.claim(0, 1, 2, 3);
+    scenario.cluster().run(Duration.ofSeconds(1));
+    scenario.cluster().cut(scenario.node(0), scenario.node(3));
+    scenario.cluster().log().down(true);
+    assertTrue(scenario.await(scenario.send(0, KEY, false)).result().isPresent());
+    for (int member = 0; member < 3; member++) {
+      scenario.node(member).kill();
+    }
+    scenario.cluster().healAll();
+    scenario.claim(4, 3);
+    scenario.cluster().run(Duration.ofSeconds(5));
+    scenario.await(scenario.send(4, KEY, false));
+
+    assertEquals(1, scenario.executions(KEY));
+  }
+
   // All three that knew of a check-in died before the log did. Whoever runs it again may check the
   // waiter in twice; so it is refused as "may have run", while new keys of entries go on.
   @Test
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/runonce/RunOnceScenario.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/runonce/RunOnceScenario.java
@@ -68,6 +68,11 @@
     return nodes.get(index);
   }
 
+  /** Lets a node hold the partition, with the three next ones as witnesses. */
+  void claimWithFour(int holder) {
+    claim(holder, (holder + 1) % 5, (holder + 2) % 5, (holder + 3) % 5);
+  }
+
   /** Lets a node hold the partition, with the two next ones as witnesses. */
   void claim(int holder) {
     claim(holder, (holder + 1) % 5, (holder + 2) % 5);
