--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/fault/support/FaultController.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/fault/support/FaultController.java
@@ -15,7 +15,6 @@
 import io.micronaut.http.annotation.Delete;
 import io.micronaut.http.annotation.Post;
 import java.time.Duration;
-import java.util.Objects;
 import java.util.Optional;
 
 /** Switches faults on and off. */
@@ -35,17 +34,16 @@
   @Consumes(MediaType.ALL)
   HttpResponse<byte[]> start(@Body byte[] body) {
     FaultOrder order = WireJson.read(body, FaultOrder.class);
-    Optional<FaultKind> kind = Optional.ofNullable(order.kind()).flatMap(FaultKind::ofWireName);
-    String match = Objects.requireNonNullElse(order.match(), "");
+    Optional<FaultKind> kind = FaultKind.ofWireName(order.kind());
     if (kind.isEmpty()) {
       return WireJson.error(HttpStatus.BAD_REQUEST, "unknown kind " + order.kind());
     }
-    if (kind.get() == FaultKind.CRASH_ON && match.isEmpty()) {
+    if (kind.get() == FaultKind.CRASH_ON && order.match().isEmpty()) {
       return WireJson.error(HttpStatus.BAD_REQUEST, "crash-on needs match");
     }
     Duration duration =
         order.forMillis() <= 0 ? UNTIL_DELETED : Duration.ofMillis(order.forMillis());
-    faults.start(kind.get(), duration, order.value(), match);
+    faults.start(kind.get(), duration, order.value(), order.match());
     return HttpResponse.noContent();
   }
 
--- a/hawthornlb-standin/src/test/java/io/hawthornlb/standin/load/LoadToolTest.java
+++ b/hawthornlb-standin/src/test/java/io/hawthornlb/standin/load/LoadToolTest.java
@@ -181,7 +181,7 @@
   @Test
   void faultsAreSwitchedOnAndRefusalsCounted() {
     try (RunningStandin engine = EngineStandin.start(TestSettings.engine("e-1").build())) {
-      FaultOrder down = new FaultOrder("down", 0, 0, null);
+      FaultOrder down = FaultOrder.builder().kind("down").build();
       ChatFlow late =
           chats("c").bursts(List.of(Burst.builder().atMillis(600).count(5).build())).build();
       RunResult result =
