Keep results readable while answers come in, and streams findable at low cost

A run at 3,000 requests a second ended with a ConcurrentModificationException: the progress line read percentiles of a histogram with free writers. Histograms are now synchronized; the new test fails with the one before.

The store of ended streams searched its whole list for each stream that it let go, and found a resumed stream's first end to drop it by. Each end now names its run.

--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/StreamStore.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/StreamStore.java
@@ -18,7 +18,7 @@
   private final Map<String, TokenStream> streams = new HashMap<>();
   private final Deque<Ended> ended = new ArrayDeque<>();
 
-  private record Ended(TokenStream stream, Instant at) {}
+  private record Ended(TokenStream stream, int run, Instant at) {}
 
   StreamStore(Duration keep, int maxKept, InstantSource clock) {
     this.keep = keep;
@@ -43,7 +43,7 @@
 
   /** Starts the time for which an ended stream is kept. */
   synchronized void ended(TokenStream stream) {
-    ended.addLast(new Ended(stream, clock.instant()));
+    ended.addLast(new Ended(stream, stream.run(), clock.instant()));
     dropOld();
   }
 
@@ -51,15 +51,11 @@
     Instant horizon = clock.instant().minus(keep);
     while (!ended.isEmpty()
         && (ended.size() > maxKept || ended.getFirst().at().isBefore(horizon))) {
-      TokenStream stream = ended.removeFirst().stream();
-      // A stream that was resumed runs and ends again, and is then kept anew.
-      if (stream.ending().isPresent() && !endedLater(stream)) {
-        streams.remove(stream.id(), stream);
+      Ended oldest = ended.removeFirst();
+      // A stream that was resumed since runs again, or has ended again and is kept from then.
+      if (oldest.stream().run() == oldest.run()) {
+        streams.remove(oldest.stream().id(), oldest.stream());
       }
     }
   }
-
-  private boolean endedLater(TokenStream stream) {
-    return ended.stream().anyMatch(other -> other.stream() == stream);
-  }
 }
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/report/support/FlowRecorder.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/report/support/FlowRecorder.java
@@ -5,7 +5,7 @@
 import io.hawthornlb.standin.report.Latency;
 import io.hawthornlb.standin.report.Outcome;
 import java.util.concurrent.atomic.LongAdder;
-import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.SynchronizedHistogram;
 
 /** Measures one flow; safe for use by many threads. */
 final class FlowRecorder {
@@ -19,9 +19,9 @@
   private final Counts failed = new Counts();
   private final Counts cut = new Counts();
   private final Counts wrong = new Counts();
-  private final ConcurrentHistogram firstToken = Histograms.create();
-  private final ConcurrentHistogram tokenGap = Histograms.create();
-  private final ConcurrentHistogram total = Histograms.create();
+  private final SynchronizedHistogram firstToken = Histograms.create();
+  private final SynchronizedHistogram tokenGap = Histograms.create();
+  private final SynchronizedHistogram total = Histograms.create();
 
   FlowRecorder(FlowLabel label) {
     this.label = label;
@@ -31,7 +31,7 @@
     return label;
   }
 
-  ConcurrentHistogram total() {
+  SynchronizedHistogram total() {
     return total;
   }
 
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/report/support/Histograms.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/report/support/Histograms.java
@@ -3,7 +3,7 @@
 import io.hawthornlb.standin.report.Percentiles;
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.AbstractHistogram;
-import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.SynchronizedHistogram;
 
 /** Latency histograms from a microsecond to ten minutes, with three digits. */
 public final class Histograms {
@@ -18,9 +18,10 @@
 
   private Histograms() {}
 
-  /** Returns an empty histogram. */
-  public static ConcurrentHistogram create() {
-    return new ConcurrentHistogram(1, HIGHEST_MICROS, DIGITS);
+  /** Returns an empty histogram that can be read while others record. */
+  public static SynchronizedHistogram create() {
+    // Reading percentiles of a histogram with free writers ends in a failure as soon as one writes.
+    return new SynchronizedHistogram(1, HIGHEST_MICROS, DIGITS);
   }
 
   /** Records a time; one beyond the range counts as the highest. */
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/report/support/RunRecorder.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/report/support/RunRecorder.java
@@ -15,7 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Function;
-import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.SynchronizedHistogram;
 
 /** Measures a run; safe for use by many threads. */
 public final class RunRecorder {
@@ -91,7 +91,7 @@
   }
 
   private List<NamedPercentiles> grouped(Function<FlowLabel, String> group) {
-    Map<String, ConcurrentHistogram> merged = new TreeMap<>();
+    Map<String, SynchronizedHistogram> merged = new TreeMap<>();
     for (FlowRecorder flow : flows.values()) {
       merged
           .computeIfAbsent(group.apply(flow.label()), unused -> Histograms.create())
--- a/hawthornlb-standin/src/test/java/io/hawthornlb/standin/report/support/RunRecorderTest.java
+++ b/hawthornlb-standin/src/test/java/io/hawthornlb/standin/report/support/RunRecorderTest.java
@@ -60,6 +60,29 @@
     assertEquals(3.0, flow.tokenGap().max(), 0.01);
   }
 
+  /**
+   * A run at a high rate ended after some seconds with a failure of the tool: the progress line
+   * read the percentiles of a histogram while answers came in.
+   */
+  @Test
+  void resultsCanBeReadWhileAnswersComeIn() throws InterruptedException {
+    RunRecorder recorder = new RunRecorder();
+    Thread writer =
+        new Thread(
+            () -> {
+              for (int time = 1; time <= 300_000; time++) {
+                recorder.ended(LABEL, Outcome.answered(), Latency.whole(time * 1_000L), 0);
+              }
+            });
+    writer.start();
+    while (writer.isAlive()) {
+      recorder.flows();
+      recorder.classes();
+    }
+    writer.join();
+    assertEquals(300_000, recorder.flows().get(0).total().count());
+  }
+
   @Test
   void eachEndCountsOnceUnderItsKind() {
     RunRecorder recorder = new RunRecorder();
