--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/CoreOnlineDecisions.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/CoreOnlineDecisions.java
@@ -291,7 +291,7 @@
     if (result.crashed() && result.firstToSee()) {
       List<io.hawthornlb.core.suspect.Fingerprint> suspects =
           running.stream().map(OnlineRequest::fingerprint).distinct().toList();
-      policies.prefixes().onLost(endpoint);
+      policies.prefixes().onLost(endpoint, now);
       effects.perform(policies.suspects().onCrash(endpoint, suspects, now));
     } else if (!result.crashed()) {
       clearSuspicion(state, endpoint);
@@ -329,6 +329,7 @@
       return;
     }
     leave(state);
+    state.ended();
     observer.finished(state.request());
     perform(policies.admission().onFinished(id, clock.instant()));
   }
@@ -372,6 +373,7 @@
   private void forget(RequestId id, Refusal refusal) {
     ActiveRequest state = active.remove(id);
     if (state != null) {
+      state.ended();
       observer.refused(state.request(), refusal);
       observer.finished(state.request());
     }
