--- /dev/null
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/EntryProcess.java
@@ -0,0 +1,262 @@
+package io.hawthornlb.app.entry;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.hawthornlb.app.dispatch.ChatDispatcher;
+import io.hawthornlb.app.dispatch.PlainDispatcher;
+import io.hawthornlb.app.http.OperatorKeys;
+import io.hawthornlb.app.settings.EntrySettings;
+import io.hawthornlb.core.log.RecordIdSource;
+import io.hawthornlb.core.membership.ListedKind;
+import io.hawthornlb.core.membership.ListedProcess;
+import io.hawthornlb.core.membership.ListedState;
+import io.hawthornlb.core.model.Finding;
+import io.hawthornlb.core.model.InstanceId;
+import io.hawthornlb.core.model.RequestId;
+import io.hawthornlb.net.endpoint.EndpointClient;
+import io.hawthornlb.net.endpoint.support.EndpointClientSettings;
+import io.hawthornlb.net.endpoint.support.HttpEndpointClient;
+import io.hawthornlb.net.peer.PeerHandlerRegistry;
+import io.hawthornlb.net.platform.InstanceList;
+import io.hawthornlb.net.platform.support.HttpInstanceListClient;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+/** One running entry instance, from its start to its graceful stop. */
+public final class EntryProcess implements AutoCloseable {
+
+  private static final System.Logger LOG = System.getLogger(EntryProcess.class.getName());
+  private static final Duration TICK = Duration.ofMillis(50);
+  private static final Duration CONTROL_TICK = Duration.ofMillis(250);
+  private static final Duration DEMAND_PAUSE = Duration.ofSeconds(1);
+  private static final Duration LIST_PAUSE = Duration.ofSeconds(1);
+  private static final Duration STOP_CHECK = Duration.ofMillis(50);
+  private static final Duration HAND_OVER_TIME = Duration.ofSeconds(5);
+  private static final Duration WITHDRAW_TIME = Duration.ofSeconds(2);
+
+  private final EntrySettings settings;
+  private final InstantSource clock = new MonotonicInstantSource();
+  private final DecisionLoop loop = new DecisionLoop();
+  private final CatalogueHolder catalogue = new CatalogueHolder();
+  private final PrometheusMeterRegistry meters =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final EndpointClient endpoints = new HttpEndpointClient(EndpointClientSettings.DEFAULT);
+  private final FleetView fleet;
+  private final HttpInstanceListClient instances;
+  private final LogAccess log;
+  private final PeerMesh peers;
+  private final OnlinePolicies policies;
+  private final CoreOnlineDecisions decisions;
+  private final ControlPlane control;
+  private final PolicyExchange exchange;
+  private final EndpointWatch watch;
+  private final EntryServer server;
+  private volatile boolean listKnown;
+  private volatile boolean stopping;
+
+  private EntryProcess(EntrySettings settings) {
+    this.settings = settings;
+    InstanceId self = InstanceId.startedAt(settings.instance().id(), clock.instant());
+    this.fleet = new FleetView(self, settings.instance().dataCentre());
+    this.instances = new HttpInstanceListClient(settings.platform().uri());
+    this.log = new LogAccess(settings.platform().uri(), loop, clock);
+    this.peers = new PeerMesh(settings, fleet, PeerMessageTypes.codec());
+    this.policies = PolicyFactory.create(self, fleet.dataCentre());
+    EffectSink effects = new OutwardEffects(log, peers);
+    this.decisions = decisions(effects);
+    this.control =
+        new ControlPlane(settings, log, loop, new RecordIdSource(self), catalogue, clock);
+    this.exchange = new PolicyExchange(policies, peers, clock);
+    this.watch =
+        new EndpointWatch(policies, peers, fleet, catalogue, effects, endpoints, loop, clock);
+    startPeers();
+    this.server = EntryServer.start(settings.http(), services());
+  }
+
+  /** Starts an instance and returns it once it listens. */
+  public static EntryProcess start(EntrySettings settings) {
+    EntryProcess process = new EntryProcess(settings);
+    process.startTasks();
+    LOG.log(
+        System.Logger.Level.INFO,
+        "entry: {0} listens on port {1,number,#}",
+        process.fleet.self(),
+        process.server.port());
+    return process;
+  }
+
+  /** Returns the port for callers. */
+  public int port() {
+    return server.port();
+  }
+
+  /** Returns the catalogue in force on this instance. */
+  public CatalogueHolder catalogue() {
+    return catalogue;
+  }
+
+  /** Finishes the requests in progress within the drain time, then ends everything. */
+  @Override
+  public void close() {
+    stopping = true;
+    announce(ListedState.LEAVING);
+    loop.execute(decisions::stop);
+    loop.execute(control::stop);
+    awaitOnLoop(() -> decisions.inProgress() == 0, settings.limits().drain(), "requests");
+    awaitOnLoop(control::stopped, HAND_OVER_TIME, "claims");
+    withdraw();
+    server.close();
+    peers.close();
+    loop.close();
+    log.close();
+    endpoints.close();
+    instances.close();
+    LOG.log(System.Logger.Level.INFO, "entry: {0} stopped", fleet.self());
+  }
+
+  private CoreOnlineDecisions decisions(EffectSink effects) {
+    return new CoreOnlineDecisions(
+        loop,
+        policies,
+        new ProbingCrashDetector(endpoints),
+        effects,
+        new RequestMeters(meters),
+        fleet.dataCentre(),
+        clock);
+  }
+
+  private void startPeers() {
+    PeerHandlerRegistry.Builder handlers = PeerHandlerRegistry.builder();
+    exchange.register(handlers);
+    handlers.register(MissedRecordsRequest.class, new MissedRecordsHandler(log));
+    peers.start(handlers, loop);
+  }
+
+  private EntryServer.Services services() {
+    return new EntryServer.Services(
+        new ChatDispatcher(
+            decisions, endpoints, new ObjectMapper(), clock, EntryProcess::requestId),
+        new PlainDispatcher(decisions, endpoints, clock, EntryProcess::requestId),
+        catalogue,
+        this::obstacles,
+        meters,
+        List.of(
+            new LogCatalogueAdmin(control, catalogue, loop),
+            new OperatorKeys(Set.copyOf(settings.operatorKeyHashes()))));
+  }
+
+  private static RequestId requestId() {
+    return new RequestId(UUID.randomUUID().toString());
+  }
+
+  private void startTasks() {
+    control.start(new PeerRecordSource(peers.transport()));
+    loop.every(TICK, decisions::tick);
+    loop.every(TICK, exchange::sendInFlight);
+    loop.every(DEMAND_PAUSE, exchange::sendDemand);
+    loop.every(CONTROL_TICK, control::tick);
+    loop.every(CONTROL_TICK, watch::poll);
+    loop.every(CONTROL_TICK, this::updateCapacity);
+    new InstanceListPoller(loop, instances, this::takeList, LIST_PAUSE).start();
+    announce(ListedState.LIVE);
+  }
+
+  private void takeList(InstanceList list) {
+    Instant now = clock.instant();
+    policies.endpoints().onList(list.processes(), list.asOf(), now);
+    fleet.update(list.processes());
+    peers.update(list.processes());
+    policies.shares().onEntries(fleet.entries(), now);
+    control.onListed(fleet.entries().keySet());
+    if (!stopping && !listed(list)) {
+      announce(ListedState.LIVE);
+    }
+    listKnown = true;
+  }
+
+  private boolean listed(InstanceList list) {
+    return list.processes().stream().anyMatch(process -> process.id().equals(fleet.self().value()));
+  }
+
+  private void updateCapacity() {
+    policies.admission().onCatalogue(catalogue.current().catalogue());
+    CapacityCount count = new CapacityCount(policies.endpoints());
+    catalogue.current().catalogue().services().values().stream()
+        .forEach(
+            service ->
+                policies
+                    .admission()
+                    .onCapacity(
+                        service.name(), count.slots(service, clock.instant()), clock.instant()));
+  }
+
+  private void announce(ListedState state) {
+    instances
+        .announce(
+            new ListedProcess(
+                fleet.self().value(),
+                ListedKind.ENTRY,
+                Optional.empty(),
+                fleet.dataCentre(),
+                peers.listeningAddress(),
+                state))
+        .exceptionally(
+            failure -> {
+              LOG.log(System.Logger.Level.INFO, "instances: could not announce {0}", state);
+              return null;
+            });
+  }
+
+  private void withdraw() {
+    try {
+      instances
+          .withdraw(fleet.self().value())
+          .toCompletableFuture()
+          .get(WITHDRAW_TIME.toMillis(), TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (java.util.concurrent.ExecutionException | java.util.concurrent.TimeoutException e) {
+      LOG.log(System.Logger.Level.INFO, "instances: could not withdraw, the list will notice");
+    }
+  }
+
+  private void awaitOnLoop(BooleanSupplier condition, Duration limit, String what) {
+    Instant until = clock.instant().plus(limit);
+    while (clock.instant().isBefore(until)) {
+      Boolean holds = loop.<Boolean>ask(sink -> sink.success(condition.getAsBoolean())).block();
+      if (Boolean.TRUE.equals(holds)) {
+        return;
+      }
+      try {
+        TimeUnit.MILLISECONDS.sleep(STOP_CHECK.toMillis());
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+    }
+    LOG.log(System.Logger.Level.WARNING, "entry: stops with {0} left", what);
+  }
+
+  private List<Finding> obstacles() {
+    List<Finding> found = new ArrayList<>();
+    if (stopping) {
+      found.add(new Finding("entry", 0, "", "stopping"));
+    }
+    if (!listKnown) {
+      found.add(new Finding("entry", 0, "", "has no list of endpoints yet"));
+    }
+    if (catalogue.current().catalogue().revision() < 0) {
+      found.add(new Finding("entry", 0, "", "has no catalogue yet"));
+    }
+    return found;
+  }
+}
