Run calls at most once and take jobs through the log

Cause: the deciders for partitions had no adapters; every call of a plain service went straight to an endpoint, and a resend ran it again. Change: an entry folds the partitions that it holds or is asked to read, opens a stream under each claim it wins, carries out the effects of the coordinators and keeps entries as a witness. Calls that may run once go to the holder of their key. Jobs are read line by line, stored in chunks and accepted by the holder; any entry reads their state. Ruled out: following every partition on every entry, whose reads grow with the square of the fleet.

--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/EntryProcess.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/EntryProcess.java
@@ -4,6 +4,7 @@
 import io.hawthornlb.app.dispatch.ChatDispatcher;
 import io.hawthornlb.app.dispatch.PlainDispatcher;
 import io.hawthornlb.app.http.OperatorKeys;
+import io.hawthornlb.app.partition.PartitionPlane;
 import io.hawthornlb.app.settings.EntrySettings;
 import io.hawthornlb.core.log.RecordIdSource;
 import io.hawthornlb.core.membership.ListedKind;
@@ -57,6 +58,7 @@
   private final OnlinePolicies policies;
   private final CoreOnlineDecisions decisions;
   private final ControlPlane control;
+  private final PartitionPlane partitions;
   private final PolicyExchange exchange;
   private final EndpointWatch watch;
   private final EntryServer server;
@@ -71,10 +73,22 @@
     this.log = new LogAccess(settings.platform().uri(), loop, clock);
     this.peers = new PeerMesh(settings, fleet, PeerMessageTypes.codec());
     this.policies = PolicyFactory.create(self, fleet.dataCentre());
-    EffectSink effects = new OutwardEffects(log, peers);
+    EffectSink effects = new OutwardEffects(log, peers, loop);
     this.decisions = decisions(effects);
-    this.control =
-        new ControlPlane(settings, log, loop, new RecordIdSource(self), catalogue, clock);
+    RecordIdSource ids = new RecordIdSource(self);
+    this.control = new ControlPlane(settings, log, loop, ids, catalogue, clock);
+    this.partitions =
+        new PartitionPlane(
+            self,
+            control.claimView(),
+            log,
+            new PeerRecordSource(peers.transport()),
+            ids,
+            effects,
+            new PlainDispatcher(decisions, endpoints, clock, EntryProcess::requestId),
+            catalogue,
+            loop,
+            clock);
     this.exchange = new PolicyExchange(policies, peers, clock);
     this.watch =
         new EndpointWatch(policies, peers, fleet, catalogue, effects, endpoints, loop, clock);
@@ -110,8 +124,10 @@
     stopping = true;
     announce(ListedState.LEAVING);
     loop.execute(decisions::stop);
+    awaitOnLoop(this::idle, settings.limits().drain(), "requests");
+    loop.execute(partitions.hosts()::drain);
+    awaitOnLoop(partitions.hosts()::drained, HAND_OVER_TIME, "records");
     loop.execute(control::stop);
-    awaitOnLoop(() -> decisions.inProgress() == 0, settings.limits().drain(), "requests");
     awaitOnLoop(control::stopped, HAND_OVER_TIME, "claims");
     withdraw();
     server.close();
@@ -134,9 +150,14 @@
         clock);
   }
 
+  private boolean idle() {
+    return decisions.inProgress() == 0 && partitions.runOnce().inProgress() == 0;
+  }
+
   private void startPeers() {
     PeerHandlerRegistry.Builder handlers = PeerHandlerRegistry.builder();
     exchange.register(handlers);
+    partitions.register(handlers);
     handlers.register(MissedRecordsRequest.class, new MissedRecordsHandler(log));
     peers.start(handlers, loop);
   }
@@ -145,11 +166,14 @@
     return new EntryServer.Services(
         new ChatDispatcher(
             decisions, endpoints, new ObjectMapper(), clock, EntryProcess::requestId),
-        new PlainDispatcher(decisions, endpoints, clock, EntryProcess::requestId),
+        partitions.runOnce(),
         catalogue,
         this::obstacles,
         meters,
         List.of(
+            clock,
+            partitions.jobs(),
+            partitions.reader(),
             new LogCatalogueAdmin(control, catalogue, loop),
             new OperatorKeys(Set.copyOf(settings.operatorKeyHashes()))));
   }
@@ -160,7 +184,9 @@
 
   private void startTasks() {
     control.start(new PeerRecordSource(peers.transport()));
+    control.onClaims(partitions.hosts()::followClaims);
     loop.every(TICK, decisions::tick);
+    loop.every(TICK, partitions::tick);
     loop.every(TICK, exchange::sendInFlight);
     loop.every(DEMAND_PAUSE, exchange::sendDemand);
     loop.every(CONTROL_TICK, control::tick);
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/EntryServer.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/EntryServer.java
@@ -17,6 +17,7 @@
 public final class EntryServer implements AutoCloseable {
 
   private static final int EVENT_LOOP_THREADS = 2;
+  private static final long MOST_STREAMED_BYTES = 1L << 30;
 
   private final ApplicationContext context;
   private final EmbeddedServer server;
@@ -56,7 +57,8 @@
     properties.put("micronaut.server.host", settings.address().host());
     properties.put(
         "micronaut.server.port", settings.address().port() == 0 ? -1 : settings.address().port());
-    properties.put("micronaut.server.max-request-size", settings.bodyLimit());
+    properties.put("micronaut.server.max-request-size", MOST_STREAMED_BYTES);
+    properties.put("micronaut.server.max-request-buffer-size", settings.bodyLimit());
     properties.put("micronaut.server.idle-timeout", "10m");
     properties.put("micronaut.server.netty.keep-alive-on-server-error", false);
     properties.put("micronaut.netty.event-loops.default.num-threads", EVENT_LOOP_THREADS);
--- /dev/null
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/MessageHandlers.java
@@ -0,0 +1,25 @@
+package io.hawthornlb.app.entry;
+
+import io.hawthornlb.core.model.InstanceId;
+import io.hawthornlb.core.peer.PeerHandler;
+import io.hawthornlb.core.peer.PeerMessage;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
+
+/** Makes handlers of messages that have no answer. */
+public final class MessageHandlers {
+
+  private MessageHandlers() {}
+
+  /** Returns a handler that hands each message to a consumer. */
+  public static <M extends PeerMessage> PeerHandler<M> heard(Consumer<M> consumer) {
+    return new PeerHandler<>() {
+      @Override
+      public CompletionStage<PeerMessage> handle(InstanceId sender, M message) {
+        consumer.accept(message);
+        return CompletableFuture.completedFuture(null);
+      }
+    };
+  }
+}
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/OutwardEffects.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/OutwardEffects.java
@@ -13,11 +13,13 @@
 
   private final LogAccess log;
   private final PeerMesh peers;
+  private final DecisionLoop loop;
 
   /** Creates the sink. */
-  public OutwardEffects(LogAccess log, PeerMesh peers) {
+  public OutwardEffects(LogAccess log, PeerMesh peers, DecisionLoop loop) {
     this.log = log;
     this.peers = peers;
+    this.loop = loop;
   }
 
   @Override
@@ -37,7 +39,7 @@
                 return -1L;
               });
     } else if (effect instanceof SendPeerMessage send) {
-      peers.transport().send(send.target(), send.message());
+      loop.execute(() -> peers.send(send.target(), send.message()));
     } else if (effect instanceof SpreadPeerMessage spread) {
       peers.spread(spread.message(), spread.scope());
     } else {
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/PeerMesh.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/PeerMesh.java
@@ -92,6 +92,15 @@
     return client;
   }
 
+  /** Sends a message; one to this instance itself is handled at once. */
+  public void send(InstanceId target, PeerMessage message) {
+    if (target.equals(fleet.self())) {
+      handle(target, message);
+    } else {
+      client.send(target, message);
+    }
+  }
+
   /** Takes the entries that the platform lists. */
   public void update(List<ListedProcess> processes) {
     client.updatePeers(processes);
@@ -133,6 +142,13 @@
     }
   }
 
+  private void handle(InstanceId sender, PeerMessage message) {
+    PeerHandlerRegistry registry = handlers;
+    if (registry != null) {
+      registry.handler(message.getClass()).ifPresent(handler -> handler.handle(sender, message));
+    }
+  }
+
   private Optional<InstanceId> relay(DataCentre place) {
     Set<InstanceId> reachable = client.reachable();
     List<InstanceId> candidates = new ArrayList<>(fleet.in(place));
@@ -176,10 +192,7 @@
 
     private void deliver(InstanceId sender, PeerMessage message) {
       spreadHere(message);
-      PeerHandlerRegistry registry = handlers;
-      if (registry != null) {
-        registry.handler(message.getClass()).ifPresent(handler -> handler.handle(sender, message));
-      }
+      PeerMesh.this.handle(sender, message);
     }
   }
 }
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/PolicyExchange.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/PolicyExchange.java
@@ -1,20 +1,16 @@
 package io.hawthornlb.app.entry;
 
+import static io.hawthornlb.app.entry.MessageHandlers.heard;
+
 import io.hawthornlb.core.admission.DemandDigest;
 import io.hawthornlb.core.effect.SpreadScope;
 import io.hawthornlb.core.endpoint.EndpointNotice;
-import io.hawthornlb.core.model.InstanceId;
-import io.hawthornlb.core.peer.PeerHandler;
-import io.hawthornlb.core.peer.PeerMessage;
 import io.hawthornlb.core.routing.InFlightDigest;
 import io.hawthornlb.core.suspect.ClearNotice;
 import io.hawthornlb.core.suspect.CrashNotice;
 import io.hawthornlb.core.suspect.QuarantineNotice;
 import io.hawthornlb.net.peer.PeerHandlerRegistry;
 import java.time.InstantSource;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
-import java.util.function.Consumer;
 
 /** Keeps the policies of all entries in step: digests go out, those of peers come in. */
 final class PolicyExchange {
@@ -81,14 +77,4 @@
     policies.suspects().onQuarantine(notice, clock.instant());
     policies.endpoints().quarantine(notice.endpoint(), notice.until());
   }
-
-  private static <M extends PeerMessage> PeerHandler<M> heard(Consumer<M> consumer) {
-    return new PeerHandler<>() {
-      @Override
-      public CompletionStage<PeerMessage> handle(InstanceId sender, M message) {
-        consumer.accept(message);
-        return CompletableFuture.completedFuture(null);
-      }
-    };
-  }
 }
--- /dev/null
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/CallRunner.java
@@ -0,0 +1,82 @@
+package io.hawthornlb.app.partition;
+
+import io.hawthornlb.app.dispatch.PlainCall;
+import io.hawthornlb.app.dispatch.PlainService;
+import io.hawthornlb.app.dispatch.RefusalException;
+import io.hawthornlb.app.entry.DecisionLoop;
+import io.hawthornlb.app.http.CatalogueSource;
+import io.hawthornlb.core.catalogue.Catalogue;
+import io.hawthornlb.core.catalogue.ServiceEntry;
+import io.hawthornlb.core.catalogue.WorkspaceEntry;
+import io.hawthornlb.core.model.RefusalReason;
+import io.hawthornlb.core.model.RunStatus;
+import io.hawthornlb.core.runonce.CallAnswered;
+import io.hawthornlb.core.runonce.CallFailed;
+import io.hawthornlb.core.runonce.CallNotStarted;
+import io.hawthornlb.core.runonce.RunCall;
+import io.hawthornlb.core.runonce.RunOnceEvent;
+import io.hawthornlb.core.runonce.RunOnceRequest;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** Makes the call of a run-once request whose intent is durable. */
+final class CallRunner {
+
+  private final PlainService plain;
+  private final CatalogueSource catalogue;
+  private final DecisionLoop loop;
+
+  CallRunner(PlainService plain, CatalogueSource catalogue, DecisionLoop loop) {
+    this.plain = plain;
+    this.catalogue = catalogue;
+    this.loop = loop;
+  }
+
+  /** Makes the call and hands exactly one event over on the loop. */
+  void run(RunCall run, Consumer<RunOnceEvent> outcome) {
+    Optional<PlainCall> call = call(run.request());
+    if (call.isEmpty()) {
+      outcome.accept(
+          new CallNotStarted(run.request().key(), run.attempt(), RefusalReason.NOT_FOUND));
+      return;
+    }
+    plain
+        .call(call.get())
+        .subscribe(
+            answer ->
+                hand(
+                    outcome,
+                    new CallAnswered(
+                        run.request().key(), run.attempt(), ServiceBodies.result(answer))),
+            error -> hand(outcome, failed(run, error)));
+  }
+
+  private void hand(Consumer<RunOnceEvent> outcome, RunOnceEvent event) {
+    loop.execute(() -> outcome.accept(event));
+  }
+
+  private static RunOnceEvent failed(RunCall run, Throwable error) {
+    if (error instanceof RefusalException refused && refused.refusal().run() == RunStatus.NOT_RUN) {
+      return new CallNotStarted(run.request().key(), run.attempt(), refused.refusal().reason());
+    }
+    return new CallFailed(run.request().key(), run.attempt(), String.valueOf(error.getMessage()));
+  }
+
+  private Optional<PlainCall> call(RunOnceRequest request) {
+    Catalogue current = catalogue.current().catalogue();
+    Optional<ServiceEntry> service = current.service(request.service());
+    Optional<WorkspaceEntry> workspace = current.workspace(request.key().workspace());
+    if (service.isEmpty() || workspace.isEmpty()) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new PlainCall(
+            workspace.get(),
+            service.get(),
+            request.call().method(),
+            request.call().path(),
+            ServiceBodies.endpointHeaders(request.call().headers()),
+            Optional.of(request.key().value()),
+            ServiceBodies.bytes(request.call().body())));
+  }
+}
--- /dev/null
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/JobReader.java
@@ -0,0 +1,144 @@
+package io.hawthornlb.app.partition;
+
+import io.hawthornlb.app.dispatch.RefusalException;
+import io.hawthornlb.app.entry.DecisionLoop;
+import io.hawthornlb.core.job.ItemOutcome;
+import io.hawthornlb.core.job.ItemOutcomes;
+import io.hawthornlb.core.job.JobIds;
+import io.hawthornlb.core.job.JobStatus;
+import io.hawthornlb.core.job.ResultPage;
+import io.hawthornlb.core.job.ResultSpan;
+import io.hawthornlb.core.log.StreamName;
+import io.hawthornlb.core.model.JobId;
+import io.hawthornlb.core.model.PartitionId;
+import io.hawthornlb.core.model.Refusal;
+import io.hawthornlb.core.model.RefusalReason;
+import io.hawthornlb.core.model.WorkspaceId;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.MonoSink;
+
+/** Reads status and results of jobs from the streams of their partitions, on any entry. */
+public final class JobReader {
+
+  private static final Duration PATIENCE = Duration.ofSeconds(5);
+  private static final Duration LOOK_AGAIN = Duration.ofMillis(50);
+  private static final Duration COME_BACK = Duration.ofSeconds(2);
+
+  private final PartitionHosts hosts;
+  private final RecordReader records;
+  private final DecisionLoop loop;
+  private final InstantSource clock;
+  private final int partitions;
+
+  /** Creates a reader. */
+  public JobReader(PartitionHosts hosts, PartitionContext context, int partitions) {
+    this.hosts = hosts;
+    this.records = new RecordReader(context.log(), context.loop());
+    this.loop = context.loop();
+    this.clock = context.clock();
+    this.partitions = partitions;
+  }
+
+  /** Returns the status of a job of a workspace, or fails with {@link RefusalException}. */
+  public Mono<JobStatus> status(WorkspaceId workspace, JobId job) {
+    Optional<PartitionId> partition = partition(job);
+    if (partition.isEmpty()) {
+      return Mono.error(new RefusalException(notFound()));
+    }
+    Instant asked = clock.instant();
+    return loop.ask(sink -> look(workspace, job, partition.get(), asked, sink));
+  }
+
+  /** Returns outcomes from a cursor on, with the cursor of the next page. */
+  public Mono<Page> results(JobStatus status, int cursor, int spans) {
+    JobId job = status.header().id();
+    PartitionId partition = JobIds.partition(job);
+    Mono<ResultPage> page =
+        loop.ask(
+            sink ->
+                sink.success(
+                    hosts
+                        .reading(partition)
+                        .map(host -> host.directory().results(job, cursor, spans))
+                        .orElse(new ResultPage(List.of(), Optional.of(cursor)))));
+    return page.flatMap(found -> read(partition, found));
+  }
+
+  private Mono<Page> read(PartitionId partition, ResultPage page) {
+    return Flux.fromIterable(page.spans())
+        .concatMap(span -> outcomes(StreamName.ofPartition(partition), span))
+        .collectList()
+        .map(lists -> new Page(lists.stream().flatMap(List::stream).toList(), page.next()));
+  }
+
+  private Mono<List<ItemOutcome>> outcomes(StreamName stream, ResultSpan span) {
+    return Mono.fromCompletionStage(() -> records.read(stream, span.offset()))
+        .map(
+            entry ->
+                entry
+                    .filter(found -> found.body() instanceof ItemOutcomes)
+                    .map(found -> span.select((ItemOutcomes) found.body()))
+                    .orElseThrow(() -> new RefusalException(unreadable())))
+        .onErrorMap(
+            error -> !(error instanceof RefusalException),
+            error -> new RefusalException(unreadable()));
+  }
+
+  private void look(
+      WorkspaceId workspace,
+      JobId job,
+      PartitionId partition,
+      Instant asked,
+      MonoSink<JobStatus> sink) {
+    Optional<PartitionHost> host = hosts.reading(partition);
+    Optional<JobStatus> status =
+        host.flatMap(found -> found.directory().status(job))
+            .filter(found -> found.header().workspace().equals(workspace));
+    if (status.isPresent()) {
+      sink.success(status.get());
+    } else if (host.isPresent() && host.get().knowsAllBefore(asked)) {
+      sink.error(new RefusalException(notFound()));
+    } else if (clock.instant().isAfter(asked.plus(PATIENCE))) {
+      sink.error(new RefusalException(unreadable()));
+    } else {
+      loop.after(LOOK_AGAIN, () -> look(workspace, job, partition, asked, sink));
+    }
+  }
+
+  private Optional<PartitionId> partition(JobId job) {
+    try {
+      return Optional.of(JobIds.partition(job)).filter(id -> id.value() < partitions);
+    } catch (IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+
+  private static Refusal notFound() {
+    return Refusal.notRun(RefusalReason.NOT_FOUND, "no such job in this workspace");
+  }
+
+  private static Refusal unreadable() {
+    return Refusal.mayHaveRun(RefusalReason.NOT_DURABLE, "the log cannot be read now")
+        .retryAfter(COME_BACK);
+  }
+
+  /**
+   * Outcomes of a job.
+   *
+   * @param outcomes in the order in which they were stored
+   * @param next the cursor of the next page, if there is one
+   */
+  public record Page(List<ItemOutcome> outcomes, Optional<Integer> next) {
+
+    /** Copies the outcomes. */
+    public Page {
+      outcomes = List.copyOf(outcomes);
+    }
+  }
+}
--- /dev/null
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/JobService.java
@@ -0,0 +1,154 @@
+package io.hawthornlb.app.partition;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.hawthornlb.app.dispatch.RefusalException;
+import io.hawthornlb.app.entry.LogAccess;
+import io.hawthornlb.core.catalogue.Catalogue;
+import io.hawthornlb.core.catalogue.ServiceEntry;
+import io.hawthornlb.core.effect.AppendRecord;
+import io.hawthornlb.core.job.CancelJob;
+import io.hawthornlb.core.job.JobAnswer;
+import io.hawthornlb.core.job.JobChunk;
+import io.hawthornlb.core.job.JobHeader;
+import io.hawthornlb.core.job.JobIds;
+import io.hawthornlb.core.job.SubmitJob;
+import io.hawthornlb.core.log.StreamName;
+import io.hawthornlb.core.model.InstanceId;
+import io.hawthornlb.core.model.JobId;
+import io.hawthornlb.core.model.Refusal;
+import io.hawthornlb.core.model.RefusalReason;
+import io.hawthornlb.core.model.WorkspaceId;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.function.Supplier;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** Takes submissions and cancellations of jobs to the holders of their partitions. */
+public final class JobService {
+
+  private static final Duration APPEND_PATIENCE = Duration.ofSeconds(15);
+  private static final Duration COME_BACK = Duration.ofSeconds(5);
+
+  private final InstanceId self;
+  private final PartitionContext context;
+  private final JobQuestionDesk desk;
+  private final ObjectMapper mapper;
+  private final int partitions;
+
+  /** Creates the service. */
+  public JobService(
+      InstanceId self,
+      PartitionContext context,
+      JobQuestionDesk desk,
+      ObjectMapper mapper,
+      int partitions) {
+    this.self = self;
+    this.context = context;
+    this.desk = desk;
+    this.mapper = mapper;
+    this.partitions = partitions;
+  }
+
+  /**
+   * Stores the items of a job and returns its id once it is durable.
+   *
+   * <p>Items are stored while they arrive. They decide nothing until the job is accepted, so a
+   * submission that is refused or breaks off leaves nothing behind but records that expire.
+   */
+  public Mono<JobId> submit(
+      WorkspaceId workspace,
+      Optional<String> callerKey,
+      Instant due,
+      Catalogue catalogue,
+      Flux<String> lines) {
+    String key = callerKey.orElseGet(() -> UUID.randomUUID().toString());
+    boolean firstSend = callerKey.isEmpty();
+    JobId job = JobIds.of(workspace, key, partitions);
+    String submission = UUID.randomUUID().toString();
+    JobUpload upload = new JobUpload(job, submission, catalogue, mapper);
+    Flux<JobChunk> chunks =
+        lines
+            .concatMap(line -> Mono.justOrEmpty(upload.line(line)))
+            .concatWith(Mono.defer(() -> Mono.justOrEmpty(upload.end())));
+    return chunks
+        .concatMap(chunk -> upload.findings().isEmpty() ? store(chunk) : Mono.empty())
+        .then(
+            Mono.defer(
+                () ->
+                    accept(
+                        upload,
+                        firstSend,
+                        () -> header(workspace, key, due, catalogue, submission, upload))));
+  }
+
+  /** Cancels a job and returns the answer of its holder. */
+  public Mono<JobAnswer> cancel(WorkspaceId workspace, JobId job) {
+    return desk.ask(JobIds.partition(job), id -> new CancelJob(self, id, workspace, job));
+  }
+
+  private Mono<Long> store(JobChunk chunk) {
+    StreamName stream = StreamName.ofPartition(JobIds.partition(chunk.job()));
+    LogAccess log = context.log();
+    return context
+        .loop()
+        .<AppendRecord>ask(
+            sink -> sink.success(new AppendRecord(stream, context.ids().next(), chunk)))
+        .flatMap(effect -> Mono.fromCompletionStage(() -> log.append(effect)))
+        .timeout(APPEND_PATIENCE)
+        .onErrorMap(error -> new RefusalException(notDurable()));
+  }
+
+  private Mono<JobId> accept(JobUpload upload, boolean firstSend, Supplier<JobHeader> header) {
+    if (!upload.findings().isEmpty()) {
+      return Mono.error(
+          new RefusalException(
+              Refusal.notRun(
+                      RefusalReason.INVALID_REQUEST,
+                      "the job has " + upload.findings().size() + " fault(s); nothing is run")
+                  .withFindings(upload.findings())));
+    }
+    JobHeader accepted = header.get();
+    return desk.ask(
+            JobIds.partition(accepted.id()), id -> new SubmitJob(self, id, accepted, firstSend))
+        .map(JobAnswer::job);
+  }
+
+  private JobHeader header(
+      WorkspaceId workspace,
+      String key,
+      Instant due,
+      Catalogue catalogue,
+      String submission,
+      JobUpload upload) {
+    return new JobHeader(
+        JobIds.of(workspace, key, partitions),
+        workspace,
+        key,
+        upload.contentHash(),
+        submission,
+        upload.chunks(),
+        upload.items(),
+        due,
+        context.clock().instant(),
+        retention(catalogue),
+        false);
+  }
+
+  private static Duration retention(Catalogue catalogue) {
+    Optional<Duration> longest =
+        catalogue.services().values().stream()
+            .map(ServiceEntry::resultRetention)
+            .max(Comparator.naturalOrder());
+    return longest.orElse(Duration.ofDays(1));
+  }
+
+  private static Refusal notDurable() {
+    return Refusal.notRun(
+            RefusalReason.NOT_DURABLE, "the log takes no items now; send the job again")
+        .retryAfter(COME_BACK);
+  }
+}
--- /dev/null
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/package-info.java
@@ -0,0 +1,5 @@
+/** Partitions on this instance: folds, coordinators, and the adapters of their effects. */
+@NullMarked
+package io.hawthornlb.app.partition;
+
+import org.jspecify.annotations.NullMarked;
--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/TestFleet.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/TestFleet.java
@@ -34,6 +34,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.awaitility.Awaitility;
 
 /** Stand-ins and entries of a small fleet in one process, over real sockets. */
@@ -91,6 +93,18 @@
     }
   }
 
+  /** Returns how often the services have run a call with a key. */
+  int callsOf(String key) {
+    int calls = 0;
+    for (RunningStandin endpoint : endpoints) {
+      URI uri = URI.create("http://" + endpoint.address() + "/standin/calls");
+      String body = send(HttpRequest.newBuilder(uri).build()).body();
+      Matcher matcher = Pattern.compile("\"" + key + "\":(\\d+)").matcher(body);
+      calls += matcher.find() ? Integer.parseInt(matcher.group(1)) : 0;
+    }
+    return calls;
+  }
+
   void awaitReady(EntryProcess entry) {
     Awaitility.await()
         .atMost(PATIENCE)
