Judge other instances by the time that own renewals cover

An instance counts as in service now only if it was heard after the first own renewal, and nobody acts before own renewals cover two intervals.

--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/claim/support/ClaimSettings.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/claim/support/ClaimSettings.java
@@ -9,7 +9,7 @@
  *
  * @param renewalInterval the shortest time between two renewals of an instance
  * @param fleetRenewals renewals a second of the whole fleet, above which the interval grows
- * @param silentAfter own renewals seen without a record of another instance that make it silent
+ * @param silentAfter intervals without a record of another instance that make it silent
  * @param unlistedSilentAfter the same for an instance that the platform does not list
  * @param shortestHold how long a partition is held before it is handed over to move it
  * @param appendTimeout after how long a record that was not seen is written anew
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/claim/support/DefaultClaimManager.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/claim/support/DefaultClaimManager.java
@@ -37,9 +37,6 @@
  */
 public final class DefaultClaimManager implements ClaimManager {
 
-  /** Own renewals to wait for before the first claim, so that everybody else was heard. */
-  private static final int SETTLED_AFTER = 2;
-
   private record Pending(RecordId id, Instant since) {}
 
   private final ClaimFold fold;
@@ -55,6 +52,7 @@
   private final Map<PartitionId, Pending> pending = new HashMap<>();
   private final Map<PartitionId, Instant> heldSince = new HashMap<>();
   private @Nullable Pending pendingRenewal;
+  private Duration interval;
   private boolean leaving;
 
   /** Creates a manager for the writer of the record ids. */
@@ -71,6 +69,7 @@
     this.policy = policy;
     this.clock = clock;
     this.settings = settings;
+    this.interval = settings.interval(1);
     this.lifeSigns = new LifeSigns(ids.writer(), settings);
     this.witnessSelector = new WitnessSelector(lifeSigns);
     this.placement = new Placement(fold.partitions());
@@ -80,7 +79,7 @@
   @Override
   public void onRecord(LogRecord entry) {
     Instant now = clock.instant();
-    lifeSigns.note(entry, now, interval());
+    lifeSigns.note(entry, now);
     if (pendingRenewal != null && pendingRenewal.id().equals(entry.id())) {
       pendingRenewal = null;
     }
@@ -99,14 +98,16 @@
   @Override
   public List<AppendRecord> onTick() {
     Instant now = clock.instant();
+    Set<InstanceId> live = live();
+    interval = interval(live.size());
     List<AppendRecord> effects = new ArrayList<>();
     if (renewalDue(now)) {
-      AppendRecord renewal = append(new RenewalRecord(dataCentre, leaving));
+      AppendRecord renewal = append(new RenewalRecord(dataCentre, interval, leaving));
       pendingRenewal = new Pending(renewal.id(), now);
       effects.add(renewal);
     }
-    if (fold.complete() && (leaving || lifeSigns.ownRenewals() >= SETTLED_AFTER)) {
-      decideAll(now, effects);
+    if (fold.complete() && (leaving || lifeSigns.settled())) {
+      decideAll(now, live, effects);
       snapshots.onTick(writesFirst(StreamName.CLAIMS)).forEach(part -> effects.add(append(part)));
     }
     return effects;
@@ -146,15 +147,19 @@
       return !now.isBefore(pendingRenewal.since().plus(settings.appendTimeout()));
     }
     Optional<Instant> last = lifeSigns.lastOwnAt();
-    return leaving || last.isEmpty() || !now.isBefore(last.get().plus(interval()));
+    return leaving || last.isEmpty() || !now.isBefore(last.get().plus(interval));
   }
 
-  private Duration interval() {
-    return settings.interval(lifeSigns.live().size());
+  /**
+   * An instance that has just started knows the size of the fleet by the others' intervals only.
+   */
+  private Duration interval(int instances) {
+    Duration own = settings.interval(instances);
+    Duration longest = lifeSigns.longestInterval();
+    return lifeSigns.settled() || own.compareTo(longest) > 0 ? own : longest;
   }
 
-  private void decideAll(Instant now, List<AppendRecord> effects) {
-    Set<InstanceId> live = live();
+  private void decideAll(Instant now, Set<InstanceId> live, List<AppendRecord> effects) {
     placement.update(leaving ? live : policy.members(live, now));
     pending.values().removeIf(each -> !now.isBefore(each.since().plus(settings.appendTimeout())));
     for (int number = 0; number < fold.partitions(); number++) {
@@ -179,13 +184,15 @@
   }
 
   private Optional<RecordBody> replaceWitnesses(Claim claim, Set<InstanceId> live) {
-    List<InstanceId> best = witnessSelector.select(claim.partition(), ids.writer(), live);
     boolean isIntact = live.containsAll(claim.witnesses());
-    if (best.size() < claim.witnesses().size()
-        || (isIntact && best.size() == claim.witnesses().size())) {
+    if (isIntact && claim.witnesses().size() == WitnessSelector.WITNESSES) {
       return Optional.empty();
     }
-    return Optional.of(claim(claim.partition(), ids.writer(), live));
+    List<InstanceId> best = witnessSelector.select(claim.partition(), ids.writer(), live);
+    int wanted = claim.witnesses().size() + (isIntact ? 1 : 0);
+    return best.size() >= wanted
+        ? Optional.of(claim(claim.partition(), ids.writer(), live))
+        : Optional.empty();
   }
 
   private Optional<RecordBody> moveAway(
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/util/Checks.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/util/Checks.java
@@ -25,7 +25,9 @@
    * @throws IllegalArgumentException if it is negative
    */
   public static long notNegative(long value, String name) {
-    isTrue(value >= 0, name + " must not be negative, was " + value);
+    if (value < 0) {
+      throw new IllegalArgumentException(name + " must not be negative, was " + value);
+    }
     return value;
   }
 
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/claim/support/ClaimFleet.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/claim/support/ClaimFleet.java
@@ -2,6 +2,7 @@
 
 import io.hawthornlb.core.claim.Claim;
 import io.hawthornlb.core.claim.PlacementPolicy;
+import io.hawthornlb.core.claim.RenewalRecord;
 import io.hawthornlb.core.effect.AppendRecord;
 import io.hawthornlb.core.log.LogRecord;
 import io.hawthornlb.core.log.RecordIdSource;
@@ -31,12 +32,11 @@
     final DefaultClaimManager manager;
     boolean paused;
 
-    private Node(InstanceId id, DataCentre dataCentre) {
-      this.id = id;
+    private Node(RecordIdSource ids, DataCentre dataCentre) {
+      this.id = ids.writer();
       this.dataCentre = dataCentre;
       this.manager =
-          new DefaultClaimManager(
-              fold, new RecordIdSource(id), dataCentre, policies.get(), () -> now, settings);
+          new DefaultClaimManager(fold, ids, dataCentre, policies.get(), () -> now, settings);
     }
 
     void read(int end) {
@@ -60,6 +60,7 @@
   private int renewals;
 
   boolean logDown;
+  String namePrefix = "n-";
 
   ClaimFleet(int partitions, ClaimSettings settings, Supplier<PlacementPolicy> policies) {
     this.partitions = partitions;
@@ -69,8 +70,16 @@
   }
 
   Node start(String dataCentre) {
-    InstanceId id = new InstanceId("n-" + started++);
-    Node node = new Node(id, new DataCentre(dataCentre));
+    return start(new InstanceId(namePrefix + started++), dataCentre, 0);
+  }
+
+  /** Starts an instance of a name whose earlier start has used some record ids. */
+  Node start(InstanceId id, String dataCentre, int usedIds) {
+    RecordIdSource ids = new RecordIdSource(id);
+    for (int used = 0; used < usedIds; used++) {
+      ids.next();
+    }
+    Node node = new Node(ids, new DataCentre(dataCentre));
     nodes.put(id, node);
     return node;
   }
@@ -136,13 +145,15 @@
   int unheld() {
     int unheld = 0;
     for (int partition = 0; partition < partitions; partition++) {
-      boolean held =
-          current(partition).filter(claim -> nodes.containsKey(claim.holder())).isPresent();
-      unheld += held ? 0 : 1;
+      unheld += isHeld(partition) ? 0 : 1;
     }
     return unheld;
   }
 
+  boolean isHeld(int partition) {
+    return current(partition).filter(claim -> nodes.containsKey(claim.holder())).isPresent();
+  }
+
   List<Optional<InstanceId>> holders() {
     List<Optional<InstanceId>> holders = new ArrayList<>();
     for (int partition = 0; partition < partitions; partition++) {
@@ -152,7 +163,7 @@
   }
 
   private void append(AppendRecord effect) {
-    renewals += effect.body() instanceof io.hawthornlb.core.claim.RenewalRecord ? 1 : 0;
+    renewals += effect.body() instanceof RenewalRecord ? 1 : 0;
     LogRecord entry = new LogRecord(log.size(), now, effect.id(), effect.body());
     log.add(entry);
     judge.apply(entry);
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/claim/support/ClaimHistory.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/claim/support/ClaimHistory.java
@@ -11,6 +11,7 @@
 import io.hawthornlb.core.model.DataCentre;
 import io.hawthornlb.core.model.InstanceId;
 import io.hawthornlb.core.model.PartitionId;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -52,7 +53,8 @@
     Optional<Claim> claim = fold.current(partition);
     InstanceId self = id(claimant);
     switch (random.nextInt(8)) {
-      case 0 -> append(claimant, new RenewalRecord(new DataCentre("dc"), false));
+      case 0 ->
+          append(claimant, new RenewalRecord(new DataCentre("dc"), Duration.ofSeconds(1), false));
       case 1 -> {
         for (ClaimSnapshot part : fold.snapshot()) {
           append(claimant, part);
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/claim/support/DefaultClaimManagerTest.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/claim/support/DefaultClaimManagerTest.java
@@ -181,6 +181,52 @@
     assertTrue(fleet.holders().contains(Optional.of(added.id)));
   }
 
+  // Instances start and read the stream from its beginning, where they meet renewals of others that
+  // are long gone. Taken for life, these made them hand partitions to the dead: nobody answered for
+  // them until the others had found out once more.
+  @Test
+  void newInstancesHandNothingToThoseThatDiedBeforeTheyStarted() {
+    List<ClaimFleet.Node> dead = fleet.nodes().subList(0, 4);
+    dead.forEach(fleet::kill);
+    fleet.run(SETTLED);
+    fleet.startMany(4, 4);
+    for (int tick = 0; tick < 120; tick++) {
+      fleet.tick();
+      assertEquals(0, fleet.unheld());
+    }
+  }
+
+  // In a large fleet each instance renews every few seconds. One that has just started renewed each
+  // second, counted four of its own renewals, and found half of the fleet silent.
+  @Test
+  void aNewInstanceOfALargeFleetTakesNothingFromThoseInService() {
+    ClaimSettings rare =
+        new ClaimSettings(
+            ClaimSettings.DEFAULT.renewalInterval(),
+            1,
+            ClaimSettings.DEFAULT.silentAfter(),
+            ClaimSettings.DEFAULT.unlistedSilentAfter(),
+            ClaimSettings.DEFAULT.shortestHold(),
+            ClaimSettings.DEFAULT.appendTimeout(),
+            ClaimSettings.DEFAULT.snapshots());
+    ClaimFleet large = new ClaimFleet(PARTITIONS, rare, MoveAtOncePolicy::new);
+    large.startMany(9, 3);
+    large.run(Duration.ofMinutes(3));
+    assertEquals(0, large.unheld());
+    int end = large.log().size();
+    ClaimFleet.Node added = large.start("dc-0");
+    large.run(Duration.ofMinutes(2));
+
+    long taken =
+        large.log().stream()
+            .skip(end)
+            .filter(entry -> entry.id().writer().equals(added.id))
+            .filter(entry -> entry.body() instanceof ClaimRecord)
+            .count();
+    assertEquals(0, taken);
+    assertTrue(large.holders().contains(Optional.of(added.id)));
+  }
+
   private long claims() {
     return fleet.log().stream().filter(entry -> entry.body() instanceof ClaimRecord).count();
   }
--- a/hawthornlb-net/src/test/java/io/hawthornlb/net/platform/support/SharedRecordTypesTest.java
+++ b/hawthornlb-net/src/test/java/io/hawthornlb/net/platform/support/SharedRecordTypesTest.java
@@ -29,6 +29,7 @@
 import io.hawthornlb.core.model.WorkspaceId;
 import io.hawthornlb.net.codec.TypeRegistry;
 import io.hawthornlb.net.platform.StoredRecord;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
@@ -68,7 +69,7 @@
         new CatalogueSnapshot(
             1, 9, 0, 2, WRITERS, 5, OUTCOMES, List.of(SERVICE), List.of(WORKSPACE)),
         new ClaimRecord(PARTITION, INSTANCE, Epoch.NONE, List.of(INSTANCE)),
-        new RenewalRecord(new DataCentre("ruwi"), true),
+        new RenewalRecord(new DataCentre("ruwi"), Duration.ofSeconds(1), true),
         new ReleaseRecord(PARTITION, new Epoch(7)),
         new ClaimSnapshot(
             1,
