--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/DefaultRunOnceCoordinator.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/DefaultRunOnceCoordinator.java
@@ -153,7 +153,7 @@
       runs.stored(stored, current.client(), now, out);
     } else if (event instanceof WitnessContents contents) {
       current.collected(contents, now, out);
-    } else if (event instanceof LateOutcome late && current.ready()) {
+    } else if (event instanceof LateOutcome late) {
       log.add(late.entry(), now);
     }
   }
@@ -176,7 +176,7 @@
 
   private void tick(Instant now, List<Effect> out) {
     runs.sweep(client(), now, out);
-    runs.sendLate(partition.opened().orElse(null), out);
+    runs.sendLate(partition.opened().orElse(null), now, out);
     if (term == null) {
       return;
     }
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/DefaultRunOnceForwarder.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/DefaultRunOnceForwarder.java
@@ -36,6 +36,7 @@
 public final class DefaultRunOnceForwarder implements RunOnceForwarder {
 
   private static final Duration ANSWER_GRACE = Duration.ofMillis(250);
+  private static final Duration HOLDER_PATIENCE = Duration.ofSeconds(3);
 
   private final InstanceId self;
   private final ClaimView claims;
@@ -62,7 +63,7 @@
     if (pending.size() >= maxPending) {
       return List.of(stopped(id, StopPoint.ENTRY_FULL, request.generatedKey()));
     }
-    Pending added = new Pending(request);
+    Pending added = new Pending(request, now);
     pending.put(id, added);
     List<Effect> out = new ArrayList<>();
     send(id, added, out);
@@ -76,7 +77,7 @@
       return List.of();
     }
     if (message.answer().isEmpty()) {
-      asked.takeBack(message.epoch());
+      asked.takeBack(message.epoch(), now);
       return List.of();
     }
     pending.remove(message.id());
@@ -128,11 +129,12 @@
   }
 
   private static boolean expire(RequestId id, Pending asked, Instant now, List<Effect> out) {
-    Instant deadline = asked.request.deadline().plus(ANSWER_GRACE);
-    if (deadline.isAfter(now)) {
+    boolean sent = !asked.sentUnder.isEmpty();
+    boolean late = !asked.request.deadline().plus(ANSWER_GRACE).isAfter(now);
+    boolean nobody = !sent && !asked.idleSince.plus(HOLDER_PATIENCE).isAfter(now);
+    if (!late && !nobody) {
       return false;
     }
-    boolean sent = !asked.sentUnder.isEmpty();
     StopPoint point = sent ? StopPoint.HOLDER_SILENT : StopPoint.NO_HOLDER;
     out.add(stopped(id, point, !sent && asked.request.generatedKey()));
     return true;
@@ -147,13 +149,21 @@
     private final RunOnceRequest request;
     private final Set<Epoch> sentUnder = new HashSet<>();
 
-    private Pending(RunOnceRequest request) {
+    private Instant idleSince;
+    private boolean redirected;
+
+    private Pending(RunOnceRequest request, Instant now) {
       this.request = request;
+      this.idleSince = now;
     }
 
     /** Notes that the holder of an epoch has run nothing and never will. */
-    private void takeBack(Epoch epoch) {
-      sentUnder.remove(epoch);
+    private void takeBack(Epoch epoch, Instant now) {
+      boolean removed = sentUnder.remove(epoch);
+      if (removed && sentUnder.isEmpty() && !redirected) {
+        redirected = true;
+        idleSince = now;
+      }
     }
   }
 }
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/EntryLog.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/EntryLog.java
@@ -25,6 +25,8 @@
  */
 final class EntryLog {
 
+  private static final int MAX_GROUP_BYTES = 256 << 10;
+
   private final RunOnceSettings settings;
   private final Map<RunOnceKey, RunOnceEntry> gathered = new LinkedHashMap<>();
   private List<RunOnceEntry> sent = List.of();
@@ -105,9 +107,12 @@
   private List<RunOnceEntry> take() {
     List<RunOnceEntry> group = new ArrayList<>();
     Iterator<RunOnceEntry> entries = gathered.values().iterator();
-    while (entries.hasNext() && group.size() < settings.groupEntries()) {
-      group.add(entries.next());
+    int bytes = 0;
+    while (entries.hasNext() && group.size() < settings.groupEntries() && bytes < MAX_GROUP_BYTES) {
+      RunOnceEntry entry = entries.next();
+      group.add(entry);
       entries.remove();
+      bytes += entry.result().map(result -> result.body().length()).orElse(0);
     }
     return List.copyOf(group);
   }
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/Runs.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/support/Runs.java
@@ -1,7 +1,6 @@
 package io.hawthornlb.core.runonce.support;
 
 import io.hawthornlb.core.effect.Effect;
-import io.hawthornlb.core.effect.SendPeerMessage;
 import io.hawthornlb.core.model.PartitionId;
 import io.hawthornlb.core.partition.PartitionOpened;
 import io.hawthornlb.core.runonce.AttemptId;
@@ -13,7 +12,6 @@
 import io.hawthornlb.core.runonce.EntryState;
 import io.hawthornlb.core.runonce.ForwardRunOnce;
 import io.hawthornlb.core.runonce.KeyState;
-import io.hawthornlb.core.runonce.LateOutcome;
 import io.hawthornlb.core.runonce.RunCall;
 import io.hawthornlb.core.runonce.RunOnceAnswer;
 import io.hawthornlb.core.runonce.RunOnceEntry;
@@ -43,7 +41,7 @@
   private final OutcomeReader reader;
   private final RunOnceSettings settings;
   private final Map<RunOnceKey, Run> runs = new LinkedHashMap<>();
-  private final List<RunOnceEntry> late = new ArrayList<>();
+  private final LateOutcomes late;
   private long nextSequence;
   private int waiters;
   private long resultBytes;
@@ -61,6 +59,7 @@
     this.log = log;
     this.reader = reader;
     this.settings = settings;
+    this.late = new LateOutcomes(partition);
   }
 
   boolean empty() {
@@ -172,13 +171,8 @@
   }
 
   /** Hands outcomes that came too late for the own term to the current holder. */
-  void sendLate(@Nullable PartitionOpened opened, List<Effect> out) {
-    if (opened == null) {
-      return;
-    }
-    late.forEach(
-        entry -> out.add(new SendPeerMessage(opened.holder(), new LateOutcome(partition, entry))));
-    late.clear();
+  void sendLate(@Nullable PartitionOpened opened, Instant now, List<Effect> out) {
+    late.send(opened, now, out);
   }
 
   void sweep(@Nullable WitnessClient client, Instant now, List<Effect> out) {
