--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/LoadTool.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/LoadTool.java
@@ -24,7 +24,7 @@
   private LoadTool() {}
 
   /**
-   * Runs a scenario and writes its report, with progress on standard output.
+   * Runs a scenario and writes its report, with progress on standard error.
    *
    * @param scenario the YAML file
    * @param outDir where the report goes; made when missing
@@ -33,7 +33,7 @@
    * @throws InvalidScenarioException if it asks for other than loopback addresses or too much
    */
   public static RunResult run(Path scenario, Path outDir) {
-    return run(SettingsReader.read(scenario, Scenario.class), outDir, System.out);
+    return run(SettingsReader.read(scenario, Scenario.class), outDir, System.err);
   }
 
   /**
