Let charts go on for ever where they say so

Claims have no final state, as partitions are claimed as long as the fleet runs. endless: true names such a chart, and then every state must lead to another one; without it a final state is required as before, so a forgotten final is still found.

--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/chart/ChartInstance.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/chart/ChartInstance.java
@@ -21,6 +21,12 @@
     this.state = chart.initial();
   }
 
+  /** Goes on from a state that was kept elsewhere. */
+  public ChartInstance(StateChart<S, E, A> chart, S state) {
+    this.chart = chart;
+    this.state = state;
+  }
+
   /** Returns the current state. */
   public S state() {
     return state;
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/chart/StateChart.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/chart/StateChart.java
@@ -6,7 +6,8 @@
  * A checked state chart.
  *
  * <p>Every state can be reached from the initial one, and a final state can be reached from every
- * state. In a state an event leads to one transition, is ignored, or is unexpected.
+ * state; in an endless chart every state leads to another. In a state an event leads to one
+ * transition, is ignored, or is unexpected.
  *
  * @param <S> the states
  * @param <E> the events
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/chart/support/StateChartBinding.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/chart/support/StateChartBinding.java
@@ -30,11 +30,12 @@
     root.require("chart", "initial", "states");
     Optional<String> name = root.text("chart");
     Optional<S> initial = root.choice("initial", types.states());
+    boolean endless = root.flag("endless").orElse(false);
     ConfigSection states = root.section("states");
     ChartTable<S, E, A> table = new ChartTable<>(types);
     Map<S, ConfigSection> sections = readStates(states, table);
     checkEvents(root, table);
-    checkExits(states, table, sections);
+    checkExits(states, table, sections, endless);
     initial.ifPresent(state -> checkReachable(states, table, sections, state));
     return () -> new TableStateChart<>(name.orElseThrow(), initial.orElseThrow(), types, table);
   }
@@ -113,15 +114,20 @@
   }
 
   private void checkExits(
-      ConfigSection states, ChartTable<S, E, A> table, Map<S, ConfigSection> sections) {
+      ConfigSection states,
+      ChartTable<S, E, A> table,
+      Map<S, ConfigSection> sections,
+      boolean endless) {
     sections.forEach(
         (state, section) -> {
           checkDeterministic(section, table, state);
           String key = EnumNames.name(state);
           boolean hasExit = !table.transitions(state).isEmpty();
           if (table.finals().contains(state)) {
-            if (hasExit) {
-              states.reject(key, "a final state has no transitions; remove them or final");
+            checkFinal(states, key, hasExit, endless);
+          } else if (endless) {
+            if (table.reachableFrom(state).size() == 1) {
+              states.reject(key, "dead end: nothing leads from here");
             }
           } else if (Collections.disjoint(table.reachableFrom(state), table.finals())) {
             states.reject(key, "dead end: no final state can be reached from here");
@@ -129,6 +135,16 @@
         });
   }
 
+  private static void checkFinal(
+      ConfigSection states, String key, boolean hasExit, boolean endless) {
+    if (hasExit) {
+      states.reject(key, "a final state has no transitions; remove them or final");
+    }
+    if (endless) {
+      states.reject(key, "an endless chart has no final state; remove endless or final");
+    }
+  }
+
   private void checkDeterministic(ConfigSection section, ChartTable<S, E, A> table, S state) {
     for (E event : table.ignored(state)) {
       if (table.transitions(state).containsKey(event)) {
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/chart/support/YamlStateChartReader.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/chart/support/YamlStateChartReader.java
@@ -21,6 +21,8 @@
  *     ignore: [close]
  *   opened: {final: true}
  * </pre>
+ *
+ * <p>With {@code endless: true} a chart has no final state, for what goes on as long as the system.
  */
 public final class YamlStateChartReader implements StateChartReader {
 
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/chart/support/StateChartReaderTest.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/chart/support/StateChartReaderTest.java
@@ -143,6 +143,23 @@
         findings(yaml));
   }
 
+  @Test
+  void endlessChartsNeedAnExitOfEveryState() {
+    String circle =
+        VALID
+            .replace("initial: closed", "initial: closed\nendless: true")
+            .replace("gone: {final: true}", "gone: {on: {pull: {to: open}}}");
+    assertTrue(reader.read("c.yaml", circle, DOOR).isValid());
+
+    assertEquals(
+        List.of("c.yaml:14: states.gone: dead end: nothing leads from here"),
+        findings(circle.replace("gone: {on: {pull: {to: open}}}", "gone: {}")));
+    assertEquals(
+        List.of(
+            "c.yaml:14: states.gone: an endless chart has no final state; remove endless or final"),
+        findings(circle.replace("gone: {on: {pull: {to: open}}}", "gone: {final: true}")));
+  }
+
   @Provide
   Arbitrary<List<Row>> rows() {
     Arbitrary<Row> row =
