Drive jobs, items, claims and endpoints by state charts

What is kept stays as it was (two bits an item, times of signs, a record a partition); which state follows now stands in job.yaml, item.yaml, claim.yaml and endpoint.yaml beside the code, checked when the class is loaded. The differential tests of the folds, of jobs and of endpoints run unchanged.

--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/claim/support/ClaimFold.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/claim/support/ClaimFold.java
@@ -1,5 +1,9 @@
 package io.hawthornlb.core.claim.support;
 
+import io.hawthornlb.core.chart.ChartInstance;
+import io.hawthornlb.core.chart.ChartTypes;
+import io.hawthornlb.core.chart.StateChart;
+import io.hawthornlb.core.chart.support.ChartResources;
 import io.hawthornlb.core.claim.Claim;
 import io.hawthornlb.core.claim.ClaimRecord;
 import io.hawthornlb.core.claim.ClaimSnapshot;
@@ -16,7 +20,6 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Objects;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 
@@ -30,6 +33,12 @@
 
   private static final int VERSION = 1;
 
+  private static final StateChart<ClaimPhase, ClaimEvent, ClaimAction> CHART =
+      ChartResources.load(
+          ClaimFold.class,
+          "claim.yaml",
+          new ChartTypes<>(ClaimPhase.class, ClaimEvent.class, ClaimAction.class));
+
   private final @Nullable ClaimState[] states;
 
   /** Creates a fold for a fixed number of partitions. */
@@ -94,8 +103,7 @@
     if (!isKnown(claim.partition()) || !epoch(claim.partition()).equals(claim.superseded())) {
       return;
     }
-    boolean forItself = claim.holder().equals(writer);
-    if (forItself || writer.equals(holder(claim.partition()))) {
+    if (actions(claim.partition(), event(writer, claim)).contains(ClaimAction.HOLD)) {
       Optional<InstanceId> holder = Optional.of(claim.holder());
       states[claim.partition().value()] =
           new ClaimState(claim.partition(), epoch, holder, claim.witnesses());
@@ -104,16 +112,33 @@
 
   private void applyRelease(InstanceId writer, ReleaseRecord release) {
     PartitionId partition = release.partition();
-    if (!isKnown(partition) || !writer.equals(holder(partition))) {
+    if (!isKnown(partition) || !epoch(partition).equals(release.epoch())) {
       return;
     }
-    ClaimState state = Objects.requireNonNull(states[partition.value()]);
-    if (state.epoch().equals(release.epoch())) {
+    ClaimState state = states[partition.value()];
+    ClaimEvent event =
+        writer.equals(holder(partition)) ? ClaimEvent.RELEASED : ClaimEvent.RELEASED_BY_OTHER;
+    if (state != null && actions(partition, event).contains(ClaimAction.LET_GO)) {
       states[partition.value()] =
           new ClaimState(partition, state.epoch(), Optional.empty(), state.witnesses());
     }
   }
 
+  private ClaimEvent event(InstanceId writer, ClaimRecord claim) {
+    if (claim.holder().equals(writer)) {
+      return ClaimEvent.TAKEN;
+    }
+    return writer.equals(holder(claim.partition()))
+        ? ClaimEvent.HANDED_OVER
+        : ClaimEvent.GIVEN_BY_OTHER;
+  }
+
+  /** Returns what the chart asks for; a record that does not fit is ignored there. */
+  private List<ClaimAction> actions(PartitionId partition, ClaimEvent event) {
+    ClaimPhase phase = holder(partition) == null ? ClaimPhase.FREE : ClaimPhase.HELD;
+    return new ChartInstance<>(CHART, phase).fire(event);
+  }
+
   private boolean isKnown(PartitionId partition) {
     return partition.value() < states.length;
   }
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/endpoint/support/TrackedEndpoint.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/endpoint/support/TrackedEndpoint.java
@@ -1,5 +1,10 @@
 package io.hawthornlb.core.endpoint.support;
 
+import io.hawthornlb.core.chart.ChartTypes;
+import io.hawthornlb.core.chart.NoAction;
+import io.hawthornlb.core.chart.StateChart;
+import io.hawthornlb.core.chart.Transition;
+import io.hawthornlb.core.chart.support.ChartResources;
 import io.hawthornlb.core.endpoint.Endpoint;
 import io.hawthornlb.core.endpoint.EndpointState;
 import io.hawthornlb.core.endpoint.EndpointTableSettings;
@@ -16,6 +21,12 @@
 /** What is known about one endpoint; the rules of its states. */
 final class TrackedEndpoint implements Endpoint {
 
+  private static final StateChart<EndpointState, EndpointSign, NoAction> CHART =
+      ChartResources.load(
+          TrackedEndpoint.class,
+          "endpoint.yaml",
+          ChartTypes.of(EndpointState.class, EndpointSign.class));
+
   private static final double LEAST_START_WEIGHT = 0.1;
   private static final int MOST_DOUBLINGS = 10;
 
@@ -66,13 +77,21 @@
 
   @Override
   public EndpointState state(Instant now) {
-    if (absentSince != null && !now.isBefore(absentSince.plus(absentGrace))) {
-      return EndpointState.GONE;
+    EndpointState state = CHART.initial();
+    if (now.isBefore(suspectUntil)) {
+      state = next(state, EndpointSign.FAILING);
     }
     if (leavingSince != null) {
-      return EndpointState.LEAVING;
+      state = next(state, EndpointSign.WITHDRAWING);
     }
-    return now.isBefore(suspectUntil) ? EndpointState.SUSPECT : EndpointState.LIVE;
+    if (absentSince != null && !now.isBefore(absentSince.plus(absentGrace))) {
+      state = next(state, EndpointSign.ABSENT);
+    }
+    return state;
+  }
+
+  private static EndpointState next(EndpointState state, EndpointSign sign) {
+    return CHART.transition(state, sign).map(Transition::target).orElse(state);
   }
 
   @Override
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/JobState.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/JobState.java
@@ -1,5 +1,10 @@
 package io.hawthornlb.core.job.support;
 
+import io.hawthornlb.core.chart.ChartInstance;
+import io.hawthornlb.core.chart.ChartTypes;
+import io.hawthornlb.core.chart.NoAction;
+import io.hawthornlb.core.chart.StateChart;
+import io.hawthornlb.core.chart.support.ChartResources;
 import io.hawthornlb.core.job.ChunkLocation;
 import io.hawthornlb.core.job.ItemAttempts;
 import io.hawthornlb.core.job.ItemLocation;
@@ -29,6 +34,9 @@
 /** State of one job: two bits an item, and offsets of its chunks and results. */
 final class JobState {
 
+  private static final StateChart<JobPhase, JobStep, NoAction> CHART =
+      ChartResources.load(JobState.class, "job.yaml", ChartTypes.of(JobPhase.class, JobStep.class));
+
   private final JobHeader header;
   private final List<ChunkLocation> chunks;
   private final BitSet ended;
@@ -38,7 +46,7 @@
   private final Map<Integer, Integer> attempts = new HashMap<>(0);
   private int endedCount;
   private int failedCount;
-  private boolean cancelled;
+  private JobPhase phase = CHART.initial();
   private long snapshotAt = -1;
   private @Nullable Instant endedAt;
 
@@ -58,8 +66,10 @@
     this.started = BitSet.valueOf(snapshot.started());
     this.endedCount = ended.cardinality();
     this.failedCount = failed.cardinality();
-    this.cancelled = snapshot.cancelled();
     this.endedAt = snapshot.endedAt().orElse(null);
+    if (endedAt != null) {
+      this.phase = snapshot.cancelled() ? JobPhase.CANCELLED : JobPhase.ENDED;
+    }
     snapshot.results().forEach(results::add);
     snapshot.attempts().forEach(count -> attempts.put(count.index(), count.attempts()));
   }
@@ -79,8 +89,7 @@
     }
     group.attempts().forEach(this::countAttempts);
     if (endedCount == header.items()) {
-      endedAt = appendedAt;
-      attempts.clear();
+      move(JobStep.LAST_ITEM_ENDED, appendedAt);
     }
   }
 
@@ -89,8 +98,14 @@
   }
 
   void cancel(Instant appendedAt) {
-    if (endedAt == null) {
-      cancelled = true;
+    move(JobStep.CANCELLED, appendedAt);
+  }
+
+  private void move(JobStep step, Instant appendedAt) {
+    ChartInstance<JobPhase, JobStep, NoAction> job = new ChartInstance<>(CHART, phase);
+    job.fire(step);
+    if (job.state() != phase) {
+      phase = job.state();
       endedAt = appendedAt;
       attempts.clear();
     }
@@ -131,7 +146,7 @@
   }
 
   boolean cancelled() {
-    return cancelled;
+    return phase == JobPhase.CANCELLED;
   }
 
   boolean started(int index) {
@@ -184,10 +199,6 @@
   }
 
   JobStatus status() {
-    JobPhase phase = JobPhase.RUNNING;
-    if (endedAt != null) {
-      phase = cancelled ? JobPhase.CANCELLED : JobPhase.ENDED;
-    }
     Optional<Instant> end = Optional.ofNullable(endedAt);
     Optional<Instant> readableUntil = end.map(at -> at.plus(header.resultRetention()));
     int completed = endedCount - failedCount;
@@ -208,7 +219,7 @@
         results.all(),
         counts,
         Optional.ofNullable(endedAt),
-        cancelled);
+        cancelled());
   }
 
   private boolean end(ItemOutcome outcome) {
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/JobWork.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/JobWork.java
@@ -1,5 +1,10 @@
 package io.hawthornlb.core.job.support;
 
+import io.hawthornlb.core.chart.ChartInstance;
+import io.hawthornlb.core.chart.ChartTypes;
+import io.hawthornlb.core.chart.NoAction;
+import io.hawthornlb.core.chart.StateChart;
+import io.hawthornlb.core.chart.support.ChartResources;
 import io.hawthornlb.core.job.ChunkLocation;
 import io.hawthornlb.core.job.ItemDispatch;
 import io.hawthornlb.core.job.JobCandidate;
@@ -17,6 +22,10 @@
 /** What the holder knows of a running job beyond the log: two bits an item, and items in flight. */
 final class JobWork {
 
+  private static final StateChart<ItemState, ItemStep, NoAction> CHART =
+      ChartResources.load(
+          JobWork.class, "item.yaml", ChartTypes.of(ItemState.class, ItemStep.class));
+
   private final JobState state;
   private final BitSet done;
   private final BitSet taken;
@@ -84,8 +93,32 @@
   }
 
   void assign(int index, InstanceId steward, Instant now) {
-    taken.set(index);
-    assigned.put(index, new Assignment(steward, now));
+    if (move(index, ItemStep.GIVEN) == ItemState.ASSIGNED) {
+      taken.set(index);
+      assigned.put(index, new Assignment(steward, now));
+    }
+  }
+
+  /** Returns the state that a step leads to; what is kept of an item follows it. */
+  private ItemState move(int index, ItemStep step) {
+    ChartInstance<ItemState, ItemStep, NoAction> item =
+        new ChartInstance<>(CHART, itemState(index));
+    item.fire(step);
+    if (item.state() != ItemState.ASSIGNED) {
+      assigned.remove(index);
+    }
+    return item.state();
+  }
+
+  /** Returns the state that the bits of an item stand for. */
+  private ItemState itemState(int index) {
+    if (done.get(index)) {
+      return ItemState.DONE;
+    }
+    if (assigned.containsKey(index)) {
+      return ItemState.ASSIGNED;
+    }
+    return taken.get(index) ? ItemState.WITHHELD : ItemState.FREE;
   }
 
   @Nullable Assignment assignment(int index) {
@@ -107,7 +140,7 @@
   }
 
   void end(int index) {
-    assigned.remove(index);
+    move(index, ItemStep.ENDED);
     attempts.remove(index);
     taken.set(index);
     done.set(index);
@@ -115,12 +148,12 @@
 
   /** Takes the item from its steward; it is given out again only after {@link #giveBack}. */
   void withhold(int index) {
-    assigned.remove(index);
+    move(index, ItemStep.WITHHELD);
   }
 
   void giveBack(int index) {
-    assigned.remove(index);
-    if (wanted(index)) {
+    ItemState next = move(index, wanted(index) ? ItemStep.GIVEN_BACK : ItemStep.WITHHELD);
+    if (wanted(index) && next == ItemState.FREE) {
       taken.clear(index);
       cursors.values().forEach(cursor -> cursor.giveBack(index));
     }
