Start the load tool from the command line, report a missing section once

A missing section was reported by itself and again by each key in it; now the keys that it must hold are reported.

--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/HawthornlbApplication.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/HawthornlbApplication.java
@@ -7,6 +7,7 @@
 import io.hawthornlb.app.logging.LogSetup;
 import io.hawthornlb.app.settings.EntrySettings;
 import io.hawthornlb.standin.StandinRunner;
+import io.hawthornlb.standin.load.LoadTool;
 import java.util.concurrent.CountDownLatch;
 
 /** Starts the program. */
@@ -21,9 +22,7 @@
         new Launchers(
             HawthornlbApplication::runEntry,
             StandinRunner::run,
-            (scenario, out) -> {
-              throw new UnsupportedOperationException("the load tool is not part of this build");
-            });
+            (scenario, out) -> LoadTool.run(scenario, out).ok());
     Output output = new Output(System.out, System.err);
     CommandLine commandLine = new CommandLine(launchers, System.getenv(), output);
     System.exit(commandLine.run(arguments).code());
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/settings/EntrySettingsReader.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/settings/EntrySettingsReader.java
@@ -34,7 +34,6 @@
   }
 
   private Supplier<EntrySettings> bind(ConfigSection root, PeerSettingsBinding peerBinding) {
-    root.require("instance", "http", "peers", "platform");
     Supplier<InstanceSettings> instance = instance(root.section("instance"));
     ConfigSection httpSection = root.section("http");
     ConfigSection peerSection = root.section("peers");
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/settings/PeerSettingsBinding.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/settings/PeerSettingsBinding.java
@@ -24,7 +24,7 @@
 
   @Override
   public Supplier<PeerSettings> bind(ConfigSection section) {
-    section.require("address", "tls");
+    section.require("address");
     Optional<NetworkAddress> address = SettingValues.address(section, "address");
     Supplier<TlsSettings> tls = tls(section.section("tls"), address);
     Duration probe =
