Execute items of jobs at engines through their stewards

Cause: accepted jobs had nobody who ran them. Change: each entry runs a steward for the engines that it is elected for. Holders tell of their backlogs; stewards pull ahead, read items from the log, run them as streams on connections of their own, cancel them on a burst of online requests and resume them, and keep each report until it is durable. A request in flight at an engine is told to its steward at once, not by the next digest. Items are held to the same suspicion as online requests. The command line and the wire agree on one shape of a job's state. Ruled out: items as whole answers; a preempted one would lose what was generated.

--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/command/EntryAnswer.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/command/EntryAnswer.java
@@ -17,7 +17,7 @@
 record EntryAnswer(int status, String text, Optional<String> nextCursor) {
 
   private static final ObjectMapper MAPPER = new ObjectMapper();
-  private static final String CURSOR_HEADER = "X-Next-Cursor";
+  private static final String CURSOR_HEADER = "Next-Cursor";
   private static final int FIRST_REFUSAL = 300;
 
   static EntryAnswer of(HttpResponse<byte[]> response) {
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/command/JobCancelCommand.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/command/JobCancelCommand.java
@@ -21,7 +21,7 @@
     if (wantsJson()) {
       output.json(answer);
     } else {
-      output.line(answer.path("id").asText() + " " + answer.path("phase").asText("cancelled"));
+      output.line(answer.path("id").asText() + " " + answer.path("status").asText("cancelled"));
     }
   }
 }
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/command/JobStatusCommand.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/command/JobStatusCommand.java
@@ -24,10 +24,10 @@
         "%s %s: %d of %d items completed, %d failed, due %s"
             .formatted(
                 status.path("id").asText(),
-                status.path("phase").asText(),
-                status.path("completed").asInt(),
-                status.path("items").asInt(),
-                status.path("failed").asInt(),
+                status.path("status").asText(),
+                status.path("counts").path("completed").asInt(),
+                status.path("counts").path("total").asInt(),
+                status.path("counts").path("failed").asInt(),
                 status.path("due").asText()));
   }
 }
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/command/JobSubmitCommand.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/command/JobSubmitCommand.java
@@ -21,7 +21,7 @@
 
   private static final String NDJSON = "application/x-ndjson";
   private static final String KEY_HEADER = "Idempotency-Key";
-  private static final String DUE_HEADER = "X-Due-At";
+  private static final String DUE_HEADER = "Due";
 
   @Parameter(description = "FILE", required = true)
   private List<String> files = new ArrayList<>();
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/EndpointWatch.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/EndpointWatch.java
@@ -1,6 +1,8 @@
 package io.hawthornlb.app.entry;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.hawthornlb.app.batch.BatchPlane;
+import io.hawthornlb.core.batch.OnlineNotice;
 import io.hawthornlb.core.batch.StewardElection;
 import io.hawthornlb.core.batch.support.RendezvousElection;
 import io.hawthornlb.core.effect.SpreadScope;
@@ -14,6 +16,7 @@
 import java.time.InstantSource;
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Watches the endpoints whose steward this instance is, and tells peers what it sees.
@@ -27,6 +30,7 @@
   private final PeerMesh peers;
   private final FleetView fleet;
   private final CatalogueHolder catalogue;
+  private final BatchPlane batch;
   private final EffectSink effects;
   private final InstantSource clock;
   private final EndpointMonitor monitor;
@@ -37,6 +41,7 @@
       PeerMesh peers,
       FleetView fleet,
       CatalogueHolder catalogue,
+      BatchPlane batch,
       EffectSink effects,
       EndpointClient client,
       DecisionLoop loop,
@@ -45,6 +50,7 @@
     this.peers = peers;
     this.fleet = fleet;
     this.catalogue = catalogue;
+    this.batch = batch;
     this.effects = effects;
     this.clock = clock;
     this.monitor = new EndpointMonitor(client, new ObjectMapper(), loop, this);
@@ -52,12 +58,26 @@
 
   /** Asks endpoints for reports, and for their health where a probe is due; on the loop. */
   void poll() {
-    monitor.poll(stewarded());
+    List<Endpoint> stewarded = stewarded();
+    batch.stewarding(stewarded);
+    monitor.poll(stewarded);
     monitor.probe(policies.endpoints().probesDue(clock.instant()));
   }
 
-  /** Returns the endpoints of all services whose steward this instance is; on the loop. */
-  List<Endpoint> stewarded() {
+  /** Tells the steward of an endpoint how many requests of this entry are in flight there. */
+  void tellSteward(EndpointId endpoint) {
+    int inFlight = policies.inFlight().own(endpoint);
+    batch.online(endpoint, inFlight);
+    policies
+        .endpoints()
+        .find(endpoint)
+        .flatMap(this::steward)
+        .filter(steward -> !steward.equals(fleet.self()))
+        .ifPresent(
+            steward -> peers.send(steward, new OnlineNotice(fleet.self(), endpoint, inFlight)));
+  }
+
+  private List<Endpoint> stewarded() {
     return catalogue.current().catalogue().services().keySet().stream()
         .flatMap(service -> policies.endpoints().of(service).stream())
         .filter(this::isSteward)
@@ -66,8 +86,9 @@
 
   @Override
   public void loaded(EndpointId endpoint, LoadReport report) {
-    policies.endpoints().onLoad(endpoint, report, clock.instant());
-    peers.spread(new LoadNotice(endpoint, report), SpreadScope.FLEET);
+    LoadReport completed = batch.completed(endpoint, report);
+    policies.endpoints().onLoad(endpoint, completed, clock.instant());
+    peers.spread(new LoadNotice(endpoint, completed), SpreadScope.FLEET);
   }
 
   @Override
@@ -82,8 +103,12 @@
   }
 
   private boolean isSteward(Endpoint endpoint) {
+    return steward(endpoint).filter(fleet.self()::equals).isPresent();
+  }
+
+  private Optional<InstanceId> steward(Endpoint endpoint) {
     Collection<InstanceId> here = fleet.in(endpoint.dataCentre());
     Collection<InstanceId> candidates = here.isEmpty() ? fleet.entries().keySet() : here;
-    return election.steward(endpoint.id(), candidates).filter(fleet.self()::equals).isPresent();
+    return election.steward(endpoint.id(), candidates);
   }
 }
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/EntryProcess.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/EntryProcess.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.app.entry;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.hawthornlb.app.batch.BatchPlane;
 import io.hawthornlb.app.dispatch.ChatDispatcher;
 import io.hawthornlb.app.dispatch.PlainDispatcher;
 import io.hawthornlb.app.http.OperatorKeys;
@@ -38,6 +39,7 @@
   private static final System.Logger LOG = System.getLogger(EntryProcess.class.getName());
   private static final Duration TICK = Duration.ofMillis(50);
   private static final Duration CONTROL_TICK = Duration.ofMillis(250);
+  private static final Duration REPORT_PAUSE = Duration.ofSeconds(1);
   private static final Duration DEMAND_PAUSE = Duration.ofSeconds(1);
   private static final Duration LIST_PAUSE = Duration.ofSeconds(1);
   private static final Duration STOP_CHECK = Duration.ofMillis(50);
@@ -59,6 +61,7 @@
   private final CoreOnlineDecisions decisions;
   private final ControlPlane control;
   private final PartitionPlane partitions;
+  private final BatchPlane batch;
   private final PolicyExchange exchange;
   private final EndpointWatch watch;
   private final EntryServer server;
@@ -74,7 +77,8 @@
     this.peers = new PeerMesh(settings, fleet, PeerMessageTypes.codec());
     this.policies = PolicyFactory.create(self, fleet.dataCentre());
     EffectSink effects = new OutwardEffects(log, peers, loop);
-    this.decisions = decisions(effects);
+    CrashDetector crashes = new ProbingCrashDetector(endpoints);
+    this.decisions = decisions(effects, crashes);
     RecordIdSource ids = new RecordIdSource(self);
     this.control = new ControlPlane(settings, log, loop, ids, catalogue, clock);
     this.partitions =
@@ -89,9 +93,24 @@
             catalogue,
             loop,
             clock);
+    this.batch =
+        new BatchPlane(
+            self,
+            policies,
+            catalogue,
+            control.claimView(),
+            partitions.hosts(),
+            log,
+            effects,
+            endpoints,
+            crashes,
+            loop,
+            clock);
     this.exchange = new PolicyExchange(policies, peers, clock);
     this.watch =
-        new EndpointWatch(policies, peers, fleet, catalogue, effects, endpoints, loop, clock);
+        new EndpointWatch(
+            policies, peers, fleet, catalogue, batch, effects, endpoints, loop, clock);
+    policies.inFlight().listener(watch::tellSteward);
     startPeers();
     this.server = EntryServer.start(settings.http(), services());
   }
@@ -125,6 +144,8 @@
     announce(ListedState.LEAVING);
     loop.execute(decisions::stop);
     awaitOnLoop(this::idle, settings.limits().drain(), "requests");
+    loop.execute(batch::stop);
+    awaitOnLoop(batch::settled, HAND_OVER_TIME, "reports on items");
     loop.execute(partitions.hosts()::drain);
     awaitOnLoop(partitions.hosts()::drained, HAND_OVER_TIME, "records");
     loop.execute(control::stop);
@@ -139,15 +160,9 @@
     LOG.log(System.Logger.Level.INFO, "entry: {0} stopped", fleet.self());
   }
 
-  private CoreOnlineDecisions decisions(EffectSink effects) {
+  private CoreOnlineDecisions decisions(EffectSink effects, CrashDetector crashes) {
     return new CoreOnlineDecisions(
-        loop,
-        policies,
-        new ProbingCrashDetector(endpoints),
-        effects,
-        new RequestMeters(meters),
-        fleet.dataCentre(),
-        clock);
+        loop, policies, crashes, effects, new RequestMeters(meters), fleet.dataCentre(), clock);
   }
 
   private boolean idle() {
@@ -158,6 +173,7 @@
     PeerHandlerRegistry.Builder handlers = PeerHandlerRegistry.builder();
     exchange.register(handlers);
     partitions.register(handlers);
+    batch.register(handlers);
     handlers.register(MissedRecordsRequest.class, new MissedRecordsHandler(log));
     peers.start(handlers, loop);
   }
@@ -187,6 +203,9 @@
     control.onClaims(partitions.hosts()::followClaims);
     loop.every(TICK, decisions::tick);
     loop.every(TICK, partitions::tick);
+    loop.every(TICK, batch::tick);
+    loop.every(CONTROL_TICK, batch::sendBacklogs);
+    loop.every(REPORT_PAUSE, batch::repeatReports);
     loop.every(TICK, exchange::sendInFlight);
     loop.every(DEMAND_PAUSE, exchange::sendDemand);
     loop.every(CONTROL_TICK, control::tick);
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/OnlinePolicies.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/OnlinePolicies.java
@@ -4,7 +4,6 @@
 import io.hawthornlb.core.admission.ShareExchange;
 import io.hawthornlb.core.endpoint.EndpointTable;
 import io.hawthornlb.core.retry.RetryPolicy;
-import io.hawthornlb.core.routing.InFlightTracker;
 import io.hawthornlb.core.routing.PrefixIndex;
 import io.hawthornlb.core.routing.Router;
 import io.hawthornlb.core.suspect.SuspectTable;
@@ -28,5 +27,5 @@
     ShareExchange shares,
     RetryPolicy retries,
     SuspectTable suspects,
-    InFlightTracker inFlight,
+    NotifyingInFlightTracker inFlight,
     PrefixIndex prefixes) {}
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/PeerMessageTypes.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/PeerMessageTypes.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.app.entry;
 
+import io.hawthornlb.app.batch.BacklogNotice;
 import io.hawthornlb.core.admission.DemandDigest;
 import io.hawthornlb.core.batch.OnlineNotice;
 import io.hawthornlb.core.endpoint.EndpointNotice;
@@ -30,6 +31,7 @@
             .register("online", OnlineNotice.class)
             .register("load", LoadNotice.class)
             .register("cache", CacheNotice.class)
+            .register("backlog", BacklogNotice.class)
             .register("relayed", RelayedMessage.class)
             .register("missed-records", MissedRecordsRequest.class)
             .register("missed-records-answer", MissedRecordsAnswer.class)
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/PolicyFactory.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/PolicyFactory.java
@@ -11,7 +11,6 @@
 import io.hawthornlb.core.model.InstanceId;
 import io.hawthornlb.core.retry.RetrySettings;
 import io.hawthornlb.core.retry.support.BudgetedRetryPolicy;
-import io.hawthornlb.core.routing.InFlightTracker;
 import io.hawthornlb.core.routing.PrefixIndex;
 import io.hawthornlb.core.routing.RouterSettings;
 import io.hawthornlb.core.routing.support.CostRouter;
@@ -34,7 +33,8 @@
   static OnlinePolicies create(InstanceId self, DataCentre dataCentre) {
     RandomGenerator random = new SplittableRandom();
     EndpointTable endpoints = new ObservedEndpointTable(EndpointTableSettings.DEFAULT);
-    InFlightTracker inFlight = new DefaultInFlightTracker(self);
+    NotifyingInFlightTracker inFlight =
+        new NotifyingInFlightTracker(new DefaultInFlightTracker(self));
     PrefixIndex prefixes = new HintPrefixIndex(PREFIXES);
     RouterSettings routing = RouterSettings.builder().build();
     EndpointCost cost = new EndpointCost(inFlight, prefixes, routing);
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/PartitionHosts.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/PartitionHosts.java
@@ -3,14 +3,18 @@
 import io.hawthornlb.app.entry.EffectSink;
 import io.hawthornlb.core.claim.Claim;
 import io.hawthornlb.core.claim.ClaimView;
+import io.hawthornlb.core.job.PullJobItems;
+import io.hawthornlb.core.job.ServiceBacklog;
 import io.hawthornlb.core.log.StreamName;
 import io.hawthornlb.core.model.InstanceId;
 import io.hawthornlb.core.model.PartitionId;
+import io.hawthornlb.core.model.ServiceName;
 import io.hawthornlb.net.platform.LogPage;
 import io.hawthornlb.net.platform.OffsetExpiredException;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -90,6 +94,40 @@
     return List.copyOf(hosts.values());
   }
 
+  /** Returns the items that wait at the partitions held here. */
+  public Map<PartitionId, List<ServiceBacklog>> backlogs() {
+    Map<PartitionId, List<ServiceBacklog>> waiting = new HashMap<>();
+    for (PartitionHost host : hosts.values()) {
+      List<ServiceBacklog> backlog = host.backlog();
+      if (!backlog.isEmpty()) {
+        waiting.put(host.id(), backlog);
+      }
+    }
+    return waiting;
+  }
+
+  /**
+   * Gives items to a steward, from one of the partitions that have some.
+   *
+   * <p>The steward names no partition: it asks the holder, which knows best what is due first.
+   */
+  public void pulled(PullJobItems message) {
+    Comparator<PartitionHost> byDue =
+        Comparator.comparing(host -> earliestDue(host, message.service()));
+    hosts.values().stream()
+        .filter(host -> earliestDue(host, message.service()).isBefore(Instant.MAX))
+        .min(byDue)
+        .ifPresent(host -> host.on(message));
+  }
+
+  private static Instant earliestDue(PartitionHost host, ServiceName service) {
+    return host.backlog().stream()
+        .filter(entry -> entry.service().equals(service) && entry.items() > 0)
+        .map(ServiceBacklog::earliestDue)
+        .findFirst()
+        .orElse(Instant.MAX);
+  }
+
   /** Takes nothing new, and brings everything into the log. */
   public void drain() {
     all().forEach(PartitionHost::drain);
--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/command/EntryCommandsTest.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/command/EntryCommandsTest.java
@@ -126,7 +126,7 @@
   @Test
   void readsAllPagesOfResults() {
     entry.answer(
-        "GET /v1/jobs/j-1/results", 200, "{\"custom_id\":\"a\"}\n", Map.of("X-Next-Cursor", "1 2"));
+        "GET /v1/jobs/j-1/results", 200, "{\"custom_id\":\"a\"}\n", Map.of("Next-Cursor", "1 2"));
     entry.answer("GET /v1/jobs/j-1/results?cursor=1 2", 200, "{\"custom_id\":\"b\"}\n");
 
     assertEquals(ExitCode.OK, run("job results j-1"));
