--- a/hawthornlb-standin/src/test/java/io/hawthornlb/standin/StandinBenchTest.java
+++ b/hawthornlb-standin/src/test/java/io/hawthornlb/standin/StandinBenchTest.java
@@ -166,6 +166,49 @@
     }
   }
 
+  /** Compares what a full engine does with what its settings allow without any waiting. */
+  @Test
+  void saturatedEngineAgainstItsBound() {
+    int answer = 40;
+    int items = 400;
+    EngineTiming timing = EngineTiming.builder().build();
+    EngineMemory memory = EngineMemory.builder().build();
+    ChatShape shape =
+        ChatShape.builder()
+            .prefixTokens(200)
+            .prefixes(1)
+            .promptTokensMin(100)
+            .promptTokensMax(100)
+            .answerTokensMin(answer)
+            .answerTokensMax(answer)
+            .build();
+    long context = memory.slots() * (300L + answer / 2);
+    double stepSeconds = timing.stepNanos(0, memory.slots(), context) / 1e9;
+    double itemSeconds =
+        answer * stepSeconds / memory.slots() + 100 * timing.prefillTokenMicros() / 1e6;
+    try (RunningStandin engine =
+        EngineStandin.start(TestSettings.engine("bench").timing(timing).build())) {
+      RunResult result =
+          measure(
+              scenario(engine)
+                  .drainMillis(60_000)
+                  .chats(
+                      List.of(
+                          chats(answer).shape(shape).stream(false)
+                              .timeoutMillis(60_000)
+                              .bursts(List.of(burst(items, 0)))
+                              .build())));
+      double seconds = result.flows().get(0).total().max() / 1_000;
+      System.out.printf(
+          Locale.ROOT,
+          "BENCH saturated engine: %d items in %.2f s, %.2f items/s; bound %.2f items/s%n",
+          items,
+          seconds,
+          items / seconds,
+          1 / itemSeconds);
+    }
+  }
+
   private static void run(String name, RunningStandin standin, ChatFlow.Builder flow) {
     Map<Long, Long> before = standinCpu();
     RunResult result = measure(scenario(standin).chats(List.of(flow.build())));
--- a/hawthornlb-standin/src/test/java/io/hawthornlb/standin/load/LoadToolTest.java
+++ b/hawthornlb-standin/src/test/java/io/hawthornlb/standin/load/LoadToolTest.java
@@ -133,6 +133,21 @@
     }
   }
 
+  @Test
+  void cancelledJobsMustStop() throws IOException {
+    JobFlow cancelled = jobs("endless").cancelAfterMillis(100).build();
+    for (Flaw flaw : List.of(Flaw.NONE, Flaw.GOES_ON_AFTER_CANCEL)) {
+      try (TwinEntry entry = new TwinEntry(flaw)) {
+        RunResult result = measure(scenario(entry.address()).jobs(List.of(cancelled)));
+        assertEquals("cancelled", result.jobs().get(0).status());
+        assertEquals(
+            flaw == Flaw.GOES_ON_AFTER_CANCEL,
+            result.broken().contains("endless: went on after its cancellation"),
+            result.broken().toString());
+      }
+    }
+  }
+
   @Test
   void rightAnswersBreakNothing() throws IOException {
     assertEquals(List.of(), brokenBy(Flaw.NONE));
