--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/TestFleet.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/TestFleet.java
@@ -1,6 +1,8 @@
 package io.hawthornlb.app.entry;
 
 import io.hawthornlb.app.http.CatalogueIndex;
+import io.hawthornlb.app.settings.CatalogueWriter;
+import io.hawthornlb.app.settings.ClaimSettings;
 import io.hawthornlb.app.settings.EntrySettings;
 import io.hawthornlb.app.settings.HttpSettings;
 import io.hawthornlb.app.settings.InstanceSettings;
@@ -32,12 +34,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.awaitility.Awaitility;
 
 /** Stand-ins and entries of a small fleet in one process, over real sockets. */
 final class TestFleet implements AutoCloseable {
 
   static final String KEY = "test-key";
+  static final String OPERATOR_KEY = "operator-key";
   static final String CHAT_SERVICE = "brief-llm";
   static final String PLAIN_SERVICE = "checkin-app";
 
@@ -76,12 +81,49 @@
     return entry;
   }
 
+  /** Lets the platform answer every call with 503 until the fleet ends. */
+  void platformDown() {
+    HttpRequest fault =
+        HttpRequest.newBuilder(URI.create("http://" + platform.address() + "/standin/faults"))
+            .header("Content-Type", "application/json")
+            .POST(HttpRequest.BodyPublishers.ofString("{\"kind\":\"down\",\"forMillis\":600000}"))
+            .build();
+    if (send(fault).statusCode() >= 300) {
+      throw new IllegalStateException("the platform stand-in took no fault");
+    }
+  }
+
+  /** Returns how often the services have run a call with a key. */
+  int callsOf(String key) {
+    int calls = 0;
+    for (RunningStandin endpoint : endpoints) {
+      URI uri = URI.create("http://" + endpoint.address() + "/standin/calls");
+      String body = send(HttpRequest.newBuilder(uri).build()).body();
+      Matcher matcher = Pattern.compile("\"" + key + "\":(\\d+)").matcher(body);
+      calls += matcher.find() ? Integer.parseInt(matcher.group(1)) : 0;
+    }
+    return calls;
+  }
+
   void awaitReady(EntryProcess entry) {
     Awaitility.await()
         .atMost(PATIENCE)
         .until(() -> send(get(entry, "/health/ready")).statusCode() == 200);
   }
 
+  /** Puts the test catalogue in force through the log. */
+  void putCatalogue(EntryProcess entry) {
+    HttpRequest put =
+        HttpRequest.newBuilder(uri(entry, "/v1/catalogue"))
+            .timeout(PATIENCE)
+            .header("Authorization", "Bearer " + OPERATOR_KEY)
+            .header("If-Match", "-1")
+            .header("X-Author", "tester")
+            .PUT(HttpRequest.BodyPublishers.ofString(new CatalogueWriter().write(catalogue())))
+            .build();
+    Awaitility.await().atMost(PATIENCE).until(() -> send(put).statusCode() == 200);
+  }
+
   static HttpRequest chat(EntryProcess entry, String body) {
     return to(entry, "/v1/chat/completions")
         .header("Content-Type", "application/json")
@@ -94,11 +136,15 @@
   }
 
   static HttpRequest.Builder to(EntryProcess entry, String path) {
-    return HttpRequest.newBuilder(URI.create("http://" + LOOPBACK + ":" + entry.port() + path))
+    return HttpRequest.newBuilder(uri(entry, path))
         .timeout(PATIENCE)
         .header("Authorization", "Bearer " + KEY);
   }
 
+  static URI uri(EntryProcess entry, String path) {
+    return URI.create("http://" + LOOPBACK + ":" + entry.port() + path);
+  }
+
   HttpResponse<String> send(HttpRequest request) {
     try {
       return http.send(request, HttpResponse.BodyHandlers.ofString());
@@ -164,6 +210,8 @@
                 List.of()),
             new PlatformSettings(
                 new NetworkAddress(LOOPBACK, platform.port()), PlatformSettings.DEFAULT_TIMEOUT))
+        .operatorKeyHashes(List.of(CatalogueIndex.hash(OPERATOR_KEY)))
+        .claims(new ClaimSettings(8, Duration.ofSeconds(1), Duration.ofSeconds(4)))
         .build();
   }
 }
