--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/support/InvalidSettingsException.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/support/InvalidSettingsException.java
@@ -3,7 +3,7 @@
 import org.jspecify.annotations.Nullable;
 
 /** Settings hold a fault; the message names the file, the place and the key to mend. */
-public class InvalidSettingsException extends RuntimeException {
+public final class InvalidSettingsException extends RuntimeException {
 
   /** Says what is wrong and where. */
   public InvalidSettingsException(String message, @Nullable Throwable cause) {
