--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/EntryProcess.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/EntryProcess.java
@@ -1,9 +1,11 @@
 package io.hawthornlb.app.entry;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.hawthornlb.app.batch.BatchPlane;
 import io.hawthornlb.app.dispatch.ChatDispatcher;
 import io.hawthornlb.app.dispatch.PlainDispatcher;
 import io.hawthornlb.app.http.OperatorKeys;
+import io.hawthornlb.app.partition.PartitionPlane;
 import io.hawthornlb.app.settings.EntrySettings;
 import io.hawthornlb.core.log.RecordIdSource;
 import io.hawthornlb.core.membership.ListedKind;
@@ -37,6 +39,7 @@
   private static final System.Logger LOG = System.getLogger(EntryProcess.class.getName());
   private static final Duration TICK = Duration.ofMillis(50);
   private static final Duration CONTROL_TICK = Duration.ofMillis(250);
+  private static final Duration REPORT_PAUSE = Duration.ofSeconds(1);
   private static final Duration DEMAND_PAUSE = Duration.ofSeconds(1);
   private static final Duration LIST_PAUSE = Duration.ofSeconds(1);
   private static final Duration STOP_CHECK = Duration.ofMillis(50);
@@ -57,6 +60,8 @@
   private final OnlinePolicies policies;
   private final CoreOnlineDecisions decisions;
   private final ControlPlane control;
+  private final PartitionPlane partitions;
+  private final BatchPlane batch;
   private final PolicyExchange exchange;
   private final EndpointWatch watch;
   private final EntryServer server;
@@ -71,13 +76,41 @@
     this.log = new LogAccess(settings.platform().uri(), loop, clock);
     this.peers = new PeerMesh(settings, fleet, PeerMessageTypes.codec());
     this.policies = PolicyFactory.create(self, fleet.dataCentre());
-    EffectSink effects = new OutwardEffects(log, peers);
-    this.decisions = decisions(effects);
-    this.control =
-        new ControlPlane(settings, log, loop, new RecordIdSource(self), catalogue, clock);
+    EffectSink effects = new OutwardEffects(log, peers, loop);
+    CrashDetector crashes = new ProbingCrashDetector(endpoints);
+    this.decisions = decisions(effects, crashes);
+    RecordIdSource ids = new RecordIdSource(self);
+    this.control = new ControlPlane(settings, log, loop, ids, catalogue, clock);
+    this.partitions =
+        new PartitionPlane(
+            self,
+            control.claimView(),
+            log,
+            new PeerRecordSource(peers.transport()),
+            ids,
+            effects,
+            new PlainDispatcher(decisions, endpoints, clock, EntryProcess::requestId),
+            catalogue,
+            loop,
+            clock);
+    this.batch =
+        new BatchPlane(
+            self,
+            policies,
+            catalogue,
+            control.claimView(),
+            partitions.hosts(),
+            log,
+            effects,
+            endpoints,
+            crashes,
+            loop,
+            clock);
     this.exchange = new PolicyExchange(policies, peers, clock);
     this.watch =
-        new EndpointWatch(policies, peers, fleet, catalogue, effects, endpoints, loop, clock);
+        new EndpointWatch(
+            policies, peers, fleet, catalogue, batch, effects, endpoints, loop, clock);
+    policies.inFlight().listener(watch::tellSteward);
     startPeers();
     this.server = EntryServer.start(settings.http(), services());
   }
@@ -110,8 +143,12 @@
     stopping = true;
     announce(ListedState.LEAVING);
     loop.execute(decisions::stop);
+    awaitOnLoop(this::idle, settings.limits().drain(), "requests");
+    loop.execute(batch::stop);
+    awaitOnLoop(batch::settled, HAND_OVER_TIME, "reports on items");
+    loop.execute(partitions.hosts()::drain);
+    awaitOnLoop(partitions.hosts()::drained, HAND_OVER_TIME, "records");
     loop.execute(control::stop);
-    awaitOnLoop(() -> decisions.inProgress() == 0, settings.limits().drain(), "requests");
     awaitOnLoop(control::stopped, HAND_OVER_TIME, "claims");
     withdraw();
     server.close();
@@ -123,20 +160,20 @@
     LOG.log(System.Logger.Level.INFO, "entry: {0} stopped", fleet.self());
   }
 
-  private CoreOnlineDecisions decisions(EffectSink effects) {
+  private CoreOnlineDecisions decisions(EffectSink effects, CrashDetector crashes) {
     return new CoreOnlineDecisions(
-        loop,
-        policies,
-        new ProbingCrashDetector(endpoints),
-        effects,
-        new RequestMeters(meters),
-        fleet.dataCentre(),
-        clock);
+        loop, policies, crashes, effects, new RequestMeters(meters), fleet.dataCentre(), clock);
+  }
+
+  private boolean idle() {
+    return decisions.inProgress() == 0 && partitions.runOnce().inProgress() == 0;
   }
 
   private void startPeers() {
     PeerHandlerRegistry.Builder handlers = PeerHandlerRegistry.builder();
     exchange.register(handlers);
+    partitions.register(handlers);
+    batch.register(handlers);
     handlers.register(MissedRecordsRequest.class, new MissedRecordsHandler(log));
     peers.start(handlers, loop);
   }
@@ -145,11 +182,14 @@
     return new EntryServer.Services(
         new ChatDispatcher(
             decisions, endpoints, new ObjectMapper(), clock, EntryProcess::requestId),
-        new PlainDispatcher(decisions, endpoints, clock, EntryProcess::requestId),
+        partitions.runOnce(),
         catalogue,
         this::obstacles,
         meters,
         List.of(
+            clock,
+            partitions.jobs(),
+            partitions.reader(),
             new LogCatalogueAdmin(control, catalogue, loop),
             new OperatorKeys(Set.copyOf(settings.operatorKeyHashes()))));
   }
@@ -160,7 +200,12 @@
 
   private void startTasks() {
     control.start(new PeerRecordSource(peers.transport()));
+    control.onClaims(partitions.hosts()::followClaims);
     loop.every(TICK, decisions::tick);
+    loop.every(TICK, partitions::tick);
+    loop.every(TICK, batch::tick);
+    loop.every(CONTROL_TICK, batch::sendBacklogs);
+    loop.every(REPORT_PAUSE, batch::repeatReports);
     loop.every(TICK, exchange::sendInFlight);
     loop.every(DEMAND_PAUSE, exchange::sendDemand);
     loop.every(CONTROL_TICK, control::tick);
