Let a suspect that runs alone anywhere wait, whatever endpoints are offered

A caller that passes only endpoints that take work leaves out the one where the suspect runs alone. The fingerprint then named another endpoint, and a resend through a second entry ran beside the first: two endpoints lost at once. The notice of a quarantine now carries the fingerprint. Seen by reading how the entry calls the table; the test fails without the check.

--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/suspect/QuarantineNotice.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/suspect/QuarantineNotice.java
@@ -7,7 +7,9 @@
 /**
  * Tells peers to send nothing to an endpoint, which runs a suspect alone.
  *
+ * @param fingerprint the suspect
  * @param endpoint the endpoint
  * @param until when the quarantine ends at the latest; a time in the past ends it now
  */
-public record QuarantineNotice(EndpointId endpoint, Instant until) implements PeerMessage {}
+public record QuarantineNotice(Fingerprint fingerprint, EndpointId endpoint, Instant until)
+    implements PeerMessage {}
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/suspect/support/CountingSuspectTable.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/suspect/support/CountingSuspectTable.java
@@ -40,15 +40,15 @@
 
   private static final Duration WAIT = Duration.ofMillis(250);
 
-  private record Alone(Fingerprint fingerprint, EndpointId endpoint) {}
+  private record Quarantine(Fingerprint fingerprint, Instant until) {}
 
   private record Pending(PeerMessage message, Instant at) {}
 
   private final InstanceId self;
   private final SuspectSettings settings;
   private final Map<Fingerprint, SuspectRecord> suspects = new LinkedHashMap<>();
-  private final Map<EndpointId, Instant> quarantines = new HashMap<>();
-  private final Map<EndpointId, Alone> ownAlone = new HashMap<>();
+  private final Map<EndpointId, Quarantine> quarantines = new HashMap<>();
+  private final Map<EndpointId, Fingerprint> ownAlone = new HashMap<>();
   private final Deque<Pending> resends = new ArrayDeque<>();
   private long sequence;
 
@@ -72,7 +72,7 @@
               "endpoints crashed each time this request ran; it is not tried again"));
     }
     Optional<EndpointId> home = home(fingerprint, endpoints);
-    if (home.isEmpty() || quarantined(home.get(), now)) {
+    if (home.isEmpty() || quarantined(home.get(), now) || runsAlone(fingerprint, now)) {
       return new Verdict.Wait(WAIT);
     }
     return new Verdict.Alone(home.get());
@@ -81,9 +81,9 @@
   @Override
   public List<Effect> onAloneStarted(Fingerprint fingerprint, EndpointId endpoint, Instant now) {
     Instant until = now.plus(settings.aloneAtMost());
-    quarantines.put(endpoint, until);
-    ownAlone.put(endpoint, new Alone(fingerprint, endpoint));
-    return spread(new QuarantineNotice(endpoint, until), now);
+    quarantines.put(endpoint, new Quarantine(fingerprint, until));
+    ownAlone.put(endpoint, fingerprint);
+    return spread(new QuarantineNotice(fingerprint, endpoint, until), now);
   }
 
   @Override
@@ -96,9 +96,8 @@
 
   @Override
   public List<Effect> onCrash(EndpointId endpoint, List<Fingerprint> running, Instant now) {
-    Alone alone = ownAlone.get(endpoint);
-    boolean ranAlone =
-        alone != null && running.size() == 1 && running.get(0).equals(alone.fingerprint());
+    Fingerprint alone = ownAlone.get(endpoint);
+    boolean ranAlone = running.size() == 1 && running.get(0).equals(alone);
     List<Effect> effects = new ArrayList<>();
     if (!running.isEmpty()) {
       CrashNotice notice = new CrashNotice(self, ++sequence, endpoint, now, running, ranAlone);
@@ -132,7 +131,7 @@
   @Override
   public void onQuarantine(QuarantineNotice notice, Instant now) {
     if (notice.until().isAfter(now)) {
-      quarantines.put(notice.endpoint(), notice.until());
+      quarantines.put(notice.endpoint(), new Quarantine(notice.fingerprint(), notice.until()));
     } else {
       quarantines.remove(notice.endpoint());
     }
@@ -141,7 +140,7 @@
   @Override
   public List<Effect> onTick(Instant now) {
     suspects.values().removeIf(suspect -> expired(suspect, now));
-    quarantines.values().removeIf(until -> !now.isBefore(until));
+    quarantines.values().removeIf(quarantine -> !now.isBefore(quarantine.until()));
     List<Effect> effects = new ArrayList<>();
     while (!resends.isEmpty() && !now.isBefore(resends.peek().at().plus(settings.resendAfter()))) {
       effects.add(new SpreadPeerMessage(resends.poll().message(), SpreadScope.FLEET));
@@ -150,11 +149,12 @@
   }
 
   private List<Effect> endAlone(EndpointId endpoint, Instant now) {
-    if (ownAlone.remove(endpoint) == null) {
+    Fingerprint fingerprint = ownAlone.remove(endpoint);
+    if (fingerprint == null) {
       return List.of();
     }
     quarantines.remove(endpoint);
-    return spread(new QuarantineNotice(endpoint, now), now);
+    return spread(new QuarantineNotice(fingerprint, endpoint, now), now);
   }
 
   private List<Effect> spread(PeerMessage message, Instant now) {
@@ -166,8 +166,15 @@
   }
 
   private boolean quarantined(EndpointId endpoint, Instant now) {
-    Instant until = quarantines.get(endpoint);
-    return until != null && now.isBefore(until);
+    Quarantine quarantine = quarantines.get(endpoint);
+    return quarantine != null && now.isBefore(quarantine.until());
+  }
+
+  private boolean runsAlone(Fingerprint fingerprint, Instant now) {
+    // The endpoint where a suspect runs alone takes no work and may be missing from those given;
+    // the fingerprint would then name another one, and two endpoints would be lost at once.
+    return quarantines.values().stream()
+        .anyMatch(each -> each.fingerprint().equals(fingerprint) && now.isBefore(each.until()));
   }
 
   private boolean expired(SuspectRecord suspect, Instant now) {
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/suspect/SuspectFailureTest.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/suspect/SuspectFailureTest.java
@@ -68,6 +68,10 @@
     assertEquals(first.endpoint(), second.endpoint());
     deliver(one.onAloneStarted(DEADLY, first.endpoint(), NOW), List.of(other));
     assertInstanceOf(Verdict.Wait.class, other.judge(DEADLY, endpoints(), NOW));
+    Set<EndpointId> accepting = endpoints();
+    accepting.remove(first.endpoint());
+    assertInstanceOf(Verdict.Wait.class, other.judge(DEADLY, accepting, NOW));
+    assertInstanceOf(Verdict.Wait.class, one.judge(DEADLY, accepting, NOW));
   }
 
   // A notice of a crash is lost between two entries: it is sent once more, and counts once.
