Count endpoints lost and the causes of resends

A trial on a small fleet: one request that ends its engine, sent again 13 times, ended all four engines, and the run was reported as good, as each sending had a refusal. A scenario now names endpoints to look at in the end and how many may be gone. In another trial 20 of 134 lookups were sent again and nothing said why; resends are now counted by what became of the sending before.

--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/Scenario.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/Scenario.java
@@ -16,6 +16,8 @@
  * @param threads the threads that read answers
  * @param entries the addresses of the entries
  * @param services the addresses of plain service stand-ins, whose calls are compared
+ * @param endpoints the addresses of endpoints that are looked at in the end
+ * @param endpointsLost how many of them may be gone then
  * @param compareWithoutJobs whether the same online load runs first without the jobs
  * @param chats the chats
  * @param calls the calls to plain services
@@ -32,6 +34,8 @@
     int threads,
     List<String> entries,
     List<String> services,
+    List<String> endpoints,
+    int endpointsLost,
     boolean compareWithoutJobs,
     List<ChatFlow> chats,
     List<CallFlow> calls,
@@ -54,6 +58,8 @@
     entries = List.copyOf(entries);
     SettingsChecks.isTrue(!entries.isEmpty(), "entries must not be empty");
     services = List.copyOf(services);
+    endpoints = List.copyOf(endpoints);
+    SettingsChecks.notNegative(endpointsLost, "endpointsLost");
     chats = List.copyOf(chats);
     calls = List.copyOf(calls);
     jobs = List.copyOf(jobs);
@@ -71,6 +77,8 @@
         threads,
         entries,
         services,
+        endpoints,
+        endpointsLost,
         false,
         chats,
         calls,
@@ -95,6 +103,8 @@
     private int threads = 4;
     private List<String> entries = List.of();
     private List<String> services = List.of();
+    private List<String> endpoints = List.of();
+    private int endpointsLost;
     private boolean compareWithoutJobs;
     private List<ChatFlow> chats = List.of();
     private List<CallFlow> calls = List.of();
@@ -151,6 +161,18 @@
       return this;
     }
 
+    /** Sets the addresses of endpoints that are looked at in the end; none by default. */
+    public Builder endpoints(List<String> value) {
+      endpoints = value;
+      return this;
+    }
+
+    /** Sets how many endpoints may be gone in the end; 0 by default. */
+    public Builder endpointsLost(int value) {
+      endpointsLost = value;
+      return this;
+    }
+
     /** Sets whether the same online load runs first without the jobs; no by default. */
     public Builder compareWithoutJobs(boolean value) {
       compareWithoutJobs = value;
@@ -192,6 +214,8 @@
           threads,
           entries,
           services,
+          endpoints,
+          endpointsLost,
           compareWithoutJobs,
           chats,
           calls,
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/support/ChatRequests.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/support/ChatRequests.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 
 /** Sends the chats of a flow and checks their answers. */
 final class ChatRequests implements RequestFlow {
@@ -27,7 +28,8 @@
   private final RunClock clock;
   private final Resender resender;
 
-  ChatRequests(ChatFlow flow, long seed, HttpCaller caller, RunClock clock, Runnable onResend) {
+  ChatRequests(
+      ChatFlow flow, long seed, HttpCaller caller, RunClock clock, Consumer<Outcome> onResend) {
     this.flow = flow;
     this.seed = seed;
     this.caller = caller;
--- /dev/null
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/support/EndpointCheck.java
@@ -0,0 +1,35 @@
+package io.hawthornlb.standin.load.support;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.List;
+
+/** Looks which endpoints are left at the end of a run. */
+final class EndpointCheck {
+
+  private static final Duration LIMIT = Duration.ofSeconds(2);
+
+  private final HttpClient client = HttpClient.newBuilder().connectTimeout(LIMIT).build();
+
+  /** Returns the addresses that do not answer. */
+  List<String> lost(List<String> endpoints) {
+    return endpoints.stream().filter(address -> !answers(address)).toList();
+  }
+
+  private boolean answers(String address) {
+    URI uri = URI.create("http://" + address + "/health");
+    try {
+      client.send(HttpRequest.newBuilder(uri).timeout(LIMIT).build(), BodyHandlers.discarding());
+      return true;
+    } catch (IOException e) {
+      return false;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+}
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/support/LoadRun.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/support/LoadRun.java
@@ -74,12 +74,14 @@
     for (ChatFlow chat : scenario.chats()) {
       FlowLabel label = new FlowLabel(chat.name(), chat.requestClass(), chat.workspace());
       flows.add(
-          new ChatRequests(chat, scenario.seed(), caller, clock, () -> recorder.resent(label)));
+          new ChatRequests(
+              chat, scenario.seed(), caller, clock, cause -> recorder.resent(label, cause)));
     }
     for (CallFlow call : scenario.calls()) {
       FlowLabel label = new FlowLabel(call.name(), call.requestClass(), call.workspace());
       flows.add(
-          new ServiceCalls(call, runKey, caller, clock, ledger, () -> recorder.resent(label)));
+          new ServiceCalls(
+              call, runKey, caller, clock, ledger, cause -> recorder.resent(label, cause)));
     }
     return flows;
   }
@@ -145,7 +147,14 @@
   private RunResult result(Instant startedAt, double seconds, List<JobResult> jobs) {
     List<FlowResult> flows = recorder.flows();
     CallComparison calls = compareCalls();
-    List<String> broken = new Promises().flows(flows, limits()).jobs(jobs).calls(calls).broken();
+    List<String> lost = new EndpointCheck().lost(scenario.endpoints());
+    List<String> broken =
+        new Promises()
+            .flows(flows, limits())
+            .jobs(jobs)
+            .calls(calls)
+            .endpoints(lost, scenario.endpointsLost())
+            .broken();
     return new RunResult(
         scenario.name(),
         scenario.seed(),
@@ -157,6 +166,7 @@
         jobs,
         JobResults.itemsPerSecond(jobs, scenario.jobs()),
         calls,
+        lost,
         recorder.timeline(),
         broken,
         null);
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/support/LoopbackAddresses.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/support/LoopbackAddresses.java
@@ -25,6 +25,7 @@
         Stream.of(
                 scenario.entries().stream(),
                 scenario.services().stream(),
+                scenario.endpoints().stream(),
                 scenario.actions().stream().map(Action::address))
             .flatMap(addresses -> addresses)
             .filter(address -> !LOOPBACK.matcher(address).matches())
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/support/Promises.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/support/Promises.java
@@ -58,6 +58,12 @@
     return this;
   }
 
+  /** Checks that no more endpoints are lost than the scenario itself ends. */
+  public Promises endpoints(List<String> lost, int allowed) {
+    check(lost.size() > allowed, "endpoints", lost.size() + " lost: " + lost);
+    return this;
+  }
+
   /** Returns what is broken, in the order of the checks. */
   public List<String> broken() {
     return List.copyOf(broken);
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/support/Resender.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/support/Resender.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /** Sends a request again when that can help, as callers do. */
@@ -12,14 +13,15 @@
 
   private final int resends;
   private final Duration wait;
-  private final Runnable onResend;
+  private final Consumer<Outcome> onResend;
 
   /**
    * Allows some resends.
    *
    * @param wait before a resend that is not told when to come back
+   * @param onResend learns why a request is sent again
    */
-  Resender(int resends, Duration wait, Runnable onResend) {
+  Resender(int resends, Duration wait, Consumer<Outcome> onResend) {
     this.resends = resends;
     this.wait = wait;
     this.onResend = onResend;
@@ -40,7 +42,7 @@
               }
               return CompletableFuture.supplyAsync(
                       () -> {
-                        onResend.run();
+                        onResend.accept(outcome);
                         return send(sending, left - 1);
                       },
                       after(outcome.retryAfter().orElse(wait)))
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/support/ServiceCalls.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/support/ServiceCalls.java
@@ -13,6 +13,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 
 /** Sends the calls of a flow to a plain service and checks their answers. */
 final class ServiceCalls implements RequestFlow {
@@ -33,7 +34,7 @@
       HttpCaller caller,
       RunClock clock,
       CallLedger ledger,
-      Runnable onResend) {
+      Consumer<Outcome> onResend) {
     this.flow = flow;
     this.runKey = runKey;
     this.caller = caller;
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/report/FlowResult.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/report/FlowResult.java
@@ -9,7 +9,7 @@
  * @param sent requests that arrived
  * @param answered those with the whole and right answer
  * @param unfinished those without any end when the run ended
- * @param resent sendings beyond the first of a request
+ * @param resent sendings beyond the first of a request, by what became of the one before
  * @param refused refusals by reason
  * @param refusedRun refusals by what they say of the run
  * @param failed requests without answer or refusal, by cause
@@ -24,7 +24,7 @@
     long sent,
     long answered,
     long unfinished,
-    long resent,
+    List<Count> resent,
     List<Count> refused,
     List<Count> refusedRun,
     List<Count> failed,
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/report/RunResult.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/report/RunResult.java
@@ -16,6 +16,7 @@
  * @param jobs the batch jobs
  * @param batchItemsPerSecond items of all jobs a second, from the first acceptance to the last end
  * @param calls keyed calls compared with the services
+ * @param endpointsLost endpoints that answered no more at the end
  * @param timeline what ended in each second
  * @param broken promises that did not hold
  * @param withoutJobs the same online load without the jobs, if it was run
@@ -31,6 +32,7 @@
     List<JobResult> jobs,
     double batchItemsPerSecond,
     CallComparison calls,
+    List<String> endpointsLost,
     List<Series> timeline,
     List<String> broken,
     @Nullable RunResult withoutJobs) {
@@ -53,6 +55,7 @@
         jobs,
         batchItemsPerSecond,
         calls,
+        endpointsLost,
         timeline,
         broken,
         baseline);
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/report/support/FlowRecorder.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/report/support/FlowRecorder.java
@@ -13,7 +13,7 @@
   private final FlowLabel label;
   private final LongAdder sent = new LongAdder();
   private final LongAdder answered = new LongAdder();
-  private final LongAdder resent = new LongAdder();
+  private final Counts resent = new Counts();
   private final Counts refused = new Counts();
   private final Counts refusedRun = new Counts();
   private final Counts failed = new Counts();
@@ -39,8 +39,8 @@
     sent.increment();
   }
 
-  void resent() {
-    resent.increment();
+  void resent(Outcome cause) {
+    resent.add(cause.reason());
   }
 
   void ended(Outcome outcome, Latency latency) {
@@ -67,7 +67,7 @@
         sent.sum(),
         answered.sum(),
         sent.sum() - ended,
-        resent.sum(),
+        resent.list(),
         refused.list(),
         refusedRun.list(),
         failed.list(),
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/report/support/HtmlReport.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/report/support/HtmlReport.java
@@ -97,6 +97,8 @@
               "faults"),
           result.jobs().stream().map(HtmlReport::job).toList());
     }
+    page.heading("Endpoints lost" + suffix);
+    page.text(result.endpointsLost().size() + " " + String.join(", ", result.endpointsLost()));
     page.heading("Keyed calls" + suffix);
     page.text(
         result.calls().acknowledged()
@@ -116,7 +118,7 @@
         flow.label().workspace(),
         Long.toString(flow.sent()),
         Long.toString(flow.answered()),
-        Long.toString(flow.resent()),
+        counts(flow.resent()),
         counts(flow.refused()),
         counts(flow.refusedRun()),
         counts(flow.failed()),
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/report/support/RunRecorder.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/report/support/RunRecorder.java
@@ -28,9 +28,9 @@
     flow(label).sent();
   }
 
-  /** Counts a sending beyond the first. */
-  public void resent(FlowLabel label) {
-    flow(label).resent();
+  /** Counts a sending beyond the first, by what became of the one before. */
+  public void resent(FlowLabel label, Outcome cause) {
+    flow(label).resent(cause);
   }
 
   /**
--- a/hawthornlb-standin/src/test/java/io/hawthornlb/standin/load/LoadToolTest.java
+++ b/hawthornlb-standin/src/test/java/io/hawthornlb/standin/load/LoadToolTest.java
@@ -11,6 +11,7 @@
 import io.hawthornlb.standin.engine.EngineStandin;
 import io.hawthornlb.standin.fault.FaultOrder;
 import io.hawthornlb.standin.load.TwinEntry.Flaw;
+import io.hawthornlb.standin.report.Count;
 import io.hawthornlb.standin.report.FlowResult;
 import io.hawthornlb.standin.report.RunResult;
 import io.hawthornlb.standin.service.ServiceStandin;
@@ -133,6 +134,33 @@
     }
   }
 
+  /**
+   * One request ended every engine of a fleet, each time it was sent again, and the run was
+   * reported as good, as each sending had its refusal.
+   */
+  @Test
+  void lostEndpointsAndCausesOfResendsAreCounted() throws IOException {
+    TwinEntry gone = new TwinEntry();
+    gone.close();
+    ChatFlow insistent = chats("c").bursts(List.of(Burst.builder().count(1).build())).build();
+    ChatFlow resending =
+        chats("r")
+            .bursts(List.of(Burst.builder().count(1).build()))
+            .resends(2)
+            .resendMillis(1)
+            .build();
+    RunResult result =
+        measure(
+            scenario(gone.address())
+                .endpoints(List.of(gone.address()))
+                .chats(List.of(insistent, resending)));
+
+    assertEquals(List.of(gone.address()), result.endpointsLost());
+    assertTrue(result.broken().contains("endpoints: 1 lost: [" + gone.address() + "]"));
+    assertEquals(List.of(), result.flows().get(0).resent());
+    assertEquals(List.of(new Count("unreachable", 2)), result.flows().get(1).resent());
+  }
+
   @Test
   void cancelledJobsMustStop() throws IOException {
     JobFlow cancelled = jobs("endless").cancelAfterMillis(100).build();
