--- a/bin/lib/fleet.sh
+++ b/bin/lib/fleet.sh
@@ -37,7 +37,7 @@
 fleet_pid() {
   local pid
   pid=$(cat "$run_dir/$1.pid" 2>/dev/null) || return 0
-  if tr '\0' ' ' < "/proc/$pid/cmdline" 2>/dev/null | grep -qF -- "$example_dir/$1.yaml"; then
+  if { tr '\0' ' ' < "/proc/$pid/cmdline"; } 2>/dev/null | grep -qF -- "$example_dir/$1.yaml"; then
     echo "$pid"
   fi
 }
