Name items in progress once a holder, and keep entries listed

Cause: a job stood still at 188 of 200 after an entry was killed. A steward named its items to each partition apart, and the holder passed that on to all of its partitions, which took their own items for gone. Besides, entries announced themselves once, so the list dropped each of them every ten seconds, and nobody told holders of lost stewards. Change: one message a holder, announcements every two seconds, and a lost steward's items are given out anew. A suspect's endpoint is kept for it on the own instance too, and waiting for a suspect ends at the deadline. Ruled out: the coordinator's timeout of ten seconds, which the repeated naming resets.

--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/batch/BatchPlane.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/batch/BatchPlane.java
@@ -121,15 +121,7 @@
       return report;
     }
     host.load(report);
-    return new LoadReport(
-        report.asOf(),
-        report.running(),
-        report.waiting(),
-        report.slots(),
-        report.kvUsedTokens(),
-        report.kvTotalTokens(),
-        report.tokensPerSecond(),
-        host.batchNow());
+    return report.withBatch(host.batchAt(report.asOf()));
   }
 
   /** Takes the number of own online requests in flight at an endpoint; on the loop. */
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/batch/ReportDesk.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/batch/ReportDesk.java
@@ -12,14 +12,13 @@
 import io.hawthornlb.core.job.ItemsSettled;
 import io.hawthornlb.core.job.JobIds;
 import io.hawthornlb.core.model.InstanceId;
-import io.hawthornlb.core.model.JobId;
-import io.hawthornlb.core.model.PartitionId;
 import io.hawthornlb.core.peer.PeerMessage;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 
@@ -35,7 +34,7 @@
   private final ClaimView claims;
   private final EffectSink effects;
   private final Map<ItemKey, PeerMessage> unsettled = new LinkedHashMap<>();
-  private final Set<PartitionId> named = new HashSet<>();
+  private final Set<InstanceId> named = new HashSet<>();
 
   ReportDesk(InstanceId self, ClaimView claims, EffectSink effects) {
     this.self = self;
@@ -55,21 +54,21 @@
     message.items().forEach(index -> unsettled.remove(new ItemKey(message.job(), index)));
   }
 
-  /** Sends reports again, and names to each holder what is in progress; once a second. */
+  /**
+   * Sends reports again, and names to each holder what is in progress; once a second.
+   *
+   * <p>A holder takes one message for all of its partitions: what is not named twice in a row it
+   * gives out anew. One message a partition would tell it each time that the items of its other
+   * partitions are gone, and they would run again.
+   */
   void repeat(Collection<ItemKey> inProgress) {
     unsettled.forEach(this::send);
-    Map<PartitionId, Set<ItemKey>> byPartition = new TreeMap<>();
-    named.forEach(id -> byPartition.put(id, new HashSet<>()));
-    inProgress.forEach(key -> add(byPartition, key));
-    unsettled.keySet().forEach(key -> add(byPartition, key));
+    Map<InstanceId, Set<ItemKey>> byHolder = new TreeMap<>();
+    named.forEach(holder -> byHolder.put(holder, new HashSet<>()));
+    inProgress.forEach(key -> add(byHolder, key));
+    unsettled.keySet().forEach(key -> add(byHolder, key));
     named.clear();
-    byPartition.forEach(
-        (id, keys) -> {
-          if (!keys.isEmpty()) {
-            named.add(id);
-          }
-          sendTo(id, new ItemsHeld(self, List.copyOf(keys)));
-        });
+    byHolder.forEach(this::name);
   }
 
   /** Returns whether every report is durable. */
@@ -82,22 +81,23 @@
     send(key, message);
   }
 
-  private static void add(Map<PartitionId, Set<ItemKey>> byPartition, ItemKey key) {
-    byPartition.computeIfAbsent(partition(key.job()), id -> new HashSet<>()).add(key);
+  private void name(InstanceId holder, Set<ItemKey> keys) {
+    if (!keys.isEmpty()) {
+      named.add(holder);
+    }
+    ItemsHeld message = new ItemsHeld(self, List.copyOf(keys));
+    effects.perform(List.of(new SendPeerMessage(holder, message)));
   }
 
-  private void send(ItemKey key, PeerMessage message) {
-    sendTo(partition(key.job()), message);
+  private void add(Map<InstanceId, Set<ItemKey>> byHolder, ItemKey key) {
+    holder(key).ifPresent(id -> byHolder.computeIfAbsent(id, none -> new HashSet<>()).add(key));
   }
 
-  private void sendTo(PartitionId id, PeerMessage message) {
-    claims
-        .current(id)
-        .map(Claim::holder)
-        .ifPresent(holder -> effects.perform(List.of(new SendPeerMessage(holder, message))));
+  private void send(ItemKey key, PeerMessage message) {
+    holder(key).ifPresent(holder -> effects.perform(List.of(new SendPeerMessage(holder, message))));
   }
 
-  private static PartitionId partition(JobId job) {
-    return JobIds.partition(job);
+  private Optional<InstanceId> holder(ItemKey key) {
+    return claims.current(JobIds.partition(key.job())).map(Claim::holder);
   }
 }
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/batch/StewardHost.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/batch/StewardHost.java
@@ -18,6 +18,7 @@
 import io.hawthornlb.net.endpoint.EndpointCallException;
 import io.hawthornlb.net.endpoint.EndpointClient;
 import io.hawthornlb.net.endpoint.EndpointFault;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -84,9 +85,9 @@
     perform(steward.onLoad(report, clock.instant()));
   }
 
-  /** Returns how many batch items the endpoint executes now. */
-  int batchNow() {
-    return running.size();
+  /** Returns how many batch items the endpoint executed at a time. */
+  int batchAt(Instant time) {
+    return steward.batchAt(time);
   }
 
   void tick() {
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/CoreOnlineDecisions.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/CoreOnlineDecisions.java
@@ -9,6 +9,7 @@
 import io.hawthornlb.core.admission.RefuseRequest;
 import io.hawthornlb.core.admission.StartRequest;
 import io.hawthornlb.core.effect.Effect;
+import io.hawthornlb.core.effect.SpreadPeerMessage;
 import io.hawthornlb.core.endpoint.Endpoint;
 import io.hawthornlb.core.endpoint.Observation;
 import io.hawthornlb.core.model.DataCentre;
@@ -20,6 +21,7 @@
 import io.hawthornlb.core.retry.Retry;
 import io.hawthornlb.core.routing.Route;
 import io.hawthornlb.core.routing.RouteRequest;
+import io.hawthornlb.core.suspect.QuarantineNotice;
 import io.hawthornlb.core.suspect.Verdict;
 import io.hawthornlb.net.endpoint.EndpointFault;
 import io.vavr.control.Either;
@@ -186,7 +188,7 @@
     if (verdict instanceof Verdict.Refused refused) {
       refuse(state, refused.refusal(), sink);
     } else if (verdict instanceof Verdict.Wait wait) {
-      loop.after(wait.delay(), () -> choose(request, sink));
+      waitForSuspect(state, wait, sink, now);
     } else if (verdict instanceof Verdict.Alone alone) {
       startAlone(state, alone.endpoint(), sink, now);
     } else {
@@ -194,6 +196,22 @@
     }
   }
 
+  private void waitForSuspect(
+      ActiveRequest state, Verdict.Wait wait, MonoSink<RoutedAttempt> sink, Instant now) {
+    OnlineRequest request = state.request();
+    if (now.plus(wait.delay()).isAfter(request.deadline())) {
+      refuse(
+          state,
+          Refusal.notRun(
+                  RefusalReason.DEADLINE_UNREACHABLE,
+                  "a request like this one runs alone until after the deadline")
+              .retryAfter(wait.delay()),
+          sink);
+      return;
+    }
+    loop.after(wait.delay(), () -> choose(request, sink));
+  }
+
   private Set<EndpointId> accepting(OnlineRequest request, Instant now) {
     return policies.endpoints().of(request.service().name()).stream()
         .filter(endpoint -> endpoint.accepts(now))
@@ -208,10 +226,23 @@
       refuse(state, noEndpoint("the endpoint has gone"), sink);
       return;
     }
-    effects.perform(policies.suspects().onAloneStarted(state.request().fingerprint(), target, now));
+    List<Effect> notices =
+        policies.suspects().onAloneStarted(state.request().fingerprint(), target, now);
+    quarantine(notices);
+    effects.perform(notices);
     start(state, target, endpoint.address(), true, sink, now);
   }
 
+  /** Keeps the endpoint for the suspect on this instance too; the notices only reach peers. */
+  private void quarantine(List<Effect> notices) {
+    for (Effect notice : notices) {
+      if (notice instanceof SpreadPeerMessage spread
+          && spread.message() instanceof QuarantineNotice quarantine) {
+        policies.endpoints().quarantine(quarantine.endpoint(), quarantine.until());
+      }
+    }
+  }
+
   private void startRouted(ActiveRequest state, MonoSink<RoutedAttempt> sink, Instant now) {
     OnlineRequest request = state.request();
     RouteRequest asked =
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/EntryProcess.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/EntryProcess.java
@@ -41,6 +41,7 @@
   private static final Duration CONTROL_TICK = Duration.ofMillis(250);
   private static final Duration REPORT_PAUSE = Duration.ofSeconds(1);
   private static final Duration DEMAND_PAUSE = Duration.ofSeconds(1);
+  private static final Duration ANNOUNCE_PAUSE = Duration.ofSeconds(2);
   private static final Duration LIST_PAUSE = Duration.ofSeconds(1);
   private static final Duration STOP_CHECK = Duration.ofMillis(50);
   private static final Duration HAND_OVER_TIME = Duration.ofSeconds(5);
@@ -67,6 +68,7 @@
   private final EntryServer server;
   private volatile boolean listKnown;
   private volatile boolean stopping;
+  private volatile boolean withdrawn;
 
   private EntryProcess(EntrySettings settings) {
     this.settings = settings;
@@ -213,25 +215,23 @@
     loop.every(CONTROL_TICK, this::updateCapacity);
     new InstanceListPoller(loop, instances, this::takeList, LIST_PAUSE).start();
     announce(ListedState.LIVE);
+    loop.every(ANNOUNCE_PAUSE, this::repeatAnnouncement);
   }
 
   private void takeList(InstanceList list) {
     Instant now = clock.instant();
     policies.endpoints().onList(list.processes(), list.asOf(), now);
+    Set<InstanceId> before = fleet.entries().keySet();
     fleet.update(list.processes());
+    before.stream()
+        .filter(entry -> !fleet.entries().containsKey(entry))
+        .forEach(partitions.hosts()::stewardLost);
     peers.update(list.processes());
     policies.shares().onEntries(fleet.entries(), now);
     control.onListed(fleet.entries().keySet());
-    if (!stopping && !listed(list)) {
-      announce(ListedState.LIVE);
-    }
     listKnown = true;
   }
 
-  private boolean listed(InstanceList list) {
-    return list.processes().stream().anyMatch(process -> process.id().equals(fleet.self().value()));
-  }
-
   private void updateCapacity() {
     policies.admission().onCatalogue(catalogue.current().catalogue());
     CapacityCount count = new CapacityCount(policies.endpoints());
@@ -244,6 +244,12 @@
                         service.name(), count.slots(service, clock.instant()), clock.instant()));
   }
 
+  private void repeatAnnouncement() {
+    if (!withdrawn) {
+      announce(stopping ? ListedState.LEAVING : ListedState.LIVE);
+    }
+  }
+
   private void announce(ListedState state) {
     instances
         .announce(
@@ -262,6 +268,7 @@
   }
 
   private void withdraw() {
+    withdrawn = true;
     try {
       instances
           .withdraw(fleet.self().value())
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/PartitionHosts.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/PartitionHosts.java
@@ -5,6 +5,7 @@
 import io.hawthornlb.core.claim.ClaimView;
 import io.hawthornlb.core.job.PullJobItems;
 import io.hawthornlb.core.job.ServiceBacklog;
+import io.hawthornlb.core.job.StewardLost;
 import io.hawthornlb.core.log.StreamName;
 import io.hawthornlb.core.model.InstanceId;
 import io.hawthornlb.core.model.PartitionId;
@@ -128,6 +129,11 @@
         .orElse(Instant.MAX);
   }
 
+  /** Takes notice that an entry is gone, so that its items are given out anew. */
+  public void stewardLost(InstanceId steward) {
+    all().forEach(host -> host.on(new StewardLost(steward)));
+  }
+
   /** Takes nothing new, and brings everything into the log. */
   public void drain() {
     all().forEach(PartitionHost::drain);
