--- a/hawthornlb-net/src/test/java/io/hawthornlb/net/peer/support/PeerTlsTest.java
+++ b/hawthornlb-net/src/test/java/io/hawthornlb/net/peer/support/PeerTlsTest.java
@@ -13,7 +13,9 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.hawthornlb.core.peer.PeerMessage;
 import io.hawthornlb.core.peer.PeerUnavailableException;
+import io.hawthornlb.net.peer.PeerOptions;
 import io.hawthornlb.net.tls.InvalidKeyFilesException;
 import io.hawthornlb.net.tls.PeerSecurity;
 import io.hawthornlb.net.tls.TlsFiles;
@@ -25,6 +27,7 @@
 import java.nio.file.StandardCopyOption;
 import java.time.Duration;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import org.junit.jupiter.api.AfterEach;
@@ -80,6 +83,27 @@
     assertEquals(new Pong(CLIENT, "a"), ask(client, SERVER, "a", LONG).join());
   }
 
+  // On a busy machine the TLS handshake takes longer than the time after which a silent connection
+  // is probed. The probe was queued behind the handshake and came before the hello, so the server
+  // closed the connection, each time anew, and the peer stayed out of reach.
+  @Test
+  void slowHandshakesAreNotProbed() throws Exception {
+    NettyPeerServer server = fixture.server(serverKeys());
+    ForwardingProxy proxy = fixture.keep(new ForwardingProxy(server.address()));
+    proxy.hold();
+    Duration probe = Duration.ofMillis(20);
+    PeerOptions options = FAST.withProbes(probe, LONG);
+    NettyPeerClient client =
+        fixture.client(TestKeys.security("entry-1", "trust"), options, proxy.address());
+
+    CompletableFuture<PeerMessage> request = ask(client, SERVER, "a", LONG);
+    Thread.sleep(probe.toMillis() * 10);
+    proxy.release();
+
+    assertEquals(new Pong(CLIENT, "a"), request.join());
+    assertEquals(1, proxy.connections());
+  }
+
   @Test
   void refusesClientsWithoutTls() {
     assertRefused(new PlainPeerSecurity(), serverKeys());
