--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/command/LoadCommand.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/command/LoadCommand.java
@@ -2,7 +2,6 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
-import io.hawthornlb.standin.load.InvalidScenarioException;
 import io.hawthornlb.standin.support.InvalidSettingsException;
 import java.nio.file.Path;
 import java.util.Objects;
@@ -31,7 +30,7 @@
     boolean right;
     try {
       right = launcher.run(Objects.requireNonNull(scenario), Objects.requireNonNull(out));
-    } catch (InvalidSettingsException | InvalidScenarioException e) {
+    } catch (InvalidSettingsException e) {
       throw CommandFailedException.wrongCall(e.getMessage());
     }
     if (!right) {
