Look at pids before answers when a fleet starts, and log outages as such

Two fleets were started on the same ports of one machine: the second took the answers of the first for its own and its entries announced themselves to the other's platform under the same names. Now a process must run before its answer counts, and the message names the likely cause.

The follower of a stream logged 'stopped following' at each failed read while it went on: whenCompleteAsync hands the failure on after it was handled. handleAsync does not; the eight tests of the follower pass as before.

--- a/bin/lib/fleet.sh
+++ b/bin/lib/fleet.sh
@@ -37,7 +37,7 @@
 fleet_pid() {
   local pid
   pid=$(cat "$run_dir/$1.pid" 2>/dev/null) || return 0
-  if tr '\0' ' ' < "/proc/$pid/cmdline" 2>/dev/null | grep -qF -- "$example_dir/$1.yaml"; then
+  if { tr '\0' ' ' < "/proc/$pid/cmdline"; } 2>/dev/null | grep -qF -- "$example_dir/$1.yaml"; then
     echo "$pid"
   fi
 }
@@ -82,9 +82,10 @@
 fleet_wait() {
   local name=$1 url deadline=$((SECONDS + FLEET_START_SECONDS))
   url=$(fleet_health "$name" "$2")
-  until fleet_answers "$url"; do
+  # The pid is looked at first: another fleet on the same ports would answer in its place.
+  until [ -n "$(fleet_pid "$name")" ] && fleet_answers "$url"; do
     if [ -z "$(fleet_pid "$name")" ]; then
-      echo "$name ended:" >&2
+      echo "$name ended; is another fleet on its ports?" >&2
       tail -5 "$run_dir/$name.log" >&2
       return 1
     fi
--- a/hawthornlb-net/src/main/java/io/hawthornlb/net/platform/support/StreamFollower.java
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/platform/support/StreamFollower.java
@@ -106,8 +106,12 @@
     }
     Instant asked = clock.instant();
     read()
-        .whenCompleteAsync(
-            (page, failure) -> answered(asked, page, failure, failures), foldExecutor)
+        .handleAsync(
+            (page, failure) -> {
+              answered(asked, page, failure, failures);
+              return null;
+            },
+            foldExecutor)
         .exceptionally(this::stopped);
   }
 
@@ -186,12 +190,13 @@
 
   private void askPeers(int failures) {
     readMissed()
-        .whenCompleteAsync(
+        .handleAsync(
             (page, failure) -> {
               if (page != null) {
                 applyMissed(page.records());
               }
               pollLater(failures);
+              return null;
             },
             foldExecutor)
         .exceptionally(this::stopped);
