--- a/hawthornlb-net/src/test/java/io/hawthornlb/net/platform/support/StreamFollowerTest.java
+++ b/hawthornlb-net/src/test/java/io/hawthornlb/net/platform/support/StreamFollowerTest.java
@@ -16,10 +16,14 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 import java.util.stream.IntStream;
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
@@ -88,6 +92,32 @@
     awaitNumbers(fold, range(0, 4));
   }
 
+  // During an outage the log of every entry was full of "stopped following" although all went on,
+  // and an operator restarted the fleet while the platform was away: a handled failure was handed
+  // on to the stage that reports the unhandled ones.
+  @Test
+  void outagesAreNotLoggedAsAnEnd() throws Exception {
+    List<String> messages = new CopyOnWriteArrayList<>();
+    Logger logger = Logger.getLogger(StreamFollower.class.getName());
+    Handler handler = new MessageCollector(messages);
+    logger.addHandler(handler);
+    try {
+      appendNotes(0, 2);
+      follower.start();
+      awaitNumbers(fold, range(0, 2));
+      awaitKnown(follower);
+      platform.down = true;
+      Awaitility.await().until(() -> isStale(follower));
+      platform.down = false;
+      appendNotes(2, 4);
+      awaitNumbers(fold, range(0, 4));
+    } finally {
+      logger.removeHandler(handler);
+    }
+
+    assertTrue(messages.stream().noneMatch(m -> m.contains("stopped following")), "" + messages);
+  }
+
   @Test
   void leavesAConnectionThatHasGoneSilent() throws Exception {
     appendNotes(0, 2);
@@ -230,4 +260,24 @@
   private static List<Integer> range(int from, int to) {
     return IntStream.range(from, to).boxed().toList();
   }
+
+  private static final class MessageCollector extends Handler {
+
+    private final List<String> messages;
+
+    private MessageCollector(List<String> messages) {
+      this.messages = messages;
+    }
+
+    @Override
+    public void publish(LogRecord event) {
+      messages.add(event.getMessage());
+    }
+
+    @Override
+    public void flush() {}
+
+    @Override
+    public void close() {}
+  }
 }
