--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/command/EntryCommandsTest.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/command/EntryCommandsTest.java
@@ -116,7 +116,7 @@
     assertEquals(ExitCode.OK, run(call + "2026-12-02T18:00:00Z"));
     assertEquals("accepted as job j-1\n", hawthornlb.results());
     assertEquals("k", entry.lastCall().header("Idempotency-key"));
-    assertEquals("2026-12-02T18:00:00Z", entry.lastCall().header("X-due-at"));
+    assertEquals("2026-12-02T18:00:00Z", entry.lastCall().header("Due"));
     assertEquals("Bearer from-file", entry.lastCall().header("Authorization"));
     assertEquals("{\"custom_id\":\"a\"}\n", entry.lastCall().body());
 
@@ -136,10 +136,10 @@
   @Test
   void showsAndCancelsJobs() {
     String status =
-        "{\"id\":\"j-1\",\"phase\":\"running\",\"items\":9,\"completed\":3,\"failed\":1,"
-            + "\"due\":\"2026-12-02T18:00:00Z\"}";
+        "{\"id\":\"j-1\",\"status\":\"running\",\"due\":\"2026-12-02T18:00:00Z\","
+            + "\"counts\":{\"total\":9,\"completed\":3,\"failed\":1,\"cancelled\":0}}";
     entry.answer("GET /v1/jobs/j-1", 200, status);
-    entry.answer("POST /v1/jobs/j-1/cancel", 200, "{\"id\":\"j-1\",\"phase\":\"cancelled\"}");
+    entry.answer("POST /v1/jobs/j-1/cancel", 200, "{\"id\":\"j-1\",\"status\":\"cancelled\"}");
 
     assertEquals(ExitCode.OK, run("job status j-1"));
     assertEquals(
