--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/TestFleet.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/TestFleet.java
@@ -26,6 +26,7 @@
 import io.hawthornlb.standin.service.ServiceSettings;
 import io.hawthornlb.standin.service.ServiceStandin;
 import io.hawthornlb.standin.support.StandinIdentity;
+import java.io.InputStream;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -34,6 +35,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.awaitility.Awaitility;
@@ -81,6 +83,12 @@
     return entry;
   }
 
+  /** Stops an entry gracefully. */
+  void stop(EntryProcess entry) {
+    entries.remove(entry);
+    entry.close();
+  }
+
   /** Lets the platform answer every call with 503 until the fleet ends. */
   void platformDown() {
     HttpRequest fault =
@@ -145,6 +153,10 @@
     return URI.create("http://" + LOOPBACK + ":" + entry.port() + path);
   }
 
+  CompletableFuture<HttpResponse<InputStream>> stream(HttpRequest request) {
+    return http.sendAsync(request, HttpResponse.BodyHandlers.ofInputStream());
+  }
+
   HttpResponse<String> send(HttpRequest request) {
     try {
       return http.send(request, HttpResponse.BodyHandlers.ofString());
