Let an entry start while the platform is away

Cause: an entry that starts in an outage knew neither endpoints nor peers: the list of instances came from the platform only, and the peers of the settings were known by a name that no start of them answers to. Change: a first list comes from a peer where the platform gives none; a peer named by the settings may be any start of it, and stays known while a list lacks it. The limit of requests and the reload of key files, which the settings promise, are in force. Ruled out: readiness without a list; the balancer would send callers to refusals.

--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/CoreOnlineDecisions.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/CoreOnlineDecisions.java
@@ -49,6 +49,7 @@
   private final EffectSink effects;
   private final RequestObserver observer;
   private final DataCentre dataCentre;
+  private final int mostRequests;
   private final InstantSource clock;
   private final Map<RequestId, MonoSink<Void>> waiting = new HashMap<>();
   private final Map<RequestId, ActiveRequest> active = new HashMap<>();
@@ -62,6 +63,7 @@
       EffectSink effects,
       RequestObserver observer,
       DataCentre dataCentre,
+      int mostRequests,
       InstantSource clock) {
     this.loop = loop;
     this.policies = policies;
@@ -69,6 +71,7 @@
     this.effects = effects;
     this.observer = observer;
     this.dataCentre = dataCentre;
+    this.mostRequests = mostRequests;
     this.clock = clock;
   }
 
@@ -153,6 +156,13 @@
                   .retryAfter(COME_BACK)));
       return;
     }
+    if (active.size() >= mostRequests) {
+      sink.error(
+          new RefusalException(
+              Refusal.notRun(RefusalReason.LIMIT_EXCEEDED, "this instance has too many requests")
+                  .retryAfter(COME_BACK)));
+      return;
+    }
     Instant now = clock.instant();
     active.put(request.id(), new ActiveRequest(request, now));
     AdmissionDecision decision = policies.admission().offer(admissionRequest(request), now);
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/EntryProcess.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/EntryProcess.java
@@ -58,6 +58,7 @@
   private final HttpInstanceListClient instances;
   private final LogAccess log;
   private final PeerMesh peers;
+  private final PeerInstanceList peerList;
   private final OnlinePolicies policies;
   private final CoreOnlineDecisions decisions;
   private final ControlPlane control;
@@ -77,6 +78,7 @@
     this.instances = new HttpInstanceListClient(settings.platform().uri());
     this.log = new LogAccess(settings.platform().uri(), loop, clock);
     this.peers = new PeerMesh(settings, fleet, PeerMessageTypes.codec());
+    this.peerList = new PeerInstanceList(instances, peers.transport());
     this.policies = PolicyFactory.create(self, fleet.dataCentre());
     EffectSink effects = new OutwardEffects(log, peers, loop);
     CrashDetector crashes = new ProbingCrashDetector(endpoints);
@@ -134,6 +136,11 @@
     return server.port();
   }
 
+  /** Returns host and port for peers. */
+  public String peerAddress() {
+    return peers.listeningAddress();
+  }
+
   /** Returns the catalogue in force on this instance. */
   public CatalogueHolder catalogue() {
     return catalogue;
@@ -164,7 +171,14 @@
 
   private CoreOnlineDecisions decisions(EffectSink effects, CrashDetector crashes) {
     return new CoreOnlineDecisions(
-        loop, policies, crashes, effects, new RequestMeters(meters), fleet.dataCentre(), clock);
+        loop,
+        policies,
+        crashes,
+        effects,
+        new RequestMeters(meters),
+        fleet.dataCentre(),
+        settings.limits().requests(),
+        clock);
   }
 
   private boolean idle() {
@@ -176,6 +190,7 @@
     exchange.register(handlers);
     partitions.register(handlers);
     batch.register(handlers);
+    handlers.register(InstanceListRequest.class, peerList);
     handlers.register(MissedRecordsRequest.class, new MissedRecordsHandler(log));
     peers.start(handlers, loop);
   }
@@ -213,7 +228,7 @@
     loop.every(CONTROL_TICK, control::tick);
     loop.every(CONTROL_TICK, watch::poll);
     loop.every(CONTROL_TICK, this::updateCapacity);
-    new InstanceListPoller(loop, instances, this::takeList, LIST_PAUSE).start();
+    new InstanceListPoller(loop, peerList, this::takeList, LIST_PAUSE).start();
     announce(ListedState.LIVE);
     loop.every(ANNOUNCE_PAUSE, this::repeatAnnouncement);
   }
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/PeerMesh.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/PeerMesh.java
@@ -2,9 +2,7 @@
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import io.hawthornlb.app.settings.EntrySettings;
-import io.hawthornlb.app.settings.KnownPeer;
 import io.hawthornlb.app.settings.PeerSettings;
-import io.hawthornlb.app.settings.TlsMode;
 import io.hawthornlb.app.settings.TlsSettings;
 import io.hawthornlb.core.claim.RendezvousHash;
 import io.hawthornlb.core.effect.SpreadScope;
@@ -18,7 +16,6 @@
 import io.hawthornlb.net.peer.PeerClient;
 import io.hawthornlb.net.peer.PeerHandlerRegistry;
 import io.hawthornlb.net.peer.PeerNode;
-import io.hawthornlb.net.peer.PeerOptions;
 import io.hawthornlb.net.peer.PeerServer;
 import io.hawthornlb.net.peer.support.NearbyPeerSelector;
 import io.hawthornlb.net.peer.support.NettyPeerClient;
@@ -50,6 +47,7 @@
   private final MessagePackCodec<PeerMessage> codec;
   private final EventLoopGroup eventLoops = new NioEventLoopGroup(THREADS);
   private final PeerNode node;
+  private final KnownEntries known;
   private final PeerClient client;
   private final InetSocketAddress address;
   private @Nullable PeerServer server;
@@ -62,11 +60,13 @@
     this.codec = codec;
     PeerSettings peers = settings.peers();
     this.node =
-        new PeerNode(fleet.self(), codec, security(peers.tls()), options(peers), eventLoops);
+        new PeerNode(
+            fleet.self(), codec, security(peers.tls(), eventLoops), peers.options(), eventLoops);
+    this.known = new KnownEntries(peers.knownProcesses());
     this.client =
         new NettyPeerClient(
             node,
-            peers.known().stream().map(KnownPeer::listed).toList(),
+            peers.knownProcesses(),
             new NearbyPeerSelector(fleet.self(), fleet.dataCentre(), CONNECTED_PEERS),
             new SharedRandom());
     this.address = new InetSocketAddress(peers.address().host(), peers.address().port());
@@ -105,7 +105,7 @@
 
   /** Takes the entries that the platform lists. */
   public void update(List<ListedProcess> processes) {
-    client.updatePeers(processes);
+    client.updatePeers(known.complete(processes));
   }
 
   /**
@@ -165,19 +165,14 @@
         .or(() -> ranked.stream().findFirst());
   }
 
-  private static PeerOptions options(PeerSettings peers) {
-    return PeerOptions.DEFAULT
-        .withProbes(peers.probe(), peers.silence())
-        .withFrameLimit(peers.frameLimit());
-  }
-
-  private static PeerSecurity security(TlsSettings tls) {
-    if (tls.mode() == TlsMode.PLAIN) {
+  private static PeerSecurity security(TlsSettings tls, EventLoopGroup timer) {
+    Optional<TlsFiles> files = tls.files();
+    if (files.isEmpty()) {
       return new PlainPeerSecurity();
     }
-    return new MutualTlsPeerSecurity(
-        new TlsFiles(
-            tls.certificate().orElseThrow(), tls.key().orElseThrow(), tls.trust().orElseThrow()));
+    MutualTlsPeerSecurity security = new MutualTlsPeerSecurity(files.get());
+    security.reloadEvery(tls.reload(), timer.next());
+    return security;
   }
 
   /** Draws from the generator of the calling thread. */
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/PeerMessageTypes.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/PeerMessageTypes.java
@@ -32,6 +32,8 @@
             .register("load", LoadNotice.class)
             .register("cache", CacheNotice.class)
             .register("backlog", BacklogNotice.class)
+            .register("instance-list", InstanceListRequest.class)
+            .register("instance-list-answer", InstanceListAnswer.class)
             .register("relayed", RelayedMessage.class)
             .register("missed-records", MissedRecordsRequest.class)
             .register("missed-records-answer", MissedRecordsAnswer.class)
--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/EntryFleetTest.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/EntryFleetTest.java
@@ -5,6 +5,7 @@
 
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -63,8 +64,8 @@
     assertTrue(answer.body().contains("tester"), answer.body());
   }
 
-  // The platform goes away after the fleet has started: callers go on being served, and an entry
-  // that starts meanwhile learns the catalogue from its peer.
+  // The platform goes away after the fleet has started: callers go on being served by what each
+  // entry has folded.
   @Test
   void requestsAreServedWhileThePlatformIsAway() {
     fleet.awaitReady(first);
@@ -75,4 +76,17 @@
     assertEquals(200, fleet.send(TestFleet.chat(first, ASK)).statusCode());
     assertEquals(200, fleet.send(TestFleet.chat(second, ASK)).statusCode());
   }
+
+  // An entry is restarted while the platform is away. Without its peers it would know neither the
+  // catalogue nor an endpoint, and refuse every caller that the balancer sends to it.
+  @Test
+  void entryThatStartsWhileThePlatformIsAwayLearnsFromItsPeers() {
+    fleet.awaitReady(first);
+    fleet.platformDown();
+
+    EntryProcess third = fleet.addEntry("entry-3", List.of(TestFleet.known("entry-1", first)));
+
+    fleet.awaitReady(third);
+    assertEquals(200, fleet.send(TestFleet.chat(third, ASK)).statusCode());
+  }
 }
--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/TestFleet.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/TestFleet.java
@@ -6,6 +6,7 @@
 import io.hawthornlb.app.settings.EntrySettings;
 import io.hawthornlb.app.settings.HttpSettings;
 import io.hawthornlb.app.settings.InstanceSettings;
+import io.hawthornlb.app.settings.KnownPeer;
 import io.hawthornlb.app.settings.NetworkAddress;
 import io.hawthornlb.app.settings.PeerSettings;
 import io.hawthornlb.app.settings.PlatformSettings;
@@ -78,7 +79,12 @@
   }
 
   EntryProcess addEntry(String id) {
-    EntryProcess entry = EntryProcess.start(entrySettings(id));
+    return addEntry(id, List.of());
+  }
+
+  /** Adds an entry that knows others from its settings. */
+  EntryProcess addEntry(String id, List<KnownPeer> known) {
+    EntryProcess entry = EntryProcess.start(entrySettings(id, known));
     entries.add(entry);
     return entry;
   }
@@ -209,7 +215,15 @@
         .build();
   }
 
-  private EntrySettings entrySettings(String id) {
+  /** Returns an entry as the settings of another one name it. */
+  static KnownPeer known(String id, EntryProcess entry) {
+    String address = entry.peerAddress();
+    int port = Integer.parseInt(address.substring(address.indexOf(':') + 1));
+    return new KnownPeer(
+        new InstanceId(id), new DataCentre(DATA_CENTRE), new NetworkAddress(LOOPBACK, port));
+  }
+
+  private EntrySettings entrySettings(String id, List<KnownPeer> known) {
     return EntrySettings.builder(
             new InstanceSettings(new InstanceId(id), new DataCentre(DATA_CENTRE)),
             new HttpSettings(new NetworkAddress(LOOPBACK, 0), HttpSettings.DEFAULT_BODY_LIMIT),
@@ -219,7 +233,7 @@
                 PeerSettings.DEFAULT_PROBE,
                 PeerSettings.DEFAULT_SILENCE,
                 1 << 20,
-                List.of()),
+                known),
             new PlatformSettings(
                 new NetworkAddress(LOOPBACK, platform.port()), PlatformSettings.DEFAULT_TIMEOUT))
         .operatorKeyHashes(List.of(CatalogueIndex.hash(OPERATOR_KEY)))
--- a/hawthornlb-net/src/main/java/io/hawthornlb/net/peer/support/PeerLink.java
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/peer/support/PeerLink.java
@@ -187,10 +187,12 @@
    * Checks who answered.
    *
    * <p>Instances are replaced at any time and addresses used again: messages for a gone instance
-   * would reach its successor, which would answer from another state.
+   * would reach its successor, which would answer from another state. A peer that is known by the
+   * name of its settings only, before the platform's list has come, may be any start of it.
    */
   private void greeted(InstanceId sender) {
-    if (sender.equals(peer)) {
+    boolean startOfName = peer.value().equals(sender.stableName());
+    if (sender.equals(peer) || startOfName) {
       fire(LinkEvent.GREETED);
     } else {
       lost(channel, "another instance, " + sender + ", answers at " + address);
