Read the log in small pages and answer run-once calls without waiting for a tick

Cause: found by the first load on the full fleet. Pages of 500 records hold up to 14 MB of job chunks; several at once exceeded the direct memory of entries (48 MiB) and the heap of the platform stand-in (128 MiB), which ended. Check-ins took 125 to 191 ms at the median, because the witnesses' answers waited for a tick of 50 ms, several times a call. Each engine had an event loop group of its own for streams. Ruled out: more direct memory for entries, which only moves the limit.

--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/batch/BatchPlane.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/batch/BatchPlane.java
@@ -231,8 +231,9 @@
             error ->
                 LOG.log(
                     System.Logger.Level.WARNING,
-                    "batch: items of partition {0} cannot be read now",
-                    message.partition().value()));
+                    "batch: items of partition {0} cannot be read now: {1}",
+                    message.partition().value(),
+                    error.getMessage()));
   }
 
   private void cancelled(ItemsCancelled message) {
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/EntryProcess.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/EntryProcess.java
@@ -38,6 +38,7 @@
 
   private static final System.Logger LOG = System.getLogger(EntryProcess.class.getName());
   private static final Duration TICK = Duration.ofMillis(50);
+  private static final Duration RUN_ONCE_TICK = Duration.ofMillis(5);
   private static final Duration CONTROL_TICK = Duration.ofMillis(250);
   private static final Duration REPORT_PAUSE = Duration.ofSeconds(1);
   private static final Duration DEMAND_PAUSE = Duration.ofSeconds(1);
@@ -220,6 +221,7 @@
     control.onClaims(partitions.hosts()::followClaims);
     loop.every(TICK, decisions::tick);
     loop.every(TICK, partitions::tick);
+    loop.every(RUN_ONCE_TICK, partitions.hosts()::tickRunOnce);
     loop.every(TICK, batch::tick);
     loop.every(CONTROL_TICK, batch::sendBacklogs);
     loop.every(REPORT_PAUSE, batch::repeatReports);
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/LogAccess.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/LogAccess.java
@@ -9,6 +9,7 @@
 import io.hawthornlb.net.platform.LogClient;
 import io.hawthornlb.net.platform.MissedRecordSource;
 import io.hawthornlb.net.platform.RecordListener;
+import io.hawthornlb.net.platform.support.FollowerSettings;
 import io.hawthornlb.net.platform.support.GroupingLogWriter;
 import io.hawthornlb.net.platform.support.HttpPlatformLogClient;
 import io.hawthornlb.net.platform.support.RecentRecords;
@@ -17,6 +18,7 @@
 import io.hawthornlb.net.platform.support.StreamFollower;
 import io.hawthornlb.net.platform.support.WriterSettings;
 import java.net.URI;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Map;
 import java.util.Optional;
@@ -32,6 +34,20 @@
   private static final int KEPT_RECORDS = 4_000;
   private static final long KEPT_BYTES = 2 << 20;
 
+  /**
+   * Small pages: a record holds up to 48 KiB of items.
+   *
+   * <p>Pages of hundreds of them exceed the direct memory of a small instance, which shows as a
+   * follower whose reads all fail while the platform is well.
+   */
+  private static final FollowerSettings PAGES =
+      new FollowerSettings(
+          32,
+          Duration.ofSeconds(1),
+          Duration.ofMillis(20),
+          Duration.ofMillis(100),
+          Duration.ofSeconds(2));
+
   private final HttpPlatformLogClient client;
   private final RecordCodec codec;
   private final ScheduledExecutorService timers;
@@ -83,6 +99,7 @@
             .executors(loop, timers)
             .clock(clock)
             .random(new SplittableRandom())
+            .settings(PAGES)
             .missed(missed)
             .recent(kept)
             .listener(
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/JobUpload.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/JobUpload.java
@@ -32,7 +32,7 @@
   private static final String SOURCE = "body";
   private static final String CHAT_URL = "/v1/chat/completions";
   private static final int CHUNK_ITEMS = 500;
-  private static final int CHUNK_CHARACTERS = 128 << 10;
+  private static final int CHUNK_CHARACTERS = 48 << 10;
   private static final int MOST_ITEMS = 200_000;
   private static final int MOST_FINDINGS = 100;
 
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/PartitionHost.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/PartitionHost.java
@@ -24,6 +24,7 @@
 import io.hawthornlb.core.runonce.support.DefaultRunOnceCoordinator;
 import io.hawthornlb.core.runonce.support.RunOnceFold;
 import io.hawthornlb.net.platform.support.StreamFollower;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
@@ -31,6 +32,8 @@
 /** One partition that this instance folds, as its holder or as a reader; used on the loop. */
 final class PartitionHost implements AutoCloseable {
 
+  private static final Duration BUSY_AFTER_EVENT = Duration.ofMillis(500);
+
   private final PartitionId id;
   private final PartitionEffects effects;
   private final PartitionContext context;
@@ -42,6 +45,7 @@
   private final StreamFollower follower;
   private Optional<Claim> claim = Optional.empty();
   private Instant lastUse;
+  private Instant lastRunOnce = Instant.MIN;
 
   /** Begins to fold a stream at the first offset that the platform retains. */
   PartitionHost(
@@ -134,9 +138,19 @@
   }
 
   void on(RunOnceEvent event) {
+    if (!(event instanceof RunOnceTick || event instanceof RunOnceAdvanced)) {
+      lastRunOnce = context.clock().instant();
+    }
     effects.perform(this, runOnce.on(event, context.clock().instant()));
   }
 
+  /** Lets run-once requests go on, if there was one lately. */
+  void tickRunOnce() {
+    if (context.clock().instant().isBefore(lastRunOnce.plus(BUSY_AFTER_EVENT))) {
+      on(new RunOnceTick());
+    }
+  }
+
   void tick() {
     List<Effect> due = held.tick(context.clock().instant());
     effects.perform(this, due);
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/PartitionHosts.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/PartitionHosts.java
@@ -74,6 +74,11 @@
     closeUnused();
   }
 
+  /** Lets run-once requests go on; every few milliseconds. */
+  public void tickRunOnce() {
+    hosts.values().forEach(PartitionHost::tickRunOnce);
+  }
+
   /** Returns the host of a partition that this instance holds. */
   public Optional<PartitionHost> holding(PartitionId id) {
     return Optional.ofNullable(hosts.get(id)).filter(PartitionHost::claimed);
--- a/hawthornlb-net/src/main/java/io/hawthornlb/net/endpoint/support/HttpEndpointClient.java
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/endpoint/support/HttpEndpointClient.java
@@ -21,9 +21,7 @@
 import io.micronaut.http.sse.Event;
 import io.netty.channel.ConnectTimeoutException;
 import java.net.ConnectException;
-import java.net.MalformedURLException;
 import java.net.NoRouteToHostException;
-import java.net.URL;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.EnumMap;
@@ -32,7 +30,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeoutException;
 import org.jspecify.annotations.Nullable;
 import reactor.core.publisher.Flux;
@@ -42,7 +39,8 @@
  * Calls endpoints with the HTTP client of the framework.
  *
  * <p>Each kind of traffic has connections of its own, so that an online request never waits behind
- * a batch item for a connection.
+ * a batch item for a connection. The threads are those of the kinds, however many endpoints there
+ * are.
  */
 public final class HttpEndpointClient implements EndpointClient {
 
@@ -62,7 +60,7 @@
           "host");
 
   private final Map<TrafficKind, HttpClient> clients = new EnumMap<>(TrafficKind.class);
-  private final Map<String, SseClient> streamClients = new ConcurrentHashMap<>();
+  private final Map<TrafficKind, SseClient> streamClients = new EnumMap<>(TrafficKind.class);
   private final EndpointClientSettings settings;
 
   /** Creates a client without any connection. */
@@ -70,6 +68,7 @@
     this.settings = settings;
     for (TrafficKind kind : TrafficKind.values()) {
       clients.put(kind, HttpClient.create(null, configuration()));
+      streamClients.put(kind, SseClient.create(null, configuration()));
     }
   }
 
@@ -86,7 +85,7 @@
   @Override
   public Flux<String> events(EndpointCall call, Duration silence) {
     MutableHttpRequest<byte[]> request = request(call);
-    return Flux.from(streamClient(call).eventStream(request, String.class))
+    return Flux.from(streamClients.get(call.kind()).eventStream(request, String.class))
         .map(Event::getData)
         .timeout(silence)
         .onErrorMap(error -> failure(call, error));
@@ -113,21 +112,6 @@
     return configuration;
   }
 
-  private SseClient streamClient(EndpointCall call) {
-    String key = call.kind() + " " + call.address();
-    return streamClients.computeIfAbsent(
-        key, ignored -> SseClient.create(url(call.address()), configuration()));
-  }
-
-  private static URL url(String address) {
-    try {
-      return new URL("http://" + address);
-    } catch (MalformedURLException e) {
-      throw new EndpointCallException(
-          EndpointFault.NOT_SENT, "endpoint address " + address + " is no host and port", e);
-    }
-  }
-
   private static MutableHttpRequest<byte[]> request(EndpointCall call) {
     String uri = "http://" + call.address() + call.uri();
     HttpMethod method = HttpMethod.parse(call.method());
