Keep one source of record ids, one digest and one way to cancel a stream

Cause: read as a newcomer: two types numbered records (log and partition), the upload of a job digested its items beside the digest that the core has, and three places spelled the same cancel call to an engine, with two timeouts. Change: the source of the log package serves all; ContentDigest hashes items, with the length of each text in place of a separator; EngineStreams names streams and cancels. Ruled out: an interface for record ids; there is one implementation.

--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/batch/ItemExecution.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/batch/ItemExecution.java
@@ -7,6 +7,7 @@
 import io.hawthornlb.net.endpoint.EndpointCallException;
 import io.hawthornlb.net.endpoint.EndpointClient;
 import io.hawthornlb.net.endpoint.EndpointFault;
+import io.hawthornlb.net.endpoint.EngineStreams;
 import io.hawthornlb.net.endpoint.HeaderField;
 import io.hawthornlb.net.endpoint.TrafficKind;
 import java.nio.charset.StandardCharsets;
@@ -21,7 +22,6 @@
 final class ItemExecution {
 
   private static final Duration SILENCE = Duration.ofSeconds(30);
-  private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(2);
 
   private final EndpointClient endpoints;
   private final ObjectMapper mapper;
@@ -57,10 +57,7 @@
 
   /** Cuts the execution short; the endpoint keeps what it has generated. */
   void cancel() {
-    endpoints
-        .exchange(
-            EndpointCall.bare(address, "DELETE", streamUri(), TrafficKind.CONTROL), CONTROL_TIMEOUT)
-        .subscribe(answer -> {}, error -> {});
+    EngineStreams.cancel(endpoints, address, work.requestId());
     subscription.dispose();
   }
 
@@ -80,8 +77,7 @@
   }
 
   private Flux<String> resumed() {
-    EndpointCall call =
-        EndpointCall.bare(address, "GET", streamUri() + "?from=0", TrafficKind.BATCH);
+    EndpointCall call = EngineStreams.resume(address, work.requestId(), 0, TrafficKind.BATCH);
     return endpoints
         .events(call, SILENCE)
         .onErrorResume(
@@ -112,8 +108,4 @@
       throw new IllegalArgumentException("the body of an accepted item is no JSON", e);
     }
   }
-
-  private String streamUri() {
-    return "/v1/streams/" + work.requestId();
-  }
 }
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/dispatch/ChatDispatcher.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/dispatch/ChatDispatcher.java
@@ -7,6 +7,7 @@
 import io.hawthornlb.net.endpoint.EndpointCallException;
 import io.hawthornlb.net.endpoint.EndpointClient;
 import io.hawthornlb.net.endpoint.EndpointFault;
+import io.hawthornlb.net.endpoint.EngineStreams;
 import io.hawthornlb.net.endpoint.HeaderField;
 import io.hawthornlb.net.endpoint.TrafficKind;
 import io.hawthornlb.net.endpoint.WholeAnswer;
@@ -25,7 +26,6 @@
   private static final int SERVICE_UNAVAILABLE = 503;
   private static final int TOO_MANY_REQUESTS = 429;
   private static final Duration LONGEST_TOKEN_TIME = Duration.ofMillis(200);
-  private static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(1);
 
   private final AttemptRunner runner;
   private final OnlineDecisions decisions;
@@ -112,12 +112,7 @@
   }
 
   private void cancelAtEngine(RoutedAttempt attempt) {
-    String uri = "/v1/streams/" + attempt.request().id();
-    endpoints
-        .exchange(
-            EndpointCall.bare(attempt.address(), "DELETE", uri, TrafficKind.CONTROL),
-            CANCEL_TIMEOUT)
-        .subscribe(answer -> {}, error -> {});
+    EngineStreams.cancel(endpoints, attempt.address(), attempt.request().id().value());
   }
 
   private OnlineRequest request(ChatCall call) {
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/dispatch/StreamSession.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/dispatch/StreamSession.java
@@ -9,6 +9,7 @@
 import io.hawthornlb.net.endpoint.EndpointCallException;
 import io.hawthornlb.net.endpoint.EndpointClient;
 import io.hawthornlb.net.endpoint.EndpointFault;
+import io.hawthornlb.net.endpoint.EngineStreams;
 import io.hawthornlb.net.endpoint.TrafficKind;
 import java.time.Duration;
 import java.util.concurrent.ArrayBlockingQueue;
@@ -36,7 +37,6 @@
   private static final int BUFFERED_EVENTS = 4_096;
   private static final int RESUMES_WITHOUT_PROGRESS = 3;
   private static final Duration SHORTEST_SILENCE = Duration.ofSeconds(2);
-  private static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(1);
 
   private final OnlineRequest request;
   private final ChatCall call;
@@ -154,10 +154,10 @@
    * endpoint still has the stream, and tokens that arrive twice are dropped by their number.
    */
   private Flux<String> resume(RoutedAttempt current) {
-    String uri = "/v1/streams/" + request.id() + "?from=" + nextToken;
-    return whole(
-        endpoints.events(
-            EndpointCall.bare(current.address(), "GET", uri, TrafficKind.ONLINE), silence()));
+    EndpointCall rest =
+        EngineStreams.resume(
+            current.address(), request.id().value(), nextToken, TrafficKind.ONLINE);
+    return whole(endpoints.events(rest, silence()));
   }
 
   private void publish(String data) {
@@ -201,21 +201,12 @@
     upstream.dispose();
     RoutedAttempt current = attempt;
     if (current != null) {
-      cancelAtEngine(current);
+      EngineStreams.cancel(endpoints, current.address(), request.id().value());
       decisions.cancelled(current);
     }
     decisions.finished(request);
   }
 
-  private void cancelAtEngine(RoutedAttempt current) {
-    String uri = "/v1/streams/" + request.id();
-    endpoints
-        .exchange(
-            EndpointCall.bare(current.address(), "DELETE", uri, TrafficKind.CONTROL),
-            CANCEL_TIMEOUT)
-        .subscribe(answer -> {}, error -> {});
-  }
-
   /** Returns how long the connection may give nothing; longer with each resume in vain. */
   private Duration silence() {
     return SHORTEST_SILENCE.multipliedBy(1L << resumes);
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/JobUpload.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/JobUpload.java
@@ -11,12 +11,10 @@
 import io.hawthornlb.core.model.JobId;
 import io.hawthornlb.core.model.ServiceName;
 import io.hawthornlb.core.suspect.Fingerprint;
+import io.hawthornlb.core.util.ContentDigest;
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -40,7 +38,7 @@
   private final String submission;
   private final Catalogue catalogue;
   private final ObjectMapper mapper;
-  private final MessageDigest digest = sha256();
+  private final ContentDigest digest = new ContentDigest();
   private final Set<Long> customIds = new HashSet<>();
   private final List<Finding> findings = new ArrayList<>();
   private final List<JobItem> pending = new ArrayList<>();
@@ -97,7 +95,7 @@
 
   /** Returns the hash of all items; to be called once, at the end. */
   public String contentHash() {
-    return HexFormat.of().formatHex(digest.digest());
+    return digest.hex();
   }
 
   private @Nullable JsonNode parse(String text) {
@@ -161,10 +159,7 @@
     JobItem item = new JobItem(root.path("custom_id").asText(), "POST", CHAT_URL, body);
     pending.add(item);
     pendingCharacters += body.length();
-    digest.update(bytes(item.customId()));
-    digest.update((byte) 0);
-    digest.update(bytes(body));
-    digest.update((byte) 0);
+    digest.add(item.customId()).add(body);
     items++;
     return full;
   }
@@ -190,12 +185,4 @@
   private static byte[] bytes(String text) {
     return text.getBytes(StandardCharsets.UTF_8);
   }
-
-  private static MessageDigest sha256() {
-    try {
-      return MessageDigest.getInstance("SHA-256");
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("this Java lacks SHA-256; use a complete one", e);
-    }
-  }
 }
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/PartitionContext.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/PartitionContext.java
@@ -4,7 +4,7 @@
 import io.hawthornlb.app.entry.LogAccess;
 import io.hawthornlb.core.job.JobOrder;
 import io.hawthornlb.core.job.JobSettings;
-import io.hawthornlb.core.partition.RecordIdSource;
+import io.hawthornlb.core.log.RecordIdSource;
 import io.hawthornlb.core.runonce.RunOnceSettings;
 import io.hawthornlb.core.runonce.WitnessTable;
 import io.hawthornlb.net.platform.MissedRecordSource;
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/PartitionPlane.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/PartitionPlane.java
@@ -60,7 +60,7 @@
             loop,
             log,
             missed,
-            ids::next,
+            ids,
             witnesses,
             new FairDeadlineJobOrder(URGENT, workspace -> weight(catalogue, workspace)),
             JobSettings.builder().build(),
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/job/JobBench.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/job/JobBench.java
@@ -12,6 +12,7 @@
 import io.hawthornlb.core.log.LogRecord;
 import io.hawthornlb.core.log.RecordBody;
 import io.hawthornlb.core.log.RecordId;
+import io.hawthornlb.core.log.RecordIdSource;
 import io.hawthornlb.core.model.EndpointId;
 import io.hawthornlb.core.model.Epoch;
 import io.hawthornlb.core.model.InstanceId;
@@ -22,7 +23,6 @@
 import io.hawthornlb.core.model.WorkspaceId;
 import io.hawthornlb.core.partition.PartitionOpened;
 import io.hawthornlb.core.partition.support.DefaultPartitionFold;
-import io.hawthornlb.core.partition.support.SequentialRecordIdSource;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -118,7 +118,7 @@
               partition,
               fold,
               () -> Optional.of(claim),
-              new SequentialRecordIdSource(SELF),
+              new RecordIdSource(SELF),
               new FairDeadlineJobOrder(Duration.ofMinutes(10), workspace -> 1),
               JobSettings.builder().build());
       take(new PartitionOpened(new Epoch(1), SELF));
