--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/TestFleet.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/TestFleet.java
@@ -97,13 +97,19 @@
 
   /** Lets the platform answer every call with 503 until the fleet ends. */
   void platformDown() {
+    fault(platform, "down");
+  }
+
+  /** Brings a fault about at a stand-in until the fleet ends. */
+  void fault(RunningStandin standin, String kind) {
+    String body = "{\"kind\":\"" + kind + "\",\"forMillis\":600000}";
     HttpRequest fault =
-        HttpRequest.newBuilder(URI.create("http://" + platform.address() + "/standin/faults"))
+        HttpRequest.newBuilder(URI.create("http://" + standin.address() + "/standin/faults"))
             .header("Content-Type", "application/json")
-            .POST(HttpRequest.BodyPublishers.ofString("{\"kind\":\"down\",\"forMillis\":600000}"))
+            .POST(HttpRequest.BodyPublishers.ofString(body))
             .build();
     if (send(fault).statusCode() >= 300) {
-      throw new IllegalStateException("the platform stand-in took no fault");
+      throw new IllegalStateException("the stand-in took no fault");
     }
   }
 
