Keep one type of header field

Cause: calls of endpoints and records of run-once requests each had a type of the same shape, with conversions between them. Change: one type in core.model; the conversions go.

--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/dispatch/ChatDispatcher.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/dispatch/ChatDispatcher.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.app.dispatch;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.hawthornlb.core.model.HeaderField;
 import io.hawthornlb.core.model.RequestId;
 import io.hawthornlb.core.suspect.Fingerprint;
 import io.hawthornlb.net.endpoint.EndpointCall;
@@ -8,7 +9,6 @@
 import io.hawthornlb.net.endpoint.EndpointClient;
 import io.hawthornlb.net.endpoint.EndpointFault;
 import io.hawthornlb.net.endpoint.EngineStreams;
-import io.hawthornlb.net.endpoint.HeaderField;
 import io.hawthornlb.net.endpoint.TrafficKind;
 import io.hawthornlb.net.endpoint.WholeAnswer;
 import java.time.Duration;
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/dispatch/PlainCall.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/dispatch/PlainCall.java
@@ -2,7 +2,7 @@
 
 import io.hawthornlb.core.catalogue.ServiceEntry;
 import io.hawthornlb.core.catalogue.WorkspaceEntry;
-import io.hawthornlb.net.endpoint.HeaderField;
+import io.hawthornlb.core.model.HeaderField;
 import java.util.List;
 import java.util.Optional;
 
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/CallRunner.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/CallRunner.java
@@ -75,7 +75,7 @@
             service.get(),
             request.call().method(),
             request.call().path(),
-            ServiceBodies.endpointHeaders(request.call().headers()),
+            request.call().headers(),
             Optional.of(request.key().value()),
             ServiceBodies.bytes(request.call().body())));
   }
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/RunOnceService.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/RunOnceService.java
@@ -90,11 +90,7 @@
         generated,
         Long.toHexString(fingerprint.value()),
         call.service().name(),
-        new ServiceCall(
-            call.method(),
-            call.uri(),
-            ServiceBodies.recordHeaders(call.headers()),
-            ServiceBodies.text(call.body())),
+        new ServiceCall(call.method(), call.uri(), call.headers(), ServiceBodies.text(call.body())),
         clock.instant().plus(call.service().deadline()),
         call.service().resultRetention());
   }
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/ServiceBodies.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/ServiceBodies.java
@@ -1,13 +1,11 @@
 package io.hawthornlb.app.partition;
 
-import io.hawthornlb.core.runonce.HeaderField;
 import io.hawthornlb.core.runonce.ServiceResult;
 import io.hawthornlb.net.endpoint.WholeAnswer;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 
 /**
- * Turns bodies and headers between the forms of endpoints and of records.
+ * Turns answers between the forms of endpoints and of records.
  *
  * <p>Bodies travel as text with one character a byte, so that every byte arrives as it was.
  */
@@ -24,21 +22,10 @@
   }
 
   static ServiceResult result(WholeAnswer answer) {
-    return new ServiceResult(answer.status(), recordHeaders(answer.headers()), text(answer.body()));
+    return new ServiceResult(answer.status(), answer.headers(), text(answer.body()));
   }
 
   static WholeAnswer answer(ServiceResult result) {
-    return new WholeAnswer(
-        result.status(), endpointHeaders(result.headers()), bytes(result.body()));
-  }
-
-  static List<HeaderField> recordHeaders(List<io.hawthornlb.net.endpoint.HeaderField> headers) {
-    return headers.stream().map(field -> new HeaderField(field.name(), field.value())).toList();
-  }
-
-  static List<io.hawthornlb.net.endpoint.HeaderField> endpointHeaders(List<HeaderField> headers) {
-    return headers.stream()
-        .map(field -> new io.hawthornlb.net.endpoint.HeaderField(field.name(), field.value()))
-        .toList();
+    return new WholeAnswer(result.status(), result.headers(), bytes(result.body()));
   }
 }
--- a/hawthornlb-net/src/main/java/io/hawthornlb/net/endpoint/HeaderField.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/model/HeaderField.java
@@ -1,4 +1,4 @@
-package io.hawthornlb.net.endpoint;
+package io.hawthornlb.core.model;
 
 import io.hawthornlb.core.util.Checks;
 
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/ServiceCall.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/ServiceCall.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.core.runonce;
 
+import io.hawthornlb.core.model.HeaderField;
 import io.hawthornlb.core.util.Checks;
 import java.util.List;
 
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/ServiceResult.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/runonce/ServiceResult.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.core.runonce;
 
+import io.hawthornlb.core.model.HeaderField;
 import java.util.List;
 
 /**
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/runonce/RunOncePolicyTest.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/runonce/RunOncePolicyTest.java
@@ -8,6 +8,7 @@
 import io.hawthornlb.core.catalogue.Repeatability;
 import io.hawthornlb.core.catalogue.ServiceEntry;
 import io.hawthornlb.core.catalogue.ServiceKind;
+import io.hawthornlb.core.model.HeaderField;
 import io.hawthornlb.core.model.ServiceName;
 import java.util.List;
 import org.junit.jupiter.api.Test;
--- a/hawthornlb-net/src/main/java/io/hawthornlb/net/endpoint/EndpointCall.java
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/endpoint/EndpointCall.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.net.endpoint;
 
+import io.hawthornlb.core.model.HeaderField;
 import io.hawthornlb.core.util.Checks;
 import java.util.List;
 
--- a/hawthornlb-net/src/main/java/io/hawthornlb/net/endpoint/WholeAnswer.java
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/endpoint/WholeAnswer.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.net.endpoint;
 
+import io.hawthornlb.core.model.HeaderField;
 import java.util.List;
 
 /**
--- a/hawthornlb-net/src/main/java/io/hawthornlb/net/endpoint/support/HttpEndpointClient.java
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/endpoint/support/HttpEndpointClient.java
@@ -1,10 +1,10 @@
 package io.hawthornlb.net.endpoint.support;
 
+import io.hawthornlb.core.model.HeaderField;
 import io.hawthornlb.net.endpoint.EndpointCall;
 import io.hawthornlb.net.endpoint.EndpointCallException;
 import io.hawthornlb.net.endpoint.EndpointClient;
 import io.hawthornlb.net.endpoint.EndpointFault;
-import io.hawthornlb.net.endpoint.HeaderField;
 import io.hawthornlb.net.endpoint.TrafficKind;
 import io.hawthornlb.net.endpoint.WholeAnswer;
 import io.micronaut.http.HttpMethod;
