Open an endpoint again when its suspect has ended, and wait for it meanwhile

What had run at the lost engine runs alone at the other. The quarantine was applied to the own table at its start only, since its end went to peers only, so the last engine stayed closed until the quarantine expired. Change: begin and end of a quarantine apply to the own table wherever they arise, for batch items too; a request that finds only quarantined endpoints waits for one in time. Ruled out: refusing at once; with both ends applied and no waiting, the others were refused with no-endpoint, which turns the loss of one engine into an outage. Measured: EntryLoadFailureTest.anEngineLostUnderLoadFailsNoRequest, before: timeout after 62 s; with the end applied: 503 for some; with the wait: passes in 9 s.

--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/CoreOnlineDecisions.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/CoreOnlineDecisions.java
@@ -9,8 +9,8 @@
 import io.hawthornlb.core.admission.RefuseRequest;
 import io.hawthornlb.core.admission.StartRequest;
 import io.hawthornlb.core.effect.Effect;
-import io.hawthornlb.core.effect.SpreadPeerMessage;
 import io.hawthornlb.core.endpoint.Endpoint;
+import io.hawthornlb.core.endpoint.EndpointState;
 import io.hawthornlb.core.endpoint.Observation;
 import io.hawthornlb.core.model.DataCentre;
 import io.hawthornlb.core.model.EndpointId;
@@ -21,7 +21,6 @@
 import io.hawthornlb.core.retry.Retry;
 import io.hawthornlb.core.routing.Route;
 import io.hawthornlb.core.routing.RouteRequest;
-import io.hawthornlb.core.suspect.QuarantineNotice;
 import io.hawthornlb.core.suspect.Verdict;
 import io.hawthornlb.net.endpoint.EndpointFault;
 import io.vavr.control.Either;
@@ -42,6 +41,7 @@
 public final class CoreOnlineDecisions implements OnlineDecisions {
 
   private static final Duration COME_BACK = Duration.ofSeconds(1);
+  private static final Duration QUARANTINE_PAUSE = Duration.ofMillis(20);
 
   private final DecisionLoop loop;
   private final OnlinePolicies policies;
@@ -236,23 +236,10 @@
       refuse(state, noEndpoint("the endpoint has gone"), sink);
       return;
     }
-    List<Effect> notices =
-        policies.suspects().onAloneStarted(state.request().fingerprint(), target, now);
-    quarantine(notices);
-    effects.perform(notices);
+    effects.perform(policies.suspects().onAloneStarted(state.request().fingerprint(), target, now));
     start(state, target, endpoint.address(), true, sink, now);
   }
 
-  /** Keeps the endpoint for the suspect on this instance too; the notices only reach peers. */
-  private void quarantine(List<Effect> notices) {
-    for (Effect notice : notices) {
-      if (notice instanceof SpreadPeerMessage spread
-          && spread.message() instanceof QuarantineNotice quarantine) {
-        policies.endpoints().quarantine(quarantine.endpoint(), quarantine.until());
-      }
-    }
-  }
-
   private void startRouted(ActiveRequest state, MonoSink<RoutedAttempt> sink, Instant now) {
     OnlineRequest request = state.request();
     RouteRequest asked =
@@ -267,13 +254,29 @@
             request.promptTokens(),
             request.deadline());
     Either<Refusal, Route> route = policies.router().choose(asked, now);
-    if (route.isLeft()) {
+    if (route.isLeft() && waitsForQuarantine(request, now)) {
+      loop.after(QUARANTINE_PAUSE, () -> choose(request, sink));
+    } else if (route.isLeft()) {
       refuse(state, route.getLeft(), sink);
     } else {
       start(state, route.get().endpoint(), route.get().address(), false, sink, now);
     }
   }
 
+  /**
+   * Returns whether an endpoint will be open again once a suspect that runs alone there has ended.
+   *
+   * <p>After one of two engines has died, what ran there runs alone at the other, one after
+   * another. Refusing everybody else meanwhile would turn the loss of one engine into an outage.
+   */
+  private boolean waitsForQuarantine(OnlineRequest request, Instant now) {
+    boolean inTime = now.plus(QUARANTINE_PAUSE).isBefore(request.deadline());
+    return inTime
+        && policies.endpoints().of(request.service().name()).stream()
+            .anyMatch(
+                endpoint -> endpoint.quarantined(now) && endpoint.state(now) == EndpointState.LIVE);
+  }
+
   private void start(
       ActiveRequest state,
       EndpointId target,
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/EntryProcess.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/EntryProcess.java
@@ -81,7 +81,8 @@
     this.peers = new PeerMesh(settings, fleet, PeerMessageTypes.codec());
     this.peerList = new PeerInstanceList(instances, peers.transport());
     this.policies = PolicyFactory.create(self, fleet.dataCentre());
-    EffectSink effects = new OutwardEffects(log, peers, loop);
+    EffectSink effects =
+        new QuarantiningEffects(new OutwardEffects(log, peers, loop), policies.endpoints());
     CrashDetector crashes = new ProbingCrashDetector(endpoints);
     this.decisions = decisions(effects, crashes);
     RecordIdSource ids = new RecordIdSource(self);
