--- a/bin/lib/build.sh
+++ b/bin/lib/build.sh
@@ -30,14 +30,14 @@
 }
 
 newer_sources() {
-  find bin/lib/launcher.sh pom.xml hawthornlb-*/pom.xml hawthornlb-*/src/main -newer "$1" -print -quit
+  find bin/lib/launcher.sh pom.xml hawthornlb-*/pom.xml hawthornlb-*/src/main platform/pom.xml platform/src/main -newer "$1" -print -quit
 }
 
 # Puts the launcher before the jar. Java finds a jar by the directory at the end of the file, so
 # the text before it does no harm. The move at the end replaces the program at once: a process that
 # runs the former one keeps reading the former file.
 join_program() {
-  local jars=(hawthornlb-app/target/hawthornlb-app-*-all.jar)
+  local jars=(target/hawthornlb-app/hawthornlb-app-*-all.jar)
   mkdir -p target
   cat bin/lib/launcher.sh "${jars[0]}" > "$1.new"
   chmod 755 "$1.new"
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/endpoint/EndpointDirectory.java
@@ -0,0 +1,115 @@
+package io.hawthornlb.gateway.endpoint;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/**
+ * The endpoints that may get requests.
+ *
+ * <p>Failure: while the store was away, entries of endpoints that live lapse, and come back when
+ * the endpoints reach the store again. It shows as removals right after an outage, of up to all
+ * endpoints at once. Guard: a removal that is seen within {@link #RETURN_GRACE} of the end of an
+ * outage takes effect at the end of that span, unless the entry is back by then.
+ */
+public final class EndpointDirectory {
+
+  /** Time within which lapsed entries are back after an outage; 2 s by contract and a margin. */
+  public static final Duration RETURN_GRACE = Duration.ofMillis(2_300);
+
+  private final Map<String, EndpointRecord> records = new LinkedHashMap<>();
+  private final Map<String, Instant> lapsed = new HashMap<>();
+  private final List<Consumer<EndpointRecord>> removalListeners = new ArrayList<>();
+  private final List<Runnable> changeListeners = new ArrayList<>();
+  private Instant outageEnd = Instant.MIN;
+
+  /** Takes an entry as it was written last. */
+  public void put(EndpointRecord entry) {
+    lapsed.remove(entry.id());
+    EndpointRecord former = records.put(entry.id(), entry);
+    if (!entry.equals(former)) {
+      changed();
+    }
+  }
+
+  /** Takes the removal of an entry. */
+  public void remove(String id, Instant now) {
+    if (!records.containsKey(id)) {
+      return;
+    }
+    if (now.isBefore(outageEnd.plus(RETURN_GRACE))) {
+      lapsed.putIfAbsent(id, outageEnd.plus(RETURN_GRACE));
+      return;
+    }
+    drop(id);
+  }
+
+  /** Takes the whole list, as read at once; entries that it lacks count as removed. */
+  public void replaceAll(List<EndpointRecord> entries, Instant now) {
+    entries.forEach(this::put);
+    List<String> present = entries.stream().map(EndpointRecord::id).toList();
+    List<String> missing = records.keySet().stream().filter(id -> !present.contains(id)).toList();
+    missing.forEach(id -> remove(id, now));
+  }
+
+  /** Notes that the store answers again after an outage. */
+  public void outageEnded(Instant now) {
+    outageEnd = now;
+  }
+
+  /** Drops the entries that have not come back in time. */
+  public void expire(Instant now) {
+    List<String> due =
+        lapsed.entrySet().stream()
+            .filter(entry -> !now.isBefore(entry.getValue()))
+            .map(Map.Entry::getKey)
+            .toList();
+    due.forEach(this::drop);
+  }
+
+  /** Returns an entry, also of an endpoint that is leaving. */
+  public Optional<EndpointRecord> find(String id) {
+    return Optional.ofNullable(records.get(id));
+  }
+
+  /** Returns the endpoints of a service that take new requests. */
+  public List<EndpointRecord> usable(String service) {
+    return records.values().stream()
+        .filter(entry -> entry.service().equals(service) && !entry.leaving())
+        .toList();
+  }
+
+  /** Returns the number of entries. */
+  public int size() {
+    return records.size();
+  }
+
+  /** Calls a listener after an endpoint was dropped. */
+  public void onRemoval(Consumer<EndpointRecord> listener) {
+    removalListeners.add(listener);
+  }
+
+  /** Calls a listener after each change. */
+  public void onChange(Runnable listener) {
+    changeListeners.add(listener);
+  }
+
+  private void drop(String id) {
+    lapsed.remove(id);
+    EndpointRecord entry = records.remove(id);
+    if (entry != null) {
+      removalListeners.forEach(listener -> listener.accept(entry));
+      changed();
+    }
+  }
+
+  private void changed() {
+    changeListeners.forEach(Runnable::run);
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/event/JsonEventLog.java
@@ -0,0 +1,181 @@
+package io.hawthornlb.gateway.event;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.util.ByteArrayBuilder;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Writes lines of JSON from a thread of its own.
+ *
+ * <p>Failure: a reader of standard output that is slow or gone blocks whoever writes. It shows as
+ * requests that stand still. Guard: lines go through a bounded queue to one thread; when the queue
+ * is full they are dropped and counted. A budget a second bounds what a storm of requests costs;
+ * routine lines get half of it, so that failures are kept before successes.
+ */
+public final class JsonEventLog implements EventLog {
+
+  /** Lines a second; 300 lines of 200 bytes cost about 0.3% of a core. */
+  private static final int LINES_PER_SECOND = 300;
+
+  /** Lines that wait for the writing thread; two seconds of the budget. */
+  private static final int QUEUE_LINES = 600;
+
+  private static final Duration WINDOW = Duration.ofSeconds(1);
+
+  private final JsonFactory json = new JsonFactory();
+  private final BlockingQueue<byte[]> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
+  private final AtomicLong dropped = new AtomicLong();
+  private final InstantSource clock;
+  private final OutputStream out;
+  private Instant windowStart = Instant.MIN;
+  private int linesInWindow;
+
+  /** Creates a log and starts its thread. */
+  public JsonEventLog(InstantSource clock, OutputStream out) {
+    this.clock = clock;
+    this.out = out;
+    Thread writer = new Thread(this::writeLines, "event-log");
+    writer.setDaemon(true);
+    writer.start();
+  }
+
+  @Override
+  public EventLine routine(String part, String event) {
+    return admit(LINES_PER_SECOND / 2) ? new Line(part, event) : NoLine.INSTANCE;
+  }
+
+  @Override
+  public EventLine important(String part, String event) {
+    return admit(LINES_PER_SECOND) ? new Line(part, event) : NoLine.INSTANCE;
+  }
+
+  /** Returns the number of lines that were left out. */
+  public long dropped() {
+    return dropped.get();
+  }
+
+  private synchronized boolean admit(int budget) {
+    Instant now = clock.instant();
+    if (now.isAfter(windowStart.plus(WINDOW))) {
+      windowStart = now;
+      linesInWindow = 0;
+    }
+    if (linesInWindow >= budget) {
+      dropped.incrementAndGet();
+      return false;
+    }
+    linesInWindow++;
+    return true;
+  }
+
+  private void offer(byte[] line) {
+    if (!queue.offer(line)) {
+      dropped.incrementAndGet();
+    }
+  }
+
+  private void writeLines() {
+    long told = 0;
+    try {
+      while (true) {
+        out.write(queue.take());
+        long now = dropped.get();
+        if (now != told && queue.isEmpty()) {
+          told = now;
+          out.write(("{\"event\":\"log.dropped\",\"lines\":" + now + "}\n").getBytes());
+        }
+        if (queue.isEmpty()) {
+          out.flush();
+        }
+      }
+    } catch (IOException e) {
+      // Standard output is closed: there is nowhere left to tell it. Lines fill the queue and drop.
+      dropped.addAndGet(queue.size());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** A line as a JSON object. */
+  private final class Line implements EventLine {
+
+    private final ByteArrayBuilder bytes = new ByteArrayBuilder(256);
+    private final JsonGenerator generator;
+
+    private Line(String part, String event) {
+      try {
+        generator = json.createGenerator(bytes);
+        generator.writeStartObject();
+        generator.writeStringField("time", clock.instant().toString());
+        generator.writeStringField("part", part);
+        generator.writeStringField("event", event);
+      } catch (IOException e) {
+        throw new UncheckedIOException("A buffer in memory failed", e);
+      }
+    }
+
+    @Override
+    public EventLine with(String name, @Nullable String value) {
+      try {
+        if (value != null) {
+          generator.writeStringField(name, value);
+        }
+        return this;
+      } catch (IOException e) {
+        throw new UncheckedIOException("A buffer in memory failed", e);
+      }
+    }
+
+    @Override
+    public EventLine with(String name, long value) {
+      try {
+        generator.writeNumberField(name, value);
+        return this;
+      } catch (IOException e) {
+        throw new UncheckedIOException("A buffer in memory failed", e);
+      }
+    }
+
+    @Override
+    public void write() {
+      try {
+        generator.writeEndObject();
+        generator.close();
+        bytes.append('\n');
+        offer(bytes.toByteArray());
+      } catch (IOException e) {
+        throw new UncheckedIOException("A buffer in memory failed", e);
+      }
+    }
+  }
+
+  /** Stands for a line over the budget. */
+  private enum NoLine implements EventLine {
+    INSTANCE;
+
+    @Override
+    public EventLine with(String name, @Nullable String value) {
+      return this;
+    }
+
+    @Override
+    public EventLine with(String name, long value) {
+      return this;
+    }
+
+    @Override
+    public void write() {
+      // Counted when it was refused.
+    }
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
@@ -0,0 +1,206 @@
+package io.hawthornlb.gateway.front;
+
+import io.hawthornlb.gateway.wire.EndpointCallListener;
+import io.hawthornlb.gateway.wire.EventSplitter;
+import io.hawthornlb.gateway.wire.HeaderNames;
+import io.hawthornlb.gateway.wire.StreamEvent;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import java.io.ByteArrayOutputStream;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Passes an endpoint's answer on to the caller.
+ *
+ * <p>Streams go event by event as they come. Other answers are kept until they are whole, so that
+ * one that breaks off can be replaced by another endpoint's, up to a size above which they are
+ * passed on as they come.
+ */
+final class AnswerRelay implements EndpointCallListener {
+
+  /** Bytes of an answer that is kept until it is whole; most are under 5 KiB. */
+  private static final int MAX_KEPT_BYTES = 65_536;
+
+  private final Forwarding forwarding;
+  private final HeaderNames names;
+  private final Responder responder;
+  private final boolean streaming;
+  private final EventSplitter splitter = new EventSplitter();
+  private final ByteArrayOutputStream kept = new ByteArrayOutputStream();
+  private @Nullable HttpResponse response;
+  private @Nullable Mode mode;
+  private boolean headSent;
+  private long lastEventId = -1;
+
+  /** How the present answer is treated. */
+  private enum Mode {
+    /** The endpoint did not run the request. */
+    NOT_RUN,
+    /** The answer is none that may reach the caller. */
+    UNUSABLE,
+    /** Events are passed on one by one. */
+    EVENTS,
+    /** The answer is kept until it is whole. */
+    KEPT,
+    /** The answer is too large to be kept. */
+    PASSED
+  }
+
+  AnswerRelay(Forwarding forwarding, HeaderNames names, Responder responder, boolean streaming) {
+    this.forwarding = forwarding;
+    this.names = names;
+    this.responder = responder;
+    this.streaming = streaming;
+  }
+
+  /** Prepares for the answer of another endpoint. */
+  void begin() {
+    splitter.reset();
+    kept.reset();
+    response = null;
+    mode = null;
+  }
+
+  boolean headSent() {
+    return headSent;
+  }
+
+  long lastEventId() {
+    return lastEventId;
+  }
+
+  @Override
+  public void onResponse(HttpResponse answer) {
+    response = answer;
+    mode = modeOf(answer);
+  }
+
+  @Override
+  public void onContent(ByteBuf content) {
+    if (mode == Mode.EVENTS) {
+      splitter.feed(content).forEach(this::pass);
+    } else if (mode == Mode.PASSED) {
+      responder.part(content.readRetainedSlice(content.readableBytes()));
+      pauseIfCongested();
+    } else if (mode == Mode.KEPT) {
+      keep(content);
+    }
+  }
+
+  @Override
+  public void onEnd() {
+    HttpResponse answer = response;
+    if (answer == null || mode == null) {
+      forwarding.broken(true, "no answer");
+      return;
+    }
+    int status = answer.status().code();
+    switch (mode) {
+      case NOT_RUN -> forwarding.notRun(status);
+      case UNUSABLE -> forwarding.broken(true, "the answer bears no proof");
+      case EVENTS -> endEvents(answer);
+      case PASSED -> {
+        responder.end();
+        forwarding.answered(status);
+      }
+      default -> {
+        responder.whole(status, ForwardedHeaders.toCaller(answer.headers()), kept.toByteArray());
+        forwarding.answered(status);
+      }
+    }
+  }
+
+  @Override
+  public void onFailure(boolean sent, String cause) {
+    if (mode == Mode.NOT_RUN && response != null) {
+      // The head said all; that the body broke off changes nothing.
+      forwarding.notRun(response.status().code());
+    } else {
+      forwarding.broken(sent, cause);
+    }
+  }
+
+  private Mode modeOf(HttpResponse answer) {
+    int status = answer.status().code();
+    HttpHeaders headers = answer.headers();
+    if (headers.contains(names.notRun()) || status == 421) {
+      return Mode.NOT_RUN;
+    }
+    boolean success = answer.status().codeClass() == HttpStatusClass.SUCCESS;
+    boolean proven = headers.contains(names.signature());
+    if (success && (!proven || headers.contains(HttpHeaderNames.CONTENT_ENCODING))) {
+      return Mode.UNUSABLE;
+    }
+    if (headSent && !success) {
+      return Mode.UNUSABLE;
+    }
+    if (status >= 500 && forwarding.mayRetryFailure()) {
+      return Mode.UNUSABLE;
+    }
+    if (success && streaming) {
+      return Mode.EVENTS;
+    }
+    return headSent ? Mode.UNUSABLE : Mode.KEPT;
+  }
+
+  private void keep(ByteBuf content) {
+    byte[] bytes = new byte[content.readableBytes()];
+    content.readBytes(bytes);
+    kept.writeBytes(bytes);
+    if (kept.size() > MAX_KEPT_BYTES) {
+      sendHead();
+      mode = Mode.PASSED;
+      responder.part(Unpooled.wrappedBuffer(kept.toByteArray()));
+      kept.reset();
+      pauseIfCongested();
+    }
+  }
+
+  private void pass(StreamEvent event) {
+    if (lastEventId >= 0 && event.id() >= 0 && event.id() <= lastEventId) {
+      // The endpoint began anew; the caller has this event.
+      return;
+    }
+    sendHead();
+    if (event.id() >= 0) {
+      lastEventId = event.id();
+    }
+    responder.part(Unpooled.wrappedBuffer(event.bytes()));
+    pauseIfCongested();
+  }
+
+  private void endEvents(HttpResponse answer) {
+    boolean framed =
+        HttpUtil.isContentLengthSet(answer) || HttpUtil.isTransferEncodingChunked(answer);
+    if (splitter.torn() || (!framed && lastEventId < 0)) {
+      forwarding.broken(true, "the stream ended inside an event");
+      return;
+    }
+    sendHead();
+    responder.end();
+    forwarding.answered(answer.status().code());
+  }
+
+  private void sendHead() {
+    HttpResponse answer = response;
+    if (!headSent && answer != null) {
+      headSent = true;
+      HttpHeaders headers = ForwardedHeaders.toCaller(answer.headers());
+      if (streaming) {
+        headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+      }
+      responder.head(answer.status().code(), headers);
+    }
+  }
+
+  private void pauseIfCongested() {
+    if (responder.congested()) {
+      forwarding.pause();
+    }
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -0,0 +1,327 @@
+package io.hawthornlb.gateway.front;
+
+import io.hawthornlb.gateway.endpoint.EndpointRecord;
+import io.hawthornlb.gateway.event.EventLine;
+import io.hawthornlb.gateway.route.Route;
+import io.hawthornlb.gateway.route.RouteKind;
+import io.hawthornlb.gateway.slot.SlotAnswer;
+import io.hawthornlb.gateway.slot.SlotKey;
+import io.hawthornlb.gateway.slot.SlotOutcome;
+import io.hawthornlb.gateway.slot.SlotRequest;
+import io.hawthornlb.gateway.wire.EndpointCall;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/** One request on its way: gets a slot, is sent, and is sent again where the rules allow it. */
+final class Forwarding implements RequestHandler.Handling {
+
+  /**
+   * Part of the objective that a request may wait for a slot. The rest is for the answer: a first
+   * event takes 50 to 100 ms of 300, a plain call 40 of 193.
+   */
+  private static final double WAIT_SHARE = 0.5;
+
+  /** Least time left for which another endpoint is tried. */
+  private static final Duration MIN_ATTEMPT = Duration.ofMillis(20);
+
+  /** When to come back after endpoints turned a request away; a slot frees about every 90 ms. */
+  private static final Duration TURNED_AWAY_RETRY = Duration.ofMillis(150);
+
+  private final ForwardingHandler.Parts parts;
+  private final Route route;
+  private final FrontRequest request;
+  private final Responder responder;
+  private final String id;
+  private final String service;
+  private final Instant deadline;
+  private final Set<String> excluded = new HashSet<>();
+  private final AnswerRelay relay;
+  private @Nullable ScheduledFuture<?> timer;
+  private @Nullable SlotKey slot;
+  private @Nullable EndpointCall call;
+  private @Nullable String endpoint;
+  private int runs;
+  private int turnedAway;
+  private boolean done;
+
+  Forwarding(
+      ForwardingHandler.Parts parts, Route route, FrontRequest request, Responder responder) {
+    this.parts = parts;
+    this.route = route;
+    this.request = request;
+    this.responder = responder;
+    this.id = request.headers().get(parts.names().requestId(), "");
+    this.service = route.service(ThreadLocalRandom.current().nextDouble());
+    this.deadline = request.arrived().plus(timeAllowed());
+    this.relay = new AnswerRelay(this, parts.names(), responder, route.kind() == RouteKind.STREAM);
+  }
+
+  void start() {
+    long millis = Math.max(0, timeLeft().toMillis());
+    timer = parts.executor().schedule(this::outOfTime, millis, TimeUnit.MILLISECONDS);
+    acquire();
+  }
+
+  @Override
+  public void callerGone() {
+    if (!done) {
+      line("caller.gone").with("endpoint", endpoint).write();
+      finish(SlotOutcome.ABANDONED);
+    }
+  }
+
+  @Override
+  public void drained() {
+    if (call != null) {
+      call.reading(true);
+    }
+  }
+
+  /** Is told by the relay that the caller reads slowly. */
+  void pause() {
+    if (call != null) {
+      call.reading(false);
+    }
+  }
+
+  /** Is told that the endpoint did not run the request. */
+  void notRun(int status) {
+    boolean replaced = status == 421;
+    turnedAway++;
+    line("endpoint.refused").with("endpoint", endpoint).with("status", status).write();
+    excludeCurrent(replaced ? SlotOutcome.REPLACED : SlotOutcome.SHED);
+    proceed(AttemptRules.afterNotRun(state()), "endpoints turned it away");
+  }
+
+  /** Is told that no whole answer comes from the endpoint. */
+  void broken(boolean sent, String cause) {
+    line("endpoint.failed").with("endpoint", endpoint).with("cause", cause).write();
+    excludeCurrent(SlotOutcome.FAILED);
+    if (sent) {
+      runs++;
+      proceed(AttemptRules.afterBreak(route, state()), cause);
+    } else {
+      turnedAway++;
+      proceed(AttemptRules.afterNotRun(state()), cause);
+    }
+  }
+
+  /** Returns whether a failure that an endpoint answered may be hidden by another try. */
+  boolean mayRetryFailure() {
+    AttemptRules.State after = new AttemptRules.State(runs + 1, turnedAway, false, hasTime());
+    return AttemptRules.afterBreak(route, after) == NextStep.SEND_AGAIN;
+  }
+
+  /** Is told that the caller has the whole answer. */
+  void answered(int status) {
+    parts
+        .log()
+        .routine("front", "request.answered")
+        .with("id", id)
+        .with("status", status)
+        .with("endpoint", endpoint)
+        .with("millis", sinceArrival())
+        .write();
+    finish(SlotOutcome.ANSWERED);
+  }
+
+  private void acquire() {
+    SlotKey key = parts.slots().nextKey();
+    slot = key;
+    Duration objectiveLeft =
+        Duration.ofMillis((long) (route.objective().toMillis() * WAIT_SHARE) - sinceArrival());
+    Duration maxWait = objectiveLeft.isNegative() ? Duration.ZERO : objectiveLeft;
+    if (relay.headSent() || runs > 0) {
+      // The caller has part of the answer, or may not be told that nothing ran: a late end beats
+      // none.
+      maxWait = timeLeft();
+    }
+    SlotRequest wanted =
+        new SlotRequest(
+            key,
+            service,
+            false,
+            route.priority(),
+            parts.dataCentre(),
+            maxWait,
+            Set.copyOf(excluded));
+    parts.slots().acquire(wanted, this::onSlot);
+  }
+
+  private void onSlot(SlotAnswer answer) {
+    if (done) {
+      return;
+    }
+    if (answer instanceof SlotAnswer.Granted granted) {
+      send(granted.endpoint());
+    } else if (answer instanceof SlotAnswer.Refused refused) {
+      slot = null;
+      end(AttemptRules.gaveUp(state()), refused.retryAfter(), "no slot in time");
+    }
+  }
+
+  private void send(String endpointId) {
+    endpoint = endpointId;
+    Optional<EndpointRecord> target = parts.directory().find(endpointId);
+    if (target.isEmpty() || target.get().leaving()) {
+      // The coordinator's list is behind this one's.
+      turnedAway++;
+      excludeCurrent(SlotOutcome.REPLACED);
+      proceed(AttemptRules.afterNotRun(state()), "the endpoint is leaving");
+      return;
+    }
+    relay.begin();
+    parts
+        .log()
+        .routine("front", "request.sent")
+        .with("id", id)
+        .with("route", route.name())
+        .with("endpoint", endpointId)
+        .with("runs", runs)
+        .with("millis", sinceArrival())
+        .write();
+    call = parts.pool().send(target.get(), outgoing(endpointId), relay);
+  }
+
+  private FullHttpRequest outgoing(String endpointId) {
+    HttpHeaders headers = ForwardedHeaders.toEndpoint(request.headers(), parts.names());
+    headers.set(parts.names().remainingMillis(), Math.max(1, timeLeft().toMillis()));
+    headers.set(parts.names().expectedEndpoint(), endpointId);
+    if (relay.lastEventId() >= 0) {
+      headers.set(parts.names().lastEventId(), relay.lastEventId());
+    }
+    if (request.body().length > 0 || !request.method().equals(HttpMethod.GET)) {
+      headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+    }
+    return new DefaultFullHttpRequest(
+        HttpVersion.HTTP_1_1,
+        request.method(),
+        request.uri(),
+        Unpooled.wrappedBuffer(request.body()),
+        headers,
+        new DefaultHttpHeaders());
+  }
+
+  private void proceed(NextStep step, String cause) {
+    if (step == NextStep.SEND_AGAIN || step == NextStep.RESUME) {
+      acquire();
+    } else {
+      end(step, TURNED_AWAY_RETRY, cause);
+    }
+  }
+
+  private void end(NextStep step, Duration retryAfter, String cause) {
+    if (done) {
+      return;
+    }
+    line("request.failed")
+        .with("step", step.name())
+        .with("cause", cause)
+        .with("runs", runs)
+        .with("turnedAway", turnedAway)
+        .with("retryMillis", retryAfter.toMillis())
+        .write();
+    switch (step) {
+      case REFUSE -> responder.own(503, retryAfter);
+      case FAIL -> responder.own(502, null);
+      default -> responder.breakOff();
+    }
+    finish(SlotOutcome.ABANDONED);
+  }
+
+  private void outOfTime() {
+    if (done) {
+      return;
+    }
+    boolean sent = call != null;
+    line("request.timeout").with("endpoint", endpoint).with("runs", runs).write();
+    if (relay.headSent()) {
+      responder.breakOff();
+    } else {
+      responder.own(sent || runs > 0 ? 504 : 503, sent || runs > 0 ? null : TURNED_AWAY_RETRY);
+    }
+    finish(SlotOutcome.ABANDONED);
+  }
+
+  private void finish(SlotOutcome outcome) {
+    done = true;
+    if (timer != null) {
+      timer.cancel(false);
+    }
+    if (call != null && outcome != SlotOutcome.ANSWERED) {
+      call.abort();
+    }
+    call = null;
+    release(outcome);
+  }
+
+  private void excludeCurrent(SlotOutcome outcome) {
+    if (endpoint != null) {
+      excluded.add(endpoint);
+    }
+    call = null;
+    release(outcome);
+  }
+
+  private void release(SlotOutcome outcome) {
+    SlotKey held = slot;
+    slot = null;
+    if (held != null) {
+      parts.slots().release(held, outcome);
+    }
+  }
+
+  private AttemptRules.State state() {
+    return new AttemptRules.State(runs, turnedAway, relay.headSent(), hasTime());
+  }
+
+  private boolean hasTime() {
+    return timeLeft().compareTo(MIN_ATTEMPT) > 0;
+  }
+
+  private Duration timeLeft() {
+    return Duration.between(parts.clock().instant(), deadline);
+  }
+
+  private Duration timeAllowed() {
+    String told = request.headers().get(parts.names().remainingMillis());
+    if (told == null) {
+      return route.timeout();
+    }
+    try {
+      Duration callers = Duration.ofMillis(Long.parseLong(told.trim()));
+      return callers.compareTo(route.timeout()) < 0 ? callers : route.timeout();
+    } catch (NumberFormatException e) {
+      parts.log().routine("front", "budget.unreadable").with("id", id).with("value", told).write();
+      return route.timeout();
+    }
+  }
+
+  private long sinceArrival() {
+    return Duration.between(request.arrived(), parts.clock().instant()).toMillis();
+  }
+
+  private EventLine line(String event) {
+    return parts
+        .log()
+        .important("front", event)
+        .with("id", id)
+        .with("route", route.name())
+        .with("millis", sinceArrival());
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontServer.java
@@ -0,0 +1,114 @@
+package io.hawthornlb.gateway.front;
+
+import io.hawthornlb.gateway.event.EventLog;
+import io.hawthornlb.gateway.route.CallerLimits;
+import io.hawthornlb.gateway.route.ConfigHolder;
+import io.hawthornlb.gateway.route.RoutingConfig;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.time.InstantSource;
+import java.util.HashSet;
+import java.util.Set;
+
+/** Takes callers' connections. */
+public final class FrontServer {
+
+  /** Connections that wait to be accepted; a zone's clients may all come within a second. */
+  private static final int BACKLOG = 1_024;
+
+  private final RequestHandler handler;
+  private final ConfigHolder config;
+  private final InstantSource clock;
+  private final EventLog log;
+  private final Set<FrontConnection> connections = new HashSet<>();
+  private boolean draining;
+
+  /** Creates a server that hands requests to a handler. */
+  public FrontServer(
+      RequestHandler handler, ConfigHolder config, InstantSource clock, EventLog log) {
+    this.handler = handler;
+    this.config = config;
+    this.clock = clock;
+    this.log = log;
+  }
+
+  /** Binds an address and takes connections there. */
+  public void bind(EventLoopGroup loop, InetSocketAddress address) {
+    new ServerBootstrap()
+        .group(loop)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(new Pipeline())
+        .bind(address)
+        .syncUninterruptibly();
+  }
+
+  /** Asks callers to leave: answers close their connections from now on. */
+  public void drain() {
+    draining = true;
+  }
+
+  /** Closes the connections on which no request is being handled. */
+  public void closeIdle() {
+    Set.copyOf(connections).forEach(FrontConnection::closeIfIdle);
+  }
+
+  /** Returns the number of requests that are being handled. */
+  public long active() {
+    return connections.stream().filter(FrontConnection::busy).count();
+  }
+
+  boolean draining() {
+    return draining;
+  }
+
+  RequestHandler handler() {
+    return handler;
+  }
+
+  InstantSource clock() {
+    return clock;
+  }
+
+  EventLog log() {
+    return log;
+  }
+
+  CallerLimits limits() {
+    return config.current().map(RoutingConfig::limits).orElse(CallerLimits.DEFAULT);
+  }
+
+  void opened(FrontConnection connection) {
+    connections.add(connection);
+  }
+
+  void closed(FrontConnection connection) {
+    connections.remove(connection);
+  }
+
+  /** Sets up a connection. */
+  private final class Pipeline extends ChannelInitializer<Channel> {
+
+    @Override
+    protected void initChannel(Channel channel) {
+      int headerBytes = limits().headerBytes();
+      HttpDecoderConfig decoding =
+          new HttpDecoderConfig()
+              .setMaxInitialLineLength(headerBytes)
+              .setMaxHeaderSize(headerBytes);
+      FrontConnection connection = new FrontConnection(FrontServer.this);
+      channel.pipeline().addLast(new FirstBytesHandler(connection));
+      channel.pipeline().addLast(new HttpServerCodec(decoding));
+      channel.pipeline().addLast(connection);
+    }
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/NettyHttpCaller.java
@@ -0,0 +1,223 @@
+package io.hawthornlb.gateway.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Calls over kept connections, all on one event loop.
+ *
+ * <p>Failure: an open connection goes silent for good while new ones work. It shows as calls that
+ * time out one after the other. Guard: a connection on which a call timed out is closed, and so are
+ * all idle ones to that address, since they have likely gone silent with it.
+ */
+public final class NettyHttpCaller implements HttpCaller {
+
+  /** Bytes of the longest reply; pages of the log are at most 1 MiB, in base64 1.4 MiB. */
+  private static final int MAX_REPLY_BYTES = 8 * 1024 * 1024;
+
+  /** Time to open a connection; a machine without power does not answer at all. */
+  private static final int CONNECT_MILLIS = 1_000;
+
+  private final EventLoop loop;
+  private final Bootstrap bootstrap;
+  private final Map<InetSocketAddress, Deque<Channel>> idle = new HashMap<>();
+
+  /** Creates a caller on an event loop. */
+  public NettyHttpCaller(EventLoop loop) {
+    this.loop = loop;
+    this.bootstrap =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+            .handler(new Pipeline());
+  }
+
+  @Override
+  public CompletionStage<HttpReply> call(HttpCall call) {
+    Pending pending = new Pending(call);
+    if (loop.inEventLoop()) {
+      pending.start();
+    } else {
+      loop.execute(pending::start);
+    }
+    return pending.result;
+  }
+
+  private @Nullable Channel takeIdle(InetSocketAddress address) {
+    Deque<Channel> channels = idle.get(address);
+    while (channels != null && !channels.isEmpty()) {
+      Channel channel = channels.pop();
+      if (channel.isActive()) {
+        return channel;
+      }
+    }
+    return null;
+  }
+
+  private void closeIdle(InetSocketAddress address) {
+    Deque<Channel> channels = idle.remove(address);
+    if (channels != null) {
+      channels.forEach(Channel::close);
+    }
+  }
+
+  /** A call on its way. */
+  private final class Pending {
+
+    private final HttpCall call;
+    private final CompletableFuture<HttpReply> result = new CompletableFuture<>();
+    private @Nullable ScheduledFuture<?> timer;
+    private @Nullable Channel channel;
+    private boolean written;
+
+    private Pending(HttpCall call) {
+      this.call = call;
+    }
+
+    private void start() {
+      timer = loop.schedule(this::timedOut, call.timeout().toMillis(), TimeUnit.MILLISECONDS);
+      Channel kept = takeIdle(call.address());
+      if (kept != null) {
+        write(kept);
+        return;
+      }
+      bootstrap
+          .connect(call.address())
+          .addListener(
+              (io.netty.channel.ChannelFutureListener)
+                  connected -> {
+                    if (!connected.isSuccess()) {
+                      fail("No connection to " + call.address() + ": " + connected.cause());
+                    } else if (result.isDone()) {
+                      connected.channel().close();
+                    } else {
+                      write(connected.channel());
+                    }
+                  });
+    }
+
+    private void write(Channel to) {
+      channel = to;
+      to.pipeline().get(ReplyHandler.class).pending = this;
+      DefaultFullHttpRequest request =
+          new DefaultFullHttpRequest(
+              HttpVersion.HTTP_1_1,
+              HttpMethod.valueOf(call.method()),
+              call.path(),
+              Unpooled.wrappedBuffer(call.body()));
+      InetSocketAddress address = call.address();
+      String host = address.getAddress().getHostAddress() + ":" + address.getPort();
+      request.headers().set(HttpHeaderNames.HOST, host);
+      call.headers().forEach(request.headers()::set);
+      HttpUtil.setContentLength(request, call.body().length);
+      written = true;
+      to.writeAndFlush(request);
+    }
+
+    private void timedOut() {
+      closeIdle(call.address());
+      fail("No reply from " + call.address() + " within " + call.timeout());
+      if (channel != null) {
+        channel.close();
+      }
+    }
+
+    private void fail(String message) {
+      stopTimer();
+      result.completeExceptionally(new HttpCallException(message, !written));
+    }
+
+    private void replied(FullHttpResponse response) {
+      stopTimer();
+      byte[] body = ByteBufUtil.getBytes(response.content());
+      Channel used = channel;
+      if (used != null && HttpUtil.isKeepAlive(response)) {
+        idle.computeIfAbsent(call.address(), any -> new ArrayDeque<>()).push(used);
+      } else if (used != null) {
+        used.close();
+      }
+      result.complete(new HttpReply(response.status().code(), body));
+    }
+
+    private void stopTimer() {
+      if (timer != null) {
+        timer.cancel(false);
+      }
+    }
+  }
+
+  /** Hands replies to the call that waits on a connection. */
+  private static final class ReplyHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+
+    private @Nullable Pending pending;
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+      Pending waiting = pending;
+      pending = null;
+      if (waiting == null || !response.decoderResult().isSuccess()) {
+        ctx.close();
+      }
+      if (waiting != null && response.decoderResult().isSuccess()) {
+        waiting.replied(response);
+      } else if (waiting != null) {
+        waiting.fail("The reply is not HTTP");
+      }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      Pending waiting = pending;
+      pending = null;
+      if (waiting != null) {
+        waiting.fail("The connection closed before a whole reply");
+      }
+      ctx.fireChannelInactive();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      // The call fails by channelInactive, which follows.
+      ctx.close();
+    }
+  }
+
+  /** Sets up a connection. */
+  private static final class Pipeline extends ChannelInitializer<Channel> {
+
+    @Override
+    protected void initChannel(Channel channel) {
+      channel.pipeline().addLast(new HttpClientCodec());
+      channel.pipeline().addLast(new HttpObjectAggregator(MAX_REPLY_BYTES));
+      channel.pipeline().addLast(new ReplyHandler());
+    }
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
@@ -0,0 +1,303 @@
+package io.hawthornlb.gateway.peer;
+
+import io.hawthornlb.gateway.endpoint.EndpointDirectory;
+import io.hawthornlb.gateway.event.EventLog;
+import io.hawthornlb.gateway.slot.SlotAnswer;
+import io.hawthornlb.gateway.slot.SlotClient;
+import io.hawthornlb.gateway.slot.SlotCoordinator;
+import io.hawthornlb.gateway.slot.SlotKey;
+import io.hawthornlb.gateway.slot.SlotOutcome;
+import io.hawthornlb.gateway.slot.SlotRequest;
+import io.hawthornlb.gateway.slot.SlotUse;
+import io.hawthornlb.gateway.slot.support.DefaultSlotCoordinator;
+import io.hawthornlb.gateway.slot.support.SlotSettings;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Asks the coordinator of a service for slots, and is the coordinator of some services itself.
+ *
+ * <p>The coordinator is the first process that answers, in an order that all processes compute
+ * alike. Failure: it is killed, frozen or cut off. It shows as a question without an answer. Guard:
+ * the question is repeated once, then goes to the next process, and at last to this process itself,
+ * which then places by what it knows alone. Holders renew their uses at whomever they ask now, so a
+ * new coordinator knows them within a second.
+ */
+public final class FleetSlotClient implements SlotClient {
+
+  /** Time after which a question is repeated; a round trip is 1 to 3 ms, a busy core adds 10. */
+  private static final Duration REPEAT_AFTER = Duration.ofMillis(25);
+
+  /** Questions to one process before the next one is asked. */
+  private static final int TRIES_PER_INSTANCE = 2;
+
+  /** Other processes that are asked before this one decides alone. */
+  private static final int INSTANCES_ASKED = 2;
+
+  /** Time beyond the longest wait after which a lost answer is taken for a refusal. */
+  private static final Duration ANSWER_MARGIN = Duration.ofMillis(60);
+
+  private static final Duration RENEW_EVERY = Duration.ofSeconds(1);
+
+  /** Granularity of waits in a coordinator. */
+  private static final Duration TICK = Duration.ofMillis(20);
+
+  private final FleetView fleet;
+  private final PeerTransport transport;
+  private final EndpointDirectory directory;
+  private final ScheduledExecutorService executor;
+  private final InstantSource clock;
+  private final EventLog log;
+  private final Map<String, SlotCoordinator> coordinators = new HashMap<>();
+  private final Map<SlotKey, Pending> pending = new HashMap<>();
+
+  /** Names of the processes by their starts; answers go to these. */
+  private final Map<String, String> senders = new HashMap<>();
+
+  private long nextNumber;
+  private boolean ticking;
+  private boolean renewing;
+
+  /** Creates a client; all its work happens on the executor. */
+  public FleetSlotClient(
+      FleetView fleet,
+      PeerTransport transport,
+      EndpointDirectory directory,
+      ScheduledExecutorService executor,
+      InstantSource clock,
+      EventLog log) {
+    this.fleet = fleet;
+    this.transport = transport;
+    this.directory = directory;
+    this.executor = executor;
+    this.clock = clock;
+    this.log = log;
+    transport.onMessage(this::received);
+  }
+
+  @Override
+  public SlotKey nextKey() {
+    nextNumber++;
+    return new SlotKey(fleet.self().boot(), nextNumber);
+  }
+
+  @Override
+  public void acquire(SlotRequest request, Listener listener) {
+    Pending asked = new Pending(request, listener);
+    pending.put(request.key(), asked);
+    asked.askNext();
+    renewSoon();
+  }
+
+  @Override
+  public void release(SlotKey key, SlotOutcome outcome) {
+    Pending ended = pending.remove(key);
+    if (ended == null) {
+      return;
+    }
+    ended.stopTimer();
+    GatewayInstance coordinator = ended.coordinator;
+    String service = ended.request.service();
+    if (coordinator.equals(fleet.self())) {
+      deliver(local(service).release(key, outcome, clock.instant()));
+    } else {
+      transport.send(coordinator, new PeerMessage.Release(service, key, outcome));
+    }
+  }
+
+  private SlotCoordinator local(String service) {
+    return coordinators.computeIfAbsent(
+        service, name -> new DefaultSlotCoordinator(name, directory, SlotSettings.DEFAULT));
+  }
+
+  private void received(PeerCodec.Envelope envelope) {
+    fleet.heard(envelope.sender());
+    PeerMessage message = envelope.message();
+    Instant now = clock.instant();
+    if (message instanceof PeerMessage.Ask ask) {
+      senders.put(ask.request().key().holder(), envelope.sender());
+      deliver(local(ask.request().service()).request(ask.request(), now));
+      tickSoon();
+    } else if (message instanceof PeerMessage.Answer answer) {
+      answered(answer.answer());
+    } else if (message instanceof PeerMessage.Release release) {
+      deliver(local(release.service()).release(release.key(), release.outcome(), now));
+    } else if (message instanceof PeerMessage.Renew renew) {
+      senders.put(renew.holder(), envelope.sender());
+      local(renew.service()).renew(renew.holder(), renew.uses(), now);
+      tickSoon();
+    }
+  }
+
+  private void deliver(List<SlotAnswer> answers) {
+    for (SlotAnswer answer : answers) {
+      if (answer.key().holder().equals(fleet.self().boot())) {
+        answered(answer);
+        continue;
+      }
+      String name = senders.get(answer.key().holder());
+      GatewayInstance holder = name == null ? null : fleet.find(name);
+      if (holder != null) {
+        transport.send(holder, new PeerMessage.Answer(answer));
+      }
+    }
+  }
+
+  private void answered(SlotAnswer answer) {
+    Pending asked = pending.get(answer.key());
+    if (asked != null) {
+      asked.answered(answer);
+    } else if (answer instanceof SlotAnswer.Granted) {
+      // The request has ended meanwhile; the renewal that lacks it frees the slot.
+      log.routine("slot", "grant.late").with("request", answer.key().number()).write();
+    }
+  }
+
+  private void tickSoon() {
+    if (!ticking) {
+      ticking = true;
+      executor.schedule(this::tick, TICK.toMillis(), TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void tick() {
+    ticking = false;
+    Instant now = clock.instant();
+    boolean busy = false;
+    for (SlotCoordinator coordinator : List.copyOf(coordinators.values())) {
+      deliver(coordinator.tick(now));
+      busy |= coordinator.busy();
+    }
+    if (busy) {
+      tickSoon();
+    }
+  }
+
+  private void renewSoon() {
+    if (!renewing) {
+      renewing = true;
+      executor.schedule(this::renew, RENEW_EVERY.toMillis(), TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void renew() {
+    renewing = false;
+    Map<String, List<SlotUse>> uses = new HashMap<>();
+    for (Pending held : pending.values()) {
+      List<SlotUse> ofService =
+          uses.computeIfAbsent(held.request.service(), any -> new ArrayList<>());
+      if (held.endpoint != null) {
+        SlotRequest request = held.request;
+        ofService.add(
+            new SlotUse(request.key().number(), held.endpoint, request.batch(), request.rank()));
+      }
+    }
+    uses.forEach(this::renewAt);
+    if (!uses.isEmpty()) {
+      renewSoon();
+    }
+  }
+
+  private void renewAt(String service, List<SlotUse> uses) {
+    String holder = fleet.self().boot();
+    GatewayInstance coordinator = fleet.ranked(service, clock.instant()).get(0);
+    if (coordinator.equals(fleet.self())) {
+      local(service).renew(holder, uses, clock.instant());
+      tickSoon();
+    } else {
+      transport.send(coordinator, new PeerMessage.Renew(service, holder, uses));
+    }
+  }
+
+  /** A request for a slot, until its use has ended. */
+  private final class Pending {
+
+    private final SlotRequest request;
+    private final Listener listener;
+    private GatewayInstance coordinator = fleet.self();
+    private int tries;
+    private int asked;
+    private @Nullable String endpoint;
+    private @Nullable ScheduledFuture<?> timer;
+
+    private Pending(SlotRequest request, Listener listener) {
+      this.request = request;
+      this.listener = listener;
+    }
+
+    private void askNext() {
+      List<GatewayInstance> ranked = fleet.ranked(request.service(), clock.instant());
+      coordinator = asked < INSTANCES_ASKED && !ranked.isEmpty() ? ranked.get(0) : fleet.self();
+      asked++;
+      tries = 0;
+      ask();
+    }
+
+    private void ask() {
+      if (coordinator.equals(fleet.self())) {
+        deliver(local(request.service()).request(request, clock.instant()));
+        tickSoon();
+        return;
+      }
+      tries++;
+      transport.send(coordinator, new PeerMessage.Ask(request));
+      timer = executor.schedule(this::noAnswer, REPEAT_AFTER.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void noAnswer() {
+      if (pending.get(request.key()) != this) {
+        return;
+      }
+      if (tries < TRIES_PER_INSTANCE) {
+        ask();
+        return;
+      }
+      fleet.silent(coordinator.name(), clock.instant());
+      log.important("slot", "coordinator.silent")
+          .with("service", request.service())
+          .with("instance", coordinator.name())
+          .write();
+      askNext();
+    }
+
+    private void answered(SlotAnswer answer) {
+      stopTimer();
+      if (answer instanceof SlotAnswer.Waiting) {
+        Duration longest = request.maxWait().plus(ANSWER_MARGIN);
+        timer = executor.schedule(this::lost, longest.toMillis(), TimeUnit.MILLISECONDS);
+      } else if (answer instanceof SlotAnswer.Granted granted) {
+        if (endpoint == null) {
+          endpoint = granted.endpoint();
+          listener.onAnswer(granted);
+        }
+      } else {
+        pending.remove(request.key());
+        listener.onAnswer(answer);
+      }
+    }
+
+    private void lost() {
+      if (pending.remove(request.key()) == this) {
+        fleet.silent(coordinator.name(), clock.instant());
+        log.important("slot", "answer.lost").with("service", request.service()).write();
+        listener.onAnswer(new SlotAnswer.Refused(request.key(), REPEAT_AFTER));
+      }
+    }
+
+    private void stopTimer() {
+      if (timer != null) {
+        timer.cancel(false);
+        timer = null;
+      }
+    }
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetView.java
@@ -0,0 +1,115 @@
+package io.hawthornlb.gateway.peer;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.hawthornlb.core.claim.RendezvousHash;
+import io.hawthornlb.core.model.InstanceId;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The processes of the fleet as this one knows them, and which of them do not answer.
+ *
+ * <p>Failure: a process is killed, frozen or cut off while the list still names it. It shows as
+ * datagrams without an answer. Guard: one that did not answer is passed over for a time that
+ * doubles with each silence, until a datagram of it arrives.
+ */
+public final class FleetView {
+
+  /** First time for which a silent process is passed over; restarts take 1 to 2 s. */
+  private static final Duration FIRST_SUSPICION = Duration.ofMillis(500);
+
+  /** Longest such time; bounds what processes that are gone for good cost. */
+  private static final Duration MAX_SUSPICION = Duration.ofSeconds(8);
+
+  private record Suspicion(int silences, Instant until) {}
+
+  private final GatewayInstance self;
+  private final Map<String, GatewayInstance> instances = new HashMap<>();
+  private final Map<String, Suspicion> suspicions = new HashMap<>();
+  private @Nullable RendezvousHash hash;
+
+  /** Creates a view that holds this process alone. */
+  public FleetView(GatewayInstance self) {
+    this.self = self;
+    instances.put(self.name(), self);
+  }
+
+  /** Returns this process. */
+  public GatewayInstance self() {
+    return self;
+  }
+
+  /** Takes a process of the list. */
+  public void put(GatewayInstance instance) {
+    if (instance.name().equals(self.name())) {
+      return;
+    }
+    GatewayInstance former = instances.put(instance.name(), instance);
+    if (!instance.equals(former)) {
+      suspicions.remove(instance.name());
+      hash = null;
+    }
+  }
+
+  /** Takes the end of a process. */
+  public void remove(String name) {
+    if (!name.equals(self.name()) && instances.remove(name) != null) {
+      hash = null;
+    }
+  }
+
+  /** Returns a process by its name; null if the list lacks it. */
+  public @Nullable GatewayInstance find(String name) {
+    return instances.get(name);
+  }
+
+  /** Returns the other processes. */
+  public List<GatewayInstance> others() {
+    return instances.values().stream().filter(each -> !each.equals(self)).toList();
+  }
+
+  /** Notes that a process did not answer. */
+  public void silent(String name, Instant now) {
+    Suspicion former = suspicions.get(name);
+    int silences = former == null ? 1 : Math.min(former.silences() + 1, 10);
+    Duration doubled = FIRST_SUSPICION.multipliedBy(1L << (silences - 1));
+    Duration time = doubled.compareTo(MAX_SUSPICION) > 0 ? MAX_SUSPICION : doubled;
+    suspicions.put(name, new Suspicion(silences, now.plus(time)));
+  }
+
+  /** Notes that a datagram of a process arrived. */
+  public void heard(String name) {
+    suspicions.remove(name);
+  }
+
+  /** Returns the processes that do not seem silent, in the order in which they serve a key. */
+  public List<GatewayInstance> ranked(String key, Instant now) {
+    RendezvousHash current = hash;
+    if (current == null) {
+      current = new RendezvousHash(instances.keySet().stream().map(FleetView::id).toList());
+      hash = current;
+    }
+    List<GatewayInstance> ranked = new ArrayList<>();
+    for (InstanceId id : current.ranked(Hashing.wyhashFinal4().hashCharsToLong(key))) {
+      GatewayInstance instance = instances.get(id.stableName());
+      if (instance != null && !suspected(instance.name(), now)) {
+        ranked.add(instance);
+      }
+    }
+    return ranked;
+  }
+
+  private static InstanceId id(String name) {
+    return new InstanceId(name);
+  }
+
+  private boolean suspected(String name, Instant now) {
+    Suspicion suspicion = suspicions.get(name);
+    return suspicion != null && now.isBefore(suspicion.until());
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/EndpointSource.java
@@ -0,0 +1,103 @@
+package io.hawthornlb.gateway.process;
+
+import io.hawthornlb.gateway.endpoint.EndpointDirectory;
+import io.hawthornlb.gateway.endpoint.EndpointRecord;
+import io.hawthornlb.gateway.event.EventLog;
+import io.hawthornlb.gateway.store.KeyedFollower;
+import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/** Keeps the endpoint directory as the store tells. */
+final class EndpointSource implements KeyedFollower.Listener {
+
+  private final SourceFormats formats;
+  private final EndpointDirectory directory;
+  private final ScheduledExecutorService executor;
+  private final InstantSource clock;
+  private final EventLog log;
+  private boolean loaded;
+
+  EndpointSource(
+      SourceFormats formats,
+      EndpointDirectory directory,
+      ScheduledExecutorService executor,
+      InstantSource clock,
+      EventLog log) {
+    this.formats = formats;
+    this.directory = directory;
+    this.executor = executor;
+    this.clock = clock;
+    this.log = log;
+  }
+
+  boolean loaded() {
+    return loaded;
+  }
+
+  @Override
+  public void onAll(List<KeyedRecord> records) {
+    List<EndpointRecord> entries = new ArrayList<>();
+    for (KeyedRecord record : records) {
+      byte[] value = record.value();
+      if (value != null) {
+        read(record.key(), value).ifPresent(entries::add);
+      }
+    }
+    directory.replaceAll(entries, clock.instant());
+    loaded = true;
+    expireLater();
+    log.important("endpoint", "list.loaded").with("entries", directory.size()).write();
+  }
+
+  @Override
+  public void onRecords(List<KeyedRecord> records) {
+    for (KeyedRecord record : records) {
+      byte[] value = record.value();
+      if (value == null) {
+        log.important("endpoint", "removed").with("endpoint", record.key()).write();
+        directory.remove(record.key(), clock.instant());
+        expireLater();
+      } else {
+        read(record.key(), value).ifPresent(this::put);
+      }
+    }
+  }
+
+  @Override
+  public void onRegained() {
+    directory.outageEnded(clock.instant());
+  }
+
+  private void put(EndpointRecord entry) {
+    Optional<EndpointRecord> former = directory.find(entry.id());
+    if (former.isEmpty() || former.get().leaving() != entry.leaving()) {
+      log.important("endpoint", entry.leaving() ? "leaving" : "offered")
+          .with("endpoint", entry.id())
+          .with("service", entry.service())
+          .write();
+    }
+    directory.put(entry);
+  }
+
+  private Optional<EndpointRecord> read(String id, byte[] value) {
+    try {
+      return Optional.of(formats.endpoint(id, value));
+    } catch (IllegalArgumentException e) {
+      log.important("endpoint", "unreadable")
+          .with("endpoint", id)
+          .with("cause", e.getMessage())
+          .write();
+      return Optional.empty();
+    }
+  }
+
+  private void expireLater() {
+    long millis = EndpointDirectory.RETURN_GRACE.plusMillis(20).toMillis();
+    executor.schedule(() -> directory.expire(clock.instant()), millis, TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -0,0 +1,136 @@
+package io.hawthornlb.gateway.process;
+
+import io.hawthornlb.gateway.endpoint.EndpointDirectory;
+import io.hawthornlb.gateway.event.EventLog;
+import io.hawthornlb.gateway.front.ForwardingHandler;
+import io.hawthornlb.gateway.front.FrontServer;
+import io.hawthornlb.gateway.front.RequestHandler;
+import io.hawthornlb.gateway.peer.FleetSlotClient;
+import io.hawthornlb.gateway.peer.FleetView;
+import io.hawthornlb.gateway.peer.UdpPeerTransport;
+import io.hawthornlb.gateway.route.ConfigHolder;
+import io.hawthornlb.gateway.store.KeyedFollower;
+import io.hawthornlb.gateway.store.LogStore;
+import io.hawthornlb.gateway.wire.EndpointPool;
+import io.hawthornlb.gateway.wire.HeaderNames;
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/** A running gateway: everything that touches a request runs on one event loop. */
+public final class GatewayProcess {
+
+  /** Time for which connections are still taken after a stop; the balancer needs two misses. */
+  private static final Duration LINGER = Duration.ofMillis(2_600);
+
+  /** Kept free at the end of the time to stop, so that the process ends by itself. */
+  private static final Duration STOP_MARGIN = Duration.ofMillis(700);
+
+  private static final Duration STOP_POLL = Duration.ofMillis(50);
+
+  private final GatewaySettings settings;
+  private final EventLoop loop;
+  private final InstantSource clock;
+  private final EventLog log;
+  private final ConfigHolder config = new ConfigHolder();
+  private final EndpointDirectory directory = new EndpointDirectory();
+  private final EndpointSource endpoints;
+  private final InstanceSource instances;
+  private final FrontServer front;
+  private boolean stopping;
+
+  /** Starts a gateway on an event loop. */
+  public GatewayProcess(
+      GatewaySettings settings,
+      EventLoop loop,
+      LogStore store,
+      SourceFormats formats,
+      HeaderNames names,
+      InstantSource clock,
+      EventLog log) {
+    this.settings = settings;
+    this.loop = loop;
+    this.clock = clock;
+    this.log = log;
+    FleetView fleet = new FleetView(settings.self());
+    UdpPeerTransport transport =
+        new UdpPeerTransport(loop, settings.self().address(), settings.self().name(), log);
+    FleetSlotClient slots = new FleetSlotClient(fleet, transport, directory, loop, clock, log);
+    EndpointPool pool = new EndpointPool(loop, names);
+    directory.onRemoval(endpoint -> pool.forget(endpoint.id()));
+    endpoints = new EndpointSource(formats, directory, loop, clock, log);
+    instances = new InstanceSource(fleet, store, loop, log);
+    RequestHandler jobs =
+        (request, responder) -> {
+          responder.own(503, Duration.ofMillis(500));
+          return () -> {};
+        };
+    ForwardingHandler handler =
+        new ForwardingHandler(
+            new ForwardingHandler.Parts(
+                config,
+                directory,
+                slots,
+                pool,
+                names,
+                jobs,
+                settings.self().dataCentre(),
+                loop,
+                clock,
+                log));
+    front = new FrontServer(handler, config, clock, log);
+    ConfigSource configs = new ConfigSource(formats, config, log);
+    follow(store, formats.configTopic(), configs);
+    follow(store, formats.endpointTopic(), endpoints);
+    follow(store, InstanceSource.TOPIC, instances);
+    instances.announce();
+    front.bind(loop, settings.front());
+    new ReadyServer(this::ready).bind(loop, settings.ready());
+    log.important("process", "started").with("instance", settings.self().name()).write();
+  }
+
+  /** Stops taking connections, ends what is being handled, and returns when that is done. */
+  public void stop() {
+    CountDownLatch done = new CountDownLatch(1);
+    loop.execute(() -> beginStop(done));
+    try {
+      done.await(settings.stopTime().toMillis(), TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void beginStop(CountDownLatch done) {
+    stopping = true;
+    log.important("process", "stopping").with("active", front.active()).write();
+    instances.leave();
+    front.drain();
+    Instant now = clock.instant();
+    Instant latest = now.plus(settings.stopTime()).minus(STOP_MARGIN);
+    pollStop(now.plus(LINGER), latest, done);
+  }
+
+  private void pollStop(Instant earliest, Instant latest, CountDownLatch done) {
+    Instant now = clock.instant();
+    boolean idle = front.active() == 0;
+    if ((idle && now.isAfter(earliest)) || now.isAfter(latest)) {
+      front.closeIdle();
+      log.important("process", "stopped").with("active", front.active()).write();
+      loop.schedule(done::countDown, STOP_POLL.toMillis(), TimeUnit.MILLISECONDS);
+      return;
+    }
+    loop.schedule(
+        () -> pollStop(earliest, latest, done), STOP_POLL.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private boolean ready() {
+    return !stopping && config.current().isPresent() && endpoints.loaded();
+  }
+
+  private void follow(LogStore store, String topic, KeyedFollower.Listener listener) {
+    loop.execute(new KeyedFollower(store, topic, 0, loop, clock, log, listener)::start);
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewaySettings.java
@@ -0,0 +1,21 @@
+package io.hawthornlb.gateway.process;
+
+import io.hawthornlb.gateway.peer.GatewayInstance;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+
+/**
+ * Settings of a gateway.
+ *
+ * @param self this process
+ * @param front where callers connect
+ * @param ready where the balancer asks whether this process takes connections
+ * @param stopTime time from the signal to stop until the process is killed
+ * @param jobPartitions partitions of the jobs' topic
+ */
+public record GatewaySettings(
+    GatewayInstance self,
+    InetSocketAddress front,
+    InetSocketAddress ready,
+    Duration stopTime,
+    int jobPartitions) {}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/InstanceSource.java
@@ -0,0 +1,115 @@
+package io.hawthornlb.gateway.process;
+
+import io.hawthornlb.gateway.event.EventLog;
+import io.hawthornlb.gateway.peer.FleetView;
+import io.hawthornlb.gateway.peer.GatewayInstance;
+import io.hawthornlb.gateway.store.KeyedFollower;
+import io.hawthornlb.gateway.store.LogStore;
+import io.hawthornlb.gateway.store.LogStore.AppendCall;
+import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/** Lists this process in the store, and keeps the view of the fleet as the store tells. */
+final class InstanceSource implements KeyedFollower.Listener {
+
+  /** Keyed topic of the processes, by their names. */
+  static final String TOPIC = "keyed.instances";
+
+  /** Pause before this process is listed again after a failure. */
+  private static final Duration REPEAT = Duration.ofMillis(500);
+
+  private final FleetView fleet;
+  private final LogStore store;
+  private final ScheduledExecutorService executor;
+  private final EventLog log;
+  private boolean leaving;
+
+  InstanceSource(FleetView fleet, LogStore store, ScheduledExecutorService executor, EventLog log) {
+    this.fleet = fleet;
+    this.store = store;
+    this.executor = executor;
+    this.log = log;
+  }
+
+  /** Lists this process; repeats until the store has taken it. */
+  void announce() {
+    if (leaving) {
+      return;
+    }
+    KeyedRecord record = new KeyedRecord(fleet.self().name(), encode(fleet.self()));
+    store
+        .append(new AppendCall(TOPIC, 0, List.of(record), null))
+        .whenCompleteAsync(
+            (done, failure) -> {
+              if (failure != null) {
+                executor.schedule(this::announce, REPEAT.toMillis(), TimeUnit.MILLISECONDS);
+              }
+            },
+            executor);
+  }
+
+  /** Takes this process off the list. */
+  void leave() {
+    leaving = true;
+    KeyedRecord record = new KeyedRecord(fleet.self().name(), null);
+    store.append(new AppendCall(TOPIC, 0, List.of(record), null));
+  }
+
+  @Override
+  public void onAll(List<KeyedRecord> records) {
+    onRecords(records);
+  }
+
+  @Override
+  public void onRecords(List<KeyedRecord> records) {
+    for (KeyedRecord record : records) {
+      byte[] value = record.value();
+      if (value == null) {
+        fleet.remove(record.key());
+      } else {
+        take(record.key(), value);
+      }
+    }
+    log.important("fleet", "list.changed").with("others", fleet.others().size()).write();
+  }
+
+  private void take(String name, byte[] value) {
+    try {
+      fleet.put(decode(name, value));
+    } catch (UncheckedIOException e) {
+      log.important("fleet", "entry.unreadable").with("instance", name).write();
+    }
+  }
+
+  private static byte[] encode(GatewayInstance instance) {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packer.packString(instance.boot());
+      packer.packString(instance.address().getAddress().getHostAddress());
+      packer.packInt(instance.address().getPort());
+      packer.packString(instance.dataCentre());
+      return packer.toByteArray();
+    } catch (IOException e) {
+      throw new UncheckedIOException("A buffer in memory failed", e);
+    }
+  }
+
+  private static GatewayInstance decode(String name, byte[] value) {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(value)) {
+      String boot = unpacker.unpackString();
+      String host = unpacker.unpackString();
+      InetSocketAddress address = new InetSocketAddress(host, unpacker.unpackInt());
+      return new GatewayInstance(name, boot, address, unpacker.unpackString());
+    } catch (IOException e) {
+      throw new UncheckedIOException("Not an entry of a gateway", e);
+    }
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/ReadyServer.java
@@ -0,0 +1,75 @@
+package io.hawthornlb.gateway.process;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.util.function.BooleanSupplier;
+
+/** Tells the balancer whether this process takes new connections. */
+final class ReadyServer {
+
+  private final BooleanSupplier ready;
+
+  ReadyServer(BooleanSupplier ready) {
+    this.ready = ready;
+  }
+
+  void bind(EventLoopGroup loop, InetSocketAddress address) {
+    new ServerBootstrap()
+        .group(loop)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childHandler(new Pipeline())
+        .bind(address)
+        .syncUninterruptibly();
+  }
+
+  /** Sets up a connection. */
+  private final class Pipeline extends ChannelInitializer<Channel> {
+
+    @Override
+    protected void initChannel(Channel channel) {
+      channel.pipeline().addLast(new HttpServerCodec());
+      channel.pipeline().addLast(new Answer());
+    }
+  }
+
+  /** Answers each request by the state alone. */
+  private final class Answer extends SimpleChannelInboundHandler<HttpRequest> {
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, HttpRequest request) {
+      HttpResponseStatus status =
+          ready.getAsBoolean() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+      FullHttpResponse response =
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+      response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+      var written = ctx.writeAndFlush(response);
+      if (!HttpUtil.isKeepAlive(request)) {
+        written.addListener(ChannelFutureListener.CLOSE);
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      // The balancer asks again in a second.
+      ctx.close();
+    }
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/route/Route.java
@@ -0,0 +1,62 @@
+package io.hawthornlb.gateway.route;
+
+import io.hawthornlb.core.util.Checks;
+import java.time.Duration;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A route of the configuration that is in force.
+ *
+ * @param name name of the route
+ * @param host host that its requests name
+ * @param pathPrefix start of its requests' paths; ends with a slash
+ * @param kind what may be repeated
+ * @param timeout longest time that a request may be kept waiting
+ * @param objective time within which an answer is on time
+ * @param priority rank among the routes; 0 is the most urgent
+ * @param services services that run its requests
+ * @param maxAttempts endpoints on which one request may run
+ * @param resumable whether a stream may go on at another endpoint
+ * @param completion time after which all results of a job are due; jobs only
+ * @param retention time after which an item of a job may be given up; jobs only
+ */
+public record Route(
+    String name,
+    String host,
+    String pathPrefix,
+    RouteKind kind,
+    Duration timeout,
+    Duration objective,
+    int priority,
+    List<ServiceShare> services,
+    int maxAttempts,
+    boolean resumable,
+    @Nullable Duration completion,
+    @Nullable Duration retention) {
+
+  /** Checks the arguments. */
+  public Route {
+    Checks.hasText(host, "host");
+    Checks.hasText(pathPrefix, "pathPrefix");
+    Checks.notEmpty(services, "services");
+    services = List.copyOf(services);
+  }
+
+  /**
+   * Picks the service of a request by the weights.
+   *
+   * @param draw random number from 0 (inclusive) to 1 (exclusive)
+   */
+  public String service(double draw) {
+    double total = services.stream().mapToDouble(ServiceShare::weight).sum();
+    double rest = draw * total;
+    for (ServiceShare share : services) {
+      rest -= share.weight();
+      if (rest < 0) {
+        return share.service();
+      }
+    }
+    return services.get(services.size() - 1).service();
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/route/ServiceShare.java
@@ -0,0 +1,18 @@
+package io.hawthornlb.gateway.route;
+
+import io.hawthornlb.core.util.Checks;
+
+/**
+ * Part of a route's requests that goes to a service.
+ *
+ * @param service name of the service
+ * @param weight weight beside the route's other services
+ */
+public record ServiceShare(String service, double weight) {
+
+  /** Checks the arguments. */
+  public ServiceShare {
+    Checks.hasText(service, "service");
+    Checks.isTrue(weight >= 0, "weight must not be negative");
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -0,0 +1,245 @@
+package io.hawthornlb.gateway.slot.support;
+
+import io.hawthornlb.gateway.endpoint.EndpointDirectory;
+import io.hawthornlb.gateway.endpoint.EndpointRecord;
+import io.hawthornlb.gateway.slot.SlotAnswer;
+import io.hawthornlb.gateway.slot.SlotCoordinator;
+import io.hawthornlb.gateway.slot.SlotKey;
+import io.hawthornlb.gateway.slot.SlotOutcome;
+import io.hawthornlb.gateway.slot.SlotRequest;
+import io.hawthornlb.gateway.slot.SlotUse;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Coordinator that places on the endpoint with the smallest share of its slots in use, queues by
+ * rank, and revokes the batch item that is due last when an online request finds no slot.
+ *
+ * <p>A request that is refused at once can come back while there is time; one that waits longer
+ * than it may would be late and would have kept others waiting. So an online request waits only
+ * while its expected wait, from the length of recent uses, is within what it may wait.
+ */
+public final class DefaultSlotCoordinator implements SlotCoordinator {
+
+  private record Waiter(SlotRequest request, Instant since) {
+
+    Instant until() {
+      return since.plus(request.maxWait());
+    }
+  }
+
+  private static final Comparator<Waiter> ORDER =
+      Comparator.comparing((Waiter waiter) -> waiter.request().batch())
+          .thenComparing(waiter -> waiter.request().rank())
+          .thenComparing(Waiter::since);
+
+  private final String service;
+  private final EndpointDirectory directory;
+  private final SlotSettings settings;
+  private final Penalties penalties;
+  private final WaitEstimate estimate = new WaitEstimate();
+  private final Map<SlotKey, SlotLease> leases = new HashMap<>();
+  private final List<Waiter> waiting = new ArrayList<>();
+
+  /** Creates a coordinator of a service. */
+  public DefaultSlotCoordinator(
+      String service, EndpointDirectory directory, SlotSettings settings) {
+    this.service = service;
+    this.directory = directory;
+    this.settings = settings;
+    this.penalties = new Penalties(settings);
+  }
+
+  @Override
+  public List<SlotAnswer> request(SlotRequest request, Instant now) {
+    SlotLease held = leases.get(request.key());
+    if (held != null) {
+      // The answer was lost, and the holder asks again.
+      return List.of(new SlotAnswer.Granted(request.key(), held.endpoint()));
+    }
+    if (isWaiting(request.key())) {
+      return List.of(new SlotAnswer.Waiting(request.key()));
+    }
+    List<SlotAnswer> answers = new ArrayList<>();
+    if (!tryGrant(request, now, answers)) {
+      waitOrRefuse(request, now, answers);
+    }
+    return answers;
+  }
+
+  @Override
+  public List<SlotAnswer> release(SlotKey key, SlotOutcome outcome, Instant now) {
+    waiting.removeIf(waiter -> waiter.request().key().equals(key));
+    SlotLease lease = leases.remove(key);
+    if (lease == null) {
+      return List.of();
+    }
+    penalties.record(lease.endpoint(), lease.dataCentre(), outcome, now);
+    if (outcome == SlotOutcome.ANSWERED && !lease.batch()) {
+      estimate.ended(lease.since(), now);
+    }
+    return fill(now);
+  }
+
+  @Override
+  public void renew(String holder, List<SlotUse> uses, Instant now) {
+    Map<Long, SlotUse> told =
+        uses.stream().collect(Collectors.toMap(SlotUse::number, use -> use, (a, b) -> b));
+    Instant settled = now.minus(settings.leaseTime().dividedBy(3));
+    leases
+        .values()
+        .removeIf(
+            lease ->
+                lease.key().holder().equals(holder)
+                    && !told.containsKey(lease.key().number())
+                    && lease.since().isBefore(settled));
+    for (SlotUse use : told.values()) {
+      SlotKey key = new SlotKey(holder, use.number());
+      SlotLease known = leases.get(key);
+      SlotLease renewed =
+          known != null
+              ? known.renewedAt(now)
+              : new SlotLease(key, use.endpoint(), "", use.batch(), use.rank(), now, now);
+      leases.put(key, renewed);
+    }
+  }
+
+  @Override
+  public List<SlotAnswer> tick(Instant now) {
+    Instant silentSince = now.minus(settings.leaseTime());
+    leases.values().removeIf(lease -> lease.renewed().isBefore(silentSince));
+    List<SlotAnswer> answers = new ArrayList<>(fill(now));
+    List<Waiter> expired =
+        waiting.stream().filter(waiter -> !now.isBefore(waiter.until())).toList();
+    waiting.removeAll(expired);
+    for (Waiter waiter : expired) {
+      Duration retryAfter = estimate.retryAfter(onlineWaiting(), slots());
+      answers.add(new SlotAnswer.Refused(waiter.request().key(), retryAfter));
+    }
+    return answers;
+  }
+
+  @Override
+  public boolean busy() {
+    return !leases.isEmpty() || !waiting.isEmpty();
+  }
+
+  private boolean isWaiting(SlotKey key) {
+    return waiting.stream().anyMatch(waiter -> waiter.request().key().equals(key));
+  }
+
+  private void waitOrRefuse(SlotRequest request, Instant now, List<SlotAnswer> answers) {
+    int ahead = onlineWaiting();
+    if (!request.batch() && estimate.of(ahead, slots()).compareTo(request.maxWait()) > 0) {
+      answers.add(new SlotAnswer.Refused(request.key(), estimate.retryAfter(ahead, slots())));
+      return;
+    }
+    waiting.add(new Waiter(request, now));
+    waiting.sort(ORDER);
+    answers.add(new SlotAnswer.Waiting(request.key()));
+  }
+
+  private int onlineWaiting() {
+    return (int) waiting.stream().filter(waiter -> !waiter.request().batch()).count();
+  }
+
+  private int slots() {
+    return directory.usable(service).stream().mapToInt(EndpointRecord::slots).sum();
+  }
+
+  private List<SlotAnswer> fill(Instant now) {
+    List<SlotAnswer> answers = new ArrayList<>();
+    List<Waiter> granted = new ArrayList<>();
+    for (Waiter waiter : waiting) {
+      if (tryGrant(waiter.request(), now, answers)) {
+        granted.add(waiter);
+      }
+    }
+    waiting.removeAll(granted);
+    return answers;
+  }
+
+  private boolean tryGrant(SlotRequest request, Instant now, List<SlotAnswer> answers) {
+    List<EndpointRecord> candidates = candidates(request, now);
+    Optional<EndpointRecord> free =
+        candidates.stream()
+            .filter(endpoint -> used(endpoint.id()) < endpoint.slots())
+            .min(leastUsed(request.dataCentre()));
+    if (free.isEmpty() && !request.batch()) {
+      free = revokeOne(candidates, answers);
+    }
+    if (free.isEmpty()) {
+      return false;
+    }
+    String endpoint = free.get().id();
+    leases.put(
+        request.key(),
+        new SlotLease(
+            request.key(),
+            endpoint,
+            request.dataCentre(),
+            request.batch(),
+            request.rank(),
+            now,
+            now));
+    answers.add(new SlotAnswer.Granted(request.key(), endpoint));
+    return true;
+  }
+
+  private List<EndpointRecord> candidates(SlotRequest request, Instant now) {
+    List<EndpointRecord> usable = directory.usable(service);
+    List<EndpointRecord> fit =
+        usable.stream()
+            .filter(endpoint -> !request.excluded().contains(endpoint.id()))
+            .filter(endpoint -> penalties.free(endpoint.id(), request.dataCentre(), now))
+            .toList();
+    return fit;
+  }
+
+  private Comparator<EndpointRecord> leastUsed(String dataCentre) {
+    return Comparator.comparingDouble(
+            (EndpointRecord endpoint) -> (double) used(endpoint.id()) / endpoint.slots())
+        .thenComparing(endpoint -> !endpoint.dataCentre().equals(dataCentre))
+        .thenComparing(EndpointRecord::id);
+  }
+
+  private int used(String endpoint) {
+    int used = 0;
+    for (SlotLease lease : leases.values()) {
+      if (lease.endpoint().equals(endpoint)) {
+        used++;
+      }
+    }
+    return used;
+  }
+
+  private Optional<EndpointRecord> revokeOne(
+      List<EndpointRecord> candidates, List<SlotAnswer> answers) {
+    Set<String> ids = candidates.stream().map(EndpointRecord::id).collect(Collectors.toSet());
+    @Nullable SlotLease last = null;
+    for (SlotLease lease : leases.values()) {
+      boolean fits = lease.batch() && ids.contains(lease.endpoint());
+      if (fits && (last == null || lease.rank() > last.rank())) {
+        last = lease;
+      }
+    }
+    if (last == null) {
+      return Optional.empty();
+    }
+    SlotLease revoked = last;
+    leases.remove(revoked.key());
+    answers.add(new SlotAnswer.Revoked(revoked.key()));
+    return candidates.stream()
+        .filter(endpoint -> endpoint.id().equals(revoked.endpoint()))
+        .findFirst();
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotLease.java
@@ -0,0 +1,19 @@
+package io.hawthornlb.gateway.slot.support;
+
+import io.hawthornlb.gateway.slot.SlotKey;
+import java.time.Instant;
+
+/** A use of a slot that the coordinator knows of. */
+record SlotLease(
+    SlotKey key,
+    String endpoint,
+    String dataCentre,
+    boolean batch,
+    long rank,
+    Instant since,
+    Instant renewed) {
+
+  SlotLease renewedAt(Instant now) {
+    return new SlotLease(key, endpoint, dataCentre, batch, rank, since, now);
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/KeyedFollower.java
@@ -0,0 +1,177 @@
+package io.hawthornlb.gateway.store;
+
+import io.hawthornlb.gateway.event.EventLog;
+import io.hawthornlb.gateway.store.LogStore.KeyedPage;
+import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
+import io.hawthornlb.gateway.store.LogStore.LogPage;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Follows one partition of a keyed topic by waiting reads, and starts over from the newest records
+ * when the history it needs is gone.
+ *
+ * <p>Failure: the store is away, slow or forgets its history. It shows as failed reads, or as a
+ * page that says that records are gone. Guard: failed reads are repeated after a pause that grows;
+ * after missing history the listener gets the whole content anew, so that removals in the gap are
+ * not missed.
+ */
+public final class KeyedFollower {
+
+  /** Longest wait of a read; bounds how long a silent connection hides changes. */
+  private static final Duration READ_WAIT = Duration.ofSeconds(2);
+
+  private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
+
+  /** Longest pause between tries; entries are to be back within 2 s of an outage's end. */
+  private static final Duration MAX_PAUSE = Duration.ofMillis(800);
+
+  private final LogStore store;
+  private final String topic;
+  private final int partition;
+  private final ScheduledExecutorService executor;
+  private final InstantSource clock;
+  private final EventLog log;
+  private final Listener listener;
+  private Duration pause = FIRST_PAUSE;
+  private boolean lost;
+  private boolean stopped;
+  private Instant lastReply = Instant.MIN;
+
+  /** Receives what a partition holds. */
+  public interface Listener {
+
+    /** Takes the whole content, the newest record of each key. */
+    void onAll(List<KeyedRecord> records);
+
+    /** Takes records that were appended. */
+    void onRecords(List<KeyedRecord> records);
+
+    /** Is told that the store answers again after failures. */
+    default void onRegained() {}
+  }
+
+  /** Creates a follower; all its work happens on the executor. */
+  public KeyedFollower(
+      LogStore store,
+      String topic,
+      int partition,
+      ScheduledExecutorService executor,
+      InstantSource clock,
+      EventLog log,
+      Listener listener) {
+    this.store = store;
+    this.topic = topic;
+    this.partition = partition;
+    this.executor = executor;
+    this.clock = clock;
+    this.log = log;
+    this.listener = listener;
+  }
+
+  /** Starts to follow. */
+  public void start() {
+    loadAll(new ArrayList<>(), null, -1);
+  }
+
+  /** Stops after the read that is on its way. */
+  public void stop() {
+    stopped = true;
+  }
+
+  /** Returns when the store answered last. */
+  public Instant lastReply() {
+    return lastReply;
+  }
+
+  private void loadAll(List<KeyedRecord> records, @Nullable String after, long firstEnd) {
+    if (stopped) {
+      return;
+    }
+    store
+        .newest(topic, partition, after)
+        .whenCompleteAsync(
+            (page, failure) -> {
+              if (failure != null) {
+                failed(failure, this::start);
+                return;
+              }
+              loadedPage(records, page, firstEnd);
+            },
+            executor);
+  }
+
+  private void loadedPage(List<KeyedRecord> records, KeyedPage page, long firstEnd) {
+    answered();
+    records.addAll(page.records());
+    // Pages are not a snapshot. Reading on from the end that the first page named sees what was
+    // written between the pages once more, which does no harm, and misses nothing.
+    long from = firstEnd < 0 ? page.end() : firstEnd;
+    if (page.more() && !page.records().isEmpty()) {
+      String last = page.records().get(page.records().size() - 1).key();
+      loadAll(records, last, from);
+      return;
+    }
+    listener.onAll(records);
+    readFrom(from);
+  }
+
+  private void readFrom(long offset) {
+    if (stopped) {
+      return;
+    }
+    store
+        .read(topic, partition, offset, READ_WAIT)
+        .whenCompleteAsync(
+            (page, failure) -> {
+              if (failure != null) {
+                failed(failure, () -> readFrom(offset));
+                return;
+              }
+              readPage(page);
+            },
+            executor);
+  }
+
+  private void readPage(LogPage page) {
+    answered();
+    if (page.trimmed()) {
+      log.important("store", "history.gone").with("topic", topic).write();
+      start();
+      return;
+    }
+    if (!page.records().isEmpty()) {
+      listener.onRecords(page.records());
+    }
+    readFrom(page.next());
+  }
+
+  private void answered() {
+    lastReply = clock.instant();
+    pause = FIRST_PAUSE;
+    if (lost) {
+      lost = false;
+      log.important("store", "regained").with("topic", topic).write();
+      listener.onRegained();
+    }
+  }
+
+  private void failed(Throwable failure, Runnable again) {
+    if (!lost) {
+      lost = true;
+      log.important("store", "lost")
+          .with("topic", topic)
+          .with("cause", String.valueOf(failure.getMessage()))
+          .write();
+    }
+    executor.schedule(again, pause.toMillis(), TimeUnit.MILLISECONDS);
+    Duration doubled = pause.multipliedBy(2);
+    pause = doubled.compareTo(MAX_PAUSE) > 0 ? MAX_PAUSE : doubled;
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/PooledCall.java
@@ -0,0 +1,120 @@
+package io.hawthornlb.gateway.wire;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import org.jspecify.annotations.Nullable;
+
+/** A request on a connection of the pool. */
+final class PooledCall implements EndpointCall {
+
+  private final EndpointPool pool;
+  private final String endpointId;
+  private final EndpointCallListener listener;
+  private final @Nullable String requestId;
+  private @Nullable FullHttpRequest request;
+  private @Nullable Channel channel;
+  private @Nullable ChannelFuture written;
+  private boolean done;
+
+  PooledCall(
+      EndpointPool pool,
+      String endpointId,
+      FullHttpRequest request,
+      EndpointCallListener listener) {
+    this.pool = pool;
+    this.endpointId = endpointId;
+    this.request = request;
+    this.listener = listener;
+    this.requestId = request.headers().get(pool.names().requestId());
+  }
+
+  void write(Channel to) {
+    FullHttpRequest outgoing = request;
+    request = null;
+    if (done || outgoing == null) {
+      if (outgoing != null) {
+        outgoing.release();
+      }
+      to.close();
+      return;
+    }
+    channel = to;
+    to.pipeline().get(EndpointHandler.class).begin(this);
+    to.config().setAutoRead(true);
+    written = to.writeAndFlush(outgoing);
+  }
+
+  void notSent(String cause) {
+    releaseRequest();
+    if (!done) {
+      done = true;
+      listener.onFailure(false, cause);
+    }
+  }
+
+  @Override
+  public void abort() {
+    done = true;
+    releaseRequest();
+    if (channel != null) {
+      channel.close();
+    }
+  }
+
+  @Override
+  public void reading(boolean on) {
+    if (channel != null) {
+      channel.config().setAutoRead(on);
+    }
+  }
+
+  EndpointPool pool() {
+    return pool;
+  }
+
+  String endpointId() {
+    return endpointId;
+  }
+
+  boolean done() {
+    return done;
+  }
+
+  EndpointCallListener listener() {
+    return listener;
+  }
+
+  /** Returns whether a response is the one to this request, by the id that endpoints echo. */
+  boolean owns(HttpResponse response) {
+    String echoed = response.headers().get(pool.names().requestId());
+    return echoed == null || echoed.equals(requestId);
+  }
+
+  /** Returns whether the whole request has left, so that the connection may be used again. */
+  boolean whollyWritten() {
+    return written != null && written.isSuccess();
+  }
+
+  void ended() {
+    if (!done) {
+      done = true;
+      listener.onEnd();
+    }
+  }
+
+  void failed(String cause) {
+    if (!done) {
+      done = true;
+      listener.onFailure(true, cause);
+    }
+  }
+
+  private void releaseRequest() {
+    if (request != null) {
+      request.release();
+      request = null;
+    }
+  }
+}
