Accept, run and list jobs through the store's log

Members of a group share the partitions of one keyed topic; the holder fences, reads to the end and runs items in slots that online requests leave.

--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -0,0 +1,290 @@
+package io.hawthornlb.gateway.job;
+
+import io.hawthornlb.gateway.endpoint.EndpointRecord;
+import io.hawthornlb.gateway.event.EventLine;
+import io.hawthornlb.gateway.route.Route;
+import io.hawthornlb.gateway.slot.SlotAnswer;
+import io.hawthornlb.gateway.slot.SlotKey;
+import io.hawthornlb.gateway.slot.SlotOutcome;
+import io.hawthornlb.gateway.slot.SlotRequest;
+import io.hawthornlb.gateway.wire.EndpointCall;
+import io.hawthornlb.gateway.wire.EndpointCallListener;
+import io.hawthornlb.gateway.wire.EventSplitter;
+import io.hawthornlb.gateway.wire.StreamEvent;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Runs one item until it is done: gives way when its slot is revoked, and goes on after the last
+ * whole event at whatever endpoint is free next.
+ */
+final class ItemRun {
+
+  /** Time that an item waits at a coordinator before it asks anew, in case that one is gone. */
+  private static final Duration SLOT_WAIT = Duration.ofSeconds(2);
+
+  /** Pause before a slot is asked for again after a refusal or a failure. */
+  private static final Duration PAUSE = Duration.ofMillis(100);
+
+  /** Silence after which a stream is taken for lost; events come every 20 to 30 ms. */
+  private static final Duration STALL = Duration.ofSeconds(2);
+
+  private final JobParts parts;
+  private final Job job;
+  private final JobItem item;
+  private final Instant due;
+  private final ItemOutcome outcome;
+  private final StringBuilder text = new StringBuilder();
+  private final Set<String> excluded = new HashSet<>();
+  private long lastEventId = -1;
+  private int failures;
+  private @Nullable SlotKey slot;
+  private @Nullable EndpointCall call;
+  private @Nullable ScheduledFuture<?> timer;
+  private @Nullable Instant lastEvent;
+  private boolean stopped;
+
+  ItemRun(JobParts parts, Job job, JobItem item, Instant due, ItemOutcome outcome) {
+    this.parts = parts;
+    this.job = job;
+    this.item = item;
+    this.due = due;
+    this.outcome = outcome;
+  }
+
+  void start() {
+    acquire();
+  }
+
+  /** Ends the run at once. */
+  void stop() {
+    stopped = true;
+    end(SlotOutcome.ABANDONED);
+  }
+
+  private void acquire() {
+    Optional<Route> route = route();
+    if (stopped) {
+      return;
+    }
+    if (route.isEmpty()) {
+      // The route is gone for now; a later configuration may bring it back.
+      again(SLOT_WAIT);
+      return;
+    }
+    SlotKey key = parts.slots().nextKey();
+    slot = key;
+    SlotRequest wanted =
+        new SlotRequest(
+            key,
+            route.get().service(0),
+            true,
+            due.toEpochMilli(),
+            parts.dataCentre(),
+            SLOT_WAIT,
+            Set.copyOf(excluded));
+    excluded.clear();
+    parts.slots().acquire(wanted, this::onSlot);
+  }
+
+  private Optional<Route> route() {
+    return parts.config().current().flatMap(config -> config.match(job.host(), item.path()));
+  }
+
+  private void onSlot(SlotAnswer answer) {
+    if (stopped) {
+      return;
+    }
+    if (answer instanceof SlotAnswer.Granted granted) {
+      send(granted.endpoint());
+    } else if (answer instanceof SlotAnswer.Revoked) {
+      line("item.gave.way").write();
+      slot = null;
+      end(SlotOutcome.ABANDONED);
+      acquire();
+    } else {
+      slot = null;
+      again(PAUSE);
+    }
+  }
+
+  private void send(String endpointId) {
+    Optional<EndpointRecord> target = parts.directory().find(endpointId);
+    if (target.isEmpty() || target.get().leaving()) {
+      excluded.add(endpointId);
+      end(SlotOutcome.REPLACED);
+      again(PAUSE);
+      return;
+    }
+    lastEvent = parts.clock().instant();
+    line("item.sent").with("endpoint", endpointId).with("after", lastEventId).write();
+    call = parts.pool().send(target.get(), outgoing(endpointId), new Answer(endpointId));
+    watch();
+  }
+
+  private FullHttpRequest outgoing(String endpointId) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    item.headers().forEach(headers::set);
+    headers.set(HttpHeaderNames.HOST, job.host());
+    headers.set(parts.names().requestId(), item.id());
+    headers.set(parts.names().expectedEndpoint(), endpointId);
+    headers.set(HttpHeaderNames.CONTENT_LENGTH, item.body().length);
+    if (lastEventId >= 0) {
+      headers.set(parts.names().lastEventId(), lastEventId);
+    }
+    return new DefaultFullHttpRequest(
+        HttpVersion.HTTP_1_1,
+        HttpMethod.POST,
+        item.path(),
+        Unpooled.wrappedBuffer(item.body()),
+        headers,
+        new DefaultHttpHeaders());
+  }
+
+  private void watch() {
+    timer = parts.executor().schedule(this::checkStall, STALL.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private void checkStall() {
+    Instant last = lastEvent;
+    if (stopped || call == null || last == null) {
+      return;
+    }
+    if (parts.clock().instant().isAfter(last.plus(STALL))) {
+      line("item.stalled").with("after", lastEventId).write();
+      end(SlotOutcome.FAILED);
+      again(PAUSE);
+    } else {
+      watch();
+    }
+  }
+
+  private void again(Duration pause) {
+    parts.executor().schedule(this::acquire, pause.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private void end(SlotOutcome how) {
+    if (timer != null) {
+      timer.cancel(false);
+      timer = null;
+    }
+    if (call != null) {
+      if (how != SlotOutcome.ANSWERED) {
+        call.abort();
+      }
+      call = null;
+    }
+    if (slot != null) {
+      parts.slots().release(slot, how);
+      slot = null;
+    }
+  }
+
+  private void completed() {
+    end(SlotOutcome.ANSWERED);
+    stopped = true;
+    line("item.completed").with("events", lastEventId).write();
+    outcome.done(item, new JobResult(item.id(), true, text.toString()));
+  }
+
+  private void failedWith(int status) {
+    failures += status == 500 ? 1 : 0;
+    int maxAttempts = route().map(Route::maxAttempts).orElse(1);
+    end(SlotOutcome.ANSWERED);
+    line("item.failed").with("status", status).with("failures", failures).write();
+    if (ItemRules.after(status, failures, maxAttempts) == ItemRules.Next.GIVE_UP) {
+      stopped = true;
+      outcome.done(item, new JobResult(item.id(), false, ""));
+    } else {
+      again(PAUSE);
+    }
+  }
+
+  private EventLine line(String event) {
+    return parts.log().routine("job", event).with("id", item.id()).with("job", job.id());
+  }
+
+  /** Takes the answer of one endpoint. */
+  private final class Answer implements EndpointCallListener {
+
+    private final String endpointId;
+    private final EventSplitter splitter = new EventSplitter();
+    private int status;
+    private boolean notRun;
+    private boolean proven;
+
+    private Answer(String endpointId) {
+      this.endpointId = endpointId;
+    }
+
+    @Override
+    public void onResponse(HttpResponse response) {
+      status = response.status().code();
+      notRun = response.headers().contains(parts.names().notRun()) || status == 421;
+      proven =
+          response.headers().contains(parts.names().signature())
+              && !response.headers().contains(HttpHeaderNames.CONTENT_ENCODING);
+    }
+
+    @Override
+    public void onContent(ByteBuf content) {
+      if (status == 200 && proven) {
+        splitter.feed(content).forEach(this::take);
+      }
+    }
+
+    private void take(StreamEvent event) {
+      if (event.id() >= 0 && event.id() != lastEventId + 1 && lastEventId >= 0) {
+        // An event that was taken before, or one after a gap, which the next run brings.
+        return;
+      }
+      lastEvent = parts.clock().instant();
+      if (event.id() >= 0) {
+        if (text.length() > 0) {
+          text.append('\n');
+        }
+        text.append(EventSplitter.data(event));
+        lastEventId = event.id();
+      }
+    }
+
+    @Override
+    public void onEnd() {
+      if (notRun) {
+        excluded.add(endpointId);
+        end(status == 421 ? SlotOutcome.REPLACED : SlotOutcome.SHED);
+        again(PAUSE);
+      } else if (status == 200 && proven && !splitter.torn()) {
+        completed();
+      } else if (status == 200) {
+        onFailure(true, "the answer is torn or bears no proof");
+      } else {
+        failedWith(status);
+      }
+    }
+
+    @Override
+    public void onFailure(boolean sent, String cause) {
+      line("item.broken").with("endpoint", endpointId).with("cause", cause).write();
+      excluded.add(endpointId);
+      end(SlotOutcome.FAILED);
+      again(PAUSE);
+    }
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/Job.java
@@ -0,0 +1,110 @@
+package io.hawthornlb.gateway.job;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** A job as the log tells it: accepted once, results at fixed positions, perhaps ended. */
+public final class Job {
+
+  private final String id;
+  private final String host;
+  private final Instant accepted;
+  private final List<JobItem> items;
+  private final TreeMap<Integer, JobResult> results = new TreeMap<>();
+  private final Set<String> listed = new HashSet<>();
+  private boolean ended;
+
+  /** Creates a job without results. */
+  Job(String id, String host, Instant accepted, List<JobItem> items) {
+    this.id = id;
+    this.host = host;
+    this.accepted = accepted;
+    this.items = List.copyOf(items);
+  }
+
+  /** Returns the id. */
+  public String id() {
+    return id;
+  }
+
+  /** Returns the host whose route the job came by. */
+  public String host() {
+    return host;
+  }
+
+  /** Returns when it was accepted. */
+  public Instant accepted() {
+    return accepted;
+  }
+
+  /** Returns all items. */
+  public List<JobItem> items() {
+    return items;
+  }
+
+  /** Returns whether its caller ended it. */
+  public boolean ended() {
+    return ended;
+  }
+
+  /** Returns the number of results that stand without a gap from position 0. */
+  public int resultCount() {
+    int count = results.size();
+    return count == 0 || results.lastKey() == count - 1 ? count : contiguous();
+  }
+
+  /** Returns whether each item has a result. */
+  public boolean complete() {
+    return listed.size() >= items.size();
+  }
+
+  /** Returns whether an item has a result. */
+  public boolean listed(String itemId) {
+    return listed.contains(itemId);
+  }
+
+  /** Returns an item. */
+  public Optional<JobItem> item(String itemId) {
+    return items.stream().filter(item -> item.id().equals(itemId)).findFirst();
+  }
+
+  /** Returns results from a position on, up to a number of bytes but at least one. */
+  public List<JobResult> page(int after, int maxBytes) {
+    List<JobResult> page = new ArrayList<>();
+    int bytes = 0;
+    int count = resultCount();
+    for (int position = Math.max(0, after); position < count; position++) {
+      JobResult result = results.get(position);
+      bytes += result.text().length();
+      if (!page.isEmpty() && bytes > maxBytes) {
+        break;
+      }
+      page.add(result);
+    }
+    return page;
+  }
+
+  /** Takes a result; the first one at a position, and the first one of an item, stays. */
+  void put(int position, JobResult result) {
+    if (!results.containsKey(position) && listed.add(result.itemId())) {
+      results.put(position, result);
+    }
+  }
+
+  void end() {
+    ended = true;
+  }
+
+  private int contiguous() {
+    int position = 0;
+    while (results.containsKey(position)) {
+      position++;
+    }
+    return position;
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobFormat.java
@@ -0,0 +1,26 @@
+package io.hawthornlb.gateway.job;
+
+import io.hawthornlb.gateway.front.FrontRequest;
+import java.util.List;
+import java.util.Optional;
+
+/** How callers ask about jobs, and how they are answered. */
+public interface JobFormat {
+
+  /**
+   * Reads a call.
+   *
+   * @return empty if it is none about a job
+   * @throws IllegalArgumentException if it is one that cannot be read
+   */
+  Optional<JobCall> call(FrontRequest request);
+
+  /** Writes a page of results that begins at a position. */
+  byte[] results(int total, int after, List<JobResult> results);
+
+  /** Returns the type of {@link #results}. */
+  String resultsType();
+
+  /** Returns the name of the header that bears the id of an item's run. */
+  String itemIdHeader();
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobParts.java
@@ -0,0 +1,37 @@
+package io.hawthornlb.gateway.job;
+
+import io.hawthornlb.gateway.endpoint.EndpointDirectory;
+import io.hawthornlb.gateway.event.EventLog;
+import io.hawthornlb.gateway.route.ConfigHolder;
+import io.hawthornlb.gateway.slot.SlotClient;
+import io.hawthornlb.gateway.store.LogStore;
+import io.hawthornlb.gateway.wire.EndpointPool;
+import io.hawthornlb.gateway.wire.HeaderNames;
+import java.time.InstantSource;
+import java.util.concurrent.ScheduledExecutorService;
+
+/**
+ * What running jobs needs.
+ *
+ * @param config configuration in force
+ * @param directory endpoints
+ * @param slots hands out slots
+ * @param pool connections to endpoints
+ * @param names names of headers
+ * @param store the log
+ * @param dataCentre where this process stands
+ * @param executor the event loop
+ * @param clock time
+ * @param log decisions
+ */
+public record JobParts(
+    ConfigHolder config,
+    EndpointDirectory directory,
+    SlotClient slots,
+    EndpointPool pool,
+    HeaderNames names,
+    LogStore store,
+    String dataCentre,
+    ScheduledExecutorService executor,
+    InstantSource clock,
+    EventLog log) {}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobReplicas.java
@@ -0,0 +1,39 @@
+package io.hawthornlb.gateway.job;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.hawthornlb.gateway.store.LogStore;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.Executor;
+
+/** Finds the partition of a job, and the replica of a partition. */
+final class JobReplicas {
+
+  /** Keyed topic of all jobs. */
+  static final String TOPIC = "keyed.jobs";
+
+  private final LogStore store;
+  private final int partitions;
+  private final Executor executor;
+  private final Map<Integer, JobReplica> replicas = new HashMap<>();
+
+  JobReplicas(LogStore store, int partitions, Executor executor) {
+    this.store = store;
+    this.partitions = partitions;
+    this.executor = executor;
+  }
+
+  int partition(String jobId) {
+    long hash = Hashing.wyhashFinal4().hashCharsToLong(jobId);
+    return (int) Long.remainderUnsigned(hash, partitions);
+  }
+
+  JobReplica replica(int partition) {
+    return replicas.computeIfAbsent(
+        partition, number -> new JobReplica(store, TOPIC, number, executor));
+  }
+
+  JobReplica of(String jobId) {
+    return replica(partition(jobId));
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobService.java
@@ -0,0 +1,248 @@
+package io.hawthornlb.gateway.job;
+
+import io.hawthornlb.gateway.event.EventLog;
+import io.hawthornlb.gateway.front.FrontRequest;
+import io.hawthornlb.gateway.front.RequestHandler;
+import io.hawthornlb.gateway.front.Responder;
+import io.hawthornlb.gateway.store.LogStore;
+import io.hawthornlb.gateway.store.LogStore.AppendCall;
+import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
+import io.hawthornlb.gateway.store.StoreException;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Consumer;
+
+/**
+ * Answers calls about jobs at any process: what was accepted or ended is in the log before the
+ * caller hears of it, and results are shown once they are in the log.
+ */
+public final class JobService implements RequestHandler {
+
+  /** Bytes of texts in one page of results; the contract bounds a page at 1 MB. */
+  private static final int PAGE_BYTES = 900_000;
+
+  /** Longest time that appends are repeated; callers wait 4 s and more. */
+  private static final Duration APPEND_TIME = Duration.ofMillis(3_000);
+
+  /** When to come back if the store cannot be asked. */
+  private static final Duration STORE_RETRY = Duration.ofMillis(400);
+
+  private final JobReplicas replicas;
+  private final LogStore store;
+  private final JobFormat format;
+  private final ScheduledExecutorService executor;
+  private final InstantSource clock;
+  private final EventLog log;
+
+  JobService(
+      JobReplicas replicas,
+      LogStore store,
+      JobFormat format,
+      ScheduledExecutorService executor,
+      InstantSource clock,
+      EventLog log) {
+    this.replicas = replicas;
+    this.store = store;
+    this.format = format;
+    this.executor = executor;
+    this.clock = clock;
+    this.log = log;
+  }
+
+  @Override
+  public Handling handle(FrontRequest request, Responder responder) {
+    Optional<JobCall> call;
+    try {
+      call = format.call(request);
+    } catch (IllegalArgumentException e) {
+      log.important("job", "call.unreadable").with("cause", e.getMessage()).write();
+      responder.own(400, null);
+      return () -> {};
+    }
+    if (call.isEmpty()) {
+      responder.own(404, null);
+      return () -> {};
+    }
+    handle(call.get(), request, responder);
+    return () -> {};
+  }
+
+  private void handle(JobCall call, FrontRequest request, Responder responder) {
+    if (call instanceof JobCall.Submit submit) {
+      submit(submit, request, responder);
+    } else if (call instanceof JobCall.Read read) {
+      read(read, request.arrived(), responder);
+    } else if (call instanceof JobCall.ReadBody body) {
+      readBody(body, responder);
+    } else {
+      end(call.jobId(), request.arrived(), responder);
+    }
+  }
+
+  private void submit(JobCall.Submit submit, FrontRequest request, Responder responder) {
+    JobReplica replica = replicas.of(submit.jobId());
+    if (replica.table().find(submit.jobId()).isPresent()) {
+      logged("job.known", submit.jobId(), 202);
+      responder.own(202, null);
+      return;
+    }
+    Job job = new Job(submit.jobId(), request.host(), clock.instant(), submit.items());
+    append(submit.jobId(), JobRecords.accepted(job), request.arrived(), responder, 202);
+  }
+
+  private void end(String jobId, Instant arrived, Responder responder) {
+    Runnable append = () -> append(jobId, List.of(JobRecords.end(jobId)), arrived, responder, 200);
+    withJob(jobId, responder, job -> append.run());
+  }
+
+  /** Appends until the store has taken it, since taking it twice does no harm. */
+  private void append(
+      String jobId, List<KeyedRecord> records, Instant arrived, Responder responder, int status) {
+    int partition = replicas.partition(jobId);
+    store
+        .append(new AppendCall(JobReplicas.TOPIC, partition, records, null))
+        .whenCompleteAsync(
+            (done, failure) -> {
+              if (failure == null) {
+                logged("job.written", jobId, status);
+                responder.own(status, null);
+              } else {
+                appendFailed(failure, jobId, records, arrived, responder, status);
+              }
+            },
+            executor);
+  }
+
+  private void appendFailed(
+      Throwable failure,
+      String jobId,
+      List<KeyedRecord> records,
+      Instant arrived,
+      Responder responder,
+      int status) {
+    boolean notDone = kind(failure) == StoreException.Kind.NOT_DONE;
+    log.important("job", "append.failed")
+        .with("id", jobId)
+        .with("done", notDone ? "no" : "unknown")
+        .with("cause", failure.getMessage())
+        .write();
+    if (notDone) {
+      // Another process may reach the store; the caller comes back there sooner than here.
+      responder.own(503, STORE_RETRY);
+    } else if (clock.instant().isBefore(arrived.plus(APPEND_TIME))) {
+      append(jobId, records, arrived, responder, status);
+    } else {
+      // It may have been written, or may still be: no promise.
+      responder.own(502, null);
+    }
+  }
+
+  private void read(JobCall.Read read, Instant arrived, Responder responder) {
+    withJob(read.jobId(), responder, job -> page(job, read, arrived, responder));
+  }
+
+  private void page(Job job, JobCall.Read read, Instant arrived, Responder responder) {
+    List<JobResult> page = job.page(read.after(), PAGE_BYTES);
+    if (!page.isEmpty() || read.after() >= job.items().size()) {
+      send(job, read, page, responder);
+    } else {
+      waitForResult(job, read, arrived, responder);
+    }
+  }
+
+  /**
+   * Waits until there is a result, and answers without one only after the log was read.
+   *
+   * <p>Failure: a caller reads a result at one process and the same position at another one, which
+   * has not followed the log. It shows as a result that is gone. Guard: that there is none is only
+   * said after a read that began later than the call; if the log cannot be read, nothing is said.
+   */
+  private void waitForResult(Job job, JobCall.Read read, Instant arrived, Responder responder) {
+    Duration left = read.waitTime().minus(Duration.between(arrived, clock.instant()));
+    JobReplica replica = replicas.of(job.id());
+    replica
+        .read(left.isNegative() ? Duration.ZERO : left)
+        .whenCompleteAsync(
+            (done, failure) -> {
+              Job now = replica.table().find(job.id()).orElse(job);
+              List<JobResult> page = now.page(read.after(), PAGE_BYTES);
+              if (failure != null && page.isEmpty()) {
+                logged("job.unsure", job.id(), 503);
+                responder.own(503, STORE_RETRY);
+              } else if (!page.isEmpty() || left.isNegative() || left.isZero()) {
+                send(now, read, page, responder);
+              } else {
+                waitForResult(now, read, arrived, responder);
+              }
+            },
+            executor);
+  }
+
+  private void send(Job job, JobCall.Read read, List<JobResult> page, Responder responder) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    headers.set(HttpHeaderNames.CONTENT_TYPE, format.resultsType());
+    byte[] body = format.results(job.items().size(), read.after(), page);
+    log.routine("job", "job.read")
+        .with("id", job.id())
+        .with("after", read.after())
+        .with("results", page.size())
+        .write();
+    responder.whole(200, headers, body);
+  }
+
+  private void readBody(JobCall.ReadBody call, Responder responder) {
+    withJob(call.jobId(), responder, job -> sendBody(job, call.itemId(), responder));
+  }
+
+  private void sendBody(Job job, String itemId, Responder responder) {
+    Optional<JobItem> item = job.item(itemId);
+    if (item.isEmpty() || job.listed(itemId) || job.ended()) {
+      responder.own(404, null);
+    } else {
+      responder.whole(200, new DefaultHttpHeaders(), item.get().body());
+    }
+  }
+
+  /** Runs an action with a job; answers 404 only after the log was read to its end. */
+  private void withJob(String jobId, Responder responder, Consumer<Job> action) {
+    JobReplica replica = replicas.of(jobId);
+    Optional<Job> known = replica.table().find(jobId);
+    if (known.isPresent()) {
+      action.accept(known.get());
+      return;
+    }
+    CompletionStage<Void> refreshed = replica.refresh();
+    refreshed.whenCompleteAsync(
+        (done, failure) -> {
+          Optional<Job> found = replica.table().find(jobId);
+          if (found.isPresent()) {
+            action.accept(found.get());
+          } else if (failure != null) {
+            logged("job.unsure", jobId, 503);
+            responder.own(503, STORE_RETRY);
+          } else {
+            logged("job.unknown", jobId, 404);
+            responder.own(404, null);
+          }
+        },
+        executor);
+  }
+
+  private static StoreException.Kind kind(Throwable failure) {
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    return cause instanceof StoreException store ? store.kind() : StoreException.Kind.UNKNOWN;
+  }
+
+  private void logged(String event, String jobId, int status) {
+    log.important("job", event).with("id", jobId).with("status", status).write();
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -0,0 +1,241 @@
+package io.hawthornlb.gateway.job;
+
+import io.hawthornlb.gateway.route.Route;
+import io.hawthornlb.gateway.store.LogStore.AppendCall;
+import io.hawthornlb.gateway.store.LogStore.FencedWriter;
+import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
+import io.hawthornlb.gateway.store.StoreException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Runs the items of one partition's jobs while this process holds the partition.
+ *
+ * <p>Failure: a holder is frozen or cut off, another one takes over, and the first wakes up and
+ * writes. It would show as an item at two positions. Guard: a holder first fences the partition
+ * with its epoch, then reads the log to its end, and only then assigns positions; appends of former
+ * holders are refused from the fence on, also those that were on their way.
+ */
+final class PartitionRunner {
+
+  private static final String WRITER = "runner";
+
+  /** Pause before a failed call to the store is made again. */
+  private static final Duration REPEAT = Duration.ofMillis(200);
+
+  /** Longest wait of a read for new jobs. */
+  private static final Duration READ_WAIT = Duration.ofSeconds(2);
+
+  /** When items are due if their route names no time. */
+  private static final Duration DEFAULT_COMPLETION = Duration.ofSeconds(60);
+
+  private final JobParts parts;
+  private final JobReplica replica;
+  private final int partition;
+  private final long epoch;
+  private final Runnable lost;
+  private final Map<String, ItemRun> runs = new HashMap<>();
+  private final List<Finished> finished = new ArrayList<>();
+  private long sequence;
+  private boolean writing;
+  private boolean stopped;
+
+  private record Finished(Job job, JobResult result) {}
+
+  PartitionRunner(JobParts parts, JobReplica replica, int partition, long epoch, Runnable lost) {
+    this.parts = parts;
+    this.replica = replica;
+    this.partition = partition;
+    this.epoch = epoch;
+    this.lost = lost;
+  }
+
+  /** Fences former holders, then begins. */
+  void start() {
+    if (stopped) {
+      return;
+    }
+    parts
+        .store()
+        .append(new AppendCall(JobReplicas.TOPIC, partition, List.of(), writer()))
+        .whenCompleteAsync(
+            (done, failure) -> {
+              if (failure == null) {
+                parts
+                    .log()
+                    .important("job", "partition.held")
+                    .with("partition", partition)
+                    .with("epoch", epoch)
+                    .write();
+                catchUp();
+              } else {
+                storeFailed("fence", failure, this::start);
+              }
+            },
+            parts.executor());
+  }
+
+  /** Ends all runs; what they produced so far is lost. */
+  void stop() {
+    stopped = true;
+    runs.values().forEach(ItemRun::stop);
+    runs.clear();
+  }
+
+  private FencedWriter writer() {
+    return new FencedWriter(WRITER, epoch, sequence);
+  }
+
+  private void catchUp() {
+    replica
+        .refresh()
+        .whenCompleteAsync(
+            (done, failure) -> {
+              if (failure == null) {
+                begin();
+                follow();
+              } else {
+                storeFailed("read", failure, this::catchUp);
+              }
+            },
+            parts.executor());
+  }
+
+  private void follow() {
+    if (stopped) {
+      return;
+    }
+    replica
+        .read(READ_WAIT)
+        .whenCompleteAsync(
+            (done, failure) -> {
+              if (failure == null) {
+                begin();
+                follow();
+              } else {
+                storeFailed("read", failure, this::follow);
+              }
+            },
+            parts.executor());
+  }
+
+  /** Starts the items that have neither a result nor a run, and stops those of ended jobs. */
+  private void begin() {
+    if (stopped) {
+      return;
+    }
+    for (Job job : List.copyOf(replica.table().all())) {
+      for (JobItem item : job.items()) {
+        if (job.ended()) {
+          stopRun(item);
+        } else if (!job.listed(item.id()) && !runs.containsKey(item.id())) {
+          ItemRun run = new ItemRun(parts, job, item, due(job), this::done);
+          runs.put(item.id(), run);
+          run.start();
+        }
+      }
+    }
+  }
+
+  private void stopRun(JobItem item) {
+    ItemRun run = runs.remove(item.id());
+    if (run != null) {
+      run.stop();
+    }
+  }
+
+  private Instant due(Job job) {
+    Duration completion =
+        parts
+            .config()
+            .current()
+            .flatMap(config -> config.jobRoute(job.host()))
+            .map(Route::completion)
+            .orElse(DEFAULT_COMPLETION);
+    return job.accepted().plus(completion);
+  }
+
+  private void done(JobItem item, JobResult result) {
+    for (Job job : replica.table().all()) {
+      if (job.item(item.id()).isPresent()) {
+        finished.add(new Finished(job, result));
+        write();
+        return;
+      }
+    }
+  }
+
+  /** Writes all results that wait in one append; one append is on its way at a time. */
+  private void write() {
+    if (writing || stopped || finished.isEmpty()) {
+      return;
+    }
+    writing = true;
+    List<Finished> batch = List.copyOf(finished);
+    finished.clear();
+    Map<String, Integer> next = new HashMap<>();
+    List<KeyedRecord> records = new ArrayList<>();
+    for (Finished each : batch) {
+      String jobId = each.job().id();
+      int position = next.getOrDefault(jobId, each.job().resultCount());
+      next.put(jobId, position + 1);
+      records.add(JobRecords.result(jobId, position, each.result()));
+    }
+    append(records);
+  }
+
+  private void append(List<KeyedRecord> records) {
+    if (stopped) {
+      return;
+    }
+    parts
+        .store()
+        .append(new AppendCall(JobReplicas.TOPIC, partition, records, writer()))
+        .whenCompleteAsync(
+            (done, failure) -> {
+              if (failure == null) {
+                written(records);
+              } else {
+                // The same sequence number again: an append that was carried out is not repeated.
+                storeFailed("append", failure, () -> append(records));
+              }
+            },
+            parts.executor());
+  }
+
+  private void written(List<KeyedRecord> records) {
+    sequence++;
+    writing = false;
+    for (KeyedRecord record : records) {
+      replica.take(record);
+      runs.remove(JobRecords.result(record.value()).itemId());
+    }
+    write();
+  }
+
+  private void storeFailed(String what, Throwable failure, Runnable again) {
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    StoreException.Kind kind =
+        cause instanceof StoreException store ? store.kind() : StoreException.Kind.UNKNOWN;
+    parts
+        .log()
+        .important("job", "partition.store.failed")
+        .with("partition", partition)
+        .with("call", what)
+        .with("kind", kind.name())
+        .with("cause", String.valueOf(cause == null ? failure : cause.getMessage()))
+        .write();
+    if (kind == StoreException.Kind.FENCED || kind == StoreException.Kind.OUT_OF_SEQUENCE) {
+      stop();
+      lost.run();
+    } else if (!stopped) {
+      parts.executor().schedule(again, REPEAT.toMillis(), TimeUnit.MILLISECONDS);
+    }
+  }
+}
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -4,7 +4,9 @@
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.front.ForwardingHandler;
 import io.hawthornlb.gateway.front.FrontServer;
-import io.hawthornlb.gateway.front.RequestHandler;
+import io.hawthornlb.gateway.job.JobFormat;
+import io.hawthornlb.gateway.job.JobParts;
+import io.hawthornlb.gateway.job.JobRunners;
 import io.hawthornlb.gateway.peer.FleetSlotClient;
 import io.hawthornlb.gateway.peer.FleetView;
 import io.hawthornlb.gateway.peer.UdpPeerTransport;
@@ -40,6 +42,7 @@
   private final EndpointSource endpoints;
   private final InstanceSource instances;
   private final FrontServer front;
+  private final JobRunners jobs;
   private boolean stopping;
 
   /** Starts a gateway on an event loop. */
@@ -48,6 +51,7 @@
       EventLoop loop,
       LogStore store,
       SourceFormats formats,
+      JobFormat jobFormat,
       HeaderNames names,
       InstantSource clock,
       EventLog log) {
@@ -63,11 +67,22 @@
     directory.onRemoval(endpoint -> pool.forget(endpoint.id()));
     endpoints = new EndpointSource(formats, directory, loop, clock, log);
     instances = new InstanceSource(fleet, store, loop, log);
-    RequestHandler jobs =
-        (request, responder) -> {
-          responder.own(503, Duration.ofMillis(500));
-          return () -> {};
-        };
+    jobs =
+        new JobRunners(
+            new JobParts(
+                config,
+                directory,
+                slots,
+                pool,
+                names,
+                store,
+                settings.self().dataCentre(),
+                loop,
+                clock,
+                log),
+            jobFormat,
+            settings.self().name(),
+            settings.jobPartitions());
     ForwardingHandler handler =
         new ForwardingHandler(
             new ForwardingHandler.Parts(
@@ -76,7 +91,7 @@
                 slots,
                 pool,
                 names,
-                jobs,
+                jobs.calls(),
                 settings.self().dataCentre(),
                 loop,
                 clock,
@@ -87,6 +102,7 @@
     follow(store, formats.endpointTopic(), endpoints);
     follow(store, InstanceSource.TOPIC, instances);
     instances.announce();
+    loop.execute(jobs::start);
     front.bind(loop, settings.front());
     new ReadyServer(this::ready).bind(loop, settings.ready());
     log.important("process", "started").with("instance", settings.self().name()).write();
@@ -107,6 +123,7 @@
     stopping = true;
     log.important("process", "stopping").with("active", front.active()).write();
     instances.leave();
+    jobs.leave();
     front.drain();
     Instant now = clock.instant();
     Instant latest = now.plus(settings.stopTime()).minus(STOP_MARGIN);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -162,6 +162,9 @@
     for (Waiter waiter : waiting) {
       if (tryGrant(waiter.request(), now, answers)) {
         granted.add(waiter);
+      } else if (waiter.request().batch() && waiter.request().excluded().isEmpty()) {
+        // Whoever comes after it is no more urgent, and finds no slot either.
+        break;
       }
     }
     waiting.removeAll(granted);
