--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
@@ -12,6 +12,8 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import java.io.ByteArrayOutputStream;
+import java.time.Instant;
+import java.time.InstantSource;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -28,6 +30,7 @@
 
   private final Forwarding forwarding;
   private final HeaderNames names;
+  private final InstantSource clock;
   private final Responder responder;
   private final boolean streaming;
   private final EventSplitter splitter = new EventSplitter();
@@ -36,6 +39,8 @@
   private @Nullable Mode mode;
   private boolean headSent;
   private long lastEventId = -1;
+  private Instant lastHeard;
+  private @Nullable Instant firstPassed;
 
   /** How the present answer is treated. */
   private enum Mode {
@@ -51,9 +56,15 @@
     PASSED
   }
 
-  AnswerRelay(Forwarding forwarding, HeaderNames names, Responder responder, boolean streaming) {
+  AnswerRelay(
+      Forwarding forwarding,
+      ForwardingHandler.Parts parts,
+      Responder responder,
+      boolean streaming) {
     this.forwarding = forwarding;
-    this.names = names;
+    this.names = parts.names();
+    this.clock = parts.clock();
+    this.lastHeard = clock.instant();
     this.responder = responder;
     this.streaming = streaming;
   }
@@ -64,6 +75,17 @@
     kept.reset();
     response = null;
     mode = null;
+    lastHeard = clock.instant();
+  }
+
+  /** Returns when the present endpoint was last heard, or asked. */
+  Instant lastHeard() {
+    return lastHeard;
+  }
+
+  /** Returns when the first part of the answer was passed on; now if none was. */
+  Instant firstPassed() {
+    return firstPassed == null ? clock.instant() : firstPassed;
   }
 
   boolean headSent() {
@@ -82,6 +104,7 @@
 
   @Override
   public void onContent(ByteBuf content) {
+    lastHeard = clock.instant();
     if (mode == Mode.EVENTS) {
       splitter.feed(content).forEach(this::pass);
     } else if (mode == Mode.PASSED) {
@@ -190,6 +213,7 @@
     HttpResponse answer = response;
     if (!headSent && answer != null) {
       headSent = true;
+      firstPassed = clock.instant();
       HttpHeaders headers = ForwardedHeaders.toCaller(answer.headers());
       if (streaming) {
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -36,9 +36,27 @@
    */
   private static final double WAIT_SHARE = 0.5;
 
+  /**
+   * Longest wait of a request that was turned away by endpoints before. A new attempt of its caller
+   * would be late as well, so a late answer from here is worth more than a refusal.
+   */
+  private static final Duration LATE_WAIT = Duration.ofMillis(600);
+
   /** Least time left for which another endpoint is tried. */
   private static final Duration MIN_ATTEMPT = Duration.ofMillis(20);
 
+  /**
+   * Silence after which another endpoint is tried where the route allows it, as a multiple of the
+   * objective. A first event takes 0.2 of it, under a full crest 0.8.
+   */
+  private static final double STALL_OBJECTIVES = 2.0;
+
+  /**
+   * Silence before a first event that is told to the coordinator, as a multiple of the objective. A
+   * first event takes 0.2 of it, since requests do not queue at endpoints; plain calls take 0.3.
+   */
+  private static final double SUSPECT_OBJECTIVES = 0.8;
+
   /** When to come back after endpoints turned a request away; a slot frees about every 90 ms. */
   private static final Duration TURNED_AWAY_RETRY = Duration.ofMillis(150);
 
@@ -52,6 +70,7 @@
   private final Set<String> excluded = new HashSet<>();
   private final AnswerRelay relay;
   private @Nullable ScheduledFuture<?> timer;
+  private @Nullable ScheduledFuture<?> watcher;
   private @Nullable SlotKey slot;
   private @Nullable EndpointCall call;
   private @Nullable String endpoint;
@@ -68,7 +87,8 @@
     this.id = request.headers().get(parts.names().requestId(), "");
     this.service = route.service(ThreadLocalRandom.current().nextDouble());
     this.deadline = request.arrived().plus(timeAllowed());
-    this.relay = new AnswerRelay(this, parts.names(), responder, route.kind() == RouteKind.STREAM);
+    boolean streaming = route.kind() == RouteKind.STREAM;
+    this.relay = new AnswerRelay(this, parts, responder, streaming);
   }
 
   void start() {
@@ -135,6 +155,7 @@
         .with("id", id)
         .with("status", status)
         .with("endpoint", endpoint)
+        .with("firstMillis", Duration.between(request.arrived(), relay.firstPassed()).toMillis())
         .with("millis", sinceArrival())
         .write();
     finish(SlotOutcome.ANSWERED);
@@ -143,14 +164,6 @@
   private void acquire() {
     SlotKey key = parts.slots().nextKey();
     slot = key;
-    Duration objectiveLeft =
-        Duration.ofMillis((long) (route.objective().toMillis() * WAIT_SHARE) - sinceArrival());
-    Duration maxWait = objectiveLeft.isNegative() ? Duration.ZERO : objectiveLeft;
-    if (relay.headSent() || runs > 0) {
-      // The caller has part of the answer, or may not be told that nothing ran: a late end beats
-      // none.
-      maxWait = timeLeft();
-    }
     SlotRequest wanted =
         new SlotRequest(
             key,
@@ -158,11 +171,24 @@
             false,
             route.priority(),
             parts.dataCentre(),
-            maxWait,
+            maxWait(),
             Set.copyOf(excluded));
     parts.slots().acquire(wanted, this::onSlot);
   }
 
+  private Duration maxWait() {
+    if (relay.headSent() || runs > 0) {
+      // The caller has part of the answer, or may not be told that nothing ran: a late end beats
+      // none.
+      return timeLeft();
+    }
+    if (turnedAway > 0) {
+      return LATE_WAIT.compareTo(timeLeft()) < 0 ? LATE_WAIT : timeLeft();
+    }
+    long millis = (long) (route.objective().toMillis() * WAIT_SHARE) - sinceArrival();
+    return Duration.ofMillis(Math.max(0, millis));
+  }
+
   private void onSlot(SlotAnswer answer) {
     if (done) {
       return;
@@ -185,6 +211,7 @@
       proceed(AttemptRules.afterNotRun(state()), "the endpoint is leaving");
       return;
     }
+    stopWatching();
     relay.begin();
     parts
         .log()
@@ -196,6 +223,54 @@
         .with("millis", sinceArrival())
         .write();
     call = parts.pool().send(target.get(), outgoing(endpointId), relay);
+    watch();
+  }
+
+  /**
+   * Leaves an endpoint that has gone silent.
+   *
+   * <p>Failure: an endpoint or the way to it goes dark while a request is there. It shows as
+   * silence on an open connection. Guard: where the request may be repeated or resumed, silence
+   * ends the attempt; the closed connection ends the work there, if the endpoint lives.
+   */
+  private void watch() {
+    long suspectMillis = (long) (route.objective().toMillis() * SUSPECT_OBJECTIVES);
+    long stallMillis = (long) (route.objective().toMillis() * STALL_OBJECTIVES);
+    long sinceHeard = Duration.between(relay.lastHeard(), parts.clock().instant()).toMillis();
+    if (sinceHeard >= stallMillis) {
+      stalled(sinceHeard);
+      return;
+    }
+    SlotKey held = slot;
+    if (sinceHeard < suspectMillis) {
+      stallMillis = suspectMillis;
+    } else if (held != null) {
+      line("endpoint.silent").with("endpoint", endpoint).with("silentMillis", sinceHeard).write();
+      parts.slots().suspect(held);
+    }
+    watcher =
+        parts
+            .executor()
+            .schedule(this::watchAgain, stallMillis - sinceHeard, TimeUnit.MILLISECONDS);
+  }
+
+  private void watchAgain() {
+    if (!done && call != null) {
+      watch();
+    }
+  }
+
+  private void stalled(long millis) {
+    AttemptRules.State after =
+        new AttemptRules.State(runs + 1, turnedAway, relay.headSent(), hasTime());
+    NextStep next = AttemptRules.afterBreak(route, after);
+    if (next == NextStep.SEND_AGAIN || next == NextStep.RESUME) {
+      EndpointCall silent = call;
+      if (silent != null) {
+        silent.abort();
+      }
+      broken(true, "silent for " + millis + " ms");
+    }
   }
 
   private FullHttpRequest outgoing(String endpointId) {
@@ -263,6 +338,7 @@
     if (timer != null) {
       timer.cancel(false);
     }
+    stopWatching();
     if (call != null && outcome != SlotOutcome.ANSWERED) {
       call.abort();
     }
@@ -270,6 +346,13 @@
     release(outcome);
   }
 
+  private void stopWatching() {
+    if (watcher != null) {
+      watcher.cancel(false);
+      watcher = null;
+    }
+  }
+
   private void excludeCurrent(SlotOutcome outcome) {
     if (endpoint != null) {
       excluded.add(endpoint);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
@@ -114,6 +114,20 @@
     }
   }
 
+  @Override
+  public void suspect(SlotKey key) {
+    Pending held = pending.get(key);
+    if (held == null) {
+      return;
+    }
+    String service = held.request.service();
+    if (held.coordinator.equals(fleet.self())) {
+      local(service).suspect(key, clock.instant());
+    } else {
+      transport.send(held.coordinator, new PeerMessage.Suspect(service, key));
+    }
+  }
+
   private SlotCoordinator local(String service) {
     return coordinators.computeIfAbsent(
         service, name -> new DefaultSlotCoordinator(name, directory, SlotSettings.DEFAULT));
@@ -131,6 +145,8 @@
       answered(answer.answer());
     } else if (message instanceof PeerMessage.Release release) {
       deliver(local(release.service()).release(release.key(), release.outcome(), now));
+    } else if (message instanceof PeerMessage.Suspect suspect) {
+      local(suspect.service()).suspect(suspect.key(), now);
     } else if (message instanceof PeerMessage.Renew renew) {
       senders.put(renew.holder(), envelope.sender());
       local(renew.service()).renew(renew.holder(), renew.uses(), now);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetView.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetView.java
@@ -21,10 +21,13 @@
 public final class FleetView {
 
   /** First time for which a silent process is passed over; restarts take 1 to 2 s. */
-  private static final Duration FIRST_SUSPICION = Duration.ofMillis(500);
+  private static final Duration FIRST_SUSPICION = Duration.ofMillis(1_200);
 
-  /** Longest such time; bounds what processes that are gone for good cost. */
-  private static final Duration MAX_SUSPICION = Duration.ofSeconds(8);
+  /** Longest such time; after a cut has healed, both sides agree again within it. */
+  private static final Duration MAX_SUSPICION = Duration.ofSeconds(4);
+
+  /** Silent processes after which their whole data centre is passed over. */
+  private static final int SILENT_FOR_DATA_CENTRE = 2;
 
   private record Suspicion(int silences, Instant until) {}
 
@@ -84,7 +87,15 @@
 
   /** Notes that a datagram of a process arrived. */
   public void heard(String name) {
+    if (suspicions.isEmpty()) {
+      return;
+    }
     suspicions.remove(name);
+    GatewayInstance instance = instances.get(name);
+    if (instance != null && !instance.dataCentre().equals(self.dataCentre())) {
+      // The data centre is reached again; whoever is still silent there is found out anew.
+      suspicions.keySet().removeIf(each -> inDataCentre(each, instance.dataCentre()));
+    }
   }
 
   /** Returns the processes that do not seem silent, in the order in which they serve a key. */
@@ -97,17 +108,37 @@
     List<GatewayInstance> ranked = new ArrayList<>();
     for (InstanceId id : current.ranked(Hashing.wyhashFinal4().hashCharsToLong(key))) {
       GatewayInstance instance = instances.get(id.stableName());
-      if (instance != null && !suspected(instance.name(), now)) {
+      if (instance != null && !suspected(instance.name(), now) && !cutOff(instance, now)) {
         ranked.add(instance);
       }
     }
     return ranked;
   }
 
+  private boolean cutOff(GatewayInstance instance, Instant now) {
+    String dataCentre = instance.dataCentre();
+    if (dataCentre.equals(self.dataCentre())) {
+      return false;
+    }
+    int silent = 0;
+    for (String name : suspicions.keySet()) {
+      GatewayInstance suspect = instances.get(name);
+      if (suspect != null && suspect.dataCentre().equals(dataCentre) && suspected(name, now)) {
+        silent++;
+      }
+    }
+    return silent >= SILENT_FOR_DATA_CENTRE;
+  }
+
   private static InstanceId id(String name) {
     return new InstanceId(name);
   }
 
+  private boolean inDataCentre(String name, String dataCentre) {
+    GatewayInstance instance = instances.get(name);
+    return instance != null && instance.dataCentre().equals(dataCentre);
+  }
+
   private boolean suspected(String name, Instant now) {
     Suspicion suspicion = suspicions.get(name);
     return suspicion != null && now.isBefore(suspicion.until());
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
@@ -27,6 +28,7 @@
   private static final int REVOKED = 5;
   private static final int RELEASE = 6;
   private static final int RENEW = 7;
+  private static final int SUSPECT = 8;
 
   private PeerCodec() {}
 
@@ -57,6 +59,8 @@
   public static Envelope decode(byte[] bytes) {
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
       return new Envelope(unpacker.unpackString(), unpack(unpacker));
+    } catch (MessagePackException e) {
+      throw new UncheckedIOException("Not a message between gateways", new IOException(e));
     } catch (IOException e) {
       throw new UncheckedIOException("Not a message between gateways", e);
     }
@@ -70,6 +74,9 @@
     } else if (message instanceof PeerMessage.Release release) {
       packKey(packer.packInt(RELEASE), release.key());
       packer.packString(release.service()).packInt(release.outcome().ordinal());
+    } else if (message instanceof PeerMessage.Suspect suspect) {
+      packKey(packer.packInt(SUSPECT), suspect.key());
+      packer.packString(suspect.service());
     } else if (message instanceof PeerMessage.Renew renew) {
       packRenew(packer.packInt(RENEW), renew);
     }
@@ -127,6 +134,7 @@
       case REVOKED -> new PeerMessage.Answer(new SlotAnswer.Revoked(unpackKey(unpacker)));
       case RELEASE -> unpackRelease(unpacker);
       case RENEW -> unpackRenew(unpacker);
+      case SUSPECT -> unpackSuspect(unpacker);
       default -> throw new IOException("Unknown type " + type);
     };
   }
@@ -137,6 +145,11 @@
     return new PeerMessage.Release(service, key, SlotOutcome.values()[unpacker.unpackInt()]);
   }
 
+  private static PeerMessage unpackSuspect(MessageUnpacker unpacker) throws IOException {
+    SlotKey key = unpackKey(unpacker);
+    return new PeerMessage.Suspect(unpacker.unpackString(), key);
+  }
+
   private static SlotRequest unpackRequest(MessageUnpacker unpacker) throws IOException {
     SlotKey key = unpackKey(unpacker);
     String service = unpacker.unpackString();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerMessage.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerMessage.java
@@ -19,6 +19,9 @@
   /** Tells a coordinator that a use has ended. */
   record Release(String service, SlotKey key, SlotOutcome outcome) implements PeerMessage {}
 
+  /** Tells a coordinator that the endpoint of a use is silent. */
+  record Suspect(String service, SlotKey key) implements PeerMessage {}
+
   /** Tells a coordinator all uses of a holder. */
   record Renew(String service, String holder, List<SlotUse> uses) implements PeerMessage {}
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotClient.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotClient.java
@@ -14,6 +14,9 @@
   /** Ends a use, or the wait for it. */
   void release(SlotKey key, SlotOutcome outcome);
 
+  /** Tells that the endpoint of a use is silent, so that others are placed elsewhere meanwhile. */
+  void suspect(SlotKey key);
+
   /** Returns the key of a new request. */
   SlotKey nextKey();
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotCoordinator.java
@@ -22,6 +22,9 @@
   /** Takes the end of a use, or the end of waiting. */
   List<SlotAnswer> release(SlotKey key, SlotOutcome outcome, Instant now);
 
+  /** Takes a hint that the endpoint of a use is silent; the use goes on. */
+  void suspect(SlotKey key, Instant now);
+
   /** Takes all uses of a holder, which become known or stay so. */
   void renew(String holder, List<SlotUse> uses, Instant now);
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
@@ -48,6 +49,7 @@
   private final Penalties penalties;
   private final WaitEstimate estimate = new WaitEstimate();
   private final Map<SlotKey, SlotLease> leases = new HashMap<>();
+  private final Map<String, Integer> used = new HashMap<>();
   private final List<Waiter> waiting = new ArrayList<>();
 
   /** Creates a coordinator of a service. */
@@ -79,44 +81,53 @@
   @Override
   public List<SlotAnswer> release(SlotKey key, SlotOutcome outcome, Instant now) {
     waiting.removeIf(waiter -> waiter.request().key().equals(key));
-    SlotLease lease = leases.remove(key);
+    SlotLease lease = drop(key);
     if (lease == null) {
       return List.of();
     }
-    penalties.record(lease.endpoint(), lease.dataCentre(), outcome, now);
+    penalties.record(
+        lease.endpoint(), lease.endpointDataCentre(), lease.dataCentre(), outcome, now);
     if (outcome == SlotOutcome.ANSWERED && !lease.batch()) {
       estimate.ended(lease.since(), now);
     }
     return fill(now);
   }
 
+  @Override
+  public void suspect(SlotKey key, Instant now) {
+    SlotLease lease = leases.get(key);
+    if (lease != null) {
+      penalties.record(
+          lease.endpoint(),
+          lease.endpointDataCentre(),
+          lease.dataCentre(),
+          SlotOutcome.FAILED,
+          now);
+    }
+  }
+
   @Override
   public void renew(String holder, List<SlotUse> uses, Instant now) {
     Map<Long, SlotUse> told =
         uses.stream().collect(Collectors.toMap(SlotUse::number, use -> use, (a, b) -> b));
     Instant settled = now.minus(settings.leaseTime().dividedBy(3));
-    leases
-        .values()
-        .removeIf(
-            lease ->
-                lease.key().holder().equals(holder)
-                    && !told.containsKey(lease.key().number())
-                    && lease.since().isBefore(settled));
+    dropAll(
+        lease ->
+            lease.key().holder().equals(holder)
+                && !told.containsKey(lease.key().number())
+                && lease.since().isBefore(settled));
     for (SlotUse use : told.values()) {
       SlotKey key = new SlotKey(holder, use.number());
       SlotLease known = leases.get(key);
-      SlotLease renewed =
-          known != null
-              ? known.renewedAt(now)
-              : new SlotLease(key, use.endpoint(), "", use.batch(), use.rank(), now, now);
-      leases.put(key, renewed);
+      SlotLease renewed = known != null ? known.renewedAt(now) : adopted(key, use, now);
+      hold(renewed);
     }
   }
 
   @Override
   public List<SlotAnswer> tick(Instant now) {
     Instant silentSince = now.minus(settings.leaseTime());
-    leases.values().removeIf(lease -> lease.renewed().isBefore(silentSince));
+    dropAll(lease -> lease.renewed().isBefore(silentSince));
     List<SlotAnswer> answers = new ArrayList<>(fill(now));
     List<Waiter> expired =
         waiting.stream().filter(waiter -> !now.isBefore(waiter.until())).toList();
@@ -183,29 +194,27 @@
     if (free.isEmpty()) {
       return false;
     }
-    String endpoint = free.get().id();
-    leases.put(
-        request.key(),
+    EndpointRecord endpoint = free.get();
+    penalties.granted(endpoint, request.dataCentre(), now);
+    hold(
         new SlotLease(
             request.key(),
-            endpoint,
+            endpoint.id(),
+            endpoint.dataCentre(),
             request.dataCentre(),
             request.batch(),
             request.rank(),
             now,
             now));
-    answers.add(new SlotAnswer.Granted(request.key(), endpoint));
+    answers.add(new SlotAnswer.Granted(request.key(), endpoint.id()));
     return true;
   }
 
   private List<EndpointRecord> candidates(SlotRequest request, Instant now) {
-    List<EndpointRecord> usable = directory.usable(service);
-    List<EndpointRecord> fit =
-        usable.stream()
-            .filter(endpoint -> !request.excluded().contains(endpoint.id()))
-            .filter(endpoint -> penalties.free(endpoint.id(), request.dataCentre(), now))
-            .toList();
-    return fit;
+    return directory.usable(service).stream()
+        .filter(endpoint -> !request.excluded().contains(endpoint.id()))
+        .filter(endpoint -> penalties.free(endpoint, request.dataCentre(), now))
+        .toList();
   }
 
   private Comparator<EndpointRecord> leastUsed(String dataCentre) {
@@ -216,13 +225,32 @@
   }
 
   private int used(String endpoint) {
-    int used = 0;
-    for (SlotLease lease : leases.values()) {
-      if (lease.endpoint().equals(endpoint)) {
-        used++;
-      }
+    return used.getOrDefault(endpoint, 0);
+  }
+
+  private void hold(SlotLease lease) {
+    SlotLease former = leases.put(lease.key(), lease);
+    if (former == null) {
+      used.merge(lease.endpoint(), 1, Integer::sum);
     }
-    return used;
+  }
+
+  private @Nullable SlotLease drop(SlotKey key) {
+    SlotLease lease = leases.remove(key);
+    if (lease != null) {
+      used.computeIfPresent(lease.endpoint(), (id, count) -> count > 1 ? count - 1 : null);
+    }
+    return lease;
+  }
+
+  private void dropAll(Predicate<SlotLease> condition) {
+    List<SlotKey> keys = leases.values().stream().filter(condition).map(SlotLease::key).toList();
+    keys.forEach(this::drop);
+  }
+
+  private SlotLease adopted(SlotKey key, SlotUse use, Instant now) {
+    String where = directory.find(use.endpoint()).map(EndpointRecord::dataCentre).orElse("");
+    return new SlotLease(key, use.endpoint(), where, where, use.batch(), use.rank(), now, now);
   }
 
   private Optional<EndpointRecord> revokeOne(
@@ -239,7 +267,7 @@
       return Optional.empty();
     }
     SlotLease revoked = last;
-    leases.remove(revoked.key());
+    drop(revoked.key());
     answers.add(new SlotAnswer.Revoked(revoked.key()));
     return candidates.stream()
         .filter(endpoint -> endpoint.id().equals(revoked.endpoint()))
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Penalties.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Penalties.java
@@ -1,16 +1,22 @@
 package io.hawthornlb.gateway.slot.support;
 
+import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.slot.SlotOutcome;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Endpoints that get nothing for a while because they failed, seen from one data centre each.
  *
  * <p>A cut between data centres fails requests from one side only, so a failure counts for the data
- * centre that met it.
+ * centre that met it. Were each endpoint behind the cut found out by a request of its own, each of
+ * these would lose the time of a connection attempt; so once two endpoints of another data centre
+ * have failed in a row, all of that data centre get nothing from there, but for one try now and
+ * then.
  */
 final class Penalties {
 
@@ -18,19 +24,65 @@
 
   private record Penalty(int failures, Instant until) {}
 
+  private record Path(String from, String to) {}
+
+  /** Endpoints that must have failed before their data centre counts as cut off. */
+  private static final int FAILED_FOR_CUT = 2;
+
   private final Map<Place, Penalty> penalties = new HashMap<>();
+  private final Map<Path, Set<String>> failedOnPath = new HashMap<>();
+  private final Map<Path, Instant> cuts = new HashMap<>();
   private final SlotSettings settings;
 
   Penalties(SlotSettings settings) {
     this.settings = settings;
   }
 
-  boolean free(String endpoint, String dataCentre, Instant now) {
-    Penalty penalty = penalties.get(new Place(endpoint, dataCentre));
+  boolean free(EndpointRecord endpoint, String dataCentre, Instant now) {
+    Instant cutUntil = cuts.get(new Path(dataCentre, endpoint.dataCentre()));
+    if (cutUntil != null && now.isBefore(cutUntil)) {
+      return false;
+    }
+    Penalty penalty = penalties.get(new Place(endpoint.id(), dataCentre));
     return penalty == null || !now.isBefore(penalty.until());
   }
 
-  void record(String endpoint, String dataCentre, SlotOutcome outcome, Instant now) {
+  /**
+   * Notes that an endpoint got a request, perhaps as a try after failures.
+   *
+   * <p>Without this, all that wait when a penalty ends would go to an endpoint that still fails.
+   */
+  void granted(EndpointRecord endpoint, String dataCentre, Instant now) {
+    Instant tryUntil = now.plus(settings.tryTime());
+    cuts.computeIfPresent(new Path(dataCentre, endpoint.dataCentre()), (path, until) -> tryUntil);
+    penalties.computeIfPresent(
+        new Place(endpoint.id(), dataCentre),
+        (place, former) ->
+            former.failures() > 0 ? new Penalty(former.failures(), tryUntil) : former);
+  }
+
+  /** Takes the end of a use at an endpoint that may be in a data centre of its own. */
+  void record(
+      String endpoint,
+      String endpointDataCentre,
+      String dataCentre,
+      SlotOutcome outcome,
+      Instant now) {
+    Path path = new Path(dataCentre, endpointDataCentre);
+    if (outcome == SlotOutcome.ANSWERED) {
+      failedOnPath.remove(path);
+      cuts.remove(path);
+    } else if (outcome == SlotOutcome.FAILED && !dataCentre.equals(endpointDataCentre)) {
+      Set<String> failed = failedOnPath.computeIfAbsent(path, any -> new HashSet<>());
+      failed.add(endpoint);
+      if (failed.size() >= FAILED_FOR_CUT) {
+        cuts.put(path, now.plus(settings.cutPenalty()));
+      }
+    }
+    penalize(endpoint, dataCentre, outcome, now);
+  }
+
+  private void penalize(String endpoint, String dataCentre, SlotOutcome outcome, Instant now) {
     Place place = new Place(endpoint, dataCentre);
     switch (outcome) {
       case ANSWERED -> penalties.remove(place);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotLease.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotLease.java
@@ -7,6 +7,7 @@
 record SlotLease(
     SlotKey key,
     String endpoint,
+    String endpointDataCentre,
     String dataCentre,
     boolean batch,
     long rank,
@@ -14,6 +15,6 @@
     Instant renewed) {
 
   SlotLease renewedAt(Instant now) {
-    return new SlotLease(key, endpoint, dataCentre, batch, rank, since, now);
+    return new SlotLease(key, endpoint, endpointDataCentre, dataCentre, batch, rank, since, now);
   }
 }
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/support/InMemoryLogStore.java
@@ -0,0 +1,176 @@
+package io.hawthornlb.gateway.store.support;
+
+import io.hawthornlb.gateway.store.LogStore;
+import io.hawthornlb.gateway.store.StoreException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Log in the memory of one process, for trials and tests; keeps the contract of {@link LogStore}.
+ *
+ * <p>A member of a group that joins or leaves changes the generation; members do not expire.
+ */
+public class InMemoryLogStore implements LogStore {
+
+  private static final int PAGE_KEYS = 500;
+
+  private final ScheduledExecutorService executor;
+  private final int partitions;
+  private final Map<String, Partition> topics = new HashMap<>();
+  private final Map<String, Group> groups = new HashMap<>();
+
+  /** Creates an empty log; waiting reads end on the executor. */
+  public InMemoryLogStore(ScheduledExecutorService executor, int partitions) {
+    this.executor = executor;
+    this.partitions = partitions;
+  }
+
+  @Override
+  public synchronized CompletionStage<Appended> append(AppendCall call) {
+    Partition partition = partition(call.topic(), call.partition());
+    FencedWriter writer = call.writer();
+    if (writer != null) {
+      @Nullable Appended repeated = partition.admit(writer, call.records().isEmpty());
+      if (repeated != null) {
+        return CompletableFuture.completedFuture(repeated);
+      }
+    }
+    long offset = partition.records.size();
+    partition.records.addAll(call.records());
+    Appended appended = new Appended(offset, partition.records.size());
+    if (writer != null && !call.records().isEmpty()) {
+      partition.answers.put(writer, appended);
+    }
+    partition.wake();
+    return CompletableFuture.completedFuture(appended);
+  }
+
+  @Override
+  public synchronized CompletionStage<LogPage> read(
+      String topic, int partition, long from, Duration wait) {
+    Partition log = partition(topic, partition);
+    if (from < log.records.size() || wait.isZero()) {
+      return CompletableFuture.completedFuture(log.page(from));
+    }
+    CompletableFuture<Void> woken = new CompletableFuture<>();
+    log.waiting.add(woken);
+    executor.schedule(() -> woken.complete(null), wait.toMillis(), TimeUnit.MILLISECONDS);
+    return woken.thenApply(any -> pageOf(log, from));
+  }
+
+  @Override
+  public synchronized CompletionStage<KeyedPage> newest(
+      String topic, int partition, @Nullable String after) {
+    Partition log = partition(topic, partition);
+    TreeMap<String, KeyedRecord> newest = new TreeMap<>();
+    for (KeyedRecord record : log.records) {
+      if (record.value() == null) {
+        newest.remove(record.key());
+      } else {
+        newest.put(record.key(), record);
+      }
+    }
+    Map<String, KeyedRecord> rest = after == null ? newest : newest.tailMap(after, false);
+    List<KeyedRecord> page = rest.values().stream().limit(PAGE_KEYS).toList();
+    return CompletableFuture.completedFuture(
+        new KeyedPage(page, rest.size() > page.size(), log.records.size()));
+  }
+
+  @Override
+  public synchronized CompletionStage<GroupShare> join(GroupJoin join) {
+    Group group = groups.computeIfAbsent(join.group(), any -> new Group());
+    if (group.members.add(join.member())) {
+      group.generation++;
+    }
+    return CompletableFuture.completedFuture(group.share(join.member(), partitions));
+  }
+
+  @Override
+  public synchronized CompletionStage<Void> leave(String name, String member) {
+    Group group = groups.computeIfAbsent(name, any -> new Group());
+    if (group.members.remove(member)) {
+      group.generation++;
+    }
+    return CompletableFuture.completedFuture(null);
+  }
+
+  private synchronized LogPage pageOf(Partition log, long from) {
+    return log.page(from);
+  }
+
+  private Partition partition(String topic, int number) {
+    return topics.computeIfAbsent(topic + "/" + number, any -> new Partition());
+  }
+
+  /** One partition of a topic. */
+  private static final class Partition {
+
+    private final List<KeyedRecord> records = new ArrayList<>();
+    private final List<CompletableFuture<Void>> waiting = new ArrayList<>();
+    private final Map<String, Long> epochs = new HashMap<>();
+    private final Map<String, Long> sequences = new HashMap<>();
+    private final Map<FencedWriter, Appended> answers = new HashMap<>();
+
+    /** Returns the answer of an append that was carried out before; null for a new one. */
+    private @Nullable Appended admit(FencedWriter writer, boolean empty) {
+      long epoch = epochs.getOrDefault(writer.name(), -1L);
+      if (writer.epoch() < epoch) {
+        throw new StoreException(StoreException.Kind.FENCED, "A later writer holds it");
+      }
+      if (writer.epoch() > epoch) {
+        epochs.put(writer.name(), writer.epoch());
+        sequences.remove(writer.name());
+      }
+      if (answers.containsKey(writer)) {
+        return answers.get(writer);
+      }
+      if (!empty) {
+        Long last = sequences.put(writer.name(), writer.sequence());
+        if (last != null && writer.sequence() != last + 1) {
+          sequences.put(writer.name(), last);
+          throw new StoreException(StoreException.Kind.OUT_OF_SEQUENCE, "Expected " + (last + 1));
+        }
+      }
+      return null;
+    }
+
+    private LogPage page(long from) {
+      int start = (int) Math.min(from, records.size());
+      List<KeyedRecord> rest = List.copyOf(records.subList(start, records.size()));
+      return new LogPage(rest, records.size(), false);
+    }
+
+    private void wake() {
+      List<CompletableFuture<Void>> woken = List.copyOf(waiting);
+      waiting.clear();
+      woken.forEach(each -> each.complete(null));
+    }
+  }
+
+  /** Members that share partitions. */
+  private static final class Group {
+
+    private final TreeSet<String> members = new TreeSet<>();
+    private long generation;
+
+    private GroupShare share(String member, int partitions) {
+      int rank = members.headSet(Objects.requireNonNull(member)).size();
+      List<Integer> held = new ArrayList<>();
+      for (int partition = rank; partition < partitions; partition += members.size()) {
+        held.add(partition);
+      }
+      return new GroupShare(generation, held);
+    }
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/support/package-info.java
@@ -0,0 +1,5 @@
+/** Implementations of the log. */
+@NullMarked
+package io.hawthornlb.gateway.store.support;
+
+import org.jspecify.annotations.NullMarked;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointPool.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointPool.java
@@ -19,8 +19,8 @@
 /** Sends requests to endpoints over kept connections, one request at a time on each. */
 public final class EndpointPool {
 
-  /** Time to open a connection; endpoints accept within 1 ms, a link adds at most 3 ms. */
-  private static final int CONNECT_MILLIS = 250;
+  /** Time to open a connection; endpoints accept within 1 ms, a link adds 6 ms, a busy core 50. */
+  private static final int CONNECT_MILLIS = 120;
 
   private final EventLoop loop;
   private final HeaderNames names;
--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/SilentEventLog.java
@@ -0,0 +1,56 @@
+package io.hawthornlb.gateway;
+
+import io.hawthornlb.gateway.event.EventLine;
+import io.hawthornlb.gateway.event.EventLog;
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/** Event log that keeps the names of events. */
+public final class SilentEventLog implements EventLog {
+
+  private final List<String> events = new ArrayList<>();
+
+  /** Returns the events so far, as {@code part.event}. */
+  public synchronized List<String> events() {
+    return List.copyOf(events);
+  }
+
+  @Override
+  public EventLine routine(String part, String event) {
+    return new Line(part + "." + event);
+  }
+
+  @Override
+  public EventLine important(String part, String event) {
+    return routine(part, event);
+  }
+
+  private synchronized void add(String event) {
+    events.add(event);
+  }
+
+  private final class Line implements EventLine {
+
+    private final String event;
+
+    private Line(String event) {
+      this.event = event;
+    }
+
+    @Override
+    public EventLine with(String name, @Nullable String value) {
+      return this;
+    }
+
+    @Override
+    public EventLine with(String name, long value) {
+      return this;
+    }
+
+    @Override
+    public void write() {
+      add(event);
+    }
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/VirtualLoop.java
@@ -0,0 +1,43 @@
+package io.hawthornlb.gateway;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.concurrent.TimeUnit;
+
+/** Event loop and clock whose time the test moves. */
+public final class VirtualLoop implements InstantSource {
+
+  private static final Duration STEP = Duration.ofMillis(1);
+
+  private final EmbeddedChannel channel = new EmbeddedChannel();
+  private Instant now = Instant.parse("2026-01-01T00:00:00Z");
+
+  /** Creates a loop whose time stands still. */
+  public VirtualLoop() {
+    channel.freezeTime();
+  }
+
+  /** Returns the loop. */
+  public EventLoop loop() {
+    return channel.eventLoop();
+  }
+
+  /** Moves time on, a millisecond at a time, and runs what is due. */
+  public void advance(Duration time) {
+    channel.runPendingTasks();
+    for (Duration moved = Duration.ZERO; moved.compareTo(time) < 0; moved = moved.plus(STEP)) {
+      now = now.plus(STEP);
+      channel.advanceTimeBy(STEP.toMillis(), TimeUnit.MILLISECONDS);
+      channel.runScheduledPendingTasks();
+      channel.runPendingTasks();
+    }
+  }
+
+  @Override
+  public Instant instant() {
+    return now;
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/event/JsonEventLogTest.java
@@ -0,0 +1,87 @@
+package io.hawthornlb.gateway.event;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.concurrent.CountDownLatch;
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.Test;
+
+class JsonEventLogTest {
+
+  private final InstantSource clock = InstantSource.fixed(Instant.parse("2026-01-01T00:00:00Z"));
+
+  @Test
+  void writesALineOfJson() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    JsonEventLog log = new JsonEventLog(clock, out);
+    log.important("front", "request.refused").with("id", "x\ny").with("status", 503).write();
+    Awaitility.await().until(() -> out.size() > 0);
+    assertEquals(
+        "{\"time\":\"2026-01-01T00:00:00Z\",\"part\":\"front\",\"event\":\"request.refused\","
+            + "\"id\":\"x\\ny\",\"status\":503}\n",
+        out.toString(StandardCharsets.UTF_8));
+  }
+
+  /** Requests stand still because nobody reads standard output, and each line waits for it. */
+  @Test
+  void neverWaitsForAReader() {
+    CountDownLatch never = new CountDownLatch(1);
+    OutputStream blocked =
+        new OutputStream() {
+          @Override
+          public void write(int value) throws IOException {
+            try {
+              never.await();
+            } catch (InterruptedException e) {
+              throw new IOException(e);
+            }
+          }
+        };
+    JsonEventLog log = new JsonEventLog(clock, blocked);
+    assertTimeoutPreemptively(
+        Duration.ofSeconds(5),
+        () -> {
+          for (int i = 0; i < 10_000; i++) {
+            log.routine("front", "request.answered").with("id", "x").write();
+          }
+        });
+    assertTrue(log.dropped() >= 9_000, "dropped " + log.dropped());
+  }
+
+  @Test
+  void keepsRoomForFailures() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    JsonEventLog log = new JsonEventLog(clock, out);
+    for (int i = 0; i < 1_000; i++) {
+      log.routine("front", "request.answered").write();
+    }
+    log.important("front", "request.failed").write();
+    Awaitility.await().until(() -> out.toString(StandardCharsets.UTF_8).contains("failed"));
+  }
+
+  /** The process ends, or stands still, because the reader of its output went away. */
+  @Test
+  void goesOnWhenStandardOutputIsClosed() {
+    OutputStream closed =
+        new OutputStream() {
+          @Override
+          public void write(int value) throws IOException {
+            throw new IOException("closed");
+          }
+        };
+    JsonEventLog log = new JsonEventLog(clock, closed);
+    for (int i = 0; i < 2_000; i++) {
+      log.important("front", "request.failed").write();
+    }
+    assertTrue(log.dropped() > 0);
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobTableTest.java
@@ -0,0 +1,102 @@
+package io.hawthornlb.gateway.job;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+class JobTableTest {
+
+  private static final Instant NOW = Instant.parse("2026-01-01T00:00:00Z");
+
+  /**
+   * Two processes list the same results at other positions. One has read the log from its start,
+   * the other one the newest records by key, some of them twice.
+   */
+  @Property(tries = 200)
+  void holdsTheSameHoweverRecordsArrive(@ForAll long seed) {
+    Random random = new Random(seed);
+    List<KeyedRecord> records = new ArrayList<>(JobRecords.accepted(job(400_000)));
+    records.add(JobRecords.result("j", 0, new JobResult("i2", true, "two")));
+    records.add(JobRecords.result("j", 1, new JobResult("i1", false, "")));
+    records.add(JobRecords.end("j"));
+    JobTable inOrder = new JobTable();
+    records.forEach(inOrder::take);
+    List<KeyedRecord> shuffled = new ArrayList<>(records);
+    records.stream().filter(any -> random.nextBoolean()).forEach(shuffled::add);
+    Collections.shuffle(shuffled, random);
+    JobTable other = new JobTable();
+    shuffled.forEach(other::take);
+    assertEquals(page(inOrder), page(other));
+    assertTrue(other.find("j").orElseThrow().ended());
+    assertTrue(other.find("j").orElseThrow().complete());
+  }
+
+  @Test
+  void showsNothingBehindAGap() {
+    JobTable table = new JobTable();
+    JobRecords.accepted(job(10)).forEach(table::take);
+    table.take(JobRecords.result("j", 1, new JobResult("i1", true, "one")));
+    assertEquals(List.of(), page(table));
+    table.take(JobRecords.result("j", 0, new JobResult("i2", true, "two")));
+    assertEquals(2, page(table).size());
+  }
+
+  /** A result that was read changes, because a former holder of the partition wrote late. */
+  @Test
+  void keepsTheFirstResultOfAPositionAndOfAnItem() {
+    JobTable table = new JobTable();
+    JobRecords.accepted(job(10)).forEach(table::take);
+    table.take(JobRecords.result("j", 0, new JobResult("i1", true, "one")));
+    table.take(JobRecords.result("j", 0, new JobResult("i2", true, "two")));
+    table.take(JobRecords.result("j", 1, new JobResult("i1", true, "other")));
+    assertEquals(List.of(new JobResult("i1", true, "one")), page(table));
+  }
+
+  @Test
+  void keepsBodiesOfLargeJobs() {
+    JobTable table = new JobTable();
+    List<KeyedRecord> parts = JobRecords.accepted(job(500_000));
+    assertEquals(5, parts.size());
+    for (KeyedRecord part : parts.subList(0, 4)) {
+      table.take(part);
+      assertFalse(table.find("j").isPresent());
+    }
+    table.take(parts.get(4));
+    JobItem item = table.find("j").orElseThrow().item("i1").orElseThrow();
+    assertArrayEquals(new byte[500_000], item.body());
+    assertEquals(Map.of("X", "y"), item.headers());
+  }
+
+  @Test
+  void dropsAJobWhoseRecordsAreDropped() {
+    JobTable table = new JobTable();
+    List<KeyedRecord> parts = JobRecords.accepted(job(10));
+    parts.forEach(table::take);
+    table.take(new KeyedRecord(parts.get(0).key(), null));
+    assertFalse(table.find("j").isPresent());
+  }
+
+  private static List<JobResult> page(JobTable table) {
+    return table.find("j").orElseThrow().page(0, 1_000_000);
+  }
+
+  private static Job job(int bodyBytes) {
+    List<JobItem> items =
+        List.of(
+            new JobItem("i1", "/p/1", Map.of("X", "y"), new byte[bodyBytes]),
+            new JobItem("i2", "/p/2", Map.of(), new byte[bodyBytes]));
+    return new Job("j", "h.example", NOW, items);
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
@@ -0,0 +1,161 @@
+package io.hawthornlb.gateway.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.hawthornlb.gateway.SilentEventLog;
+import io.hawthornlb.gateway.VirtualLoop;
+import io.hawthornlb.gateway.endpoint.EndpointDirectory;
+import io.hawthornlb.gateway.endpoint.EndpointRecord;
+import io.hawthornlb.gateway.slot.SlotAnswer;
+import io.hawthornlb.gateway.slot.SlotOutcome;
+import io.hawthornlb.gateway.slot.SlotRequest;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+class FleetSlotClientTest {
+
+  private static final String SERVICE = "engine";
+
+  private final VirtualLoop time = new VirtualLoop();
+  private final Map<String, Node> nodes = new HashMap<>();
+  private final List<String> names = List.of("a1", "b1", "c1");
+
+  FleetSlotClientTest() {
+    names.forEach(name -> nodes.put(name, new Node(name)));
+    nodes.values().forEach(Node::meetAll);
+  }
+
+  /** A gateway whose datagrams go to the others unless it is down. */
+  private final class Node implements PeerTransport {
+
+    private final String name;
+    private final FleetView fleet;
+    private final FleetSlotClient slots;
+    private final List<SlotAnswer> answers = new ArrayList<>();
+    private Consumer<PeerCodec.Envelope> receiver = envelope -> {};
+    private boolean down;
+
+    private Node(String name) {
+      this.name = name;
+      this.fleet = new FleetView(instance(name));
+      EndpointDirectory directory = new EndpointDirectory();
+      directory.put(new EndpointRecord(SERVICE, SERVICE, address(), "a", 1, false));
+      this.slots =
+          new FleetSlotClient(fleet, this, directory, time.loop(), time, new SilentEventLog());
+    }
+
+    private void meetAll() {
+      names.forEach(other -> fleet.put(instance(other)));
+    }
+
+    private SlotRequest ask() {
+      SlotRequest request =
+          new SlotRequest(
+              slots.nextKey(), SERVICE, false, 0, "a", Duration.ofMillis(600), Set.of());
+      slots.acquire(request, answers::add);
+      return request;
+    }
+
+    @Override
+    public void send(GatewayInstance to, PeerMessage message) {
+      Node target = nodes.get(to.name());
+      if (!down && !target.down) {
+        byte[] bytes = PeerCodec.encode(new PeerCodec.Envelope(name, message));
+        time.loop().execute(() -> target.receiver.accept(PeerCodec.decode(bytes)));
+      }
+    }
+
+    @Override
+    public void onMessage(Consumer<PeerCodec.Envelope> next) {
+      receiver = next;
+    }
+  }
+
+  @Test
+  void sharesOneSlotAmongAllGateways() {
+    SlotRequest first = nodes.get("a1").ask();
+    time.advance(Duration.ofMillis(5));
+    nodes.get("b1").ask();
+    time.advance(Duration.ofMillis(5));
+    assertEquals(List.of(new SlotAnswer.Granted(first.key(), SERVICE)), nodes.get("a1").answers);
+    assertEquals(List.of(), nodes.get("b1").answers);
+    nodes.get("a1").slots.release(first.key(), SlotOutcome.ANSWERED);
+    time.advance(Duration.ofMillis(5));
+    assertEquals(1, nodes.get("b1").answers.size());
+  }
+
+  /**
+   * Callers get no answer for seconds after a gateway was killed. It was the coordinator of their
+   * service, and the others kept asking it.
+   */
+  @Test
+  void asksTheNextInstanceWhenTheCoordinatorIsSilent() {
+    GatewayInstance first = nodes.get("a1").fleet.ranked(SERVICE, time.instant()).get(0);
+    nodes.get(first.name()).down = true;
+    Node asker =
+        names.stream()
+            .filter(name -> !name.equals(first.name()))
+            .map(nodes::get)
+            .findFirst()
+            .orElseThrow();
+    SlotRequest request = asker.ask();
+    time.advance(Duration.ofMillis(60));
+    assertEquals(List.of(new SlotAnswer.Granted(request.key(), SERVICE)), asker.answers);
+  }
+
+  /** A caller of a gateway that reaches no other one is served by what that gateway knows alone. */
+  @Test
+  void decidesAloneWhenNobodyAnswers() {
+    Node alone = nodes.get("a1");
+    names.stream().filter(name -> !name.equals("a1")).forEach(name -> nodes.get(name).down = true);
+    SlotRequest request = alone.ask();
+    time.advance(Duration.ofMillis(150));
+    assertEquals(List.of(new SlotAnswer.Granted(request.key(), SERVICE)), alone.answers);
+  }
+
+  /**
+   * Two callers share a slot after the coordinator was killed. The next one did not know of the use
+   * that was granted before; its holder tells it within a second.
+   */
+  @Test
+  void tellsANewCoordinatorWhatIsInUse() {
+    Node holder = nodes.get("a1");
+    GatewayInstance coordinator = holder.fleet.ranked(SERVICE, time.instant()).get(0);
+    if (coordinator.name().equals("a1")) {
+      holder = nodes.get("b1");
+    }
+    holder.ask();
+    time.advance(Duration.ofMillis(5));
+    assertEquals(1, holder.answers.size());
+    nodes.get(coordinator.name()).down = true;
+    Node lost = holder;
+    nodes.values().forEach(node -> node.fleet.silent(coordinator.name(), time.instant()));
+    time.advance(Duration.ofMillis(1_010));
+    Node other =
+        nodes.values().stream()
+            .filter(node -> node != lost && !node.down)
+            .findFirst()
+            .orElseThrow();
+    other.ask();
+    time.advance(Duration.ofMillis(20));
+    assertTrue(
+        other.answers.stream().noneMatch(SlotAnswer.Granted.class::isInstance),
+        other.answers.toString());
+  }
+
+  private static GatewayInstance instance(String name) {
+    return new GatewayInstance(name, name + "~1", address(), name.substring(0, 1));
+  }
+
+  private static InetSocketAddress address() {
+    return new InetSocketAddress("127.0.0.1", 1);
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetViewTest.java
@@ -0,0 +1,77 @@
+package io.hawthornlb.gateway.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.time.Instant;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class FleetViewTest {
+
+  private final Instant now = Instant.parse("2026-01-01T00:00:00Z");
+  private final FleetView fleet = new FleetView(instance("a1", "a"));
+
+  FleetViewTest() {
+    for (String name : List.of("a2", "b1", "b2", "b3", "c1")) {
+      fleet.put(instance(name, name.substring(0, 1)));
+    }
+  }
+
+  @Test
+  void ranksAlikeAtEachInstance() {
+    FleetView other = new FleetView(instance("c1", "c"));
+    for (String name : List.of("b3", "a2", "b1", "a1", "b2")) {
+      other.put(instance(name, name.substring(0, 1)));
+    }
+    assertEquals(names(other, now), names(fleet, now));
+    assertEquals(6, names(fleet, now).size());
+  }
+
+  @Test
+  void passesOverASilentInstanceForAWhile() {
+    fleet.silent("c1", now);
+    assertTrue(!names(fleet, now).contains("c1"));
+    assertTrue(names(fleet, now.plusSeconds(2)).contains("c1"));
+  }
+
+  /**
+   * Callers of a data centre that is cut off wait 50 ms for each process on the other side. Two
+   * silent ones show that the third will be silent too.
+   */
+  @Test
+  void passesOverADataCentreOnceTwoOfItAreSilent() {
+    fleet.silent("b1", now);
+    assertTrue(names(fleet, now).contains("b3"));
+    fleet.silent("b2", now);
+    assertEquals(List.of("a1", "a2", "c1"), names(fleet, now).stream().sorted().toList());
+    fleet.heard("b2");
+    assertEquals(6, names(fleet, now).size());
+  }
+
+  @Test
+  void neverPassesOverItsOwnDataCentreAsAWhole() {
+    FleetView alone = new FleetView(instance("a1", "a"));
+    List.of("a2", "a3", "a4").forEach(name -> alone.put(instance(name, "a")));
+    alone.silent("a2", now);
+    alone.silent("a3", now);
+    assertEquals(List.of("a1", "a4"), names(alone, now).stream().sorted().toList());
+  }
+
+  @Test
+  void trustsANewStart() {
+    fleet.silent("c1", now);
+    fleet.put(new GatewayInstance("c1", "c1~next", new InetSocketAddress("127.0.0.1", 1), "c"));
+    assertTrue(names(fleet, now).contains("c1"));
+  }
+
+  private static List<String> names(FleetView view, Instant now) {
+    return view.ranked("key", now).stream().map(GatewayInstance::name).toList();
+  }
+
+  private static GatewayInstance instance(String name, String dataCentre) {
+    return new GatewayInstance(
+        name, name + "~1", new InetSocketAddress("127.0.0.1", 1), dataCentre);
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
@@ -0,0 +1,53 @@
+package io.hawthornlb.gateway.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.hawthornlb.gateway.slot.SlotAnswer;
+import io.hawthornlb.gateway.slot.SlotKey;
+import io.hawthornlb.gateway.slot.SlotOutcome;
+import io.hawthornlb.gateway.slot.SlotRequest;
+import io.hawthornlb.gateway.slot.SlotUse;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class PeerCodecTest {
+
+  private static final SlotKey KEY = new SlotKey("holder~1", 42);
+
+  static List<PeerMessage> messages() {
+    return List.of(
+        new PeerMessage.Ask(
+            new SlotRequest(
+                KEY, "engine", true, 7L << 33, "a", Duration.ofMillis(150), Set.of("e1", "e2"))),
+        new PeerMessage.Answer(new SlotAnswer.Granted(KEY, "e1")),
+        new PeerMessage.Answer(new SlotAnswer.Waiting(KEY)),
+        new PeerMessage.Answer(new SlotAnswer.Refused(KEY, Duration.ofMillis(250))),
+        new PeerMessage.Answer(new SlotAnswer.Revoked(KEY)),
+        new PeerMessage.Release("engine", KEY, SlotOutcome.FAILED),
+        new PeerMessage.Suspect("engine", KEY),
+        new PeerMessage.Renew(
+            "engine",
+            "holder~1",
+            List.of(new SlotUse(1, "e1", true, 9), new SlotUse(2, "e2", false, 0))));
+  }
+
+  @ParameterizedTest
+  @MethodSource("messages")
+  void readsWhatItWrote(PeerMessage message) {
+    PeerCodec.Envelope envelope = new PeerCodec.Envelope("a1", message);
+    assertEquals(envelope, PeerCodec.decode(PeerCodec.encode(envelope)));
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"", "GET / HTTP/1.1", "\u0001\u0002"})
+  void refusesForeignDatagrams(String text) {
+    byte[] bytes = text.getBytes();
+    assertThrows(UncheckedIOException.class, () -> PeerCodec.decode(bytes));
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/route/RoutingConfigTest.java
@@ -0,0 +1,77 @@
+package io.hawthornlb.gateway.route;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class RoutingConfigTest {
+
+  @Test
+  void matchesTheLongestPrefixOfTheHost() {
+    RoutingConfig config =
+        config(1, route("short", "h.example", "/a/"), route("long", "h.example", "/a/b/"));
+    assertEquals(Optional.of("long"), config.match("H.example:80", "/a/b/c").map(Route::name));
+    assertEquals(Optional.of("short"), config.match("h.example", "/a/c").map(Route::name));
+    assertEquals(Optional.empty(), config.match("h.example", "/ab").map(Route::name));
+    assertEquals(Optional.empty(), config.match("other.example", "/a/").map(Route::name));
+  }
+
+  @Test
+  void drawsServicesByTheirWeights() {
+    Route split =
+        new Route(
+            "r",
+            "h",
+            "/a/",
+            RouteKind.IDEMPOTENT,
+            Duration.ofSeconds(1),
+            Duration.ofSeconds(1),
+            0,
+            List.of(new ServiceShare("x", 90), new ServiceShare("y", 10)),
+            1,
+            false,
+            null,
+            null);
+    assertEquals("x", split.service(0));
+    assertEquals("x", split.service(0.899));
+    assertEquals("y", split.service(0.901));
+  }
+
+  /**
+   * A caller that was served by a new route gets the old one again. A read of the log lagged behind
+   * the one before it.
+   */
+  @Test
+  void neverGoesBackToALowerVersion() {
+    ConfigHolder holder = new ConfigHolder();
+    assertTrue(holder.offer(config(7)));
+    assertFalse(holder.offer(config(6)));
+    assertFalse(holder.offer(config(7)));
+    assertEquals(7, holder.current().orElseThrow().version());
+  }
+
+  private static RoutingConfig config(long version, Route... routes) {
+    return new RoutingConfig(version, List.of(routes), List.of(), CallerLimits.DEFAULT);
+  }
+
+  private static Route route(String name, String host, String prefix) {
+    return new Route(
+        name,
+        host,
+        prefix,
+        RouteKind.STREAM,
+        Duration.ofSeconds(1),
+        Duration.ofSeconds(1),
+        0,
+        List.of(new ServiceShare("s", 1)),
+        1,
+        false,
+        null,
+        null);
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinatorTest.java
@@ -0,0 +1,194 @@
+package io.hawthornlb.gateway.slot.support;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.hawthornlb.gateway.slot.SlotAnswer;
+import io.hawthornlb.gateway.slot.SlotOutcome;
+import io.hawthornlb.gateway.slot.SlotRequest;
+import io.hawthornlb.gateway.slot.SlotUse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class DefaultSlotCoordinatorTest {
+
+  private final CoordinatorFixture fixture = new CoordinatorFixture();
+
+  @Test
+  void placesOnTheLeastUsedAndAtEqualUseNearby() {
+    fixture.endpoint("far", "b", 8).endpoint("near", "a", 8);
+    assertEquals("near", fixture.granted(fixture.online("a")));
+    assertEquals("far", fixture.granted(fixture.online("a")));
+    assertEquals("near", fixture.granted(fixture.online("a")));
+  }
+
+  @Test
+  void answersARepeatedQuestionAlike() {
+    fixture.endpoint("e1", "a", 1);
+    SlotRequest request = fixture.online("a");
+    assertEquals("e1", fixture.granted(request));
+    assertEquals("e1", fixture.granted(request));
+    SlotRequest next = fixture.batch(fixture.now);
+    fixture.ask(next);
+    assertEquals(List.of(new SlotAnswer.Waiting(next.key())), fixture.ask(next));
+  }
+
+  @Test
+  void takesTheSlotOfTheItemThatIsDueLast() {
+    fixture.endpoint("e1", "a", 2);
+    SlotRequest early = fixture.batch(fixture.now.plusSeconds(5));
+    SlotRequest late = fixture.batch(fixture.now.plusSeconds(9));
+    fixture.granted(early);
+    fixture.granted(late);
+    SlotRequest online = fixture.online("a");
+    List<SlotAnswer> answers = fixture.ask(online);
+    assertEquals(
+        List.of(new SlotAnswer.Revoked(late.key()), new SlotAnswer.Granted(online.key(), "e1")),
+        answers);
+  }
+
+  @Test
+  void grantsOnlineRequestsFirstAndItemsByTheirDueTime() {
+    fixture.endpoint("e1", "a", 4);
+    List<SlotRequest> running = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      running.add(fixture.online("a"));
+      fixture.granted(running.get(i));
+    }
+    SlotRequest late = fixture.batch(fixture.now.plusSeconds(9));
+    SlotRequest early = fixture.batch(fixture.now.plusSeconds(5));
+    SlotRequest online = fixture.online("a");
+    fixture.ask(late);
+    fixture.ask(early);
+    assertEquals(List.of(new SlotAnswer.Waiting(online.key())), fixture.ask(online));
+    List<SlotAnswer> order = new ArrayList<>();
+    running.forEach(each -> order.addAll(fixture.release(each, SlotOutcome.ANSWERED)));
+    assertEquals(
+        List.of(
+            new SlotAnswer.Granted(online.key(), "e1"),
+            new SlotAnswer.Granted(early.key(), "e1"),
+            new SlotAnswer.Granted(late.key(), "e1")),
+        order);
+  }
+
+  /**
+   * A caller waits its whole objective in a queue, is late, and has kept others waiting. The wait
+   * was known to be too long from the start: each slot serves one request in half a second.
+   */
+  @Test
+  void refusesAtOnceWhenTheExpectedWaitIsTooLong() {
+    fixture.endpoint("e1", "a", 1);
+    fixture.granted(fixture.online("a"));
+    SlotAnswer answer = fixture.ask(fixture.online("a")).get(0);
+    SlotAnswer.Refused refused = assertInstanceOf(SlotAnswer.Refused.class, answer);
+    assertTrue(refused.retryAfter().toMillis() >= 400, refused.toString());
+  }
+
+  @Test
+  void refusesThoseThatWaitedTooLong() {
+    fixture.endpoint("e1", "a", 8);
+    for (int i = 0; i < 8; i++) {
+      fixture.granted(fixture.online("a"));
+    }
+    SlotRequest waiting = fixture.online("a");
+    assertEquals(List.of(new SlotAnswer.Waiting(waiting.key())), fixture.ask(waiting));
+    fixture.advance(Duration.ofMillis(151));
+    SlotAnswer answer = fixture.coordinator.tick(fixture.now).get(0);
+    assertInstanceOf(SlotAnswer.Refused.class, answer);
+    assertTrue(fixture.coordinator.busy());
+  }
+
+  /**
+   * Callers find no slot though none is in use. A gateway was killed while it held slots, and so
+   * never released them.
+   */
+  @Test
+  void forgetsHoldersThatDoNotRenew() {
+    fixture.endpoint("e1", "a", 1);
+    fixture.granted(fixture.online("a"));
+    fixture.advance(Duration.ofSeconds(4));
+    fixture.coordinator.tick(fixture.now);
+    assertFalse(fixture.coordinator.busy());
+    assertEquals("e1", fixture.granted(fixture.online("a")));
+  }
+
+  /**
+   * Two requests share a slot after a coordinator was killed. The next coordinator knew nothing of
+   * the uses that the first one had granted, until their holders renewed them.
+   */
+  @Test
+  void learnsUsesFromTheirHolders() {
+    fixture.endpoint("e1", "a", 1).endpoint("e2", "b", 1);
+    fixture.coordinator.renew("other", List.of(new SlotUse(7, "e1", false, 0)), fixture.now);
+    assertEquals("e2", fixture.granted(fixture.online("a")));
+  }
+
+  @Test
+  void dropsUsesThatTheirHolderNoLongerNames() {
+    fixture.endpoint("e1", "a", 1);
+    fixture.granted(fixture.online("a"));
+    fixture.advance(Duration.ofSeconds(2));
+    fixture.coordinator.renew("holder", List.of(), fixture.now);
+    assertEquals("e1", fixture.granted(fixture.online("a")));
+  }
+
+  /**
+   * While a data centre is cut off, each of its endpoints costs a caller a connection attempt. The
+   * first two failures show that the way there is cut.
+   */
+  @Test
+  void passesOverADataCentreOnceTwoOfItsEndpointsFailed() {
+    fixture.endpoint("b1", "b", 8).endpoint("b2", "b", 8).endpoint("b3", "b", 8);
+    fixture.endpoint("a1", "a", 8);
+    fail("b1");
+    fail("b2");
+    for (int i = 0; i < 5; i++) {
+      assertEquals("a1", fixture.granted(fixture.online("a")));
+    }
+    assertNotEquals("a1", fixture.granted(fixture.online("c")));
+  }
+
+  /**
+   * At the end of a penalty all that wait go to an endpoint that is still dark, and each loses a
+   * connection attempt. One of them is enough to find out.
+   */
+  @Test
+  void letsOneRequestTryAfterAPenalty() {
+    fixture.endpoint("b1", "b", 8).endpoint("a1", "a", 2);
+    fail("b1");
+    fixture.advance(SlotSettings.DEFAULT.firstPenalty());
+    assertEquals("a1", fixture.granted(fixture.online("a")));
+    assertEquals("b1", fixture.granted(fixture.online("a")));
+    assertEquals("a1", fixture.granted(fixture.online("a")));
+  }
+
+  @Test
+  void placesElsewhereWhileAnEndpointIsSuspected() {
+    fixture.endpoint("a1", "a", 8).endpoint("b1", "b", 8);
+    SlotRequest silent = fixture.online("a");
+    assertEquals("a1", fixture.granted(silent));
+    fixture.coordinator.suspect(silent.key(), fixture.now);
+    assertEquals("b1", fixture.granted(fixture.online("a")));
+    assertEquals("b1", fixture.granted(fixture.online("a")));
+    fixture.release(silent, SlotOutcome.ANSWERED);
+    assertEquals("a1", fixture.granted(fixture.online("a")));
+  }
+
+  private void fail(String endpoint) {
+    Set<String> others =
+        Set.copyOf(
+            fixture.directory.usable(CoordinatorFixture.SERVICE).stream()
+                .map(each -> each.id())
+                .filter(id -> !id.equals(endpoint))
+                .toList());
+    SlotRequest request = fixture.request("a", false, 0, others);
+    assertEquals(endpoint, fixture.granted(request));
+    fixture.release(request, SlotOutcome.FAILED);
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/wire/EventSplitterTest.java
@@ -0,0 +1,66 @@
+package io.hawthornlb.gateway.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class EventSplitterTest {
+
+  private static final String STREAM =
+      "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\ndata: c\r\n\r\nweights: 7\nid: 3\ndata:d\n\n";
+
+  private final EventSplitter splitter = new EventSplitter();
+
+  @Property
+  void cutsAlikeHoweverTheBytesArrive(
+      @ForAll @IntRange(min = 1, max = 9) int size, @ForAll @IntRange(min = 1, max = 9) int next) {
+    EventSplitter fresh = new EventSplitter();
+    byte[] bytes = STREAM.getBytes(StandardCharsets.UTF_8);
+    List<StreamEvent> events = new ArrayList<>();
+    int from = 0;
+    boolean odd = true;
+    while (from < bytes.length) {
+      int length = Math.min(odd ? size : next, bytes.length - from);
+      events.addAll(fresh.feed(Unpooled.wrappedBuffer(bytes, from, length)));
+      from += length;
+      odd = !odd;
+    }
+    assertEquals(List.of(1L, 2L, 3L), events.stream().map(StreamEvent::id).toList());
+    assertEquals(List.of("a", "b\nc", "d"), events.stream().map(EventSplitter::data).toList());
+    assertFalse(fresh.torn());
+  }
+
+  /**
+   * A caller reads half of one event and the rest of another. The endpoint stopped in the middle of
+   * an event, and the next one began after the last whole one.
+   */
+  @Test
+  void keepsATornEventBack() {
+    List<StreamEvent> events = splitter.feed(text("id: 1\ndata: a\n\nid: 2\ndat"));
+    assertEquals(1, events.size());
+    assertTrue(splitter.torn());
+    splitter.reset();
+    assertEquals("b", EventSplitter.data(splitter.feed(text("id: 2\ndata: b\n\n")).get(0)));
+  }
+
+  @Test
+  void passesEventsWithoutANumberOn() {
+    StreamEvent event = splitter.feed(text("data: x\n\n")).get(0);
+    assertEquals(-1, event.id());
+    assertEquals("data: x\n\n", new String(event.bytes(), StandardCharsets.UTF_8));
+  }
+
+  private static ByteBuf text(String text) {
+    return Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+  }
+}
