--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
@@ -99,6 +99,7 @@
   @Override
   public void onResponse(HttpResponse answer) {
     response = answer;
+    names.load().read(answer.headers()).ifPresent(forwarding::told);
     mode = modeOf(answer);
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -9,6 +9,7 @@
 import io.hawthornlb.gateway.slot.SlotOutcome;
 import io.hawthornlb.gateway.slot.SlotRequest;
 import io.hawthornlb.gateway.wire.EndpointCall;
+import io.hawthornlb.gateway.wire.ToldLoad;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -119,6 +120,14 @@
     }
   }
 
+  /** Is told the load of the endpoint; only one where requests wait is worth a message. */
+  void told(ToldLoad load) {
+    SlotKey held = slot;
+    if (held != null && load.waiting() > 0) {
+      parts.slots().told(held, load);
+    }
+  }
+
   /** Is told that the endpoint did not run the request. */
   void notRun(int status) {
     boolean replaced = status == 421;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -276,6 +276,15 @@
     @Override
     public void onResponse(HttpResponse response) {
       status = response.status().code();
+      SlotKey held = slot;
+      if (held != null) {
+        parts
+            .names()
+            .load()
+            .read(response.headers())
+            .filter(load -> load.waiting() > 0)
+            .ifPresent(load -> parts.slots().told(held, load));
+      }
       notRun = response.headers().contains(parts.names().notRun()) || status == 421;
       proven =
           response.headers().contains(parts.names().signature())
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
@@ -11,6 +11,7 @@
 import io.hawthornlb.gateway.slot.SlotUse;
 import io.hawthornlb.gateway.slot.support.DefaultSlotCoordinator;
 import io.hawthornlb.gateway.slot.support.SlotSettings;
+import io.hawthornlb.gateway.wire.ToldLoad;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -128,6 +129,20 @@
     }
   }
 
+  @Override
+  public void told(SlotKey key, ToldLoad load) {
+    Pending held = pending.get(key);
+    if (held == null) {
+      return;
+    }
+    String service = held.request.service();
+    if (held.coordinator.equals(fleet.self())) {
+      local(service).told(key, load, clock.instant());
+    } else {
+      transport.send(held.coordinator, new PeerMessage.Told(service, key, load));
+    }
+  }
+
   private SlotCoordinator local(String service) {
     return coordinators.computeIfAbsent(
         service, name -> new DefaultSlotCoordinator(name, directory, SlotSettings.DEFAULT));
@@ -147,6 +162,8 @@
       deliver(local(release.service()).release(release.key(), release.outcome(), now));
     } else if (message instanceof PeerMessage.Suspect suspect) {
       local(suspect.service()).suspect(suspect.key(), now);
+    } else if (message instanceof PeerMessage.Told told) {
+      local(told.service()).told(told.key(), told.load(), now);
     } else if (message instanceof PeerMessage.Renew renew) {
       senders.put(renew.holder(), envelope.sender());
       local(renew.service()).renew(renew.holder(), renew.uses(), now);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
@@ -5,6 +5,7 @@
 import io.hawthornlb.gateway.slot.SlotOutcome;
 import io.hawthornlb.gateway.slot.SlotRequest;
 import io.hawthornlb.gateway.slot.SlotUse;
+import io.hawthornlb.gateway.wire.ToldLoad;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.time.Duration;
@@ -30,6 +31,7 @@
   private static final int RENEW = 7;
   private static final int SUSPECT = 8;
   private static final int HELD = 9;
+  private static final int TOLD = 10;
 
   private PeerCodec() {}
 
@@ -78,6 +80,10 @@
     } else if (message instanceof PeerMessage.Suspect suspect) {
       packKey(packer.packInt(SUSPECT), suspect.key());
       packer.packString(suspect.service());
+    } else if (message instanceof PeerMessage.Told told) {
+      packKey(packer.packInt(TOLD), told.key());
+      packer.packString(told.service());
+      packer.packInt(told.load().running()).packInt(told.load().waiting());
     } else if (message instanceof PeerMessage.Held held) {
       packer.packInt(HELD).packInt(held.partition()).packLong(held.epoch());
     } else if (message instanceof PeerMessage.Renew renew) {
@@ -138,6 +144,7 @@
       case RELEASE -> unpackRelease(unpacker);
       case RENEW -> unpackRenew(unpacker);
       case SUSPECT -> unpackSuspect(unpacker);
+      case TOLD -> unpackTold(unpacker);
       case HELD -> new PeerMessage.Held(unpacker.unpackInt(), unpacker.unpackLong());
       default -> throw new IOException("Unknown type " + type);
     };
@@ -149,6 +156,13 @@
     return new PeerMessage.Release(service, key, SlotOutcome.values()[unpacker.unpackInt()]);
   }
 
+  private static PeerMessage unpackTold(MessageUnpacker unpacker) throws IOException {
+    SlotKey key = unpackKey(unpacker);
+    String service = unpacker.unpackString();
+    ToldLoad load = new ToldLoad(unpacker.unpackInt(), unpacker.unpackInt());
+    return new PeerMessage.Told(service, key, load);
+  }
+
   private static PeerMessage unpackSuspect(MessageUnpacker unpacker) throws IOException {
     SlotKey key = unpackKey(unpacker);
     return new PeerMessage.Suspect(unpacker.unpackString(), key);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerMessage.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerMessage.java
@@ -5,6 +5,7 @@
 import io.hawthornlb.gateway.slot.SlotOutcome;
 import io.hawthornlb.gateway.slot.SlotRequest;
 import io.hawthornlb.gateway.slot.SlotUse;
+import io.hawthornlb.gateway.wire.ToldLoad;
 import java.util.List;
 
 /** A message between processes of the fleet; one datagram, which may be lost. */
@@ -22,6 +23,9 @@
   /** Tells a coordinator that the endpoint of a use is silent. */
   record Suspect(String service, SlotKey key) implements PeerMessage {}
 
+  /** Tells a coordinator the load that the endpoint of a use told. */
+  record Told(String service, SlotKey key, ToldLoad load) implements PeerMessage {}
+
   /** Tells that the sender holds a partition of the jobs. */
   record Held(int partition, long epoch) implements PeerMessage {}
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotClient.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotClient.java
@@ -1,5 +1,7 @@
 package io.hawthornlb.gateway.slot;
 
+import io.hawthornlb.gateway.wire.ToldLoad;
+
 /** Gets slots for requests of this gateway. */
 public interface SlotClient {
 
@@ -17,6 +19,9 @@
   /** Tells that the endpoint of a use is silent, so that others are placed elsewhere meanwhile. */
   void suspect(SlotKey key);
 
+  /** Tells the load that the endpoint of a use told. */
+  void told(SlotKey key, ToldLoad load);
+
   /** Returns the key of a new request. */
   SlotKey nextKey();
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotCoordinator.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.slot;
 
+import io.hawthornlb.gateway.wire.ToldLoad;
 import java.time.Instant;
 import java.util.List;
 
@@ -25,6 +26,9 @@
   /** Takes a hint that the endpoint of a use is silent; the use goes on. */
   void suspect(SlotKey key, Instant now);
 
+  /** Takes the load that the endpoint of a use told. */
+  void told(SlotKey key, ToldLoad load, Instant now);
+
   /** Takes all uses of a holder, which become known or stay so. */
   void renew(String holder, List<SlotUse> uses, Instant now);
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -8,6 +8,7 @@
 import io.hawthornlb.gateway.slot.SlotOutcome;
 import io.hawthornlb.gateway.slot.SlotRequest;
 import io.hawthornlb.gateway.slot.SlotUse;
+import io.hawthornlb.gateway.wire.ToldLoad;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -47,6 +48,7 @@
   private final EndpointDirectory directory;
   private final SlotSettings settings;
   private final Penalties penalties;
+  private final ForeignLoad foreign = new ForeignLoad();
   private final WaitEstimate estimate = new WaitEstimate();
   private final Map<SlotKey, SlotLease> leases = new HashMap<>();
   private final Map<String, Integer> used = new HashMap<>();
@@ -98,12 +100,17 @@
   public void suspect(SlotKey key, Instant now) {
     SlotLease lease = leases.get(key);
     if (lease != null) {
+      // No failure yet: a full endpoint is silent as well, and must not count as cut off.
       penalties.record(
-          lease.endpoint(),
-          lease.endpointDataCentre(),
-          lease.dataCentre(),
-          SlotOutcome.FAILED,
-          now);
+          lease.endpoint(), lease.endpointDataCentre(), lease.dataCentre(), SlotOutcome.SHED, now);
+    }
+  }
+
+  @Override
+  public void told(SlotKey key, ToldLoad load, Instant now) {
+    SlotLease lease = leases.get(key);
+    if (lease != null) {
+      foreign.told(lease.endpoint(), load, used(lease.endpoint()), now);
     }
   }
 
@@ -184,14 +191,14 @@
   }
 
   private boolean tryGrant(SlotRequest request, Instant now, List<SlotAnswer> answers) {
-    if (request.batch() && !roomForItem()) {
+    if (request.batch() && !roomForItem(now)) {
       return false;
     }
     List<EndpointRecord> candidates = candidates(request, now);
     Optional<EndpointRecord> free =
         candidates.stream()
-            .filter(endpoint -> used(endpoint.id()) < endpoint.slots())
-            .min(leastUsed(request.dataCentre()));
+            .filter(endpoint -> inUse(endpoint, now) < endpoint.slots())
+            .min(leastUsed(request.dataCentre(), now));
     if (free.isEmpty() && !request.batch()) {
       free = revokeOne(candidates, answers);
     }
@@ -221,8 +228,8 @@
    * about its square root. An item that takes a slot in each dip is revoked some 10 ms later and
    * has cost the endpoint a prompt. So that many slots stay free.
    */
-  private boolean roomForItem() {
-    int free = slots() - leases.size();
+  private boolean roomForItem(Instant now) {
+    int free = slots() - leases.size() - foreign.total(now);
     return free > Math.sqrt(onlineLeases);
   }
 
@@ -233,13 +240,17 @@
         .toList();
   }
 
-  private Comparator<EndpointRecord> leastUsed(String dataCentre) {
+  private Comparator<EndpointRecord> leastUsed(String dataCentre, Instant now) {
     return Comparator.comparingDouble(
-            (EndpointRecord endpoint) -> (double) used(endpoint.id()) / endpoint.slots())
+            (EndpointRecord endpoint) -> (double) inUse(endpoint, now) / endpoint.slots())
         .thenComparing(endpoint -> !endpoint.dataCentre().equals(dataCentre))
         .thenComparing(EndpointRecord::id);
   }
 
+  private int inUse(EndpointRecord endpoint, Instant now) {
+    return used(endpoint.id()) + foreign.at(endpoint.id(), now);
+  }
+
   private int used(String endpoint) {
     return used.getOrDefault(endpoint, 0);
   }
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/ForeignLoad.java
@@ -0,0 +1,47 @@
+package io.hawthornlb.gateway.slot.support;
+
+import io.hawthornlb.gateway.wire.ToldLoad;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Requests at endpoints that no holder accounts for.
+ *
+ * <p>Load pattern: all gateways lose power at once. Endpoints do not notice, and run what they had
+ * for seconds on, while the coordinator that starts anew takes their slots for free: requests queue
+ * at the endpoints, where nobody can take them back. It shows as requests that wait at an endpoint.
+ * What an endpoint tells beyond what is handed out counts as in use for a while.
+ */
+final class ForeignLoad {
+
+  /**
+   * Time for which what an endpoint told holds. Answers come about every 100 ms at an endpoint that
+   * is full, so that it is told anew while it lasts.
+   */
+  private static final Duration VALID = Duration.ofMillis(500);
+
+  private record Seen(int requests, Instant until) {}
+
+  private final Map<String, Seen> seen = new HashMap<>();
+
+  void told(String endpoint, ToldLoad load, int handedOut, Instant now) {
+    int foreign = load.running() + load.waiting() - handedOut;
+    if (foreign > 0) {
+      seen.put(endpoint, new Seen(foreign, now.plus(VALID)));
+    } else {
+      seen.remove(endpoint);
+    }
+  }
+
+  int at(String endpoint, Instant now) {
+    Seen requests = seen.get(endpoint);
+    return requests == null || !now.isBefore(requests.until()) ? 0 : requests.requests();
+  }
+
+  int total(Instant now) {
+    seen.values().removeIf(requests -> !now.isBefore(requests.until()));
+    return seen.values().stream().mapToInt(Seen::requests).sum();
+  }
+}
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/HeaderNames.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/HeaderNames.java
@@ -9,6 +9,7 @@
  * @param notRun on an answer: the endpoint did not run the request
  * @param signature on an answer: proof that an endpoint made it
  * @param lastEventId last event of a stream that the caller has
+ * @param load reads the load that an answer tells
  */
 public record HeaderNames(
     String requestId,
@@ -16,4 +17,5 @@
     String expectedEndpoint,
     String notRun,
     String signature,
-    String lastEventId) {}
+    String lastEventId,
+    LoadFormat load) {}
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
@@ -8,6 +8,7 @@
 import io.hawthornlb.gateway.slot.SlotOutcome;
 import io.hawthornlb.gateway.slot.SlotRequest;
 import io.hawthornlb.gateway.slot.SlotUse;
+import io.hawthornlb.gateway.wire.ToldLoad;
 import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.List;
@@ -31,6 +32,7 @@
         new PeerMessage.Answer(new SlotAnswer.Revoked(KEY)),
         new PeerMessage.Release("engine", KEY, SlotOutcome.FAILED),
         new PeerMessage.Suspect("engine", KEY),
+        new PeerMessage.Told("engine", KEY, new ToldLoad(8, 3)),
         new PeerMessage.Held(11, 7L << 40),
         new PeerMessage.Renew(
             "engine",
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinatorTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinatorTest.java
@@ -10,6 +10,7 @@
 import io.hawthornlb.gateway.slot.SlotOutcome;
 import io.hawthornlb.gateway.slot.SlotRequest;
 import io.hawthornlb.gateway.slot.SlotUse;
+import io.hawthornlb.gateway.wire.ToldLoad;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -168,6 +169,36 @@
     assertEquals("a1", fixture.granted(fixture.online("a")));
   }
 
+  /**
+   * Callers wait in the queues of endpoints after all gateways lost power. The endpoints still run
+   * what they had, of which the new coordinator knows nothing but what they tell.
+   */
+  @Test
+  void countsWhatAnEndpointTellsBeyondWhatIsHandedOut() {
+    fixture.endpoint("a1", "a", 8).endpoint("b1", "b", 8);
+    SlotRequest first = fixture.online("a");
+    assertEquals("a1", fixture.granted(first));
+    fixture.coordinator.told(first.key(), new ToldLoad(8, 2), fixture.now);
+    for (int i = 0; i < 8; i++) {
+      assertEquals("b1", fixture.granted(fixture.online("a")));
+    }
+    assertInstanceOf(SlotAnswer.Waiting.class, fixture.ask(fixture.online("a")).get(0));
+    fixture.advance(Duration.ofMillis(501));
+    assertEquals("a1", fixture.granted(fixture.online("a")));
+  }
+
+  @Test
+  void leavesRoomForTheUpsAndDownsOfACrest() {
+    fixture.endpoint("e1", "a", 14);
+    for (int i = 0; i < 9; i++) {
+      fixture.granted(fixture.online("a"));
+    }
+    assertEquals("e1", fixture.granted(fixture.batch(fixture.now)));
+    assertEquals("e1", fixture.granted(fixture.batch(fixture.now)));
+    SlotRequest third = fixture.batch(fixture.now);
+    assertEquals(List.of(new SlotAnswer.Waiting(third.key())), fixture.ask(third));
+  }
+
   @Test
   void placesElsewhereWhileAnEndpointIsSuspected() {
     fixture.endpoint("a1", "a", 8).endpoint("b1", "b", 8);
