--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -132,6 +132,7 @@
   void notRun(int status) {
     boolean replaced = status == 421;
     turnedAway++;
+    parts.metrics().count("endpoints.refused", String.valueOf(status));
     line("endpoint.refused").with("endpoint", endpoint).with("status", status).write();
     excludeCurrent(replaced ? SlotOutcome.REPLACED : SlotOutcome.SHED);
     proceed(AttemptRules.afterNotRun(state()), "endpoints turned it away");
@@ -139,6 +140,7 @@
 
   /** Is told that no whole answer comes from the endpoint. */
   void broken(boolean sent, String cause) {
+    parts.metrics().count("endpoints.failed", sent ? "after it was sent" : "not sent");
     line("endpoint.failed").with("endpoint", endpoint).with("cause", cause).write();
     excludeCurrent(SlotOutcome.FAILED);
     if (sent) {
@@ -158,13 +160,17 @@
 
   /** Is told that the caller has the whole answer. */
   void answered(int status) {
+    Duration first = Duration.between(request.arrived(), relay.firstPassed());
+    parts.metrics().count("requests.answered", route.name());
+    parts.metrics().time("requests.first", route.name(), first);
+    parts.metrics().time("requests.whole", route.name(), Duration.ofMillis(sinceArrival()));
     parts
         .log()
         .routine("front", "request.answered")
         .with("id", id)
         .with("status", status)
         .with("endpoint", endpoint)
-        .with("firstMillis", Duration.between(request.arrived(), relay.firstPassed()).toMillis())
+        .with("firstMillis", first.toMillis())
         .with("millis", sinceArrival())
         .write();
     finish(SlotOutcome.ANSWERED);
@@ -203,6 +209,7 @@
       return;
     }
     if (answer instanceof SlotAnswer.Granted granted) {
+      parts.metrics().time("requests.slot", route.name(), Duration.ofMillis(sinceArrival()));
       send(granted.endpoint());
     } else if (answer instanceof SlotAnswer.Refused refused) {
       slot = null;
@@ -313,6 +320,7 @@
     if (done) {
       return;
     }
+    parts.metrics().count("requests.failed", step.name());
     line("request.failed")
         .with("step", step.name())
         .with("cause", cause)
@@ -333,6 +341,7 @@
       return;
     }
     boolean sent = call != null;
+    parts.metrics().count("requests.timeout", route.name());
     line("request.timeout").with("endpoint", endpoint).with("runs", runs).write();
     if (relay.headSent()) {
       responder.breakOff();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardingHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardingHandler.java
@@ -2,6 +2,7 @@
 
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.event.EventLog;
+import io.hawthornlb.gateway.metric.GatewayMetrics;
 import io.hawthornlb.gateway.route.ConfigHolder;
 import io.hawthornlb.gateway.route.Route;
 import io.hawthornlb.gateway.route.RouteKind;
@@ -35,6 +36,7 @@
    * @param executor the event loop
    * @param clock time
    * @param log decisions
+   * @param metrics figures
    */
   public record Parts(
       ConfigHolder config,
@@ -46,7 +48,8 @@
       String dataCentre,
       ScheduledExecutorService executor,
       InstantSource clock,
-      EventLog log) {}
+      EventLog log,
+      GatewayMetrics metrics) {}
 
   /** Creates a handler. */
   public ForwardingHandler(Parts parts) {
@@ -82,6 +85,7 @@
   }
 
   private void refused(FrontRequest request, int status, String cause, long version) {
+    parts.metrics().count("requests.refused", cause);
     parts
         .log()
         .important("front", "request.refused")
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -148,6 +148,7 @@
     if (answer instanceof SlotAnswer.Granted granted) {
       send(granted.endpoint());
     } else if (answer instanceof SlotAnswer.Revoked) {
+      parts.metrics().count("items", "gave way");
       line("item.gave.way").write();
       slot = null;
       end(SlotOutcome.ABANDONED);
@@ -239,6 +240,8 @@
     end(SlotOutcome.ANSWERED);
     stopped = true;
     estimate.done(ran, lastEventId);
+    parts.metrics().count("items", "completed");
+    parts.metrics().time("items.run", "completed", ran);
     line("item.completed").with("events", lastEventId).write();
     outcome.done(item, new JobResult(item.id(), true, text.toString()));
   }
@@ -247,6 +250,7 @@
     failures += status == 500 ? 1 : 0;
     int maxAttempts = route().map(Route::maxAttempts).orElse(1);
     end(SlotOutcome.ANSWERED);
+    parts.metrics().count("items.failed", String.valueOf(status));
     line("item.failed").with("status", status).with("failures", failures).write();
     if (ItemRules.after(status, failures, maxAttempts) == ItemRules.Next.GIVE_UP) {
       stopped = true;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobParts.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobParts.java
@@ -2,6 +2,7 @@
 
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.event.EventLog;
+import io.hawthornlb.gateway.metric.GatewayMetrics;
 import io.hawthornlb.gateway.route.ConfigHolder;
 import io.hawthornlb.gateway.slot.SlotClient;
 import io.hawthornlb.gateway.store.LogStore;
@@ -23,6 +24,7 @@
  * @param executor the event loop
  * @param clock time
  * @param log decisions
+ * @param metrics figures
  */
 public record JobParts(
     ConfigHolder config,
@@ -34,4 +36,5 @@
     String dataCentre,
     ScheduledExecutorService executor,
     InstantSource clock,
-    EventLog log) {}
+    EventLog log,
+    GatewayMetrics metrics) {}
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -287,6 +287,7 @@
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
     StoreException.Kind kind =
         cause instanceof StoreException store ? store.kind() : StoreException.Kind.UNKNOWN;
+    parts.metrics().count("store.failed", what + " " + kind.name());
     parts
         .log()
         .important("job", "partition.store.failed")
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/metric/GatewayMetrics.java
@@ -0,0 +1,57 @@
+package io.hawthornlb.gateway.metric;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+
+/**
+ * Counts what a gateway does.
+ *
+ * <p>Recording costs an addition; the registry that writes the figures is made when they are asked
+ * for the first time, since it would add some 50 ms to each start.
+ */
+public final class GatewayMetrics {
+
+  /** Series of one name; a configuration has tens of routes, and a caller cannot add any. */
+  private static final int MAX_SERIES = 200;
+
+  private static final String OTHERS = "others";
+
+  private final Map<Series, LongAdder> counters = new ConcurrentHashMap<>();
+  private final Map<Series, LatencyHistogram> latencies = new ConcurrentHashMap<>();
+
+  /**
+   * Name of a series.
+   *
+   * @param name what is counted
+   * @param label what it is counted by: a route, a cause or a kind
+   */
+  public record Series(String name, String label) {}
+
+  /** Counts one more. */
+  public void count(String name, String label) {
+    Series series = bounded(counters, name, label);
+    counters.computeIfAbsent(series, any -> new LongAdder()).increment();
+  }
+
+  /** Records a time. */
+  public void time(String name, String label, Duration time) {
+    Series series = bounded(latencies, name, label);
+    latencies.computeIfAbsent(series, any -> new LatencyHistogram()).record(time);
+  }
+
+  Map<Series, LongAdder> counters() {
+    return counters;
+  }
+
+  Map<Series, LatencyHistogram> latencies() {
+    return latencies;
+  }
+
+  private static <T> Series bounded(Map<Series, T> known, String name, String label) {
+    Series series = new Series(name, label);
+    boolean room = known.size() < MAX_SERIES || known.containsKey(series);
+    return room ? series : new Series(name, OTHERS);
+  }
+}
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -7,6 +7,8 @@
 import io.hawthornlb.gateway.job.JobFormat;
 import io.hawthornlb.gateway.job.JobParts;
 import io.hawthornlb.gateway.job.JobRunners;
+import io.hawthornlb.gateway.metric.GatewayMetrics;
+import io.hawthornlb.gateway.metric.MetricsText;
 import io.hawthornlb.gateway.peer.FleetSlotClient;
 import io.hawthornlb.gateway.peer.FleetView;
 import io.hawthornlb.gateway.peer.PeerHoldNotices;
@@ -38,6 +40,7 @@
   private final EventLoop loop;
   private final InstantSource clock;
   private final EventLog log;
+  private final GatewayMetrics metrics = new GatewayMetrics();
   private final ConfigHolder config = new ConfigHolder();
   private final EndpointDirectory directory = new EndpointDirectory();
   private final EndpointSource endpoints;
@@ -80,7 +83,8 @@
                 settings.self().dataCentre(),
                 loop,
                 clock,
-                log),
+                log,
+                metrics),
             jobFormat,
             new PeerHoldNotices(fleet, transport),
             settings.self().name(),
@@ -97,7 +101,8 @@
                 settings.self().dataCentre(),
                 loop,
                 clock,
-                log));
+                log,
+                metrics));
     front = new FrontServer(handler, config, clock, log);
     ConfigSource configs = new ConfigSource(formats, config, log);
     follow(store, formats.configTopic(), configs);
@@ -106,7 +111,9 @@
     instances.announce();
     loop.execute(jobs::start);
     front.bind(loop, settings.front());
-    new ReadyServer(this::ready).bind(loop, settings.ready());
+    ReadyServer readiness = new ReadyServer(this::ready, new MetricsText(metrics));
+    readiness.bind(loop, settings.ready());
+    readiness.bind(loop, settings.metrics());
     log.important("process", "started").with("instance", settings.self().name()).write();
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewaySettings.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewaySettings.java
@@ -10,6 +10,7 @@
  * @param self this process
  * @param front where callers connect
  * @param ready where the balancer asks whether this process takes connections
+ * @param metrics where figures are scraped
  * @param stopTime time from the signal to stop until the process is killed
  * @param jobPartitions partitions of the jobs' topic
  */
@@ -17,5 +18,6 @@
     GatewayInstance self,
     InetSocketAddress front,
     InetSocketAddress ready,
+    InetSocketAddress metrics,
     Duration stopTime,
     int jobPartitions) {}
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/ReadyServer.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/ReadyServer.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.process;
 
+import io.hawthornlb.gateway.metric.MetricsText;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -19,15 +20,20 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.function.BooleanSupplier;
 
-/** Tells the balancer whether this process takes new connections. */
+/** Tells the balancer whether this process takes new connections, and scrapers its figures. */
 final class ReadyServer {
 
+  private static final String METRICS_PATH = "/metrics";
+
   private final BooleanSupplier ready;
+  private final MetricsText metrics;
 
-  ReadyServer(BooleanSupplier ready) {
+  ReadyServer(BooleanSupplier ready, MetricsText metrics) {
     this.ready = ready;
+    this.metrics = metrics;
   }
 
   void bind(EventLoopGroup loop, InetSocketAddress address) {
@@ -55,17 +61,27 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpRequest request) {
-      HttpResponseStatus status =
-          ready.getAsBoolean() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
-      FullHttpResponse response =
-          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
-      response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+      FullHttpResponse response = request.uri().startsWith(METRICS_PATH) ? figures() : readiness();
+      int length = response.content().readableBytes();
+      response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
       var written = ctx.writeAndFlush(response);
       if (!HttpUtil.isKeepAlive(request)) {
         written.addListener(ChannelFutureListener.CLOSE);
       }
     }
 
+    private FullHttpResponse readiness() {
+      HttpResponseStatus status =
+          ready.getAsBoolean() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+      return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+    }
+
+    private FullHttpResponse figures() {
+      byte[] text = metrics.write().getBytes(StandardCharsets.UTF_8);
+      return new DefaultFullHttpResponse(
+          HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(text));
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
       // The balancer asks again in a second.
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/TrialRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/TrialRun.java
@@ -118,12 +118,14 @@
     InetAddress loopback = InetAddress.getLoopbackAddress();
     try (ServerSocket front = new ServerSocket(0, 1, loopback);
         ServerSocket ready = new ServerSocket(0, 1, loopback);
+        ServerSocket metrics = new ServerSocket(0, 1, loopback);
         DatagramSocket peer = new DatagramSocket(0, loopback)) {
       InetSocketAddress peerAddress = new InetSocketAddress(loopback, peer.getLocalPort());
       return new GatewaySettings(
           new GatewayInstance("trial", "trial~1", peerAddress, "trial"),
           new InetSocketAddress(loopback, front.getLocalPort()),
           new InetSocketAddress(loopback, ready.getLocalPort()),
+          new InetSocketAddress(loopback, metrics.getLocalPort()),
           STOP_TIME,
           PARTITIONS);
     } catch (IOException e) {
--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
@@ -0,0 +1,257 @@
+package io.hawthornlb.gateway.front;
+
+import io.hawthornlb.gateway.SilentEventLog;
+import io.hawthornlb.gateway.endpoint.EndpointRecord;
+import io.hawthornlb.gateway.job.JobCall;
+import io.hawthornlb.gateway.job.JobFormat;
+import io.hawthornlb.gateway.job.JobResult;
+import io.hawthornlb.gateway.peer.GatewayInstance;
+import io.hawthornlb.gateway.process.GatewayProcess;
+import io.hawthornlb.gateway.process.GatewaySettings;
+import io.hawthornlb.gateway.process.SourceFormats;
+import io.hawthornlb.gateway.route.CallerLimits;
+import io.hawthornlb.gateway.route.Route;
+import io.hawthornlb.gateway.route.RouteKind;
+import io.hawthornlb.gateway.route.RoutingConfig;
+import io.hawthornlb.gateway.route.ServiceShare;
+import io.hawthornlb.gateway.store.LogStore.AppendCall;
+import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
+import io.hawthornlb.gateway.store.support.InMemoryLogStore;
+import io.hawthornlb.gateway.wire.HeaderNames;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.awaitility.Awaitility;
+
+/** A whole gateway on loopback, with a log in memory and endpoints of the test. */
+final class GatewayFixture implements AutoCloseable {
+
+  static final HeaderNames NAMES =
+      new HeaderNames(
+          "Test-Id",
+          "Test-Remaining",
+          "Test-Expect",
+          "Test-Not-Run",
+          "Test-Signature",
+          "Last-Event-Id",
+          headers -> Optional.empty());
+
+  private static final String SERVICE = "engine";
+
+  private final EventLoop loop =
+      (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+  private final InMemoryLogStore store = new InMemoryLogStore(loop, 2);
+  private final Formats formats = new Formats();
+  private final SilentEventLog log = new SilentEventLog();
+  private final GatewaySettings settings = settings();
+
+  /** Formats that look objects up by a name. */
+  private static final class Formats implements SourceFormats, JobFormat {
+
+    private final Map<String, RoutingConfig> configs = new HashMap<>();
+    private final Map<String, EndpointRecord> endpoints = new HashMap<>();
+
+    @Override
+    public String configTopic() {
+      return "config";
+    }
+
+    @Override
+    public String configKey() {
+      return "config";
+    }
+
+    @Override
+    public String endpointTopic() {
+      return "endpoints";
+    }
+
+    @Override
+    public RoutingConfig config(byte[] value) {
+      return configs.get(new String(value, StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public EndpointRecord endpoint(String id, byte[] value) {
+      return endpoints.get(id);
+    }
+
+    @Override
+    public Optional<JobCall> call(FrontRequest request) {
+      return Optional.empty();
+    }
+
+    @Override
+    public byte[] results(int total, int after, List<JobResult> results) {
+      return new byte[0];
+    }
+
+    @Override
+    public String resultsType() {
+      return "text/plain";
+    }
+
+    @Override
+    public String itemIdHeader() {
+      return NAMES.requestId();
+    }
+  }
+
+  /** An answer as a caller read it. */
+  record Answer(int status, String head, String body, boolean whole) {}
+
+  GatewayFixture() {
+    new GatewayProcess(settings, loop, store, formats, formats, NAMES, InstantSource.system(), log);
+  }
+
+  /** Puts a configuration with one route in force, and offers endpoints in the order named. */
+  GatewayFixture route(RouteKind kind, int maxAttempts, boolean resumable, ScriptedEndpoint... to) {
+    for (int i = 0; i < to.length; i++) {
+      String id = "e" + i;
+      formats.endpoints.put(id, new EndpointRecord(id, SERVICE, to[i].address(), "a", 8, false));
+      put(formats.endpointTopic(), id, id);
+    }
+    Route route =
+        new Route(
+            "r",
+            "h.example",
+            "/a/",
+            kind,
+            Duration.ofMillis(1_500),
+            Duration.ofMillis(1_000),
+            0,
+            List.of(new ServiceShare(SERVICE, 1)),
+            maxAttempts,
+            resumable,
+            null,
+            null);
+    CallerLimits limits =
+        new CallerLimits(2_000, 5_000, Duration.ofMillis(300), Duration.ofSeconds(5));
+    formats.configs.put("1", new RoutingConfig(1, List.of(route), List.of(), limits));
+    put(formats.configTopic(), formats.configKey(), "1");
+    Awaitility.await().until(() -> log.events().contains("config.applied"));
+    Awaitility.await()
+        .until(
+            () ->
+                log.events().stream().filter("endpoint.offered"::equals).count() >= to.length
+                    || to.length == 0);
+    return this;
+  }
+
+  Answer call(String path, String body) throws IOException {
+    try (Socket socket = open(path, body)) {
+      return read(socket);
+    }
+  }
+
+  Socket open(String path, String body) throws IOException {
+    String request =
+        "POST "
+            + path
+            + " HTTP/1.1\r\nHost: h.example\r\nTest-Id: id-1\r\nTest-Remaining: 3000\r\nOther: x\r\n"
+            + "Content-Length: "
+            + body.length()
+            + "\r\nConnection: close\r\n\r\n"
+            + body;
+    return raw(request);
+  }
+
+  Socket raw(String bytes) throws IOException {
+    Socket socket = new Socket(settings.front().getAddress(), settings.front().getPort());
+    socket.setSoTimeout(10_000);
+    socket.getOutputStream().write(bytes.getBytes(StandardCharsets.UTF_8));
+    socket.getOutputStream().flush();
+    return socket;
+  }
+
+  /** Reads to the end of the connection; a chunked body is whole if its last chunk came. */
+  static Answer read(Socket socket) throws IOException {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try {
+      socket.getInputStream().transferTo(bytes);
+    } catch (IOException e) {
+      // A reset ends the answer like any other end.
+      bytes.writeBytes(new byte[0]);
+    }
+    String text = bytes.toString(StandardCharsets.UTF_8);
+    int end = text.indexOf("\r\n\r\n");
+    if (end < 0) {
+      return new Answer(0, "", "", false);
+    }
+    String head = text.substring(0, end);
+    String body = text.substring(end + 4);
+    boolean chunked = head.toLowerCase().contains("transfer-encoding: chunked");
+    boolean whole = !chunked || body.endsWith("0\r\n\r\n");
+    int status = Integer.parseInt(head.split(" ")[1]);
+    return new Answer(status, head, chunked ? unchunk(body) : body, whole);
+  }
+
+  SilentEventLog log() {
+    return log;
+  }
+
+  @Override
+  public void close() {
+    loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  private void put(String topic, String key, String value) {
+    byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+    store.append(new AppendCall(topic, 0, List.of(new KeyedRecord(key, bytes)), null));
+  }
+
+  private static String unchunk(String body) {
+    StringBuilder text = new StringBuilder();
+    int at = 0;
+    while (at < body.length()) {
+      int line = body.indexOf("\r\n", at);
+      if (line < 0) {
+        break;
+      }
+      int length = Integer.parseInt(body.substring(at, line), 16);
+      int from = line + 2;
+      text.append(body, Math.min(from, body.length()), Math.min(from + length, body.length()));
+      at = from + length + 2;
+    }
+    return text.toString();
+  }
+
+  private static GatewaySettings settings() {
+    InetAddress loopback = InetAddress.getLoopbackAddress();
+    List<Integer> ports = new ArrayList<>();
+    try (ServerSocket front = new ServerSocket(0, 1, loopback);
+        ServerSocket ready = new ServerSocket(0, 1, loopback);
+        ServerSocket metrics = new ServerSocket(0, 1, loopback);
+        DatagramSocket peer = new DatagramSocket(0, loopback)) {
+      ports.add(front.getLocalPort());
+      ports.add(ready.getLocalPort());
+      ports.add(metrics.getLocalPort());
+      ports.add(peer.getLocalPort());
+    } catch (IOException e) {
+      throw new IllegalStateException("No free port on loopback", e);
+    }
+    return new GatewaySettings(
+        new GatewayInstance("g1", "g1~1", new InetSocketAddress(loopback, ports.get(3)), "a"),
+        new InetSocketAddress(loopback, ports.get(0)),
+        new InetSocketAddress(loopback, ports.get(1)),
+        new InetSocketAddress(loopback, ports.get(2)),
+        Duration.ofSeconds(2),
+        2);
+  }
+}
