Remember requests that crash endpoints, drop old jobs, explain an id from logs

Cause: a request that crashes each endpoint came again at other gateways without being known; records of jobs stayed for good; on-call engineers searched logs by hand. Ruled out: counting crashes at each gateway, since callers come back elsewhere.

--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/command/CommandTree.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/command/CommandTree.java
@@ -34,6 +34,7 @@
             new JobResultsCommand(environment),
             new JobCancelCommand(environment)));
     addGroup(root, "key", List.of(new KeyHashCommand()));
+    add(root, new ExplainCommand());
     add(root, new StandinCommand(launchers.standin()));
     add(root, new LoadCommand(launchers.load()));
     return root;
--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/command/CommandLineTest.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/command/CommandLineTest.java
@@ -49,6 +49,7 @@
         "job results",
         "job cancel",
         "key hash",
+        "explain",
         "standin",
         "load"
       })
--- /dev/null
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/explain/ExplanationTest.java
@@ -0,0 +1,70 @@
+package io.hawthornlb.app.explain;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class ExplanationTest {
+
+  @TempDir private Path folder;
+
+  @Test
+  void putsTheLinesOfSeveralInstancesInOrder() throws IOException {
+    Path first =
+        write(
+            "first.log",
+            line(3, "job", "item.gave.way", "\"id\":\"i1\",\"job\":\"j1\""),
+            line(1, "job", "item.sent", "\"id\":\"i1\",\"job\":\"j1\",\"endpoint\":\"e1\""),
+            line(2, "slot", "coordinator.silent", "\"instance\":\"b\""),
+            line(2, "slot", "grant.late", "\"request\":1"),
+            line(2, "endpoint", "removed", "\"endpoint\":\"e1\""),
+            line(2, "endpoint", "removed", "\"endpoint\":\"e2\""),
+            line(9, "process", "stopping", "\"active\":1"),
+            "{\"time\":\"2026-01-01T00:00:02Z\",\"pa",
+            "WARNING: of a library");
+    Path second =
+        write("second.log", " 4.2 second " + line(5, "job", "item.completed", "\"id\":\"i1\""));
+    LogReader reader = new LogReader();
+    reader.read(first);
+    reader.read(second);
+    assertEquals(2, reader.foreign());
+    assertEquals(
+        List.of(
+            "first.log job item.sent",
+            "first.log slot coordinator.silent",
+            "first.log endpoint removed",
+            "first.log job item.gave.way",
+            "second job item.completed"),
+        Explanation.of("i1", reader.events()).stream()
+            .map(event -> event.source() + " " + event.name())
+            .toList());
+  }
+
+  @Test
+  void findsNothingForAnUnknownId() throws IOException {
+    LogReader reader = new LogReader();
+    reader.read(write("a.log", line(1, "job", "item.sent", "\"id\":\"i1\"")));
+    assertEquals(List.of(), Explanation.of("other", reader.events()));
+  }
+
+  private Path write(String name, String... lines) throws IOException {
+    return Files.writeString(folder.resolve(name), String.join("\n", lines) + "\n");
+  }
+
+  private static String line(int second, String part, String event, String fields) {
+    return "{\"time\":\"2026-01-01T00:00:0"
+        + second
+        + "Z\",\"part\":\""
+        + part
+        + "\",\"event\":\""
+        + event
+        + "\","
+        + fields
+        + "}";
+  }
+}
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.front;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.event.EventLine;
 import io.hawthornlb.gateway.route.Route;
@@ -187,10 +188,20 @@
             route.priority(),
             parts.dataCentre(),
             maxWait(),
+            fingerprint(),
             Set.copyOf(excluded));
     parts.slots().acquire(wanted, this::onSlot);
   }
 
+  /** Recognizes a request that comes again under another id. */
+  private long fingerprint() {
+    return Hashing.wyhashFinal4()
+        .hashStream()
+        .putString(request.uri())
+        .putBytes(request.body())
+        .getAsLong();
+  }
+
   private Duration maxWait() {
     if (relay.headSent() || runs > 0) {
       // The caller has part of the answer, or may not be told that nothing ran: a late end beats
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -95,6 +95,11 @@
     end(SlotOutcome.ABANDONED);
   }
 
+  /** Returns whether the item has not ended. */
+  boolean running() {
+    return !stopped;
+  }
+
   /** Returns the job that the item is part of. */
   Job job() {
     return job;
@@ -132,6 +137,7 @@
             estimate.rank(due, lastEventId, parts.clock().instant()),
             parts.dataCentre(),
             SLOT_WAIT,
+            0,
             Set.copyOf(excluded));
     excluded.clear();
     parts.slots().acquire(wanted, this::onSlot);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobParts.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobParts.java
@@ -8,6 +8,7 @@
 import io.hawthornlb.gateway.store.LogStore;
 import io.hawthornlb.gateway.wire.EndpointPool;
 import io.hawthornlb.gateway.wire.HeaderNames;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.concurrent.ScheduledExecutorService;
 
@@ -20,6 +21,7 @@
  * @param pool connections to endpoints
  * @param names names of headers
  * @param store the log
+ * @param resultRetention time for which results stay readable after a job was accepted
  * @param dataCentre where this process stands
  * @param executor the event loop
  * @param clock time
@@ -33,6 +35,7 @@
     EndpointPool pool,
     HeaderNames names,
     LogStore store,
+    Duration resultRetention,
     String dataCentre,
     ScheduledExecutorService executor,
     InstantSource clock,
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobTable.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobTable.java
@@ -23,6 +23,7 @@
   private final Map<String, TreeMap<Integer, byte[]>> parts = new HashMap<>();
   private final Map<String, TreeMap<Integer, JobResult>> early = new HashMap<>();
   private final Set<String> ended = new HashSet<>();
+  private final Map<String, Set<String>> keys = new HashMap<>();
 
   Optional<Job> find(String jobId) {
     return Optional.ofNullable(jobs.get(jobId));
@@ -32,9 +33,17 @@
     return jobs.values();
   }
 
+  /** Returns the keys of all records of a job. */
+  Set<String> keys(String jobId) {
+    return keys.getOrDefault(jobId, Set.of());
+  }
+
   void take(KeyedRecord record) {
     JobRecords.Key key = JobRecords.key(record.key());
     byte[] value = record.value();
+    if (value != null) {
+      keys.computeIfAbsent(key.jobId(), any -> new HashSet<>()).add(record.key());
+    }
     if (value == null) {
       drop(key);
     } else if (key.part()) {
@@ -89,6 +98,7 @@
       jobs.remove(key.jobId());
       parts.remove(key.jobId());
       early.remove(key.jobId());
+      keys.remove(key.jobId());
     } else if (key.end()) {
       ended.remove(key.jobId());
     }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 
@@ -42,6 +43,15 @@
   /** Events below which a record is not worth its bytes; about 0.2 s of a run. */
   private static final int SAVED_EVENTS = 10;
 
+  /** Time between two looks for items to give up and jobs to drop. */
+  private static final Duration SWEEP_EVERY = Duration.ofSeconds(5);
+
+  /**
+   * Added to the times at which items are given up and jobs dropped, since another instance's clock
+   * told when a job was accepted; clocks may differ by some seconds.
+   */
+  private static final Duration CLOCK_MARGIN = Duration.ofSeconds(10);
+
   /** When items are due if their route names no time. */
   private static final Duration DEFAULT_COMPLETION = Duration.ofSeconds(60);
 
@@ -126,6 +136,7 @@
                 begin();
                 follow();
                 saveLater();
+                sweepLater();
               } else {
                 storeFailed("read", failure, this::catchUp);
               }
@@ -215,6 +226,63 @@
     saveLater();
   }
 
+  private void sweepLater() {
+    parts.executor().schedule(this::sweep, SWEEP_EVERY.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private void sweep() {
+    if (stopped) {
+      return;
+    }
+    for (Job job : List.copyOf(replica.table().all())) {
+      giveUpOld(job);
+    }
+    dropOld();
+    sweepLater();
+  }
+
+  /** Gives up the items of a job that are past the time for which they are kept. */
+  private void giveUpOld(Job job) {
+    Optional<Duration> kept =
+        parts
+            .config()
+            .current()
+            .flatMap(config -> config.jobRoute(job.host()))
+            .map(Route::retention);
+    if (kept.isEmpty() || job.ended() || !olderThan(job, kept.get())) {
+      return;
+    }
+    for (JobItem item : job.items()) {
+      ItemRun run = runs.get(item.id());
+      if (run != null && !job.listed(item.id()) && run.running()) {
+        run.stop();
+        done(item, new JobResult(item.id(), false, ""));
+      }
+    }
+  }
+
+  /** Drops the records of jobs whose results need no longer be readable. */
+  private void dropOld() {
+    if (writing) {
+      return;
+    }
+    List<KeyedRecord> drops = new ArrayList<>();
+    for (Job job : replica.table().all()) {
+      boolean over = job.ended() || job.complete();
+      if (over && olderThan(job, parts.resultRetention())) {
+        replica.table().keys(job.id()).forEach(key -> drops.add(new KeyedRecord(key, null)));
+      }
+    }
+    if (!drops.isEmpty()) {
+      writing = true;
+      append(drops);
+    }
+  }
+
+  private boolean olderThan(Job job, Duration age) {
+    return parts.clock().instant().isAfter(job.accepted().plus(age).plus(CLOCK_MARGIN));
+  }
+
   private List<KeyedRecord> gained(int leastEvents) {
     List<KeyedRecord> records = new ArrayList<>();
     for (ItemRun run : runs.values()) {
@@ -276,7 +344,7 @@
     writing = false;
     for (KeyedRecord record : records) {
       replica.take(record);
-      if (JobRecords.key(record.key()).result()) {
+      if (record.value() != null && JobRecords.key(record.key()).result()) {
         runs.remove(JobRecords.result(record.value()).itemId());
       }
     }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/metric/MetricsText.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/metric/MetricsText.java
@@ -56,7 +56,7 @@
       PrometheusMeterRegistry registry, GatewayMetrics.Series series, LatencyHistogram value) {
     for (int bucket = 0; bucket < LatencyHistogram.bucketCount(); bucket++) {
       int upTo = bucket;
-      FunctionCounter.builder(series.name() + ".bucket", value, each -> each.upTo(upTo))
+      FunctionCounter.builder(series.name() + ".upto", value, each -> each.upTo(upTo))
           .tag(LABEL, series.label())
           .tag(BOUND, String.valueOf(LatencyHistogram.bound(bucket)))
           .register(registry);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
@@ -95,6 +95,7 @@
     packKey(packer, request.key());
     packer.packString(request.service()).packBoolean(request.batch()).packLong(request.rank());
     packer.packString(request.dataCentre()).packLong(request.maxWait().toMillis());
+    packer.packLong(request.fingerprint());
     packer.packArrayHeader(request.excluded().size());
     for (String endpoint : request.excluded()) {
       packer.packString(endpoint);
@@ -175,12 +176,13 @@
     long rank = unpacker.unpackLong();
     String dataCentre = unpacker.unpackString();
     Duration maxWait = Duration.ofMillis(unpacker.unpackLong());
+    long fingerprint = unpacker.unpackLong();
     Set<String> excluded = new HashSet<>();
     int size = unpacker.unpackArrayHeader();
     for (int i = 0; i < size; i++) {
       excluded.add(unpacker.unpackString());
     }
-    return new SlotRequest(key, service, batch, rank, dataCentre, maxWait, excluded);
+    return new SlotRequest(key, service, batch, rank, dataCentre, maxWait, fingerprint, excluded);
   }
 
   private static PeerMessage unpackRenew(MessageUnpacker unpacker) throws IOException {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -80,6 +80,7 @@
                 pool,
                 names,
                 store,
+                settings.resultRetention(),
                 settings.self().dataCentre(),
                 loop,
                 clock,
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotRequest.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotRequest.java
@@ -13,6 +13,7 @@
  *     requests, due time for batch items
  * @param dataCentre where the gateway stands
  * @param maxWait longest time that it may wait for a slot
+ * @param fingerprint hash of what is asked; 0 if it need not be recognized when it comes again
  * @param excluded endpoints that refused the request or broke off on it
  */
 public record SlotRequest(
@@ -22,4 +23,5 @@
     long rank,
     String dataCentre,
     Duration maxWait,
+    long fingerprint,
     Set<String> excluded) {}
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -48,6 +48,7 @@
   private final EndpointDirectory directory;
   private final SlotSettings settings;
   private final Penalties penalties;
+  private final CrashCounts crashes = new CrashCounts();
   private final ForeignLoad foreign = new ForeignLoad();
   private final WaitEstimate estimate = new WaitEstimate();
   private final Map<SlotKey, SlotLease> leases = new HashMap<>();
@@ -74,6 +75,9 @@
     if (isWaiting(request.key())) {
       return List.of(new SlotAnswer.Waiting(request.key()));
     }
+    if (crashes.barred(request.fingerprint(), now)) {
+      return List.of(new SlotAnswer.Refused(request.key(), crashes.remembered()));
+    }
     List<SlotAnswer> answers = new ArrayList<>();
     if (!tryGrant(request, now, answers)) {
       waitOrRefuse(request, now, answers);
@@ -90,6 +94,9 @@
     }
     penalties.record(
         lease.endpoint(), lease.endpointDataCentre(), lease.dataCentre(), outcome, now);
+    if (outcome == SlotOutcome.FAILED && lease.fingerprint() != 0) {
+      crashes.crashed(lease.fingerprint(), now);
+    }
     if (outcome == SlotOutcome.ANSWERED && !lease.batch()) {
       estimate.ended(lease.since(), now);
     }
@@ -215,6 +222,7 @@
             request.dataCentre(),
             request.batch(),
             request.rank(),
+            request.fingerprint(),
             now,
             now));
     answers.add(new SlotAnswer.Granted(request.key(), endpoint.id()));
@@ -279,7 +287,7 @@
 
   private SlotLease adopted(SlotKey key, SlotUse use, Instant now) {
     String where = directory.find(use.endpoint()).map(EndpointRecord::dataCentre).orElse("");
-    return new SlotLease(key, use.endpoint(), where, where, use.batch(), use.rank(), now, now);
+    return new SlotLease(key, use.endpoint(), where, where, use.batch(), use.rank(), 0, now, now);
   }
 
   private Optional<EndpointRecord> revokeOne(
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotLease.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotLease.java
@@ -11,10 +11,12 @@
     String dataCentre,
     boolean batch,
     long rank,
+    long fingerprint,
     Instant since,
     Instant renewed) {
 
   SlotLease renewedAt(Instant now) {
-    return new SlotLease(key, endpoint, endpointDataCentre, dataCentre, batch, rank, since, now);
+    return new SlotLease(
+        key, endpoint, endpointDataCentre, dataCentre, batch, rank, fingerprint, since, now);
   }
 }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/metric/MetricsTextTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/metric/MetricsTextTest.java
@@ -18,8 +18,8 @@
     metrics.time("requests.first", "r1", Duration.ofMillis(60));
     String figures = text.write();
     assertTrue(figures.contains("requests_answered_total{by=\"r1\"} 2.0"), figures);
-    assertTrue(figures.contains("requests_first_bucket_total{by=\"r1\",le_ms=\"64\"} 1.0"), figures);
-    assertTrue(figures.contains("requests_first_bucket_total{by=\"r1\",le_ms=\"32\"} 0.0"), figures);
+    assertTrue(figures.contains("requests_first_upto_total{by=\"r1\",le_ms=\"64\"} 1.0"), figures);
+    assertTrue(figures.contains("requests_first_upto_total{by=\"r1\",le_ms=\"32\"} 0.0"), figures);
   }
 
   /** A process runs out of memory because each new label makes a series. */
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
@@ -59,7 +59,7 @@
     private SlotRequest ask() {
       SlotRequest request =
           new SlotRequest(
-              slots.nextKey(), SERVICE, false, 0, "a", Duration.ofMillis(600), Set.of());
+              slots.nextKey(), SERVICE, false, 0, "a", Duration.ofMillis(600), 0, Set.of());
       slots.acquire(request, answers::add);
       return request;
     }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
@@ -25,7 +25,14 @@
     return List.of(
         new PeerMessage.Ask(
             new SlotRequest(
-                KEY, "engine", true, 7L << 33, "a", Duration.ofMillis(150), Set.of("e1", "e2"))),
+                KEY,
+                "engine",
+                true,
+                7L << 33,
+                "a",
+                Duration.ofMillis(150),
+                99,
+                Set.of("e1", "e2"))),
         new PeerMessage.Answer(new SlotAnswer.Granted(KEY, "e1")),
         new PeerMessage.Answer(new SlotAnswer.Waiting(KEY)),
         new PeerMessage.Answer(new SlotAnswer.Refused(KEY, Duration.ofMillis(250))),
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/CoordinatorFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/CoordinatorFixture.java
@@ -47,6 +47,7 @@
         rank,
         dataCentre,
         Duration.ofMillis(150),
+        numbers,
         excluded);
   }
 
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinatorTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinatorTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.hawthornlb.gateway.slot.SlotAnswer;
+import io.hawthornlb.gateway.slot.SlotKey;
 import io.hawthornlb.gateway.slot.SlotOutcome;
 import io.hawthornlb.gateway.slot.SlotRequest;
 import io.hawthornlb.gateway.slot.SlotUse;
@@ -187,6 +188,37 @@
     assertEquals("a1", fixture.granted(fixture.online("a")));
   }
 
+  /**
+   * One endpoint after the other crashes. A caller sends a request again that crashes whoever runs
+   * it, each time under another id and at another gateway.
+   */
+  @Test
+  void givesNoSlotToARequestThatCrashedThreeEndpoints() {
+    fixture.endpoint("e1", "a", 8);
+    for (int crash = 0; crash < 3; crash++) {
+      SlotRequest request = deadly(crash);
+      fixture.granted(request);
+      fixture.release(request, SlotOutcome.FAILED);
+      fixture.advance(Duration.ofSeconds(4));
+    }
+    assertInstanceOf(SlotAnswer.Refused.class, fixture.ask(deadly(3)).get(0));
+    assertEquals("e1", fixture.granted(fixture.online("a")));
+    fixture.advance(Duration.ofSeconds(61));
+    fixture.granted(deadly(4));
+  }
+
+  private static SlotRequest deadly(int attempt) {
+    return new SlotRequest(
+        new SlotKey("gateway-" + attempt, 1),
+        CoordinatorFixture.SERVICE,
+        false,
+        0,
+        "a",
+        Duration.ofMillis(150),
+        4_711,
+        Set.of());
+  }
+
   @Test
   void leavesRoomForTheUpsAndDownsOfACrest() {
     fixture.endpoint("e1", "a", 14);
