--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewaySettings.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewaySettings.java
@@ -10,12 +10,16 @@
  * @param self this process
  * @param front where callers connect
  * @param ready where the balancer asks whether this process takes connections
+ * @param metrics where figures are scraped
  * @param stopTime time from the signal to stop until the process is killed
+ * @param resultRetention time for which results of jobs stay readable
  * @param jobPartitions partitions of the jobs' topic
  */
 public record GatewaySettings(
     GatewayInstance self,
     InetSocketAddress front,
     InetSocketAddress ready,
+    InetSocketAddress metrics,
     Duration stopTime,
+    Duration resultRetention,
     int jobPartitions) {}
