--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobReplica.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobReplica.java
@@ -53,10 +53,10 @@
     if (offset < 0) {
       return loadOnce();
     }
-    return store.read(topic, partition, offset, wait).thenComposeAsync(this::take, executor);
+    return store.read(topic, partition, offset, wait).thenComposeAsync(this::takePage, executor);
   }
 
-  private CompletionStage<Void> take(LogPage page) {
+  private CompletionStage<Void> takePage(LogPage page) {
     if (page.trimmed()) {
       return loadOnce();
     }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
@@ -159,7 +159,8 @@
     String request =
         "POST "
             + path
-            + " HTTP/1.1\r\nHost: h.example\r\nTest-Id: id-1\r\nTest-Remaining: 3000\r\nOther: x\r\n"
+            + " HTTP/1.1\r\nHost: h.example\r\nTest-Id: id-1\r\nTest-Remaining: 3000\r\n"
+            + "Other: x\r\n"
             + "Content-Length: "
             + body.length()
             + "\r\nConnection: close\r\n\r\n"
