--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/EndpointSource.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/EndpointSource.java
@@ -5,6 +5,7 @@
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.store.KeyedFollower;
 import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,6 +16,14 @@
 /** Keeps the endpoint directory as the store tells. */
 final class EndpointSource implements KeyedFollower.Listener {
 
+  /**
+   * Shortest outage in which entries can lapse: they do after 3.6 s without a heartbeat, and the
+   * last one is up to 1.2 s old when the outage begins. Were shorter failures taken for outages, a
+   * read that failed once would keep an endpoint that leaves in use for 2.3 s, longer than it
+   * stays.
+   */
+  private static final Duration LAPSING_OUTAGE = Duration.ofSeconds(2);
+
   private final SourceFormats formats;
   private final EndpointDirectory directory;
   private final ScheduledExecutorService executor;
@@ -69,8 +78,10 @@
   }
 
   @Override
-  public void onRegained() {
-    directory.outageEnded(clock.instant());
+  public void onRegained(Duration outage) {
+    if (outage.compareTo(LAPSING_OUTAGE) >= 0) {
+      directory.outageEnded(clock.instant());
+    }
   }
 
   private void put(EndpointRecord entry) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -158,6 +158,6 @@
   }
 
   private void follow(LogStore store, String topic, KeyedFollower.Listener listener) {
-    loop.execute(new KeyedFollower(store, topic, 0, loop, log, listener)::start);
+    loop.execute(new KeyedFollower(store, topic, 0, loop, clock, log, listener)::start);
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/KeyedFollower.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/KeyedFollower.java
@@ -5,6 +5,8 @@
 import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
 import io.hawthornlb.gateway.store.LogStore.LogPage;
 import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
@@ -44,10 +46,12 @@
   private final String topic;
   private final int partition;
   private final ScheduledExecutorService executor;
+  private final InstantSource clock;
   private final EventLog log;
   private final Listener listener;
   private Duration pause = FIRST_PAUSE;
   private boolean lost;
+  private Instant lostAt = Instant.MIN;
   private boolean stopped;
 
   /** Receives what a partition holds. */
@@ -59,8 +63,8 @@
     /** Takes records that were appended. */
     void onRecords(List<KeyedRecord> records);
 
-    /** Is told that the store answers again after failures. */
-    default void onRegained() {}
+    /** Is told that the store answers again after it did not for some time. */
+    default void onRegained(Duration outage) {}
   }
 
   /** Creates a follower; all its work happens on the executor. */
@@ -69,12 +73,14 @@
       String topic,
       int partition,
       ScheduledExecutorService executor,
+      InstantSource clock,
       EventLog log,
       Listener listener) {
     this.store = store;
     this.topic = topic;
     this.partition = partition;
     this.executor = executor;
+    this.clock = clock;
     this.log = log;
     this.listener = listener;
   }
@@ -158,13 +164,14 @@
     if (lost) {
       lost = false;
       log.important("store", "regained").with("topic", topic).write();
-      listener.onRegained();
+      listener.onRegained(Duration.between(lostAt, clock.instant()));
     }
   }
 
   private void failed(Throwable failure, Runnable again) {
     if (!lost) {
       lost = true;
+      lostAt = clock.instant();
       log.important("store", "lost")
           .with("topic", topic)
           .with("cause", String.valueOf(failure.getMessage()))
