Read the log of jobs to its end, merge lists into what is known

Cause: found by reading. A refresh read one page only; a refresh during a load was answered by that load, which had begun earlier; and a list that was loaded after the history had gone replaced the table, so that results written meanwhile were gone and their positions free again. Ruled out: a lock around loads (the later read behind the load is needed all the same). A load costs one read more.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobReplica.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobReplica.java
@@ -5,7 +5,9 @@
 import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
 import io.hawthornlb.gateway.store.LogStore.LogPage;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
@@ -16,6 +18,11 @@
  *
  * <p>What it holds was written, so results in it may be shown at any time. That a job is missing
  * means something only after {@link #refresh} has read to the end of the log.
+ *
+ * <p>Failure: the store forgets its history, and the list that is loaded instead is older than what
+ * this process wrote meanwhile. It would show as a result whose position is given out again. Guard:
+ * a list is merged into what is known, and takes away only jobs that were known before it was asked
+ * for.
  */
 final class JobReplica {
 
@@ -23,9 +30,9 @@
   private final String topic;
   private final int partition;
   private final Executor executor;
-  private JobTable table = new JobTable();
+  private final JobTable table = new JobTable();
   private long offset = -1;
-  private @Nullable CompletableFuture<Void> reading;
+  private @Nullable CompletableFuture<Void> loading;
 
   JobReplica(LogStore store, String topic, int partition, Executor executor) {
     this.store = store;
@@ -43,67 +50,84 @@
     table.take(record);
   }
 
-  /** Reads on to the end of the log; the stage fails if the store cannot be asked. */
+  /**
+   * Reads on to the end that the log has when this is called, or a later one; the stage fails if
+   * the store cannot be asked.
+   */
   CompletionStage<Void> refresh() {
     return read(Duration.ZERO);
   }
 
-  /** Reads on; at the end of the log it waits for a record. */
+  /** Reads on to the end of the log; at the end it waits for a record. */
   CompletionStage<Void> read(Duration wait) {
-    if (offset < 0) {
-      return loadOnce();
-    }
+    // A list that is being loaded began before this call, so the log is read behind it.
+    return loaded().thenComposeAsync(any -> readOn(wait), executor);
+  }
+
+  private CompletionStage<Void> readOn(Duration wait) {
     return store.read(topic, partition, offset, wait).thenComposeAsync(this::takePage, executor);
   }
 
   private CompletionStage<Void> takePage(LogPage page) {
     if (page.trimmed()) {
-      return loadOnce();
+      return load().thenComposeAsync(any -> readOn(Duration.ZERO), executor);
     }
     page.records().forEach(table::take);
     offset = Math.max(offset, page.next());
-    return CompletableFuture.completedFuture(null);
+    return page.more() ? readOn(Duration.ZERO) : CompletableFuture.completedFuture(null);
   }
 
-  /** Loads everything; callers that come meanwhile share one load. */
-  private CompletionStage<Void> loadOnce() {
-    CompletableFuture<Void> running = reading;
+  private CompletionStage<Void> loaded() {
+    return offset < 0 || loading != null ? load() : CompletableFuture.completedFuture(null);
+  }
+
+  /** Loads the list of newest records; callers that come meanwhile share one load. */
+  private CompletionStage<Void> load() {
+    CompletableFuture<Void> running = loading;
     if (running != null) {
       return running;
     }
     CompletableFuture<Void> started = new CompletableFuture<>();
-    reading = started;
-    load(new JobTable(), null, -1, started);
+    loading = started;
+    loadPage(new Listing(table.jobIds(), new HashSet<>(), -1), null, started);
     return started;
   }
 
-  private void load(
-      JobTable fresh, @Nullable String after, long firstEnd, CompletableFuture<Void> done) {
+  /** What a load has found so far: jobs known before, jobs listed, end of the log at its start. */
+  private record Listing(Set<String> knownBefore, Set<String> listed, long end) {}
+
+  private void loadPage(Listing listing, @Nullable String after, CompletableFuture<Void> done) {
     store
         .newest(topic, partition, after)
         .whenCompleteAsync(
             (page, failure) -> {
               if (failure != null) {
-                reading = null;
+                loading = null;
                 done.completeExceptionally(failure);
               } else {
-                loaded(fresh, page, firstEnd, done);
+                takeList(listing, page, done);
               }
             },
             executor);
   }
 
-  private void loaded(JobTable fresh, KeyedPage page, long firstEnd, CompletableFuture<Void> done) {
+  private void takeList(Listing listing, KeyedPage page, CompletableFuture<Void> done) {
     List<KeyedRecord> records = page.records();
-    records.forEach(fresh::take);
-    long end = firstEnd < 0 ? page.end() : firstEnd;
+    for (KeyedRecord record : records) {
+      table.take(record);
+      listing.listed().add(JobRecords.key(record.key()).jobId());
+    }
+    long end = listing.end() < 0 ? page.end() : listing.end();
     if (page.more() && !records.isEmpty()) {
-      load(fresh, records.get(records.size() - 1).key(), end, done);
+      Listing further = new Listing(listing.knownBefore(), listing.listed(), end);
+      loadPage(further, records.get(records.size() - 1).key(), done);
       return;
     }
-    table = fresh;
-    offset = end;
-    reading = null;
+    listing.knownBefore().stream()
+        .filter(jobId -> !listing.listed().contains(jobId))
+        .forEach(table::drop);
+    offset = Math.max(offset, end);
+    loading = null;
     done.complete(null);
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobTable.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobTable.java
@@ -33,6 +33,11 @@
     return jobs.values();
   }
 
+  /** Returns the ids of all jobs of which it holds records, as of now. */
+  Set<String> jobIds() {
+    return Set.copyOf(keys.keySet());
+  }
+
   /** Returns the keys of all records of a job. */
   Set<String> keys(String jobId) {
     return keys.getOrDefault(jobId, Set.of());
@@ -93,12 +98,18 @@
     }
   }
 
+  /** Forgets a job that the log no longer holds. */
+  void drop(String jobId) {
+    jobs.remove(jobId);
+    parts.remove(jobId);
+    early.remove(jobId);
+    keys.remove(jobId);
+    ended.remove(jobId);
+  }
+
   private void drop(JobRecords.Key key) {
     if (key.part()) {
-      jobs.remove(key.jobId());
-      parts.remove(key.jobId());
-      early.remove(key.jobId());
-      keys.remove(key.jobId());
+      drop(key.jobId());
     } else if (key.end()) {
       ended.remove(key.jobId());
     }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/LogStore.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/LogStore.java
@@ -76,9 +76,10 @@
    *
    * @param records records in their order
    * @param next offset to go on from
+   * @param more whether the partition held further records from there on when the page was read
    * @param trimmed whether records from the asked offset on are gone
    */
-  record LogPage(List<KeyedRecord> records, long next, boolean trimmed) {}
+  record LogPage(List<KeyedRecord> records, long next, boolean more, boolean trimmed) {}
 
   /**
    * Newest records of some keys.
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/support/InMemoryLogStore.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/support/InMemoryLogStore.java
@@ -148,7 +148,7 @@
     private LogPage page(long from) {
       int start = (int) Math.min(from, records.size());
       List<KeyedRecord> rest = List.copyOf(records.subList(start, records.size()));
-      return new LogPage(rest, records.size(), false);
+      return new LogPage(rest, records.size(), false, false);
     }
 
     private void wake() {
--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PagedLogStore.java
@@ -0,0 +1,69 @@
+package io.hawthornlb.gateway.job;
+
+import io.hawthornlb.gateway.store.support.InMemoryLogStore;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ScheduledExecutorService;
+import org.jspecify.annotations.Nullable;
+
+/** Log in memory whose pages are small, whose lists can be held back, and that can forget. */
+final class PagedLogStore extends InMemoryLogStore {
+
+  private final int pageRecords;
+  private final List<Runnable> held = new ArrayList<>();
+  private boolean holding;
+  private boolean forgetful;
+
+  PagedLogStore(ScheduledExecutorService executor, int partitions, int pageRecords) {
+    super(executor, partitions);
+    this.pageRecords = pageRecords;
+  }
+
+  /** Keeps what the next lists found until {@link #letGo()}. */
+  void holdLists() {
+    holding = true;
+  }
+
+  /** Hands out the lists that were held back. */
+  void letGo() {
+    holding = false;
+    List.copyOf(held).forEach(Runnable::run);
+    held.clear();
+  }
+
+  /** Lets the next read find that its records are gone. */
+  void forgetOnce() {
+    forgetful = true;
+  }
+
+  @Override
+  public CompletionStage<LogPage> read(String topic, int partition, long from, Duration wait) {
+    if (forgetful) {
+      forgetful = false;
+      return CompletableFuture.completedFuture(new LogPage(List.of(), from, true, true));
+    }
+    return super.read(topic, partition, from, wait).thenApply(page -> shortened(page, from));
+  }
+
+  private LogPage shortened(LogPage page, long from) {
+    if (page.records().size() <= pageRecords) {
+      return page;
+    }
+    List<KeyedRecord> first = page.records().subList(0, pageRecords);
+    return new LogPage(List.copyOf(first), from + pageRecords, true, false);
+  }
+
+  @Override
+  public CompletionStage<KeyedPage> newest(String topic, int partition, @Nullable String after) {
+    CompletionStage<KeyedPage> found = super.newest(topic, partition, after);
+    if (!holding) {
+      return found;
+    }
+    CompletableFuture<KeyedPage> later = new CompletableFuture<>();
+    held.add(() -> found.thenAccept(later::complete));
+    return later;
+  }
+}
