Promise nothing after an append that may have happened, read once for a wait

Cause: found by reading. An append without an answer is tried again; when the next try was refused, the caller got 503 although the first may have been carried out. A wait that ended without a result was followed by a second read of the store. Before: JobServiceTest 503 for 502; 2 reads for 1. After: 502 after 3 s of tries; 1 read. Ruled out: 502 at once, since the store often is back within the time that callers wait.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobService.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobService.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
@@ -36,6 +37,12 @@
   /** When to come back if the store cannot be asked. */
   private static final Duration STORE_RETRY = Duration.ofMillis(400);
 
+  /** Pause before an append that was refused is tried again. */
+  private static final Duration REPEAT = Duration.ofMillis(200);
+
+  /** Wait for a result that is worth another call to the store, which takes 4 ms and more. */
+  private static final Duration LEAST_WAIT = Duration.ofMillis(20);
+
   private final JobReplicas replicas;
   private final LogStore store;
   private final JobFormat format;
@@ -96,53 +103,76 @@
       return;
     }
     Job job = new Job(submit.jobId(), request.host(), clock.instant(), submit.items());
-    append(submit.jobId(), JobRecords.accepted(job), request.arrived(), responder, 202);
+    List<KeyedRecord> records = JobRecords.accepted(job);
+    append(new Write(submit.jobId(), records, request.arrived(), responder, 202, false));
   }
 
   private void end(String jobId, Instant arrived, Responder responder) {
-    Runnable append = () -> append(jobId, List.of(JobRecords.end(jobId)), arrived, responder, 200);
-    withJob(jobId, responder, job -> append.run());
+    List<KeyedRecord> records = List.of(JobRecords.end(jobId));
+    Write write = new Write(jobId, records, arrived, responder, 200, false);
+    withJob(jobId, responder, job -> append(write));
+  }
+
+  /**
+   * What a caller waits to be written.
+   *
+   * @param status status that tells the caller that it is written
+   * @param perhapsDone whether an earlier try got no answer, and may have been carried out
+   */
+  private record Write(
+      String jobId,
+      List<KeyedRecord> records,
+      Instant arrived,
+      Responder responder,
+      int status,
+      boolean perhapsDone) {
+
+    private Write afterNoAnswer() {
+      return new Write(jobId, records, arrived, responder, status, true);
+    }
   }
 
   /** Appends until the store has taken it, since taking it twice does no harm. */
-  private void append(
-      String jobId, List<KeyedRecord> records, Instant arrived, Responder responder, int status) {
-    int partition = replicas.partition(jobId);
+  private void append(Write write) {
+    int partition = replicas.partition(write.jobId());
     store
-        .append(new AppendCall(JobReplicas.TOPIC, partition, records, null))
+        .append(new AppendCall(JobReplicas.TOPIC, partition, write.records(), null))
         .whenCompleteAsync(
             (done, failure) -> {
               if (failure == null) {
-                logged("job.written", jobId, status);
-                responder.own(status, null);
+                logged("job.written", write.jobId(), write.status());
+                write.responder().own(write.status(), null);
               } else {
-                appendFailed(failure, jobId, records, arrived, responder, status);
+                appendFailed(failure, write);
               }
             },
             executor);
   }
 
-  private void appendFailed(
-      Throwable failure,
-      String jobId,
-      List<KeyedRecord> records,
-      Instant arrived,
-      Responder responder,
-      int status) {
+  /**
+   * Tells the caller, or tries again.
+   *
+   * <p>Failure: a try gets no answer and is carried out, and the next one is refused. Passed on,
+   * that refusal would say of a job that runs that it does not. Guard: only a write of which no try
+   * may have happened is refused.
+   */
+  private void appendFailed(Throwable failure, Write write) {
     boolean notDone = kind(failure) == StoreException.Kind.NOT_DONE;
     log.important("job", "append.failed")
-        .with("id", jobId)
+        .with("id", write.jobId())
         .with("done", notDone ? "no" : "unknown")
+        .with("earlierTries", write.perhapsDone() ? "unknown" : "no")
         .with("cause", failure.getMessage())
         .write();
-    if (notDone) {
+    if (notDone && !write.perhapsDone()) {
       // Another process may reach the store; the caller comes back there sooner than here.
-      responder.own(503, STORE_RETRY);
-    } else if (clock.instant().isBefore(arrived.plus(APPEND_TIME))) {
-      append(jobId, records, arrived, responder, status);
+      write.responder().own(503, STORE_RETRY);
+    } else if (clock.instant().isBefore(write.arrived().plus(APPEND_TIME))) {
+      long millis = notDone ? REPEAT.toMillis() : 0;
+      executor.schedule(() -> append(write.afterNoAnswer()), millis, TimeUnit.MILLISECONDS);
     } else {
       // It may have been written, or may still be: no promise.
-      responder.own(502, null);
+      write.responder().own(502, null);
     }
   }
 
@@ -175,10 +205,13 @@
             (done, failure) -> {
               Job now = replica.table().find(job.id()).orElse(job);
               List<JobResult> page = now.page(read.after(), PAGE_BYTES);
+              boolean waitOver =
+                  !clock.instant().plus(LEAST_WAIT).isBefore(arrived.plus(read.waitTime()));
               if (failure != null && page.isEmpty()) {
                 logged("job.unsure", job.id(), 503);
                 responder.own(503, STORE_RETRY);
-              } else if (!page.isEmpty() || left.isNegative() || left.isZero()) {
+              } else if (!page.isEmpty() || waitOver) {
+                // The read began after the call and reached the end, so that none is a true answer.
                 send(now, read, page, responder);
               } else {
                 waitForResult(now, read, arrived, responder);
--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobServiceTest.java
@@ -0,0 +1,144 @@
+package io.hawthornlb.gateway.job;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import io.hawthornlb.gateway.SilentEventLog;
+import io.hawthornlb.gateway.VirtualLoop;
+import io.hawthornlb.gateway.front.FrontRequest;
+import io.hawthornlb.gateway.store.LogStore;
+import io.hawthornlb.gateway.store.StoreException;
+import io.hawthornlb.gateway.store.support.InMemoryLogStore;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.junit.jupiter.api.Test;
+
+class JobServiceTest {
+
+  private static final List<JobItem> ITEMS =
+      List.of(new JobItem("i1", "/p", Map.of(), new byte[0]));
+
+  private final VirtualLoop time = new VirtualLoop();
+  private final FailingStore store = new FailingStore(time);
+  private final JobReplicas replicas = new JobReplicas(store, 1, time.loop());
+
+  /** Log that fails as the test says, and counts reads. */
+  private static final class FailingStore extends InMemoryLogStore {
+
+    private final Deque<StoreException.Kind> appendFailures = new ArrayDeque<>();
+    private int reads;
+
+    private FailingStore(VirtualLoop time) {
+      super(time.loop(), 1);
+    }
+
+    @Override
+    public CompletionStage<Appended> append(AppendCall call) {
+      StoreException.Kind failure = appendFailures.poll();
+      return failure == null
+          ? super.append(call)
+          : CompletableFuture.failedFuture(new StoreException(failure, "as told"));
+    }
+
+    @Override
+    public CompletionStage<LogPage> read(String topic, int partition, long from, Duration wait) {
+      reads++;
+      return super.read(topic, partition, from, wait);
+    }
+  }
+
+  /**
+   * A caller is told that its reports will not run, and they run. The first append got no answer
+   * but was carried out; the second try was refused by a store that had gone away, and its refusal
+   * was passed on.
+   */
+  @Test
+  void makesNoPromiseAfterAnAppendThatMayHaveHappened() {
+    store.appendFailures.add(StoreException.Kind.UNKNOWN);
+    store.appendFailures.addAll(Collections.nCopies(100, StoreException.Kind.NOT_DONE));
+    RecordingResponder answer = handle(new JobCall.Submit("j", ITEMS));
+    time.advance(Duration.ofMillis(3_500));
+    assertEquals(502, answer.status());
+    assertNull(answer.retryAfter());
+  }
+
+  @Test
+  void saysWhenToComeBackAfterAnAppendThatDidNotHappen() {
+    store.appendFailures.add(StoreException.Kind.NOT_DONE);
+    RecordingResponder answer = handle(new JobCall.Submit("j", ITEMS));
+    time.advance(Duration.ofMillis(5));
+    assertEquals(503, answer.status());
+    assertNotNull(answer.retryAfter());
+  }
+
+  /**
+   * Callers that wait for results cost the store twice the calls that they need: each wait that
+   * ended without one was followed by a second read, although the first had reached the end.
+   */
+  @Test
+  void readsOnceForAWaitThatEndsWithoutAResult() {
+    handle(new JobCall.Submit("j", ITEMS));
+    handle(new JobCall.Read("j", 0, Duration.ZERO));
+    time.advance(Duration.ofMillis(5));
+    store.reads = 0;
+    RecordingResponder answer = handle(new JobCall.Read("j", 0, Duration.ofSeconds(1)));
+    time.advance(Duration.ofMillis(1_100));
+    assertEquals(200, answer.status());
+    assertEquals(1, store.reads);
+  }
+
+  @Test
+  void waitsForAResultThatComesInTime() {
+    handle(new JobCall.Submit("j", ITEMS));
+    time.advance(Duration.ofMillis(5));
+    RecordingResponder answer = handle(new JobCall.Read("j", 0, Duration.ofSeconds(1)));
+    time.advance(Duration.ofMillis(300));
+    assertEquals(0, answer.status());
+    List<LogStore.KeyedRecord> results =
+        List.of(JobRecords.result("j", 0, new JobResult("i1", true, "text")));
+    store.append(new LogStore.AppendCall(JobReplicas.TOPIC, 0, results, null));
+    time.advance(Duration.ofMillis(20));
+    assertEquals(200, answer.status());
+    assertEquals("1 of 1 from 0", answer.text());
+  }
+
+  private RecordingResponder handle(JobCall call) {
+    JobService service =
+        new JobService(replicas, store, new Format(call), time.loop(), time, new SilentEventLog());
+    RecordingResponder responder = new RecordingResponder();
+    FrontRequest request =
+        new FrontRequest(
+            HttpMethod.GET, "/", "/", "h", new DefaultHttpHeaders(), new byte[0], time.instant());
+    service.handle(request, responder);
+    return responder;
+  }
+
+  /** Format that takes each request for one call. */
+  private record Format(JobCall next) implements JobFormat {
+
+    @Override
+    public Optional<JobCall> call(FrontRequest request) {
+      return Optional.of(next);
+    }
+
+    @Override
+    public byte[] results(int total, int after, List<JobResult> results) {
+      return (results.size() + " of " + total + " from " + after).getBytes();
+    }
+
+    @Override
+    public String resultsType() {
+      return "text/plain";
+    }
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/RecordingResponder.java
@@ -0,0 +1,68 @@
+package io.hawthornlb.gateway.job;
+
+import io.hawthornlb.gateway.front.Responder;
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.jspecify.annotations.Nullable;
+
+/** Keeps the whole answer that a caller would get. */
+final class RecordingResponder implements Responder {
+
+  private int status;
+  private String text = "";
+  private @Nullable Duration retryAfter;
+
+  /** Returns the status of the answer; 0 before there is one. */
+  int status() {
+    return status;
+  }
+
+  /** Returns the body. */
+  String text() {
+    return text;
+  }
+
+  /** Returns when the caller was told to come back; null if it was not told. */
+  @Nullable Duration retryAfter() {
+    return retryAfter;
+  }
+
+  @Override
+  public void whole(int code, HttpHeaders headers, byte[] body) {
+    status = code;
+    text = new String(body, StandardCharsets.UTF_8);
+  }
+
+  @Override
+  public void own(int code, @Nullable Duration after) {
+    status = code;
+    retryAfter = after;
+  }
+
+  @Override
+  public void head(int code, HttpHeaders headers) {
+    throw new UnsupportedOperationException("Answers about jobs are whole");
+  }
+
+  @Override
+  public void part(ByteBuf content) {
+    throw new UnsupportedOperationException("Answers about jobs are whole");
+  }
+
+  @Override
+  public void end() {
+    throw new UnsupportedOperationException("Answers about jobs are whole");
+  }
+
+  @Override
+  public void breakOff() {
+    throw new UnsupportedOperationException("Answers about jobs are whole");
+  }
+
+  @Override
+  public boolean congested() {
+    return false;
+  }
+}
