Decide about slots in 42 us in place of 1,550 on the crest of a large fleet

Cause: each release looked at every endpoint for every request that waits, and built the list of endpoints anew each time. Before: CoordinatorCostTest, 63 endpoints of 7 slots, 300 waiting: 1,548 us a decision, 2.5 cores at 1,600 decisions a second.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/endpoint/EndpointDirectory.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/endpoint/EndpointDirectory.java
@@ -30,6 +30,7 @@
   public static final Duration MAX_GRACE = Duration.ofMillis(1_600);
 
   private final Map<String, EndpointRecord> records = new LinkedHashMap<>();
+  private final Map<String, List<EndpointRecord>> usable = new HashMap<>();
   private final Map<String, Instant> lapsed = new HashMap<>();
   private final List<Consumer<EndpointRecord>> removalListeners = new ArrayList<>();
   private final List<Runnable> changeListeners = new ArrayList<>();
@@ -88,9 +89,8 @@
 
   /** Returns the endpoints of a service that take new requests. */
   public List<EndpointRecord> usable(String service) {
-    return records.values().stream()
-        .filter(entry -> entry.service().equals(service) && !entry.leaving())
-        .toList();
+    // Asked for each decision about a slot, and changed a few times a minute.
+    return usable.computeIfAbsent(service, this::findUsable);
   }
 
   /** Returns the number of entries. */
@@ -108,6 +108,12 @@
     changeListeners.add(listener);
   }
 
+  private List<EndpointRecord> findUsable(String service) {
+    return records.values().stream()
+        .filter(entry -> entry.service().equals(service) && !entry.leaving())
+        .toList();
+  }
+
   private void drop(String id) {
     lapsed.remove(id);
     EndpointRecord entry = records.remove(id);
@@ -118,6 +124,7 @@
   }
 
   private void changed() {
+    usable.clear();
     changeListeners.forEach(Runnable::run);
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -14,6 +14,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -201,21 +203,49 @@
     return directory.usable(service).stream().mapToInt(EndpointRecord::slots).sum();
   }
 
+  /**
+   * Hands free slots to those that wait, in their order.
+   *
+   * <p>Load pattern: on the crest of a large fleet hundreds wait while slots come free one by one.
+   * A search that found nothing is not made again for others from the same data centre, who would
+   * find nothing either: 63 endpoints with 300 waiting took 1,550 us a decision without this and
+   * {@link #exhausted}, and take 42 us (mean of 6,000 decisions, beside a busy machine).
+   */
   private List<SlotAnswer> fill(Instant now) {
     List<SlotAnswer> answers = new ArrayList<>();
-    List<Waiter> granted = new ArrayList<>();
-    for (Waiter waiter : waiting) {
-      if (tryGrant(waiter.request(), now, answers)) {
-        granted.add(waiter);
-      } else if (waiter.request().batch() && waiter.request().excluded().isEmpty()) {
-        // Whoever comes after it is no more urgent, and finds no slot either.
-        break;
+    Set<Search> failed = new HashSet<>();
+    Iterator<Waiter> next = waiting.iterator();
+    while (next.hasNext() && !exhausted(now)) {
+      SlotRequest request = next.next().request();
+      Search search = new Search(request.dataCentre(), request.batch());
+      if (failed.contains(search)) {
+        continue;
+      }
+      if (tryGrant(request, now, answers)) {
+        next.remove();
+      } else if (request.excluded().isEmpty()) {
+        failed.add(search);
       }
     }
-    waiting.removeAll(granted);
     return answers;
   }
 
+  /** Where a slot is looked for; those with an equal one find the same, less what they exclude. */
+  private record Search(String dataCentre, boolean batch) {}
+
+  /** Returns whether no endpoint has a slot that is free or can be taken back. */
+  private boolean exhausted(Instant now) {
+    if (leases.size() > onlineLeases) {
+      return false;
+    }
+    for (EndpointRecord endpoint : directory.usable(service)) {
+      if (inUse(endpoint, now) < endpoint.slots()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   private boolean tryGrant(SlotRequest request, Instant now, List<SlotAnswer> answers) {
     if (request.batch() && !roomForItem(now)) {
       return false;
--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/CoordinatorCostTest.java
@@ -0,0 +1,84 @@
+package io.hawthornlb.gateway.slot.support;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.hawthornlb.gateway.slot.SlotAnswer;
+import io.hawthornlb.gateway.slot.SlotOutcome;
+import io.hawthornlb.gateway.slot.SlotRequest;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Callers get late answers on the crest of a large fleet although slots are free: the coordinator
+ * of their service needs longer for a decision than a slot takes to come free, because it looks at
+ * each endpoint for each request that waits. A small instance has 0.36 of a core.
+ */
+class CoordinatorCostTest {
+
+  private static final int ENDPOINTS = 63;
+  private static final int SLOTS = 7;
+  private static final int WAITING = 300;
+  private static final int ROUNDS = 3_000;
+
+  /** Decisions a second on a crest of 800 requests a second: each asks and releases. */
+  private static final int DECISIONS_PER_SECOND = 1_600;
+
+  private final CoordinatorFixture fixture = new CoordinatorFixture();
+  private final Map<Object, SlotRequest> asked = new HashMap<>();
+  private final Deque<SlotRequest> running = new ArrayDeque<>();
+
+  @Test
+  void decidesOnACrestWithASmallPartOfACore() {
+    for (int i = 0; i < ENDPOINTS; i++) {
+      fixture.endpoint("e" + i, "d" + i % 4, SLOTS);
+    }
+    for (int i = 0; i < ENDPOINTS * SLOTS + WAITING; i++) {
+      ask(i);
+    }
+    replay();
+    long began = System.nanoTime();
+    replay();
+    Duration each = Duration.ofNanos((System.nanoTime() - began) / (2 * ROUNDS));
+    double share = each.toNanos() * 1e-9 * DECISIONS_PER_SECOND;
+    String seen = each.toNanos() / 1_000 + " us a decision, " + share + " of a core";
+    System.out.println("coordinator cost: " + seen);
+    assertTrue(share < 0.5, seen);
+  }
+
+  /** Ends the oldest use and asks anew, again and again; others wait all the while. */
+  private void replay() {
+    for (int round = 0; round < ROUNDS; round++) {
+      fixture.advance(Duration.ofNanos(1_000_000_000L / DECISIONS_PER_SECOND));
+      take(fixture.release(running.poll(), SlotOutcome.ANSWERED));
+      ask(round);
+    }
+  }
+
+  private void ask(int number) {
+    SlotRequest request =
+        new SlotRequest(
+            fixture.online("d" + number % 4).key(),
+            CoordinatorFixture.SERVICE,
+            false,
+            number % 2,
+            "d" + number % 4,
+            Duration.ofSeconds(600),
+            0,
+            Set.of());
+    asked.put(request.key(), request);
+    take(fixture.ask(request));
+  }
+
+  private void take(Iterable<SlotAnswer> answers) {
+    for (SlotAnswer answer : answers) {
+      if (answer instanceof SlotAnswer.Granted) {
+        running.add(asked.remove(answer.key()));
+      }
+    }
+  }
+}
