Have peers call the store for gateways that do not reach it

Cause: while the store turns a third of the gateways away, or a cut parts some from it, these answered 503 about jobs, saw no changes, and lost their partitions, although others reached it. What: calls that were refused, never left, or only read go to a peer over a link (frames of MessagePack); an append that may have happened is never repeated here; a gateway that does not reach the store either refuses at once; reads now and then find out whether the store answers. Ruled out: handing on whole requests of callers (each kind of call would need its own way); a log client of its own on each link (the formats would stand twice).

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetView.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetView.java
@@ -115,6 +115,13 @@
     return ranked;
   }
 
+  /**
+   * Returns the other processes that do not seem silent, in the order in which they serve a key.
+   */
+  public List<GatewayInstance> rankedOthers(String key, Instant now) {
+    return ranked(key, now).stream().filter(each -> !each.name().equals(self.name())).toList();
+  }
+
   private boolean cutOff(GatewayInstance instance, Instant now) {
     String dataCentre = instance.dataCentre();
     if (dataCentre.equals(self.dataCentre())) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -4,6 +4,8 @@
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.front.ForwardingHandler;
 import io.hawthornlb.gateway.front.FrontServer;
+import io.hawthornlb.gateway.http.HttpCaller;
+import io.hawthornlb.gateway.http.NettyHttpCaller;
 import io.hawthornlb.gateway.job.JobFormat;
 import io.hawthornlb.gateway.job.JobParts;
 import io.hawthornlb.gateway.job.JobRunners;
@@ -13,6 +15,9 @@
 import io.hawthornlb.gateway.peer.FleetView;
 import io.hawthornlb.gateway.peer.PeerHoldNotices;
 import io.hawthornlb.gateway.peer.UdpPeerTransport;
+import io.hawthornlb.gateway.relay.RelayServer;
+import io.hawthornlb.gateway.relay.RelayingHttpCaller;
+import io.hawthornlb.gateway.relay.TcpRelayTransport;
 import io.hawthornlb.gateway.route.ConfigHolder;
 import io.hawthornlb.gateway.store.KeyedFollower;
 import io.hawthornlb.gateway.store.LogStore;
@@ -53,7 +58,7 @@
   public GatewayProcess(
       GatewaySettings settings,
       EventLoop loop,
-      LogStore store,
+      StoreAccess access,
       SourceFormats formats,
       JobFormat jobFormat,
       HeaderNames names,
@@ -64,6 +69,7 @@
     this.clock = clock;
     this.log = log;
     FleetView fleet = new FleetView(settings.self());
+    LogStore store = access.client().apply(relayingCaller(access, fleet));
     UdpPeerTransport transport =
         new UdpPeerTransport(loop, settings.self().address(), settings.self().name(), log);
     FleetSlotClient slots = new FleetSlotClient(fleet, transport, directory, loop, clock, log);
@@ -129,6 +135,21 @@
     }
   }
 
+  /** Returns what calls the store, by peers if need be, and serves peers that need this process. */
+  private HttpCaller relayingCaller(StoreAccess access, FleetView fleet) {
+    HttpCaller direct = new NettyHttpCaller(loop);
+    RelayingHttpCaller caller =
+        new RelayingHttpCaller(
+            direct,
+            new TcpRelayTransport(loop),
+            () -> fleet.rankedOthers(settings.self().name(), clock.instant()),
+            clock,
+            log);
+    new RelayServer(direct, access.address(), caller::away, log)
+        .bind(loop, settings.self().address());
+    return caller;
+  }
+
   private void beginStop(CountDownLatch done) {
     stopping = true;
     log.important("process", "stopping").with("active", front.active()).write();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/TrialRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/TrialRun.java
@@ -82,7 +82,8 @@
     EventLog log = new JsonEventLog(clock, OutputStream.nullOutputStream());
     GatewaySettings settings = settings();
     GatewayProcess process =
-        new GatewayProcess(settings, loop, store, formats, jobFormat, names, clock, log);
+        new GatewayProcess(
+            settings, loop, StoreAccess.local(store), formats, jobFormat, names, clock, log);
     HttpCaller caller = new NettyHttpCaller(loop);
     awaitReady(caller, settings.ready());
     List<Integer> statuses = new ArrayList<>();
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayChannels.java
@@ -0,0 +1,74 @@
+package io.hawthornlb.gateway.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+
+/** Frames of a link: four bytes of length, then one message. */
+final class RelayChannels {
+
+  /** Longest frame; a page of the log is at most 1 MiB, in base64 1.4 MiB, an append 2 MiB. */
+  private static final int MAX_FRAME_BYTES = 8 * 1024 * 1024;
+
+  private static final int LENGTH_BYTES = 4;
+
+  private RelayChannels() {}
+
+  /** Sets up a channel whose messages go to a receiver. */
+  static void setUp(Channel channel, Receiver receiver) {
+    channel
+        .pipeline()
+        .addLast(
+            new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+        .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+        .addLast(new Handler(receiver));
+  }
+
+  static void send(Channel channel, RelayMessage message) {
+    channel.writeAndFlush(Unpooled.wrappedBuffer(RelayCodec.encode(message)));
+  }
+
+  /** Takes what comes on a channel. */
+  interface Receiver {
+
+    /** Takes a message. */
+    void received(Channel channel, RelayMessage message);
+
+    /** Is told that the channel is closed. */
+    void closed(Channel channel, String cause);
+  }
+
+  /** Decodes frames; a channel that brings anything else is closed. */
+  private static final class Handler extends SimpleChannelInboundHandler<ByteBuf> {
+
+    private final Receiver receiver;
+    private String cause = "the link closed";
+
+    private Handler(Receiver receiver) {
+      this.receiver = receiver;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
+      receiver.received(ctx.channel(), RelayCodec.decode(ByteBufUtil.getBytes(frame)));
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      receiver.closed(ctx.channel(), cause);
+      ctx.fireChannelInactive();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable failure) {
+      // The receiver is told by channelInactive, which follows.
+      cause = "the link failed: " + failure;
+      ctx.close();
+    }
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayServer.java
@@ -0,0 +1,129 @@
+package io.hawthornlb.gateway.relay;
+
+import io.hawthornlb.gateway.event.EventLog;
+import io.hawthornlb.gateway.http.HttpCall;
+import io.hawthornlb.gateway.http.HttpCallException;
+import io.hawthornlb.gateway.http.HttpCaller;
+import io.hawthornlb.gateway.http.HttpReply;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletionException;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Makes calls to the store for peers that do not reach it.
+ *
+ * <p>A call goes to the store and nowhere else, and is never handed on to another peer, so that
+ * calls do not go round among gateways while the store is away for all.
+ */
+public final class RelayServer {
+
+  /**
+   * Calls of peers at a time; 35 of 100 peers with some ten calls each at 89 gateways come to four
+   * a gateway, so that this is reached only when nearly all peers ask one.
+   */
+  private static final int MAX_CALLS = 256;
+
+  private final HttpCaller store;
+  private final Supplier<InetSocketAddress> address;
+  private final BooleanSupplier away;
+  private final EventLog log;
+  private int calls;
+
+  /**
+   * Creates a server.
+   *
+   * @param store makes calls to the store itself
+   * @param address where the store is now
+   * @param away whether this process does not reach the store either
+   * @param log decisions
+   */
+  public RelayServer(
+      HttpCaller store, Supplier<InetSocketAddress> address, BooleanSupplier away, EventLog log) {
+    this.store = store;
+    this.address = address;
+    this.away = away;
+    this.log = log;
+  }
+
+  /** Binds an address and takes links there. */
+  public void bind(EventLoopGroup loop, InetSocketAddress at) {
+    new ServerBootstrap()
+        .group(loop)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(
+            new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(Channel channel) {
+                RelayChannels.setUp(channel, new Peer());
+              }
+            })
+        .bind(at)
+        .syncUninterruptibly();
+  }
+
+  /** One peer's link. */
+  private final class Peer implements RelayChannels.Receiver {
+
+    @Override
+    public void received(Channel channel, RelayMessage message) {
+      if (!(message instanceof RelayMessage.Call call)) {
+        channel.close();
+      } else if (away.getAsBoolean()) {
+        refuse(channel, call, "this gateway does not reach the store either");
+      } else if (calls >= MAX_CALLS) {
+        refuse(channel, call, "this gateway makes enough calls for others");
+      } else {
+        make(channel, call);
+      }
+    }
+
+    @Override
+    public void closed(Channel channel, String cause) {
+      log.routine("relay", "link.closed").with("cause", cause).write();
+    }
+
+    private void refuse(Channel channel, RelayMessage.Call call, String cause) {
+      log.routine("relay", "call.refused").with("cause", cause).write();
+      RelayChannels.send(channel, new RelayMessage.Failure(call.id(), true, cause));
+    }
+
+    private void make(Channel channel, RelayMessage.Call call) {
+      calls++;
+      HttpCall whole =
+          new HttpCall(
+              address.get(),
+              call.method(),
+              call.path(),
+              call.headers(),
+              call.body(),
+              call.timeout());
+      store
+          .call(whole)
+          .whenComplete(
+              (reply, failure) -> {
+                calls--;
+                RelayChannels.send(channel, answer(call.id(), reply, failure));
+              });
+    }
+
+    private static RelayMessage answer(
+        long id, @Nullable HttpReply reply, @Nullable Throwable failure) {
+      if (reply != null) {
+        return new RelayMessage.Reply(id, reply.status(), reply.body());
+      }
+      Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+      boolean unsent = cause instanceof HttpCallException call && call.unsent();
+      return new RelayMessage.Failure(id, unsent, String.valueOf(cause));
+    }
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayingHttpCaller.java
@@ -0,0 +1,212 @@
+package io.hawthornlb.gateway.relay;
+
+import io.hawthornlb.gateway.event.EventLog;
+import io.hawthornlb.gateway.http.HttpCall;
+import io.hawthornlb.gateway.http.HttpCallException;
+import io.hawthornlb.gateway.http.HttpCaller;
+import io.hawthornlb.gateway.http.HttpReply;
+import io.hawthornlb.gateway.peer.GatewayInstance;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Calls the store, and has peers call it while it does not answer this process.
+ *
+ * <p>Failure: the store turns some gateways away, or a cut parts them from it, while others reach
+ * it. It shows as calls that are refused or get no answer. Guard: what certainly was not carried
+ * out, or may be carried out twice, is handed to a peer at once; any other call ends as it did, and
+ * whoever made it decides.
+ */
+public final class RelayingHttpCaller implements HttpCaller {
+
+  /** Peers that are asked for one call; each that does not reach the store costs a round trip. */
+  private static final int MAX_PEERS = 2;
+
+  private static final String READ = "GET";
+
+  private final HttpCaller direct;
+  private final RelayTransport transport;
+  private final Supplier<List<GatewayInstance>> peers;
+  private final InstantSource clock;
+  private final EventLog log;
+  private final StoreReach reach = new StoreReach();
+  private @Nullable String lastHelper;
+
+  /**
+   * Creates a caller.
+   *
+   * @param direct calls the store itself
+   * @param transport has peers call it
+   * @param peers peers that do not seem silent, in the order in which they are asked
+   * @param clock time
+   * @param log decisions
+   */
+  public RelayingHttpCaller(
+      HttpCaller direct,
+      RelayTransport transport,
+      Supplier<List<GatewayInstance>> peers,
+      InstantSource clock,
+      EventLog log) {
+    this.direct = direct;
+    this.transport = transport;
+    this.peers = peers;
+    this.clock = clock;
+    this.log = log;
+  }
+
+  /** Returns whether the store does not answer this process. */
+  public boolean away() {
+    return reach.away();
+  }
+
+  @Override
+  public CompletionStage<HttpReply> call(HttpCall call) {
+    Attempt attempt = new Attempt(call);
+    if (!reach.away()) {
+      attempt.callDirectly();
+    } else {
+      if (repeatable(call) && reach.probeDue(clock.instant())) {
+        direct.call(call).whenComplete(this::note);
+      }
+      attempt.callPeers();
+    }
+    return attempt.result;
+  }
+
+  private static boolean repeatable(HttpCall call) {
+    return call.method().equals(READ);
+  }
+
+  /** Notes how a direct call ended; returns whether the store answered it. */
+  private boolean note(@Nullable HttpReply reply, @Nullable Throwable failure) {
+    boolean answered = reply != null && !refused(reply);
+    if (answered && reach.answered()) {
+      log.important("relay", "store.regained").write();
+    } else if (!answered && reach.failed(clock.instant())) {
+      log.important("relay", "store.lost").with("cause", cause(reply, failure)).write();
+    }
+    return answered;
+  }
+
+  private static boolean refused(HttpReply reply) {
+    return reply.status() == 503 || reply.status() == 429;
+  }
+
+  private static boolean unsent(@Nullable Throwable failure) {
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    return cause instanceof HttpCallException call && call.unsent();
+  }
+
+  private static String cause(@Nullable HttpReply reply, @Nullable Throwable failure) {
+    return reply == null ? String.valueOf(failure) : "status " + reply.status();
+  }
+
+  /** One call, by whichever ways it takes. */
+  private final class Attempt {
+
+    private final HttpCall call;
+    private final CompletableFuture<HttpReply> result = new CompletableFuture<>();
+    private @Nullable HttpReply lastReply;
+    private Throwable lastFailure = new HttpCallException("No peer reaches the store", true);
+    private int asked;
+
+    private Attempt(HttpCall call) {
+      this.call = call;
+    }
+
+    private void callDirectly() {
+      direct
+          .call(call)
+          .whenComplete(
+              (reply, failure) -> {
+                if (note(reply, failure)) {
+                  result.complete(reply);
+                } else {
+                  passOn(reply, failure);
+                }
+              });
+    }
+
+    private void callPeers() {
+      Instant now = clock.instant();
+      GatewayInstance peer = asked < MAX_PEERS && reach.peersMayHelp(now) ? nextPeer() : null;
+      if (peer == null) {
+        giveUp(now);
+        return;
+      }
+      asked++;
+      transport
+          .call(peer, call)
+          .whenComplete(
+              (reply, failure) -> {
+                if (reply != null && !refused(reply)) {
+                  helped(peer, reply);
+                } else {
+                  notHelped(peer, reply, failure);
+                }
+              });
+    }
+
+    private @Nullable GatewayInstance nextPeer() {
+      List<GatewayInstance> candidates = peers.get();
+      for (GatewayInstance candidate : candidates) {
+        if (asked == 0 && candidate.name().equals(lastHelper)) {
+          return candidate;
+        }
+      }
+      return candidates.size() > asked ? candidates.get(asked) : null;
+    }
+
+    private void helped(GatewayInstance peer, HttpReply reply) {
+      if (!peer.name().equals(lastHelper)) {
+        lastHelper = peer.name();
+        log.important("relay", "peer.helps").with("instance", peer.name()).write();
+      }
+      result.complete(reply);
+    }
+
+    private void notHelped(
+        GatewayInstance peer, @Nullable HttpReply reply, @Nullable Throwable failure) {
+      if (peer.name().equals(lastHelper)) {
+        lastHelper = null;
+      }
+      log.routine("relay", "peer.failed")
+          .with("instance", peer.name())
+          .with("cause", cause(reply, failure))
+          .write();
+      passOn(reply, failure);
+    }
+
+    /** Hands the call on if that does no harm, and ends it as it is otherwise. */
+    private void passOn(@Nullable HttpReply reply, @Nullable Throwable failure) {
+      lastReply = reply;
+      lastFailure = failure == null ? lastFailure : failure;
+      if (reply != null || unsent(failure) || repeatable(call)) {
+        callPeers();
+      } else {
+        end();
+      }
+    }
+
+    private void giveUp(Instant now) {
+      if (asked > 0) {
+        reach.peersFailed(now);
+      }
+      end();
+    }
+
+    private void end() {
+      if (lastReply != null) {
+        result.complete(lastReply);
+      } else {
+        result.completeExceptionally(lastFailure);
+      }
+    }
+  }
+}
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
@@ -9,6 +9,7 @@
 import io.hawthornlb.gateway.process.GatewayProcess;
 import io.hawthornlb.gateway.process.GatewaySettings;
 import io.hawthornlb.gateway.process.SourceFormats;
+import io.hawthornlb.gateway.process.StoreAccess;
 import io.hawthornlb.gateway.route.CallerLimits;
 import io.hawthornlb.gateway.route.Route;
 import io.hawthornlb.gateway.route.RouteKind;
@@ -112,7 +113,15 @@
   record Answer(int status, String head, String body, boolean whole) {}
 
   GatewayFixture() {
-    new GatewayProcess(settings, loop, store, formats, formats, NAMES, InstantSource.system(), log);
+    new GatewayProcess(
+        settings,
+        loop,
+        StoreAccess.local(store),
+        formats,
+        formats,
+        NAMES,
+        InstantSource.system(),
+        log);
   }
 
   /** Puts a configuration with one route in force, and offers endpoints in the order named. */
--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/RelayingHttpCallerTest.java
@@ -0,0 +1,167 @@
+package io.hawthornlb.gateway.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.hawthornlb.gateway.SilentEventLog;
+import io.hawthornlb.gateway.VirtualLoop;
+import io.hawthornlb.gateway.http.HttpCall;
+import io.hawthornlb.gateway.http.HttpCallException;
+import io.hawthornlb.gateway.http.HttpReply;
+import io.hawthornlb.gateway.peer.GatewayInstance;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+import org.junit.jupiter.api.Test;
+
+class RelayingHttpCallerTest {
+
+  private static final HttpReply DONE = new HttpReply(200, new byte[0]);
+  private static final HttpReply BUSY = new HttpReply(503, new byte[0]);
+
+  private final VirtualLoop time = new VirtualLoop();
+  private final List<String> ways = new ArrayList<>();
+  private Supplier<CompletionStage<HttpReply>> store = () -> replied(DONE);
+  private Supplier<CompletionStage<HttpReply>> byPeer = () -> replied(DONE);
+  private final RelayingHttpCaller caller =
+      new RelayingHttpCaller(
+          call -> way("direct", store),
+          (peer, call) -> way(peer.name(), byPeer),
+          () -> List.of(peer("a1"), peer("a2"), peer("a3")),
+          time,
+          new SilentEventLog());
+
+  /**
+   * A caller's job is refused at a third of the gateways for seconds. The store turned these
+   * gateways away, and none of them asked another one.
+   */
+  @Test
+  void hasAPeerMakeACallThatTheStoreRefused() {
+    store = () -> replied(BUSY);
+    assertEquals(200, status(caller.call(append())));
+    assertEquals(List.of("direct", "a1"), ways);
+  }
+
+  /** A job is taken late: each call waits for a store that is silent before it goes to a peer. */
+  @Test
+  void asksPeersFirstOnceTheStoreDidNotAnswer() {
+    store = () -> replied(BUSY);
+    caller.call(append());
+    ways.clear();
+    caller.call(append());
+    assertEquals(List.of("a1"), ways);
+    assertTrue(caller.away());
+  }
+
+  /**
+   * A job is written twice, once of them seconds later. The store carried an append out late whose
+   * answer was lost, and a peer had been asked to make it again.
+   */
+  @Test
+  void repeatsNoAppendThatMayHaveHappened() {
+    store = () -> failed(false);
+    CompletionStage<HttpReply> result = caller.call(append());
+    assertTrue(result.toCompletableFuture().isCompletedExceptionally());
+    assertEquals(List.of("direct"), ways);
+  }
+
+  @Test
+  void repeatsAReadThatGotNoAnswer() {
+    store = () -> failed(false);
+    assertEquals(200, status(caller.call(read())));
+    assertEquals(List.of("direct", "a1"), ways);
+  }
+
+  /**
+   * A gateway asks its peers for good after one outage, which costs each call a hop: nothing found
+   * out that the store answers again.
+   */
+  @Test
+  void returnsToTheStoreOnceItAnswers() {
+    store = () -> replied(BUSY);
+    caller.call(read());
+    store = () -> replied(DONE);
+    time.advance(StoreReach.FIRST_PROBE);
+    caller.call(read());
+    assertFalse(caller.away());
+    ways.clear();
+    caller.call(read());
+    assertEquals(List.of("direct"), ways);
+  }
+
+  /**
+   * While the store is away for all, gateways drown each other in calls that none of them can make.
+   */
+  @Test
+  void asksNoPeerForAWhileAfterNoneCouldHelp() {
+    store = () -> replied(BUSY);
+    byPeer = () -> failed(true);
+    caller.call(append());
+    assertEquals(List.of("direct", "a1", "a2"), ways);
+    ways.clear();
+    assertTrue(caller.call(append()).toCompletableFuture().isCompletedExceptionally());
+    assertEquals(List.of(), ways);
+    time.advance(StoreReach.PEERS_PAUSE);
+    caller.call(append());
+    assertEquals(List.of("a1", "a2"), ways);
+  }
+
+  @Test
+  void staysWithThePeerThatHelped() {
+    store = () -> replied(BUSY);
+    byPeer = () -> replied(ways.get(ways.size() - 1).equals("a2") ? DONE : BUSY);
+    caller.call(append());
+    ways.clear();
+    caller.call(append());
+    assertEquals(List.of("a2"), ways);
+  }
+
+  /** What is said of a call follows the last way that it took: a reply of 503 says "not done". */
+  @Test
+  void tellsHowTheLastWayEnded() {
+    store = () -> replied(BUSY);
+    byPeer = () -> failed(false);
+    assertTrue(caller.call(append()).toCompletableFuture().isCompletedExceptionally());
+    assertEquals(List.of("direct", "a1"), ways);
+  }
+
+  private CompletionStage<HttpReply> way(String name, Supplier<CompletionStage<HttpReply>> how) {
+    ways.add(name);
+    return how.get();
+  }
+
+  private static CompletionStage<HttpReply> replied(HttpReply reply) {
+    return CompletableFuture.completedFuture(reply);
+  }
+
+  private static CompletionStage<HttpReply> failed(boolean unsent) {
+    return CompletableFuture.failedFuture(new HttpCallException("as told", unsent));
+  }
+
+  private static int status(CompletionStage<HttpReply> result) {
+    return result.toCompletableFuture().join().status();
+  }
+
+  private static HttpCall append() {
+    return call("POST");
+  }
+
+  private static HttpCall read() {
+    return call("GET");
+  }
+
+  private static HttpCall call(String method) {
+    InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
+    return new HttpCall(address, method, "/", Map.of(), new byte[0], Duration.ofMillis(900));
+  }
+
+  private static GatewayInstance peer(String name) {
+    return new GatewayInstance(name, name + "~1", new InetSocketAddress("127.0.0.1", 1), "a");
+  }
+}
