Count failed runs of items over take-overs

Cause: the number of an item's failed runs was in its holder's memory; after a take-over an item that can never be done got all its attempts anew. One record a failed run, in the append that results share. Ruled out: writing them with the progress each 1.5 s (three runs take 0.3 s).

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -76,6 +76,7 @@
     this.estimate = estimate;
     this.text.append(kept.text());
     this.lastEventId = kept.lastEventId();
+    this.failures = job.failures(item.id());
     this.savedEventId = lastEventId;
     this.savedLength = text.length();
     this.parts = parts;
@@ -262,6 +263,7 @@
       stopped = true;
       outcome.done(item, new JobResult(item.id(), false, ""));
     } else {
+      outcome.failed(item, failures);
       again(PAUSE);
     }
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/Job.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/Job.java
@@ -20,6 +20,7 @@
   private final TreeMap<Integer, JobResult> results = new TreeMap<>();
   private final Set<String> listed = new HashSet<>();
   private final Map<String, ItemProgress> progress = new HashMap<>();
+  private final Map<String, Integer> failures = new HashMap<>();
   private boolean ended;
 
   /** Creates a job without results. */
@@ -97,6 +98,16 @@
     return progress.getOrDefault(itemId, ItemProgress.NONE);
   }
 
+  /** Returns how many runs of an item endpoints have ended with a failure of their own. */
+  int failures(String itemId) {
+    return failures.getOrDefault(itemId, 0);
+  }
+
+  /** Takes a number of failed runs; the highest one counts. */
+  void fail(JobRecords.Failures failed) {
+    failures.merge(failed.itemId(), failed.count(), Math::max);
+  }
+
   /** Takes text that follows what is kept of an item; passes over any other. */
   void gain(JobRecords.Gained gained) {
     ItemProgress kept = progress(gained.itemId());
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRecords.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRecords.java
@@ -28,6 +28,7 @@
   private static final String RESULT = "r";
   private static final String END = "e";
   private static final String PROGRESS = "p";
+  private static final String FAILURES = "f";
 
   private JobRecords() {}
 
@@ -49,17 +50,24 @@
     boolean progress() {
       return kind.equals(PROGRESS);
     }
+
+    boolean failures() {
+      return kind.equals(FAILURES);
+    }
   }
 
   /** Text that an item has gained: from the event after one, up to another. */
   record Gained(String itemId, long after, long upTo, String text) {}
 
+  /** Number of runs of an item that an endpoint ended with a failure of its own. */
+  record Failures(String itemId, int count) {}
+
   /** A part of an accepted job. */
   record Part(int count, byte[] bytes) {}
 
   static Key key(String text) {
     String[] fields = text.split(String.valueOf(SEPARATOR));
-    boolean numbered = fields.length > 2 && !fields[0].equals(PROGRESS);
+    boolean numbered = fields[0].equals(PART) || fields[0].equals(RESULT);
     int number = numbered ? Integer.parseInt(fields[2]) : 0;
     return new Key(fields[0], fields[1], number);
   }
@@ -113,6 +121,24 @@
     }
   }
 
+  static KeyedRecord failures(String jobId, Failures failures) {
+    String key = String.join(String.valueOf(SEPARATOR), FAILURES, jobId, failures.itemId());
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packer.packString(failures.itemId()).packInt(failures.count());
+      return new KeyedRecord(key, packer.toByteArray());
+    } catch (IOException e) {
+      throw new UncheckedIOException("A buffer in memory failed", e);
+    }
+  }
+
+  static Failures failures(byte[] value) {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(value)) {
+      return new Failures(unpacker.unpackString(), unpacker.unpackInt());
+    } catch (IOException e) {
+      throw new UncheckedIOException("Not the failures of an item", e);
+    }
+  }
+
   static List<KeyedRecord> accepted(Job job) {
     byte[] bytes = encode(job);
     int count = Math.max(1, (bytes.length + PART_BYTES - 1) / PART_BYTES);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobTable.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobTable.java
@@ -58,6 +58,9 @@
     } else if (key.progress()) {
       JobRecords.Gained gained = JobRecords.gained(value);
       find(key.jobId()).ifPresent(job -> job.gain(gained));
+    } else if (key.failures()) {
+      JobRecords.Failures failures = JobRecords.failures(value);
+      find(key.jobId()).ifPresent(job -> job.fail(failures));
     } else if (key.end()) {
       ended.add(key.jobId());
       find(key.jobId()).ifPresent(Job::end);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -64,6 +64,7 @@
   private final RunEstimate estimate = new RunEstimate();
   private final Map<String, ItemRun> runs = new HashMap<>();
   private final List<Finished> finished = new ArrayList<>();
+  private final List<KeyedRecord> waiting = new ArrayList<>();
   private long sequence;
   private boolean writing;
   private boolean stopped;
@@ -172,7 +173,7 @@
         if (job.ended()) {
           stopRun(item);
         } else if (!job.listed(item.id()) && !runs.containsKey(item.id())) {
-          ItemRun run = new ItemRun(parts, job, item, due(job), estimate, this::done);
+          ItemRun run = new ItemRun(parts, job, item, due(job), estimate, new Outcomes(job));
           runs.put(item.id(), run);
           run.start();
         }
@@ -198,16 +199,32 @@
     return job.accepted().plus(completion);
   }
 
-  private void done(JobItem item, JobResult result) {
-    for (Job job : replica.table().all()) {
-      if (job.item(item.id()).isPresent()) {
-        finished.add(new Finished(job, result));
-        write();
-        return;
-      }
+  /** Receives what becomes of the items of a job. */
+  private final class Outcomes implements ItemOutcome {
+
+    private final Job job;
+
+    private Outcomes(Job job) {
+      this.job = job;
+    }
+
+    @Override
+    public void done(JobItem item, JobResult result) {
+      finish(job, result);
+    }
+
+    @Override
+    public void failed(JobItem item, int count) {
+      waiting.add(JobRecords.failures(job.id(), new JobRecords.Failures(item.id(), count)));
+      write();
     }
   }
 
+  private void finish(Job job, JobResult result) {
+    finished.add(new Finished(job, result));
+    write();
+  }
+
   private void saveLater() {
     parts.executor().schedule(this::save, SAVE_EVERY.toMillis(), TimeUnit.MILLISECONDS);
   }
@@ -256,7 +273,7 @@
       ItemRun run = runs.get(item.id());
       if (run != null && !job.listed(item.id()) && run.running()) {
         run.stop();
-        done(item, new JobResult(item.id(), false, ""));
+        finish(job, new JobResult(item.id(), false, ""));
       }
     }
   }
@@ -301,16 +318,19 @@
     stop();
   }
 
-  /** Writes all results that wait in one append; one append is on its way at a time. */
+  /**
+   * Writes all results and failures that wait in one append; one append is on its way at a time.
+   */
   private void write() {
-    if (writing || stopped || finished.isEmpty()) {
+    if (writing || stopped || (finished.isEmpty() && waiting.isEmpty())) {
       return;
     }
     writing = true;
+    List<KeyedRecord> records = new ArrayList<>(waiting);
+    waiting.clear();
     List<Finished> batch = List.copyOf(finished);
     finished.clear();
     Map<String, Integer> next = new HashMap<>();
-    List<KeyedRecord> records = new ArrayList<>();
     for (Finished each : batch) {
       String jobId = each.job().id();
       int position = next.getOrDefault(jobId, each.job().resultCount());
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ScriptedEndpoint.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/ScriptedEndpoint.java
@@ -1,4 +1,4 @@
-package io.hawthornlb.gateway.front;
+package io.hawthornlb.gateway;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -18,10 +18,10 @@
 import java.util.regex.Pattern;
 
 /** Endpoint on loopback that answers each request as the test says. */
-final class ScriptedEndpoint implements AutoCloseable {
+public final class ScriptedEndpoint implements AutoCloseable {
 
   /** Stands in an answer for the id of the request. */
-  static final String ID = "{id}";
+  public static final String ID = "{id}";
 
   private static final Pattern LENGTH = Pattern.compile("content-length: (\\d+)");
   private static final Pattern REQUEST_ID = Pattern.compile("(?i)test-id: (\\S+)");
@@ -32,7 +32,7 @@
   private final CountDownLatch callerLeft = new CountDownLatch(1);
 
   /** What follows an answer. */
-  enum After {
+  public enum After {
     KEEP,
     CLOSE,
     RESET,
@@ -41,29 +41,32 @@
 
   private record Step(String answer, After after) {}
 
-  ScriptedEndpoint() throws IOException {
+  /** Starts to listen on a free port. */
+  public ScriptedEndpoint() throws IOException {
     server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     Thread thread = new Thread(this::accept, "endpoint");
     thread.setDaemon(true);
     thread.start();
   }
 
-  InetSocketAddress address() {
+  /** Returns where it listens. */
+  public InetSocketAddress address() {
     return new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
   }
 
-  ScriptedEndpoint then(String answer, After after) {
+  /** Answers one request more. */
+  public ScriptedEndpoint then(String answer, After after) {
     steps.add(new Step(answer, after));
     return this;
   }
 
   /** Returns the requests so far, head and body. */
-  List<String> requests() {
+  public List<String> requests() {
     return requests;
   }
 
   /** Waits until the other side closed a connection on which the endpoint worked. */
-  CountDownLatch callerLeft() {
+  public CountDownLatch callerLeft() {
     return callerLeft;
   }
 
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ForwardingFailureTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ForwardingFailureTest.java
@@ -1,13 +1,14 @@
 package io.hawthornlb.gateway.front;
 
-import static io.hawthornlb.gateway.front.ScriptedEndpoint.After.CLOSE;
-import static io.hawthornlb.gateway.front.ScriptedEndpoint.After.KEEP;
-import static io.hawthornlb.gateway.front.ScriptedEndpoint.After.RESET;
-import static io.hawthornlb.gateway.front.ScriptedEndpoint.After.WAIT;
+import static io.hawthornlb.gateway.ScriptedEndpoint.After.CLOSE;
+import static io.hawthornlb.gateway.ScriptedEndpoint.After.KEEP;
+import static io.hawthornlb.gateway.ScriptedEndpoint.After.RESET;
+import static io.hawthornlb.gateway.ScriptedEndpoint.After.WAIT;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.hawthornlb.gateway.ScriptedEndpoint;
 import io.hawthornlb.gateway.front.GatewayFixture.Answer;
 import io.hawthornlb.gateway.route.RouteKind;
 import java.io.IOException;
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.front;
 
+import io.hawthornlb.gateway.ScriptedEndpoint;
 import io.hawthornlb.gateway.SilentEventLog;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.job.JobCall;
