Let the largest instances hand out slots

Cause: the coordinator of a service was any instance; on the grown fleets three of four have 0.36 of a core for it and for their own requests. Before: FleetViewTest.ranksLargeInstancesFirst fails (order by key alone). After: passes; fleets of one size are ranked as before.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetView.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetView.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -29,6 +30,9 @@
   /** Silent processes after which their whole data centre is passed over. */
   private static final int SILENT_FOR_DATA_CENTRE = 2;
 
+  private static final Comparator<GatewayInstance> BY_SIZE =
+      Comparator.comparingDouble(GatewayInstance::cores).reversed();
+
   private record Suspicion(int silences, Instant until) {}
 
   private final GatewayInstance self;
@@ -98,7 +102,13 @@
     }
   }
 
-  /** Returns the processes that do not seem silent, in the order in which they serve a key. */
+  /**
+   * Returns the processes that do not seem silent, in the order in which they serve a key.
+   *
+   * <p>Load pattern: in a fleet of instances of several sizes the coordinator of a busy service
+   * decides 1,600 times a second, which takes 0.07 of a core and more for its datagrams. On an
+   * instance of 0.36 cores beside its own requests that is too much, so the largest come first.
+   */
   public List<GatewayInstance> ranked(String key, Instant now) {
     RendezvousHash current = hash;
     if (current == null) {
@@ -112,6 +122,8 @@
         ranked.add(instance);
       }
     }
+    // The sort is stable, so that the order by key stays among those of one size.
+    ranked.sort(BY_SIZE);
     return ranked;
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/GatewayInstance.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/GatewayInstance.java
@@ -10,9 +10,15 @@
  * @param boot id of this start of the process
  * @param address where it takes datagrams from the others
  * @param dataCentre where it stands
+ * @param cores processor time that it has, in cores
  */
 public record GatewayInstance(
-    String name, String boot, InetSocketAddress address, String dataCentre) {
+    String name, String boot, InetSocketAddress address, String dataCentre, double cores) {
+
+  /** Creates an instance of one core. */
+  public GatewayInstance(String name, String boot, InetSocketAddress address, String dataCentre) {
+    this(name, boot, address, dataCentre, 1);
+  }
 
   /** Checks the arguments. */
   public GatewayInstance {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/InstanceSource.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/InstanceSource.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
 
 /** Lists this process in the store, and keeps the view of the fleet as the store tells. */
@@ -96,6 +97,7 @@
       packer.packString(instance.address().getAddress().getHostAddress());
       packer.packInt(instance.address().getPort());
       packer.packString(instance.dataCentre());
+      packer.packDouble(instance.cores());
       return packer.toByteArray();
     } catch (IOException e) {
       throw new UncheckedIOException("A buffer in memory failed", e);
@@ -107,7 +109,10 @@
       String boot = unpacker.unpackString();
       String host = unpacker.unpackString();
       InetSocketAddress address = new InetSocketAddress(host, unpacker.unpackInt());
-      return new GatewayInstance(name, boot, address, unpacker.unpackString());
+      String dataCentre = unpacker.unpackString();
+      return new GatewayInstance(name, boot, address, dataCentre, unpacker.unpackDouble());
+    } catch (MessagePackException e) {
+      throw new UncheckedIOException("Not an entry of a gateway", new IOException(e));
     } catch (IOException e) {
       throw new UncheckedIOException("Not an entry of a gateway", e);
     }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetViewTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetViewTest.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.gateway.peer;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetSocketAddress;
@@ -70,6 +71,29 @@
     return view.ranked("key", now).stream().map(GatewayInstance::name).toList();
   }
 
+  /**
+   * Callers of a whole fleet get late answers on a crest: the coordinator of their service runs on
+   * one of the smallest instances, which needs all its processor time for requests of its own.
+   */
+  @Test
+  void ranksLargeInstancesFirst() {
+    FleetView mixed = new FleetView(sized("s0", 0.36));
+    for (int i = 1; i < 20; i++) {
+      mixed.put(sized((i % 4 == 0 ? "l" : "s") + i, i % 4 == 0 ? 1.5 : 0.36));
+    }
+    for (String key : List.of("one", "two", "three")) {
+      List<GatewayInstance> ranked = mixed.ranked(key, now);
+      assertEquals(20, ranked.size());
+      assertTrue(ranked.subList(0, 4).stream().allMatch(each -> each.cores() > 1), key);
+    }
+    assertNotEquals(mixed.ranked("one", now), mixed.ranked("two", now));
+  }
+
+  private static GatewayInstance sized(String name, double cores) {
+    return new GatewayInstance(
+        name, name + "~1", new InetSocketAddress("127.0.0.1", 1), "a", cores);
+  }
+
   private static GatewayInstance instance(String name, String dataCentre) {
     return new GatewayInstance(
         name, name + "~1", new InetSocketAddress("127.0.0.1", 1), dataCentre);
