Keep the place of callers that were refused, and tell them a time that leaves room

Cause: a caller that came back after a refusal met the same crest and stood behind all newcomers, and was refused for good; and the time told to it counted those that wait, not those that were told before. Ruled out: holding the request back at the gateway (a request given up on is answered at once).

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -35,12 +35,8 @@
  */
 public final class DefaultSlotCoordinator implements SlotCoordinator {
 
-  private record Waiter(SlotRequest request, Instant since) {
-
-    Instant until() {
-      return since.plus(request.maxWait());
-    }
-  }
+  /** A request that waits: in its place since a moment, which may be before it came. */
+  private record Waiter(SlotRequest request, Instant since, Instant until) {}
 
   private static final Comparator<Waiter> ORDER =
       Comparator.comparing((Waiter waiter) -> waiter.request().batch())
@@ -54,6 +50,7 @@
   private final Penalties penalties;
   private final Outliers outliers;
   private final CrashCounts crashes = new CrashCounts();
+  private final ExpectedReturns returns;
   private final ForeignLoad foreign = new ForeignLoad();
   private final WaitEstimate estimate = new WaitEstimate();
   private final Map<SlotKey, SlotLease> leases = new HashMap<>();
@@ -74,6 +71,7 @@
     this.settings = settings;
     this.penalties = new Penalties(settings);
     this.outliers = new Outliers(settings);
+    this.returns = new ExpectedReturns(settings);
   }
 
   @Override
@@ -90,8 +88,9 @@
       return List.of(new SlotAnswer.Refused(request.key(), crashes.remembered()));
     }
     List<SlotAnswer> answers = new ArrayList<>();
+    Instant refusedBefore = returns.returned(request.fingerprint(), now);
     if (!tryGrant(request, now, answers)) {
-      waitOrRefuse(request, now, answers);
+      waitOrRefuse(request, refusedBefore, now, answers);
     }
     return answers;
   }
@@ -166,8 +165,8 @@
         waiting.stream().filter(waiter -> !now.isBefore(waiter.until())).toList();
     waiting.removeAll(expired);
     for (Waiter waiter : expired) {
-      Duration retryAfter = estimate.retryAfter(onlineWaiting(), slots());
-      answers.add(new SlotAnswer.Refused(waiter.request().key(), retryAfter));
+      boolean first = waiter.since().plus(waiter.request().maxWait()).equals(waiter.until());
+      answers.add(refuse(waiter.request(), first, now));
     }
     return answers;
   }
@@ -188,17 +187,33 @@
     return waiting.stream().anyMatch(waiter -> waiter.request().key().equals(key));
   }
 
-  private void waitOrRefuse(SlotRequest request, Instant now, List<SlotAnswer> answers) {
-    int ahead = onlineWaiting();
-    if (!request.batch() && estimate.of(ahead, slots()).compareTo(request.maxWait()) > 0) {
-      answers.add(new SlotAnswer.Refused(request.key(), estimate.retryAfter(ahead, slots())));
+  private void waitOrRefuse(
+      SlotRequest request, @Nullable Instant refusedBefore, Instant now, List<SlotAnswer> answers) {
+    Instant since = refusedBefore == null ? now : refusedBefore;
+    Waiter waiter = new Waiter(request, since, now.plus(request.maxWait()));
+    if (!request.batch() && estimate.of(ahead(waiter), slots()).compareTo(request.maxWait()) > 0) {
+      answers.add(refuse(request, refusedBefore == null, now));
       return;
     }
-    waiting.add(new Waiter(request, now));
+    waiting.add(waiter);
     waiting.sort(ORDER);
     answers.add(new SlotAnswer.Waiting(request.key()));
   }
 
+  /** Refuses a request and tells when those who are to be served before it will be. */
+  private SlotAnswer refuse(SlotRequest request, boolean mayReturn, Instant now) {
+    int before = onlineWaiting() + returns.count(now);
+    Duration retryAfter = estimate.retryAfter(before, slots());
+    if (mayReturn) {
+      returns.refused(request.fingerprint(), retryAfter, now);
+    }
+    return new SlotAnswer.Refused(request.key(), retryAfter);
+  }
+
+  private int ahead(Waiter waiter) {
+    return (int) waiting.stream().filter(each -> ORDER.compare(each, waiter) <= 0).count();
+  }
+
   private int onlineWaiting() {
     return (int) waiting.stream().filter(waiter -> !waiter.request().batch()).count();
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSettings.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSettings.java
@@ -14,6 +14,8 @@
  * @param outlierShare share of failures from which on an endpoint is avoided
  * @param outlierTime time for which it is avoided at first
  * @param maxOutlierTime longest such time
+ * @param returnTime time after the one told for which a refused caller keeps its place; negative if
+ *     refused callers keep none
  */
 public record SlotSettings(
     Duration leaseTime,
@@ -24,7 +26,8 @@
     Duration tryTime,
     double outlierShare,
     Duration outlierTime,
-    Duration maxOutlierTime) {
+    Duration maxOutlierTime,
+    Duration returnTime) {
 
   /**
    * Defaults. Holders renew every second, so three seconds bear two lost datagrams. A first failure
@@ -33,7 +36,8 @@
    * every 700 ms costs one connection attempt of 120 ms and finds the end soon. A connection
    * attempt fails after 120 ms, and a first event takes 60 to 100 ms. Lost and torn answers of 5 in
    * 100 requests are ordinary trouble, endpoints that fail part of their requests fail 40 in 100,
-   * for 5 to 7 s.
+   * for 5 to 7 s. A caller that comes back needs 20 ms for its way and a connection, on a busy
+   * instance some 100 ms.
    */
   public static final SlotSettings DEFAULT =
       new SlotSettings(
@@ -45,5 +49,6 @@
           Duration.ofMillis(200),
           0.25,
           Duration.ofSeconds(2),
-          Duration.ofSeconds(8));
+          Duration.ofSeconds(8),
+          Duration.ofMillis(500));
 }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/OutlierReplayTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/OutlierReplayTest.java
@@ -47,7 +47,8 @@
           SlotSettings.DEFAULT.tryTime(),
           Double.POSITIVE_INFINITY,
           SlotSettings.DEFAULT.outlierTime(),
-          SlotSettings.DEFAULT.maxOutlierTime());
+          SlotSettings.DEFAULT.maxOutlierTime(),
+          SlotSettings.DEFAULT.returnTime());
 
   private final CoordinatorFixture fixture = new CoordinatorFixture();
 
