Keep those that wait in a sorted set

Cause: whether a request waits, and its place, was found by going through all that wait; after an outage of the grown fleet 1,900 items wait and ask anew every two seconds. Ruled out: one queue for items and one for online requests (the order by rank stays one rule).

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -35,14 +35,6 @@
  */
 public final class DefaultSlotCoordinator implements SlotCoordinator {
 
-  /** A request that waits: in its place since a moment, which may be before it came. */
-  private record Waiter(SlotRequest request, Instant since, Instant until) {}
-
-  private static final Comparator<Waiter> ORDER =
-      Comparator.comparing((Waiter waiter) -> waiter.request().batch())
-          .thenComparing(waiter -> waiter.request().rank())
-          .thenComparing(Waiter::since);
-
   private final String service;
   private final EndpointDirectory directory;
   private final SlotSettings settings;
@@ -55,7 +47,7 @@
   private final WaitEstimate estimate = new WaitEstimate();
   private final Map<SlotKey, SlotLease> leases = new HashMap<>();
   private final Map<String, Integer> used = new HashMap<>();
-  private final List<Waiter> waiting = new ArrayList<>();
+  private final WaitingRequests waiting = new WaitingRequests();
   private int onlineLeases;
 
   /**
@@ -81,7 +73,7 @@
       // The answer was lost, and the holder asks again.
       return List.of(new SlotAnswer.Granted(request.key(), held.endpoint()));
     }
-    if (isWaiting(request.key())) {
+    if (waiting.contains(request.key())) {
       return List.of(new SlotAnswer.Waiting(request.key()));
     }
     if (crashes.barred(request.fingerprint(), now)) {
@@ -97,7 +89,7 @@
 
   @Override
   public List<SlotAnswer> release(SlotKey key, SlotOutcome outcome, Instant now) {
-    waiting.removeIf(waiter -> waiter.request().key().equals(key));
+    waiting.remove(key);
     SlotLease lease = drop(key);
     if (lease == null) {
       return List.of();
@@ -161,10 +153,7 @@
     Instant silentSince = now.minus(settings.leaseTime());
     dropAll(lease -> lease.renewed().isBefore(silentSince));
     List<SlotAnswer> answers = new ArrayList<>(fill(now));
-    List<Waiter> expired =
-        waiting.stream().filter(waiter -> !now.isBefore(waiter.until())).toList();
-    waiting.removeAll(expired);
-    for (Waiter waiter : expired) {
+    for (Waiter waiter : waiting.removeExpired(now)) {
       boolean first = waiter.since().plus(waiter.request().maxWait()).equals(waiter.until());
       answers.add(refuse(waiter.request(), first, now));
     }
@@ -183,26 +172,22 @@
     }
   }
 
-  private boolean isWaiting(SlotKey key) {
-    return waiting.stream().anyMatch(waiter -> waiter.request().key().equals(key));
-  }
-
   private void waitOrRefuse(
       SlotRequest request, @Nullable Instant refusedBefore, Instant now, List<SlotAnswer> answers) {
     Instant since = refusedBefore == null ? now : refusedBefore;
     Waiter waiter = new Waiter(request, since, now.plus(request.maxWait()));
-    if (!request.batch() && estimate.of(ahead(waiter), slots()).compareTo(request.maxWait()) > 0) {
+    if (!request.batch()
+        && estimate.of(waiting.before(waiter), slots()).compareTo(request.maxWait()) > 0) {
       answers.add(refuse(request, refusedBefore == null, now));
       return;
     }
     waiting.add(waiter);
-    waiting.sort(ORDER);
     answers.add(new SlotAnswer.Waiting(request.key()));
   }
 
   /** Refuses a request and tells when those who are to be served before it will be. */
   private SlotAnswer refuse(SlotRequest request, boolean mayReturn, Instant now) {
-    int before = onlineWaiting() + returns.count(now);
+    int before = waiting.online() + returns.count(now);
     Duration retryAfter = estimate.retryAfter(before, slots());
     if (mayReturn) {
       returns.refused(request.fingerprint(), retryAfter, now);
@@ -210,14 +195,6 @@
     return new SlotAnswer.Refused(request.key(), retryAfter);
   }
 
-  private int ahead(Waiter waiter) {
-    return (int) waiting.stream().filter(each -> ORDER.compare(each, waiter) <= 0).count();
-  }
-
-  private int onlineWaiting() {
-    return (int) waiting.stream().filter(waiter -> !waiter.request().batch()).count();
-  }
-
   private int slots() {
     return directory.usable(service).stream().mapToInt(EndpointRecord::slots).sum();
   }
@@ -233,9 +210,13 @@
   private List<SlotAnswer> fill(Instant now) {
     List<SlotAnswer> answers = new ArrayList<>();
     Set<Search> failed = new HashSet<>();
-    Iterator<Waiter> next = waiting.iterator();
+    Iterator<Waiter> next = waiting.inOrder();
     while (next.hasNext() && !exhausted(now)) {
       SlotRequest request = next.next().request();
+      if (request.batch() && !roomForItem(now)) {
+        // Items come last, and there is room for none of those behind it either.
+        break;
+      }
       Search search = new Search(request.dataCentre(), request.batch());
       if (failed.contains(search)) {
         continue;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/ExpectedReturns.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/ExpectedReturns.java
@@ -14,8 +14,8 @@
  * refused come back into the same crest, where newcomers are as many as before, and many are
  * refused a second time, for good. So a caller that comes back takes the place in the queue that it
  * had when it was refused, and each one is told a time that leaves room for those told before it.
- * In a replay of waves 1.1 times as high as the slots allow, none of 5,028 requests is refused twice
- * in place of 5.6 (mean of five seeds), and as many are served.
+ * In a replay of waves 1.1 times as high as the slots allow, none of 5,028 requests is refused
+ * twice in place of 5.6 (mean of five seeds), and as many are served.
  */
 final class ExpectedReturns {
 
