Let 16 items of a partition wait for slots at a time

Before: all items ask at once. After: at most 16 a partition, the best ranked first (AskWindowTest). Ruled out: a longer wait at the coordinator (a lost one would be noticed later).

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -34,7 +34,7 @@
  * Runs one item until it is done: gives way when its slot is revoked, and goes on after the last
  * whole event at whatever endpoint is free next.
  */
-final class ItemRun {
+final class ItemRun implements AskWindow.Asker {
 
   /** Time that an item waits at a coordinator before it asks anew, in case that one is gone. */
   private static final Duration SLOT_WAIT = Duration.ofSeconds(2);
@@ -50,6 +50,7 @@
   private final JobItem item;
   private final Instant due;
   private final ItemOutcome outcome;
+  private final AskWindow window;
   private final RunEstimate estimate;
   private final StringBuilder text = new StringBuilder();
   private final Set<String> excluded = new HashSet<>();
@@ -63,6 +64,7 @@
   private @Nullable EndpointCall call;
   private @Nullable ScheduledFuture<?> timer;
   private @Nullable Instant lastEvent;
+  private boolean asking;
   private boolean stopped;
 
   ItemRun(
@@ -71,6 +73,7 @@
       JobItem item,
       Instant due,
       RunEstimate estimate,
+      AskWindow window,
       ItemOutcome outcome) {
     ItemProgress kept = job.progress(item.id());
     this.estimate = estimate;
@@ -84,6 +87,7 @@
     this.item = item;
     this.due = due;
     this.outcome = outcome;
+    this.window = window;
   }
 
   void start() {
@@ -93,6 +97,8 @@
   /** Ends the run at once. */
   void stop() {
     stopped = true;
+    window.withdraw(this);
+    leaveWindow();
     end(SlotOutcome.ABANDONED);
   }
 
@@ -119,15 +125,26 @@
   }
 
   private void acquire() {
-    Optional<Route> route = route();
-    if (stopped) {
-      return;
+    if (!stopped) {
+      window.enter(this);
     }
+  }
+
+  @Override
+  public long rank() {
+    return estimate.rank(due, lastEventId, parts.clock().instant());
+  }
+
+  @Override
+  public void ask() {
+    Optional<Route> route = route();
     if (route.isEmpty()) {
       // The route is gone for now; a later configuration may bring it back.
+      window.left();
       again(SLOT_WAIT);
       return;
     }
+    asking = true;
     SlotKey key = parts.slots().nextKey();
     slot = key;
     SlotRequest wanted =
@@ -135,7 +152,7 @@
             key,
             route.get().service(0),
             true,
-            estimate.rank(due, lastEventId, parts.clock().instant()),
+            rank(),
             parts.dataCentre(),
             SLOT_WAIT,
             0,
@@ -152,6 +169,7 @@
     if (stopped) {
       return;
     }
+    leaveWindow();
     if (answer instanceof SlotAnswer.Granted granted) {
       send(granted.endpoint());
     } else if (answer instanceof SlotAnswer.Revoked) {
@@ -166,6 +184,13 @@
     }
   }
 
+  private void leaveWindow() {
+    if (asking) {
+      asking = false;
+      window.left();
+    }
+  }
+
   private void send(String endpointId) {
     Optional<EndpointRecord> target = parts.directory().find(endpointId);
     if (target.isEmpty() || target.get().leaving()) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -62,6 +62,7 @@
   private final HoldNotices notices;
   private final Runnable lost;
   private final RunEstimate estimate = new RunEstimate();
+  private final AskWindow window = new AskWindow();
   private final Map<String, ItemRun> runs = new HashMap<>();
   private final List<Finished> finished = new ArrayList<>();
   private final List<KeyedRecord> waiting = new ArrayList<>();
@@ -115,6 +116,7 @@
   /** Ends all runs; what they produced so far is lost. */
   void stop() {
     stopped = true;
+    window.close();
     runs.values().forEach(ItemRun::stop);
     runs.clear();
   }
@@ -173,7 +175,8 @@
         if (job.ended()) {
           stopRun(item);
         } else if (!job.listed(item.id()) && !runs.containsKey(item.id())) {
-          ItemRun run = new ItemRun(parts, job, item, due(job), estimate, new Outcomes(job));
+          ItemRun run =
+              new ItemRun(parts, job, item, due(job), estimate, window, new Outcomes(job));
           runs.put(item.id(), run);
           run.start();
         }
