Keep partitions over a restart, and let as many processes share them as there are

What: a process that stops stays in the group until its lease ends (2.5 s, restarts take less); a fleet of more processes than partitions has the first by rank share them; a partition is handed over with all that its items have gained and with results that wait. Ruled out: a holder by rendezvous hash alone (who has died is what the group tells). Tests: HolderSelectionTest; PartitionRunnerTest.goesOnBehindTheLastEventAfterAHandOver. Test ports are now free for links and datagrams: one run of ForwardingFailureTest had failed to bind one.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRunners.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRunners.java
@@ -9,20 +9,21 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 
 /** Shares the partitions of all jobs among the processes, and runs those of this process. */
 public final class JobRunners {
 
   private static final String GROUP = "runners";
 
-  /** Time after which a silent process loses its partitions; two joins may be lost. */
-  private static final Duration LEASE = Duration.ofMillis(2_000);
+  /**
+   * Time after which a silent process loses its partitions. A process that is restarted is back
+   * within 2 s of its last join and keeps them; two joins may be lost.
+   */
+  private static final Duration LEASE = Duration.ofMillis(2_500);
 
   private static final Duration JOIN_EVERY = Duration.ofMillis(600);
 
-  /** Time for the last records of a process that leaves; an append takes some 10 ms. */
-  private static final Duration HAND_OVER = Duration.ofMillis(50);
-
   /** Epochs of one generation; restarts within it take later ones. */
   private static final long EPOCHS_PER_GENERATION = 10_000_000;
 
@@ -33,21 +34,35 @@
   private final JobReplicas replicas;
   private final JobService service;
   private final HoldNotices notices;
-  private final String member;
+  private final String name;
   private final long startEpoch;
+  private final IntSupplier rank;
+  private final HolderSelection selection;
   private final Map<Integer, PartitionRunner> runners = new HashMap<>();
   private final Map<Integer, Long> bumps = new HashMap<>();
   private long generation;
+  private boolean member;
   private boolean leaving;
   private boolean lost;
 
-  /** Creates the runners of a process. */
+  /**
+   * Creates the runners of a process.
+   *
+   * @param rank place of this process among those of the fleet that do not seem silent, from 0
+   */
   public JobRunners(
-      JobParts parts, JobFormat format, HoldNotices notices, String member, int partitions) {
+      JobParts parts,
+      JobFormat format,
+      HoldNotices notices,
+      String member,
+      int partitions,
+      IntSupplier rank) {
     this.parts = parts;
+    this.rank = rank;
+    this.selection = new HolderSelection(partitions);
     this.notices = notices;
     notices.onHeld(this::heldElsewhere);
-    this.member = member;
+    this.name = member;
     this.replicas = new JobReplicas(parts.store(), partitions, parts.executor());
     this.service =
         new JobService(
@@ -61,12 +76,26 @@
     return service;
   }
 
-  /** Joins the group and stays in it. */
+  /** Joins the group and stays in it, as long as this process is to be a member. */
   public void start() {
     if (leaving) {
       return;
     }
-    GroupJoin join = new GroupJoin(GROUP, member, JobReplicas.TOPIC, LEASE, generation);
+    if (selection.member(rank.getAsInt(), parts.clock().instant())) {
+      member = true;
+      join();
+    } else {
+      leaveGroup();
+      startAgain();
+    }
+  }
+
+  private void startAgain() {
+    parts.executor().schedule(this::start, JOIN_EVERY.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private void join() {
+    GroupJoin join = new GroupJoin(GROUP, name, JobReplicas.TOPIC, LEASE, generation);
     parts
         .store()
         .join(join)
@@ -77,21 +106,34 @@
               } else {
                 joinFailed(failure);
               }
-              long millis = JOIN_EVERY.toMillis();
-              parts.executor().schedule(this::start, millis, TimeUnit.MILLISECONDS);
+              startAgain();
             },
             parts.executor());
   }
 
-  /** Hands the partitions to the other processes. */
-  public void leave() {
+  /**
+   * Records what all items have gained and ends their runs; for a process that ends by itself.
+   *
+   * <p>It stays in the group until its lease ends. Failure: processes are restarted in turn, and
+   * each leaves and joins, so that partitions move twice for each. It shows as items that are moved
+   * more often than they get ahead. Guard: a process that is back within its lease finds its
+   * partitions as it left them; those of one that does not come back move when the lease ends.
+   */
+  public void stop() {
     leaving = true;
     runners.values().forEach(PartitionRunner::handOver);
     runners.clear();
-    parts
-        .executor()
-        .schedule(
-            () -> parts.store().leave(GROUP, member), HAND_OVER.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private void leaveGroup() {
+    if (!member) {
+      return;
+    }
+    member = false;
+    parts.log().important("job", "group.left").write();
+    runners.values().forEach(PartitionRunner::handOver);
+    runners.clear();
+    parts.store().leave(GROUP, name);
   }
 
   private void joined(GroupShare share) {
@@ -113,7 +155,7 @@
     generation = share.generation();
     List<Integer> gone = new ArrayList<>(runners.keySet());
     gone.removeAll(share.partitions());
-    gone.forEach(this::drop);
+    gone.forEach(this::handOver);
     share.partitions().forEach(this::hold);
   }
 
@@ -138,13 +180,14 @@
             partition,
             epoch,
             notices,
-            () -> refused(partition));
+            refused -> refused(partition, refused));
     runners.put(partition, runner);
     runner.start();
   }
 
-  private void refused(int partition) {
-    runners.remove(partition);
+  private void refused(int partition, PartitionRunner refused) {
+    // One that hands its partition over may be refused after this process holds it anew.
+    runners.remove(partition, refused);
     bumps.merge(partition, EPOCH_STEP, Long::sum);
   }
 
@@ -155,6 +198,20 @@
     }
   }
 
+  /**
+   * Hands a partition to its next holder, with what items have gained.
+   *
+   * <p>The next holder is told of it once this process joins again, some 600 ms later; until then
+   * nobody else may write to it, so that the records of this process are taken.
+   */
+  private void handOver(int partition) {
+    PartitionRunner runner = runners.remove(partition);
+    if (runner != null) {
+      runner.handOver();
+      parts.log().important("job", "partition.handed.over").with("partition", partition).write();
+    }
+  }
+
   private void drop(int partition) {
     PartitionRunner runner = runners.remove(partition);
     if (runner != null) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Runs the items of one partition's jobs while this process holds the partition.
@@ -60,7 +61,7 @@
   private final int partition;
   private final long epoch;
   private final HoldNotices notices;
-  private final Runnable lost;
+  private final Consumer<PartitionRunner> lost;
   private final RunEstimate estimate = new RunEstimate();
   private final AskWindow window = new AskWindow();
   private final Map<String, ItemRun> runs = new HashMap<>();
@@ -78,7 +79,7 @@
       int partition,
       long epoch,
       HoldNotices notices,
-      Runnable lost) {
+      Consumer<PartitionRunner> lost) {
     this.notices = notices;
     this.parts = parts;
     this.replica = replica;
@@ -389,7 +390,7 @@
         .write();
     if (kind == StoreException.Kind.FENCED || kind == StoreException.Kind.OUT_OF_SEQUENCE) {
       stop();
-      lost.run();
+      lost.accept(this);
     } else if (!stopped) {
       parts.executor().schedule(again, REPEAT.toMillis(), TimeUnit.MILLISECONDS);
     }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetView.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetView.java
@@ -134,6 +134,11 @@
     return ranked(key, now).stream().filter(each -> !each.name().equals(self.name())).toList();
   }
 
+  /** Returns the place of this process in the order for a key, from 0. */
+  public int rankOfSelf(String key, Instant now) {
+    return ranked(key, now).indexOf(self);
+  }
+
   private boolean cutOff(GatewayInstance instance, Instant now) {
     String dataCentre = instance.dataCentre();
     if (dataCentre.equals(self.dataCentre())) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -39,6 +39,9 @@
   /** Kept free at the end of the time to stop, so that the process ends by itself. */
   private static final Duration STOP_MARGIN = Duration.ofMillis(700);
 
+  /** Key by which processes are ranked to share the partitions of jobs. */
+  private static final String JOBS = "jobs";
+
   private static final Duration STOP_POLL = Duration.ofMillis(50);
 
   private final GatewaySettings settings;
@@ -95,7 +98,8 @@
             jobFormat,
             new PeerHoldNotices(fleet, transport),
             settings.self().name(),
-            settings.jobPartitions());
+            settings.jobPartitions(),
+            () -> fleet.rankOfSelf(JOBS, clock.instant()));
     ForwardingHandler handler =
         new ForwardingHandler(
             new ForwardingHandler.Parts(
@@ -154,7 +158,6 @@
     stopping = true;
     log.important("process", "stopping").with("active", front.active()).write();
     instances.leave();
-    jobs.leave();
     front.drain();
     Instant now = clock.instant();
     Instant latest = now.plus(settings.stopTime()).minus(STOP_MARGIN);
@@ -165,6 +168,7 @@
     Instant now = clock.instant();
     boolean idle = front.active() == 0;
     if ((idle && now.isAfter(earliest)) || now.isAfter(latest)) {
+      jobs.stop();
       front.closeIdle();
       log.important("process", "stopped").with("active", front.active()).write();
       loop.schedule(done::countDown, STOP_POLL.toMillis(), TimeUnit.MILLISECONDS);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/TrialRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/TrialRun.java
@@ -120,7 +120,8 @@
     try (ServerSocket front = new ServerSocket(0, 1, loopback);
         ServerSocket ready = new ServerSocket(0, 1, loopback);
         ServerSocket metrics = new ServerSocket(0, 1, loopback);
-        DatagramSocket peer = new DatagramSocket(0, loopback)) {
+        ServerSocket relay = new ServerSocket(0, 1, loopback);
+        DatagramSocket peer = new DatagramSocket(relay.getLocalPort(), loopback)) {
       InetSocketAddress peerAddress = new InetSocketAddress(loopback, peer.getLocalPort());
       return new GatewaySettings(
           new GatewayInstance("trial", "trial~1", peerAddress, "trial"),
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
@@ -244,7 +244,8 @@
     try (ServerSocket front = new ServerSocket(0, 1, loopback);
         ServerSocket ready = new ServerSocket(0, 1, loopback);
         ServerSocket metrics = new ServerSocket(0, 1, loopback);
-        DatagramSocket peer = new DatagramSocket(0, loopback)) {
+        ServerSocket relay = new ServerSocket(0, 1, loopback);
+        DatagramSocket peer = new DatagramSocket(relay.getLocalPort(), loopback)) {
       ports.add(front.getLocalPort());
       ports.add(ready.getLocalPort());
       ports.add(metrics.getLocalPort());
--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/HolderSelectionTest.java
@@ -0,0 +1,40 @@
+package io.hawthornlb.gateway.job;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Instant;
+import org.junit.jupiter.api.Test;
+
+/**
+ * No report of a large fleet is done while its gateways are restarted in turn: each start and stop
+ * moves partitions, and items are moved more often than they get ahead.
+ */
+class HolderSelectionTest {
+
+  private final HolderSelection selection = new HolderSelection(24);
+  private final Instant now = Instant.parse("2026-01-01T00:00:00Z");
+
+  @Test
+  void takesAsManyMembersAsThereArePartitions() {
+    assertTrue(selection.member(23, now));
+    assertFalse(new HolderSelection(24).member(24, now));
+  }
+
+  @Test
+  void keepsAMemberThatRanksALittleBehind() {
+    selection.member(0, now);
+    assertTrue(selection.member(27, now.plusSeconds(60)));
+    assertTrue(selection.member(27, now.plusSeconds(120)));
+  }
+
+  @Test
+  void letsAMemberGoThatRanksFarBehindForLong() {
+    selection.member(0, now);
+    assertTrue(selection.member(40, now));
+    assertTrue(selection.member(40, now.plusSeconds(9)));
+    assertTrue(selection.member(3, now.plusSeconds(10)));
+    assertTrue(selection.member(40, now.plusSeconds(11)));
+    assertFalse(selection.member(40, now.plusSeconds(21)));
+  }
+}
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PartitionRunnerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PartitionRunnerTest.java
@@ -3,6 +3,7 @@
 import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.hawthornlb.gateway.ScriptedEndpoint;
 import io.hawthornlb.gateway.ScriptedEndpoint.After;
@@ -138,6 +139,37 @@
     assertEquals(MAX_ATTEMPTS, endpoint.requests().size());
   }
 
+  /**
+   * Reports are late on a day on which gateways are restarted: with each partition that moved, its
+   * items lost what they had gained since it was last recorded, and began there anew.
+   */
+  @Test
+  void goesOnBehindTheLastEventAfterAHandOver() throws InterruptedException {
+    String head =
+        "HTTP/1.1 200 OK\r\nTest-Id: {id}\r\nTest-Signature: s\r\n"
+            + "Transfer-Encoding: chunked\r\n\r\n";
+    endpoint.then(head + chunk("id: 1\ndata: a\n\n") + chunk("id: 2\ndata: b\n\n"), After.WAIT);
+    endpoint.then(head + chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n", After.KEEP);
+    JobItem item = new JobItem("i1", "/jobs/1", Map.of(), new byte[0]);
+    Job job = new Job("j", "h", InstantSource.system().instant(), List.of(item));
+    store.append(new AppendCall(JobReplicas.TOPIC, 0, JobRecords.accepted(job), null));
+    PartitionRunner former = runner(new JobReplica(store, JobReplicas.TOPIC, 0, loop), 1);
+    await().until(() -> endpoint.requests().size() == 1);
+    // The events follow the request at once.
+    Thread.sleep(200);
+    loop.submit(former::handOver).syncUninterruptibly();
+    JobReplica next = new JobReplica(store, JobReplicas.TOPIC, 0, loop);
+    runner(next, 2);
+    await().until(() -> page(next).size() == 1);
+    assertEquals(new JobResult("i1", true, "a\nb\nc"), page(next).get(0));
+    String second = endpoint.requests().get(1).toLowerCase();
+    assertTrue(second.contains("last-event-id: 2"), second);
+  }
+
+  private static String chunk(String text) {
+    return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+  }
+
   private PartitionRunner runner(JobReplica replica, long epoch) {
     JobParts parts =
         new JobParts(
@@ -161,7 +193,7 @@
           @Override
           public void onHeld(Listener listener) {}
         };
-    PartitionRunner runner = new PartitionRunner(parts, replica, 0, epoch, silent, () -> {});
+    PartitionRunner runner = new PartitionRunner(parts, replica, 0, epoch, silent, lost -> {});
     loop.execute(runner::start);
     return runner;
   }
