Watch for silent endpoints in one place

Ruled out: one time for both (an item may be silent for 2 s, a request for two objectives). After: SilenceWatch serves both, decisions unchanged; 160 tests of the gateway pass.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -10,6 +10,7 @@
 import io.hawthornlb.gateway.slot.SlotOutcome;
 import io.hawthornlb.gateway.slot.SlotRequest;
 import io.hawthornlb.gateway.wire.EndpointCall;
+import io.hawthornlb.gateway.wire.SilenceWatch;
 import io.hawthornlb.gateway.wire.ToldLoad;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -30,7 +31,7 @@
 import org.jspecify.annotations.Nullable;
 
 /** One request on its way: gets a slot, is sent, and is sent again where the rules allow it. */
-final class Forwarding implements RequestHandler.Handling {
+final class Forwarding implements RequestHandler.Handling, SilenceWatch.Listener {
 
   /**
    * Part of the objective that a request may wait for a slot. The rest is for the answer: a first
@@ -71,8 +72,8 @@
   private final Instant deadline;
   private final Set<String> excluded = new HashSet<>();
   private final AnswerRelay relay;
+  private final SilenceWatch watch;
   private @Nullable ScheduledFuture<?> timer;
-  private @Nullable ScheduledFuture<?> watcher;
   private @Nullable SlotKey slot;
   private @Nullable EndpointCall call;
   private @Nullable String endpoint;
@@ -91,6 +92,10 @@
     this.deadline = request.arrived().plus(timeAllowed());
     boolean streaming = route.kind() == RouteKind.STREAM;
     this.relay = new AnswerRelay(this, parts, responder, streaming);
+    SilenceWatch.Limits limits =
+        new SilenceWatch.Limits(
+            objectives(route, SUSPECT_OBJECTIVES), objectives(route, STALL_OBJECTIVES));
+    this.watch = new SilenceWatch(parts.executor(), parts.clock(), limits, relay::lastHeard, this);
   }
 
   void start() {
@@ -203,6 +208,10 @@
         .getAsLong();
   }
 
+  private static Duration objectives(Route route, double count) {
+    return Duration.ofMillis((long) (route.objective().toMillis() * count));
+  }
+
   private Duration maxWait() {
     if (relay.headSent() || runs > 0) {
       // The caller has part of the answer, or may not be told that nothing ran: a late end beats
@@ -247,7 +256,6 @@
       proceed(AttemptRules.afterNotRun(state()), "the endpoint is leaving");
       return;
     }
-    stopWatching();
     relay.begin();
     parts
         .log()
@@ -259,54 +267,40 @@
         .with("millis", sinceArrival())
         .write();
     call = parts.pool().send(target.get(), outgoing(endpointId), relay);
-    watch();
+    watch.start();
   }
 
-  /**
-   * Leaves an endpoint that has gone silent.
-   *
-   * <p>Failure: an endpoint or the way to it goes dark while a request is there. It shows as
-   * silence on an open connection. Guard: where the request may be repeated or resumed, silence
-   * ends the attempt; the closed connection ends the work there, if the endpoint lives.
-   */
-  private void watch() {
-    long suspectMillis = (long) (route.objective().toMillis() * SUSPECT_OBJECTIVES);
-    long stallMillis = (long) (route.objective().toMillis() * STALL_OBJECTIVES);
-    long sinceHeard = Duration.between(relay.lastHeard(), parts.clock().instant()).toMillis();
-    if (sinceHeard >= stallMillis) {
-      stalled(sinceHeard);
-      return;
-    }
+  /** Tells the coordinator of a silent endpoint, so that others are placed elsewhere. */
+  @Override
+  public void suspicious(Duration silence) {
     SlotKey held = slot;
-    if (sinceHeard < suspectMillis) {
-      stallMillis = suspectMillis;
-    } else if (held != null) {
-      line("endpoint.silent").with("endpoint", endpoint).with("silentMillis", sinceHeard).write();
+    if (held != null) {
+      line("endpoint.silent")
+          .with("endpoint", endpoint)
+          .with("silentMillis", silence.toMillis())
+          .write();
       parts.slots().suspect(held);
     }
-    watcher =
-        parts
-            .executor()
-            .schedule(this::watchAgain, stallMillis - sinceHeard, TimeUnit.MILLISECONDS);
   }
 
-  private void watchAgain() {
-    if (!done && call != null) {
-      watch();
-    }
-  }
-
-  private void stalled(long millis) {
+  /**
+   * Leaves a silent endpoint where the request may be repeated or resumed; the closed connection
+   * ends the work there, if the endpoint lives.
+   */
+  @Override
+  public boolean stalled(Duration silence) {
     AttemptRules.State after =
         new AttemptRules.State(runs + 1, turnedAway, relay.headSent(), hasTime());
     NextStep next = AttemptRules.afterBreak(route, after);
-    if (next == NextStep.SEND_AGAIN || next == NextStep.RESUME) {
-      EndpointCall silent = call;
-      if (silent != null) {
-        silent.abort();
-      }
-      broken(true, "silent for " + millis + " ms");
+    if (next != NextStep.SEND_AGAIN && next != NextStep.RESUME) {
+      return true;
     }
+    EndpointCall silent = call;
+    if (silent != null) {
+      silent.abort();
+    }
+    broken(true, "silent for " + silence.toMillis() + " ms");
+    return false;
   }
 
   private FullHttpRequest outgoing(String endpointId) {
@@ -378,9 +372,7 @@
    * callers that lost interest, nothing would ever count against the endpoint.
    */
   private SlotOutcome abandoned() {
-    long stallMillis = (long) (route.objective().toMillis() * STALL_OBJECTIVES);
-    long silent = Duration.between(relay.lastHeard(), parts.clock().instant()).toMillis();
-    return call != null && silent >= stallMillis ? SlotOutcome.FAILED : SlotOutcome.ABANDONED;
+    return call != null && watch.stalled() ? SlotOutcome.FAILED : SlotOutcome.ABANDONED;
   }
 
   private void finish(SlotOutcome outcome) {
@@ -388,7 +380,7 @@
     if (timer != null) {
       timer.cancel(false);
     }
-    stopWatching();
+    watch.stop();
     boolean whole = outcome == SlotOutcome.ANSWERED || outcome == SlotOutcome.ERROR;
     if (call != null && !whole) {
       call.abort();
@@ -397,13 +389,6 @@
     release(outcome);
   }
 
-  private void stopWatching() {
-    if (watcher != null) {
-      watcher.cancel(false);
-      watcher = null;
-    }
-  }
-
   private void excludeCurrent(SlotOutcome outcome) {
     if (endpoint != null) {
       excluded.add(endpoint);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -10,6 +10,7 @@
 import io.hawthornlb.gateway.wire.EndpointCall;
 import io.hawthornlb.gateway.wire.EndpointCallListener;
 import io.hawthornlb.gateway.wire.EventSplitter;
+import io.hawthornlb.gateway.wire.SilenceWatch;
 import io.hawthornlb.gateway.wire.StreamEvent;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -26,7 +27,6 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
@@ -34,7 +34,7 @@
  * Runs one item until it is done: gives way when its slot is revoked, and goes on after the last
  * whole event at whatever endpoint is free next.
  */
-final class ItemRun implements AskWindow.Asker {
+final class ItemRun implements AskWindow.Asker, SilenceWatch.Listener {
 
   /** Time that an item waits at a coordinator before it asks anew, in case that one is gone. */
   private static final Duration SLOT_WAIT = Duration.ofSeconds(2);
@@ -43,7 +43,8 @@
   private static final Duration PAUSE = Duration.ofMillis(100);
 
   /** Silence after which a stream is taken for lost; events come every 20 to 30 ms. */
-  private static final Duration STALL = Duration.ofSeconds(2);
+  private static final SilenceWatch.Limits SILENCE =
+      new SilenceWatch.Limits(Duration.ofSeconds(2), Duration.ofSeconds(2));
 
   private final JobParts parts;
   private final Job job;
@@ -51,6 +52,7 @@
   private final Instant due;
   private final ItemOutcome outcome;
   private final AskWindow window;
+  private final SilenceWatch watch;
   private final RunEstimate estimate;
   private final ItemOutput output;
   private final Set<String> excluded = new HashSet<>();
@@ -59,8 +61,7 @@
   private int failures;
   private @Nullable SlotKey slot;
   private @Nullable EndpointCall call;
-  private @Nullable ScheduledFuture<?> timer;
-  private @Nullable Instant lastEvent;
+  private Instant lastEvent;
   private boolean asking;
   private boolean stopped;
 
@@ -81,6 +82,8 @@
     this.due = due;
     this.outcome = outcome;
     this.window = window;
+    this.lastEvent = parts.clock().instant();
+    this.watch = new SilenceWatch(parts.executor(), parts.clock(), SILENCE, () -> lastEvent, this);
   }
 
   void start() {
@@ -189,7 +192,7 @@
     sentAt = lastEvent;
     line("item.sent").with("endpoint", endpointId).with("after", output.lastEventId()).write();
     call = parts.pool().send(target.get(), outgoing(endpointId), new Answer(endpointId));
-    watch();
+    watch.start();
   }
 
   private FullHttpRequest outgoing(String endpointId) {
@@ -211,22 +214,17 @@
         new DefaultHttpHeaders());
   }
 
-  private void watch() {
-    timer = parts.executor().schedule(this::checkStall, STALL.toMillis(), TimeUnit.MILLISECONDS);
+  @Override
+  public void suspicious(Duration silence) {
+    // An item has time; online requests find out whether the endpoint is silent.
   }
 
-  private void checkStall() {
-    Instant last = lastEvent;
-    if (stopped || call == null || last == null) {
-      return;
-    }
-    if (parts.clock().instant().isAfter(last.plus(STALL))) {
-      line("item.stalled").with("after", output.lastEventId()).write();
-      end(SlotOutcome.FAILED);
-      again(PAUSE);
-    } else {
-      watch();
-    }
+  @Override
+  public boolean stalled(Duration silence) {
+    line("item.stalled").with("after", output.lastEventId()).write();
+    end(SlotOutcome.FAILED);
+    again(PAUSE);
+    return false;
   }
 
   private void again(Duration pause) {
@@ -238,10 +236,7 @@
       ran = ran.plus(Duration.between(sentAt, parts.clock().instant()));
       sentAt = null;
     }
-    if (timer != null) {
-      timer.cancel(false);
-      timer = null;
-    }
+    watch.stop();
     if (call != null) {
       if (how != SlotOutcome.ANSWERED) {
         call.abort();
