--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -122,9 +122,7 @@
     instances.announce();
     loop.execute(jobs::start);
     front.bind(loop, settings.front());
-    ReadyServer readiness = new ReadyServer(this::ready, new MetricsText(metrics));
-    readiness.bind(loop, settings.ready());
-    readiness.bind(loop, settings.metrics());
+    bindReadiness();
     log.important("process", "started").with("instance", settings.self().name()).write();
   }
 
@@ -154,6 +152,12 @@
     return caller;
   }
 
+  private void bindReadiness() {
+    ReadyServer readiness = new ReadyServer(this::ready, new MetricsText(metrics));
+    readiness.bind(loop, settings.ready());
+    readiness.bind(loop, settings.metrics());
+  }
+
   private void beginStop(CountDownLatch done) {
     stopping = true;
     log.important("process", "stopping").with("active", front.active()).write();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSettings.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSettings.java
@@ -51,4 +51,45 @@
           Duration.ofSeconds(2),
           Duration.ofSeconds(8),
           Duration.ofMillis(500));
+
+  /** Returns a builder that starts from the defaults. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Builds settings that differ from the defaults. */
+  public static final class Builder {
+
+    private double outlierShare = DEFAULT.outlierShare();
+    private Duration returnTime = DEFAULT.returnTime();
+
+    private Builder() {}
+
+    /** Sets the share of failures from which on an endpoint is avoided. */
+    public Builder outlierShare(double share) {
+      outlierShare = share;
+      return this;
+    }
+
+    /** Sets the time for which a refused caller is expected. */
+    public Builder returnTime(Duration time) {
+      returnTime = time;
+      return this;
+    }
+
+    /** Returns the settings. */
+    public SlotSettings build() {
+      return new SlotSettings(
+          DEFAULT.leaseTime(),
+          DEFAULT.firstPenalty(),
+          DEFAULT.maxPenalty(),
+          DEFAULT.shedPenalty(),
+          DEFAULT.cutPenalty(),
+          DEFAULT.tryTime(),
+          outlierShare,
+          DEFAULT.outlierTime(),
+          DEFAULT.maxOutlierTime(),
+          returnTime);
+    }
+  }
 }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/OutlierReplayTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/OutlierReplayTest.java
@@ -38,17 +38,7 @@
 
   /** Settings under which no endpoint ever counts as failing. */
   private static final SlotSettings NAIVE =
-      new SlotSettings(
-          SlotSettings.DEFAULT.leaseTime(),
-          SlotSettings.DEFAULT.firstPenalty(),
-          SlotSettings.DEFAULT.maxPenalty(),
-          SlotSettings.DEFAULT.shedPenalty(),
-          SlotSettings.DEFAULT.cutPenalty(),
-          SlotSettings.DEFAULT.tryTime(),
-          Double.POSITIVE_INFINITY,
-          SlotSettings.DEFAULT.outlierTime(),
-          SlotSettings.DEFAULT.maxOutlierTime(),
-          SlotSettings.DEFAULT.returnTime());
+      SlotSettings.builder().outlierShare(Double.POSITIVE_INFINITY).build();
 
   private final CoordinatorFixture fixture = new CoordinatorFixture();
 
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/ReturnReplayTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/ReturnReplayTest.java
@@ -44,17 +44,7 @@
 
   /** Settings under which a refused caller keeps no place. */
   private static final SlotSettings NAIVE =
-      new SlotSettings(
-          SlotSettings.DEFAULT.leaseTime(),
-          SlotSettings.DEFAULT.firstPenalty(),
-          SlotSettings.DEFAULT.maxPenalty(),
-          SlotSettings.DEFAULT.shedPenalty(),
-          SlotSettings.DEFAULT.cutPenalty(),
-          SlotSettings.DEFAULT.tryTime(),
-          SlotSettings.DEFAULT.outlierShare(),
-          SlotSettings.DEFAULT.outlierTime(),
-          SlotSettings.DEFAULT.maxOutlierTime(),
-          Duration.ofMillis(-1));
+      SlotSettings.builder().returnTime(Duration.ofMillis(-1)).build();
 
   @ParameterizedTest
   @CsvSource({"1,43", "2,43", "3,50", "4,50", "5,60", "6,60"})
