Share partitions only once the fleet is known

Each restart would still have moved partitions. Before: JobRunnersTest.joinsNobodyBeforeTheFleetIsKnown fails (the process joins at once). After: passes. Tests of jobs share one fixture.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRunners.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRunners.java
@@ -8,8 +8,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
-import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 
 /** Shares the partitions of all jobs among the processes, and runs those of this process. */
 public final class JobRunners {
@@ -30,13 +31,16 @@
   /** Added after a refused fence, so that the next epoch is above the one that refused it. */
   private static final long EPOCH_STEP = 1_000;
 
+  /** Rank of a process that does not know the fleet yet: it takes nothing from others. */
+  private static final int UNKNOWN_RANK = Integer.MAX_VALUE;
+
   private final JobParts parts;
   private final JobReplicas replicas;
   private final JobService service;
   private final HoldNotices notices;
   private final String name;
   private final long startEpoch;
-  private final IntSupplier rank;
+  private final Supplier<OptionalInt> rank;
   private final HolderSelection selection;
   private final Map<Integer, PartitionRunner> runners = new HashMap<>();
   private final Map<Integer, Long> bumps = new HashMap<>();
@@ -48,7 +52,8 @@
   /**
    * Creates the runners of a process.
    *
-   * @param rank place of this process among those of the fleet that do not seem silent, from 0
+   * @param rank place of this process among those of the fleet that do not seem silent, from 0;
+   *     empty until the fleet is known
    */
   public JobRunners(
       JobParts parts,
@@ -56,7 +61,7 @@
       HoldNotices notices,
       String member,
       int partitions,
-      IntSupplier rank) {
+      Supplier<OptionalInt> rank) {
     this.parts = parts;
     this.rank = rank;
     this.selection = new HolderSelection(partitions);
@@ -81,7 +86,7 @@
     if (leaving) {
       return;
     }
-    if (selection.member(rank.getAsInt(), parts.clock().instant())) {
+    if (selection.member(rank.get().orElse(UNKNOWN_RANK), parts.clock().instant())) {
       member = true;
       join();
     } else {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -27,6 +27,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.OptionalInt;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -99,7 +100,7 @@
             new PeerHoldNotices(fleet, transport),
             settings.self().name(),
             settings.jobPartitions(),
-            () -> fleet.rankOfSelf(JOBS, clock.instant()));
+            () -> rank(fleet));
     ForwardingHandler handler =
         new ForwardingHandler(
             new ForwardingHandler.Parts(
@@ -152,6 +153,18 @@
     return caller;
   }
 
+  /**
+   * Returns the place of this process among those that may share the partitions of jobs.
+   *
+   * <p>Before the list is read this process knows of itself alone and would take itself for the
+   * first one: each restart of any process would move partitions.
+   */
+  private OptionalInt rank(FleetView fleet) {
+    return instances.loaded()
+        ? OptionalInt.of(fleet.rankOfSelf(JOBS, clock.instant()))
+        : OptionalInt.empty();
+  }
+
   private void bindReadiness() {
     ReadyServer readiness = new ReadyServer(this::ready, new MetricsText(metrics));
     readiness.bind(loop, settings.ready());
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/InstanceSource.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/InstanceSource.java
@@ -33,6 +33,7 @@
   private final ScheduledExecutorService executor;
   private final EventLog log;
   private boolean leaving;
+  private boolean loaded;
 
   InstanceSource(FleetView fleet, LogStore store, ScheduledExecutorService executor, EventLog log) {
     this.fleet = fleet;
@@ -65,9 +66,15 @@
     store.append(new AppendCall(TOPIC, 0, List.of(record), null));
   }
 
+  /** Returns whether the list was read. */
+  boolean loaded() {
+    return loaded;
+  }
+
   @Override
   public void onAll(List<KeyedRecord> records) {
     onRecords(records);
+    loaded = true;
   }
 
   @Override
--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
@@ -0,0 +1,116 @@
+package io.hawthornlb.gateway.job;
+
+import io.hawthornlb.gateway.SilentEventLog;
+import io.hawthornlb.gateway.endpoint.EndpointDirectory;
+import io.hawthornlb.gateway.front.FrontRequest;
+import io.hawthornlb.gateway.metric.GatewayMetrics;
+import io.hawthornlb.gateway.route.ConfigHolder;
+import io.hawthornlb.gateway.slot.SlotAnswer;
+import io.hawthornlb.gateway.slot.SlotClient;
+import io.hawthornlb.gateway.slot.SlotKey;
+import io.hawthornlb.gateway.slot.SlotOutcome;
+import io.hawthornlb.gateway.slot.SlotRequest;
+import io.hawthornlb.gateway.store.LogStore;
+import io.hawthornlb.gateway.wire.EndpointPool;
+import io.hawthornlb.gateway.wire.HeaderNames;
+import io.hawthornlb.gateway.wire.ToldLoad;
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+
+/** What jobs need beside a log, an event loop and a clock. */
+final class JobFixture {
+
+  /** The one endpoint to which all items go. */
+  static final String ENDPOINT = "e0";
+
+  private static final HeaderNames NAMES =
+      new HeaderNames(
+          "Test-Id",
+          "Test-Remaining",
+          "Test-Expect",
+          "Test-Not-Run",
+          "Test-Signature",
+          "Last-Event-Id",
+          headers -> Optional.empty());
+
+  private JobFixture() {}
+
+  static JobParts parts(
+      LogStore store,
+      EventLoop loop,
+      InstantSource clock,
+      ConfigHolder config,
+      EndpointDirectory directory) {
+    return new JobParts(
+        config,
+        directory,
+        new FreeSlots(),
+        new EndpointPool(loop, NAMES),
+        NAMES,
+        store,
+        Duration.ofSeconds(120),
+        "a",
+        loop,
+        clock,
+        new SilentEventLog(),
+        new GatewayMetrics());
+  }
+
+  /** Notices that reach nobody. */
+  static final class SilentNotices implements HoldNotices {
+
+    @Override
+    public void held(int partition, long epoch) {}
+
+    @Override
+    public void onHeld(Listener listener) {}
+  }
+
+  /** Format that takes no request for a call about a job. */
+  static final class NoCalls implements JobFormat {
+
+    @Override
+    public Optional<JobCall> call(FrontRequest request) {
+      return Optional.empty();
+    }
+
+    @Override
+    public byte[] results(int total, int after, List<JobResult> results) {
+      return new byte[0];
+    }
+
+    @Override
+    public String resultsType() {
+      return "text/plain";
+    }
+  }
+
+  /** Grants each request at once. */
+  private static final class FreeSlots implements SlotClient {
+
+    private long numbers;
+
+    @Override
+    public void acquire(SlotRequest request, Listener listener) {
+      listener.onAnswer(new SlotAnswer.Granted(request.key(), ENDPOINT));
+    }
+
+    @Override
+    public void release(SlotKey key, SlotOutcome outcome) {}
+
+    @Override
+    public void suspect(SlotKey key) {}
+
+    @Override
+    public void told(SlotKey key, ToldLoad load) {}
+
+    @Override
+    public SlotKey nextKey() {
+      numbers++;
+      return new SlotKey("holder", numbers);
+    }
+  }
+}
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobRunnersTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobRunnersTest.java
@@ -5,8 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.hawthornlb.gateway.VirtualLoop;
+import io.hawthornlb.gateway.endpoint.EndpointDirectory;
+import io.hawthornlb.gateway.route.ConfigHolder;
 import io.hawthornlb.gateway.store.LogStore.AppendCall;
 import io.hawthornlb.gateway.store.LogStore.FencedWriter;
+import io.hawthornlb.gateway.store.LogStore.GroupJoin;
 import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
 import io.hawthornlb.gateway.store.StoreException;
 import io.hawthornlb.gateway.store.support.InMemoryLogStore;
@@ -14,6 +17,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletionStage;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -72,6 +76,34 @@
     assertEquals(1, replica.table().find("j").orElseThrow().resultCount());
   }
 
+  /**
+   * Reports of a large fleet stand still for a moment with each restart of any gateway: it took
+   * itself for the only one, joined those that share the partitions, and all of them moved.
+   */
+  @Test
+  void joinsNobodyBeforeTheFleetIsKnown() {
+    OptionalInt[] rank = {OptionalInt.empty()};
+    JobRunners runners =
+        new JobRunners(
+            JobFixture.parts(store, time.loop(), time, new ConfigHolder(), new EndpointDirectory()),
+            new JobFixture.NoCalls(),
+            new JobFixture.SilentNotices(),
+            "g1",
+            2,
+            () -> rank[0]);
+    runners.start();
+    time.advance(Duration.ofSeconds(2));
+    assertEquals(1, generation("other"));
+    rank[0] = OptionalInt.of(0);
+    time.advance(Duration.ofSeconds(2));
+    assertEquals(2, generation("other"));
+  }
+
+  private long generation(String member) {
+    GroupJoin join = new GroupJoin("runners", member, JobReplicas.TOPIC, Duration.ofSeconds(3), 0);
+    return join(store.join(join)).generation();
+  }
+
   @Test
   void spreadsJobsOverAllPartitions() {
     JobReplicas replicas = new JobReplicas(store, 12, time.loop());
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PartitionRunnerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PartitionRunnerTest.java
@@ -7,26 +7,16 @@
 
 import io.hawthornlb.gateway.ScriptedEndpoint;
 import io.hawthornlb.gateway.ScriptedEndpoint.After;
-import io.hawthornlb.gateway.SilentEventLog;
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
-import io.hawthornlb.gateway.metric.GatewayMetrics;
 import io.hawthornlb.gateway.route.CallerLimits;
 import io.hawthornlb.gateway.route.ConfigHolder;
 import io.hawthornlb.gateway.route.Route;
 import io.hawthornlb.gateway.route.RouteKind;
 import io.hawthornlb.gateway.route.RoutingConfig;
 import io.hawthornlb.gateway.route.ServiceShare;
-import io.hawthornlb.gateway.slot.SlotAnswer;
-import io.hawthornlb.gateway.slot.SlotClient;
-import io.hawthornlb.gateway.slot.SlotKey;
-import io.hawthornlb.gateway.slot.SlotOutcome;
-import io.hawthornlb.gateway.slot.SlotRequest;
 import io.hawthornlb.gateway.store.LogStore.AppendCall;
 import io.hawthornlb.gateway.store.support.InMemoryLogStore;
-import io.hawthornlb.gateway.wire.EndpointPool;
-import io.hawthornlb.gateway.wire.HeaderNames;
-import io.hawthornlb.gateway.wire.ToldLoad;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -35,7 +25,6 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -45,16 +34,6 @@
   private static final int MAX_ATTEMPTS = 3;
   private static final String FAILED =
       "HTTP/1.1 500 Failed\r\nTest-Id: {id}\r\nTest-Signature: s\r\nContent-Length: 0\r\n\r\n";
-  private static final HeaderNames NAMES =
-      new HeaderNames(
-          "Test-Id",
-          "Test-Remaining",
-          "Test-Expect",
-          "Test-Not-Run",
-          "Test-Signature",
-          "Last-Event-Id",
-          headers -> Optional.empty());
-
   private final EventLoop loop =
       (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
   private final InMemoryLogStore store = new InMemoryLogStore(loop, 1);
@@ -64,7 +43,8 @@
 
   PartitionRunnerTest() throws IOException {
     endpoint = new ScriptedEndpoint();
-    directory.put(new EndpointRecord("e0", "engine", endpoint.address(), "a", 8, false));
+    directory.put(
+        new EndpointRecord(JobFixture.ENDPOINT, "engine", endpoint.address(), "a", 8, false));
     Route route =
         new Route(
             "r",
@@ -88,32 +68,6 @@
     loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 
-  /** Grants each request at once. */
-  private static final class FreeSlots implements SlotClient {
-
-    private long numbers;
-
-    @Override
-    public void acquire(SlotRequest request, Listener listener) {
-      listener.onAnswer(new SlotAnswer.Granted(request.key(), "e0"));
-    }
-
-    @Override
-    public void release(SlotKey key, SlotOutcome outcome) {}
-
-    @Override
-    public void suspect(SlotKey key) {}
-
-    @Override
-    public void told(SlotKey key, ToldLoad load) {}
-
-    @Override
-    public SlotKey nextKey() {
-      numbers++;
-      return new SlotKey("holder", numbers);
-    }
-  }
-
   /**
    * A report that can never be done keeps endpoints busy after each restart. Its runs had failed as
    * often as the route allows, but half of them at a holder that was killed, and the next one began
@@ -192,29 +146,9 @@
   }
 
   private PartitionRunner runner(JobReplica replica, long epoch) {
-    JobParts parts =
-        new JobParts(
-            config,
-            directory,
-            new FreeSlots(),
-            new EndpointPool(loop, NAMES),
-            NAMES,
-            store,
-            Duration.ofSeconds(120),
-            "a",
-            loop,
-            InstantSource.system(),
-            new SilentEventLog(),
-            new GatewayMetrics());
-    HoldNotices silent =
-        new HoldNotices() {
-          @Override
-          public void held(int partition, long heldEpoch) {}
-
-          @Override
-          public void onHeld(Listener listener) {}
-        };
-    PartitionRunner runner = new PartitionRunner(parts, replica, 0, epoch, silent, lost -> {});
+    JobParts parts = JobFixture.parts(store, loop, InstantSource.system(), config, directory);
+    PartitionRunner runner =
+        new PartitionRunner(parts, replica, 0, epoch, new JobFixture.SilentNotices(), lost -> {});
     loop.execute(runner::start);
     return runner;
   }
