--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -77,6 +77,7 @@
   private @Nullable SlotKey slot;
   private @Nullable EndpointCall call;
   private @Nullable String endpoint;
+  private Instant asked = Instant.MIN;
   private int runs;
   private int turnedAway;
   private boolean done;
@@ -185,6 +186,7 @@
   private void acquire() {
     SlotKey key = parts.slots().nextKey();
     slot = key;
+    asked = parts.clock().instant();
     SlotRequest wanted =
         new SlotRequest(
             key,
@@ -242,10 +244,22 @@
       send(granted.endpoint());
     } else if (answer instanceof SlotAnswer.Refused refused) {
       slot = null;
+      noSlot(refused);
       end(AttemptRules.gaveUp(state()), refused.retryAfter(), "no slot in time");
     }
   }
 
+  /** Logs what the coordinator saw, and how long ago it was asked. */
+  private void noSlot(SlotAnswer.Refused refused) {
+    line("slot.refused")
+        .with("slots", refused.seen().slots())
+        .with("used", refused.seen().used())
+        .with("waiting", refused.seen().waiting())
+        .with("excluded", excluded.size())
+        .with("askedMillisAgo", Duration.between(asked, parts.clock().instant()).toMillis())
+        .write();
+  }
+
   private void send(String endpointId) {
     endpoint = endpointId;
     Optional<EndpointRecord> target = parts.directory().find(endpointId);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
@@ -349,7 +349,8 @@
       if (pending.remove(request.key()) == this) {
         fleet.silent(coordinator.name(), clock.instant());
         log.important("slot", "answer.lost").with("service", request.service()).write();
-        listener.onAnswer(new SlotAnswer.Refused(request.key(), REPEAT_AFTER));
+        listener.onAnswer(
+            new SlotAnswer.Refused(request.key(), REPEAT_AFTER, SlotAnswer.Load.UNKNOWN));
       }
     }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
@@ -116,6 +116,8 @@
     } else if (answer instanceof SlotAnswer.Refused refused) {
       packKey(packer.packInt(REFUSED), answer.key());
       packer.packLong(refused.retryAfter().toMillis());
+      SlotAnswer.Load seen = refused.seen();
+      packer.packInt(seen.slots()).packInt(seen.used()).packInt(seen.waiting());
     } else {
       packKey(packer.packInt(REVOKED), answer.key());
     }
@@ -148,7 +150,10 @@
       case REFUSED ->
           new PeerMessage.Answer(
               new SlotAnswer.Refused(
-                  unpackKey(unpacker), Duration.ofMillis(unpacker.unpackLong())));
+                  unpackKey(unpacker),
+                  Duration.ofMillis(unpacker.unpackLong()),
+                  new SlotAnswer.Load(
+                      unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackInt())));
       case REVOKED -> new PeerMessage.Answer(new SlotAnswer.Revoked(unpackKey(unpacker)));
       case RELEASE -> unpackRelease(unpacker);
       case RENEW -> unpackRenew(unpacker);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotAnswer.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotAnswer.java
@@ -26,8 +26,22 @@
    * The request gets no slot in time.
    *
    * @param retryAfter when a slot is likely free
+   * @param seen what decided it
    */
-  record Refused(SlotKey key, Duration retryAfter) implements SlotAnswer {}
+  record Refused(SlotKey key, Duration retryAfter, Load seen) implements SlotAnswer {}
+
+  /**
+   * Load of a service when a request was refused, for those who look for the cause later.
+   *
+   * @param slots slots of the endpoints that take requests
+   * @param used slots handed out to requests and items
+   * @param waiting online requests that wait
+   */
+  record Load(int slots, int used, int waiting) {
+
+    /** Says that the refusal was not due to load. */
+    public static final Load UNKNOWN = new Load(-1, -1, -1);
+  }
 
   /** The slot of a batch item is needed by an online request; the item must end now. */
   record Revoked(SlotKey key) implements SlotAnswer {}
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -79,7 +79,7 @@
       return List.of(waitingUntil(known, now));
     }
     if (crashes.barred(request.fingerprint(), now)) {
-      return List.of(new SlotAnswer.Refused(request.key(), crashes.remembered()));
+      return List.of(refused(request, crashes.remembered()));
     }
     List<SlotAnswer> answers = new ArrayList<>();
     boolean returning = refusedCallers.returned(request.fingerprint(), now);
@@ -203,7 +203,7 @@
   private SlotAnswer refuse(Waiter waiter, Instant now) {
     SlotRequest request = waiter.request();
     if (request.batch()) {
-      return new SlotAnswer.Refused(request.key(), Duration.ZERO);
+      return refused(request, Duration.ZERO);
     }
     int before = waiting.online() + refusedCallers.count(now);
     Duration queue = estimate.retryAfter(before, slots());
@@ -212,7 +212,12 @@
     if (!waiter.returning()) {
       refusedCallers.refused(request.fingerprint(), retryAfter, now);
     }
-    return new SlotAnswer.Refused(request.key(), retryAfter);
+    return refused(request, retryAfter);
+  }
+
+  private SlotAnswer refused(SlotRequest request, Duration retryAfter) {
+    SlotAnswer.Load seen = new SlotAnswer.Load(slots(), leases.size(), waiting.online());
+    return new SlotAnswer.Refused(request.key(), retryAfter, seen);
   }
 
   /** Takes a refusal; returns for how long the overload that it is due to is likely to last. */
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
@@ -135,7 +135,7 @@
     for (SlotAnswer late :
         List.of(
             new SlotAnswer.Waiting(request.key(), Duration.ofMillis(1)),
-            new SlotAnswer.Refused(request.key(), Duration.ofMillis(1)),
+            new SlotAnswer.Refused(request.key(), Duration.ofMillis(1), SlotAnswer.Load.UNKNOWN),
             new SlotAnswer.Revoked(request.key()))) {
       nodes.get(first.name()).send(asker.fleet.self(), new PeerMessage.Answer(late));
     }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
@@ -36,7 +36,8 @@
                 Set.of("e1", "e2"))),
         new PeerMessage.Answer(new SlotAnswer.Granted(KEY, "e1")),
         new PeerMessage.Answer(new SlotAnswer.Waiting(KEY, Duration.ofMillis(150))),
-        new PeerMessage.Answer(new SlotAnswer.Refused(KEY, Duration.ofMillis(250))),
+        new PeerMessage.Answer(
+            new SlotAnswer.Refused(KEY, Duration.ofMillis(250), new SlotAnswer.Load(48, 48, 3))),
         new PeerMessage.Answer(new SlotAnswer.Revoked(KEY)),
         new PeerMessage.Release("engine", KEY, SlotOutcome.FAILED),
         new PeerMessage.Suspect("engine", KEY),
