Take no requests late in a graceful stop

The balancer sends connections to processes that are not ready while fewer than half of a data centre's are. Before: ForwardingFailureTest.takesNoRequestLateInAStop fails (connections are taken to the end). Ruled out: closing at the signal (the balancer needs two misses to notice).

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontServer.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontServer.java
@@ -16,6 +16,7 @@
 import java.time.InstantSource;
 import java.util.HashSet;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 
 /** Takes callers' connections. */
 public final class FrontServer {
@@ -28,6 +29,7 @@
   private final InstantSource clock;
   private final EventLog log;
   private final Set<FrontConnection> connections = new HashSet<>();
+  private @Nullable Channel listening;
   private boolean draining;
 
   /** Creates a server that hands requests to a handler. */
@@ -41,15 +43,17 @@
 
   /** Binds an address and takes connections there. */
   public void bind(EventLoopGroup loop, InetSocketAddress address) {
-    new ServerBootstrap()
-        .group(loop)
-        .channel(NioServerSocketChannel.class)
-        .option(ChannelOption.SO_BACKLOG, BACKLOG)
-        .option(ChannelOption.SO_REUSEADDR, true)
-        .childOption(ChannelOption.TCP_NODELAY, true)
-        .childHandler(new Pipeline())
-        .bind(address)
-        .syncUninterruptibly();
+    listening =
+        new ServerBootstrap()
+            .group(loop)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new Pipeline())
+            .bind(address)
+            .syncUninterruptibly()
+            .channel();
   }
 
   /** Asks callers to leave: answers close their connections from now on. */
@@ -57,6 +61,15 @@
     draining = true;
   }
 
+  /** Takes no connections any more, and closes those on which no request is being handled. */
+  public void stopAccepting() {
+    Channel current = listening;
+    if (current != null) {
+      current.close();
+    }
+    closeIdle();
+  }
+
   /** Closes the connections on which no request is being handled. */
   public void closeIdle() {
     Set.copyOf(connections).forEach(FrontConnection::closeIfIdle);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -178,7 +178,22 @@
     front.drain();
     Instant now = clock.instant();
     Instant latest = now.plus(settings.stopTime()).minus(STOP_MARGIN);
-    pollStop(now.plus(LINGER), latest, done);
+    Instant earliest = now.plus(LINGER);
+    loop.schedule(this::stopAccepting, LINGER.toMillis(), TimeUnit.MILLISECONDS);
+    pollStop(earliest, latest, done);
+  }
+
+  /**
+   * Takes no requests from now on.
+   *
+   * <p>Failure: the balancer sends connections to a process that is not ready when few others of
+   * its data centre are. It shows as requests that come until the end, and of which the last are
+   * cut. Guard: once the balancer has had time to notice, connections are refused, and callers go
+   * to other processes at once.
+   */
+  private void stopAccepting() {
+    front.stopAccepting();
+    log.important("process", "accepts.no.more").with("active", front.active()).write();
   }
 
   private void pollStop(Instant earliest, Instant latest, CountDownLatch done) {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ForwardingFailureTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ForwardingFailureTest.java
@@ -6,14 +6,18 @@
 import static io.hawthornlb.gateway.ScriptedEndpoint.After.WAIT;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.hawthornlb.gateway.ScriptedEndpoint;
 import io.hawthornlb.gateway.front.GatewayFixture.Answer;
 import io.hawthornlb.gateway.route.RouteKind;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.Socket;
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -77,6 +81,29 @@
     assertTrue(answer.head().toLowerCase().contains("retry-after: 0."), answer.head());
   }
 
+  /**
+   * A coordinator's briefing is cut off midway while a gateway is restarted. It was taken seven
+   * seconds after the signal to stop, because the balancer still sent connections there, and the
+   * process ended a second later.
+   */
+  @Test
+  void takesNoRequestLateInAStop() throws Exception {
+    first.then(CHUNKED + "d\r\nid: 1\ndata: a\n\r\n", WAIT);
+    gateway.route(RouteKind.STREAM, 1, false, first);
+    try (Socket running = gateway.open("/a/", "x")) {
+      Awaitility.await().until(() -> first.requests().size() == 1);
+      gateway.stop();
+      Awaitility.await().until(() -> gateway.log().events().contains("process.stopping"));
+      gateway.raw("").close();
+      Awaitility.await()
+          .atMost(Duration.ofSeconds(5))
+          .until(() -> gateway.log().events().contains("process.accepts.no.more"));
+      assertThrows(ConnectException.class, () -> gateway.raw(""));
+      assertFalse(gateway.log().events().contains("process.stopped"));
+      assertTrue(running.isConnected());
+    }
+  }
+
   /**
    * A worker is paid twice for one check-in. The endpoint had run it when its connection broke, and
    * the request was sent to another one.
