--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/AskWindow.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/AskWindow.java
@@ -8,9 +8,9 @@
  * Lets a bounded number of a partition's items wait for slots, those that are to go first.
  *
  * <p>Load pattern: after an outage thousands of items wait, and each asks its coordinator anew
- * every two seconds in case that one is gone. 2,000 items make 3,000 datagrams a
- * second for slots that they do not get (worked out), and the coordinator answers online requests
- * late. Now 24 partitions keep at most 384 waiting, as many as there are slots in a trough.
+ * every two seconds in case that one is gone. 2,000 items make 3,000 datagrams a second for slots
+ * that they do not get (worked out), and the coordinator answers online requests late. Now 24
+ * partitions keep at most 384 waiting, as many as there are slots in a trough.
  */
 final class AskWindow {
 
