Wait for the partition whose key a test uses while the platform is away

It waited for a check-in of another key, whose partition is claimed at another time. What: it waits for a check-in that the same instance decides for; what it asserts is unchanged. Ruled out: waiting longer for any key (claims of 64 partitions come one after the other).

--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/EntryRunOnceTest.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/EntryRunOnceTest.java
@@ -3,9 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.hawthornlb.app.settings.ClaimSettings;
+import io.hawthornlb.core.model.PartitionId;
+import io.hawthornlb.core.runonce.RunOnceKey;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.stream.IntStream;
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -61,10 +65,11 @@
   }
 
   // The platform goes away on the night of a wedding. Check-ins go on, since the witnesses of the
-  // claim hold each intent before its dispatch.
+  // claim hold each intent before its dispatch. An instance can only decide for a key whose
+  // partition it had claimed before; partitions are claimed one after the other at the start.
   @Test
   void checkInsGoOnWhileThePlatformIsAway() {
-    awaitAnswer(checkIn(first, "key-3", "worker 20"));
+    awaitAnswer(checkIn(first, keyBeside("key-4"), "worker 20"));
 
     fleet.platformDown();
     HttpResponse<String> during = fleet.send(checkIn(second, "key-4", "worker 21"));
@@ -73,6 +78,21 @@
     assertEquals(1, fleet.callsOf("key-4"));
   }
 
+  /** Returns another key that the same instance decides for. */
+  private static String keyBeside(String key) {
+    PartitionId wanted = partition(key);
+    return IntStream.iterate(0, number -> number + 1)
+        .mapToObj(number -> "beside-" + number)
+        .filter(each -> partition(each).equals(wanted))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  private static PartitionId partition(String key) {
+    RunOnceKey named = new RunOnceKey(TestFleet.WORKSPACE, key);
+    return named.partition(ClaimSettings.DEFAULT.partitions());
+  }
+
   private HttpResponse<String> awaitAnswer(HttpRequest request) {
     return Awaitility.await()
         .atMost(Duration.ofSeconds(30))
--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/TestFleet.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/TestFleet.java
@@ -45,6 +45,7 @@
 final class TestFleet implements AutoCloseable {
 
   static final String KEY = "test-key";
+  static final WorkspaceId WORKSPACE = new WorkspaceId("weddings");
   static final String OPERATOR_KEY = "operator-key";
   static final String CHAT_SERVICE = "brief-llm";
   static final String PLAIN_SERVICE = "checkin-app";
@@ -190,11 +191,7 @@
             .build();
     WorkspaceEntry workspace =
         new WorkspaceEntry(
-            new WorkspaceId("weddings"),
-            "coordinators",
-            List.of(CatalogueIndex.hash(KEY)),
-            Limits.DEFAULT,
-            1);
+            WORKSPACE, "coordinators", List.of(CatalogueIndex.hash(KEY)), Limits.DEFAULT, 1);
     return new Catalogue(
         0, Map.of(chat.name(), chat, plain.name(), plain), Map.of(workspace.id(), workspace));
   }
