--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -313,7 +313,12 @@
     return records;
   }
 
-  /** Records what all items have gained, then stops; for a holder that leaves by itself. */
+  /**
+   * Records what all items have gained, then stops; for a holder that gives the partition away.
+   *
+   * <p>While another append is on its way nothing more is recorded: items then lose what they
+   * gained since the last record, and results that wait are produced again.
+   */
   void handOver() {
     List<KeyedRecord> records = writing || stopped ? List.of() : gained(1);
     if (!records.isEmpty()) {
