Open an endpoint again however a suspect's run alone ends

Cause: a request that ran at an engine when it crashed runs alone next, at an endpoint kept for it for two minutes at most. Only a good end or a crash that was counted opened that endpoint again. A run that found no listener, timed out or whose caller left did not: the suspect seemed to run alone for two minutes, and it and all others for that endpoint waited. That is the order in EntryLoadFailureTest.anEngineLostUnderLoadFailsNoRequest: the engine that is gone counts as suspect for 1 s and is missed by the list after 3 s; a suspect whose home it is goes there between the two, and hangs. Items of jobs had the same gap and use the same call.

--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/batch/StewardHost.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/batch/StewardHost.java
@@ -164,6 +164,10 @@
       return;
     }
     execution.cancel();
+    ItemWork work = works.get(ref);
+    if (work != null) {
+      suspects.left(work.fingerprint(), endpoint);
+    }
     int kept = execution.tokens();
     loop.execute(
         () -> perform(steward.onEnded(ref, BatchOutcome.PREEMPTED, kept, clock.instant())));
@@ -195,6 +199,8 @@
     if (fault == EndpointFault.BROKEN) {
       List<ItemWork> beside = running.keySet().stream().map(works::get).toList();
       suspects.broken(endpoint, address, works.get(ref), beside);
+    } else if (works.containsKey(ref)) {
+      suspects.left(works.get(ref).fingerprint(), endpoint);
     }
     FailureKind kind =
         switch (fault) {
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/batch/SuspectGate.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/batch/SuspectGate.java
@@ -60,6 +60,11 @@
     effects.perform(policies.suspects().onAloneSucceeded(fingerprint, endpoint, clock.instant()));
   }
 
+  /** Opens an endpoint again that a suspect has left, neither well nor by a crash. */
+  void left(Fingerprint fingerprint, EndpointId endpoint) {
+    effects.perform(policies.suspects().onAloneEnded(fingerprint, endpoint, clock.instant()));
+  }
+
   /** Looks whether a broken connection was a crash, and counts it for all that ran there. */
   void broken(EndpointId endpoint, String address, @Nullable ItemWork work, List<ItemWork> beside) {
     List<Fingerprint> fingerprints = new ArrayList<>();
@@ -80,5 +85,7 @@
     if (result.crashed() && result.firstToSee()) {
       effects.perform(policies.suspects().onCrash(endpoint, fingerprints, now));
     }
+    // Does nothing after a crash that was counted.
+    fingerprints.forEach(fingerprint -> left(fingerprint, endpoint));
   }
 }
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/CoreOnlineDecisions.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/CoreOnlineDecisions.java
@@ -193,8 +193,7 @@
       return;
     }
     Instant now = clock.instant();
-    Verdict verdict =
-        policies.suspects().judge(request.fingerprint(), accepting(request, now), now);
+    Verdict verdict = policies.suspects().judge(request.fingerprint(), candidates(state, now), now);
     if (verdict instanceof Verdict.Refused refused) {
       refuse(state, refused.refusal(), sink);
     } else if (verdict instanceof Verdict.Wait wait) {
@@ -222,6 +221,19 @@
     loop.after(wait.delay(), () -> choose(request, sink));
   }
 
+  /**
+   * Returns the endpoints that may run a suspect alone: those that take work and have not failed
+   * this request, or else all that take work.
+   */
+  private Set<EndpointId> candidates(ActiveRequest state, Instant now) {
+    Set<EndpointId> accepting = accepting(state.request(), now);
+    Set<EndpointId> untried =
+        accepting.stream()
+            .filter(endpoint -> !state.failed().contains(endpoint))
+            .collect(Collectors.toSet());
+    return untried.isEmpty() ? accepting : untried;
+  }
+
   private Set<EndpointId> accepting(OnlineRequest request, Instant now) {
     return policies.endpoints().of(request.service().name()).stream()
         .filter(endpoint -> endpoint.accepts(now))
@@ -346,6 +358,7 @@
   private void afterFailure(
       ActiveRequest state, RoutedAttempt attempt, EndpointFault fault, MonoSink<Duration> sink) {
     Instant now = clock.instant();
+    endAlone(state, attempt.endpoint());
     policies.inFlight().onFinished(attempt.endpoint(), now);
     state.failedAt(attempt.endpoint(), fault.mayHaveRun());
     FailedAttempt failed =
@@ -381,6 +394,7 @@
   private void leave(ActiveRequest state) {
     EndpointId endpoint = state.endpoint();
     if (endpoint != null) {
+      endAlone(state, endpoint);
       policies.inFlight().onFinished(endpoint, clock.instant());
       state.leftEndpoint();
     }
@@ -432,6 +446,23 @@
     }
   }
 
+  /**
+   * Opens the endpoint that was kept for a suspect.
+   *
+   * <p>Failure: an engine that crashed is tried again before the list lacks it, a suspect is sent
+   * there alone and finds no listener, or its caller leaves. It shows as requests that hang until
+   * their deadline, since the suspect seems to run alone for two minutes. Guard: whichever way a
+   * run alone ends, its endpoint is open again.
+   */
+  private void endAlone(ActiveRequest state, EndpointId endpoint) {
+    if (state.alone()) {
+      effects.perform(
+          policies
+              .suspects()
+              .onAloneEnded(state.request().fingerprint(), endpoint, clock.instant()));
+    }
+  }
+
   private void observe(EndpointId endpoint, Observation observation) {
     effects.perform(policies.endpoints().onObservation(endpoint, observation, clock.instant()));
   }
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/suspect/SuspectTable.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/suspect/SuspectTable.java
@@ -18,6 +18,14 @@
   /** Notes that a suspect that ran alone has ended without a crash. */
   List<Effect> onAloneSucceeded(Fingerprint fingerprint, EndpointId endpoint, Instant now);
 
+  /**
+   * Notes that a suspect has left the endpoint where it ran alone, neither well nor by a crash.
+   *
+   * <p>It stays a suspect; the endpoint is open again to all. Does nothing if the suspect does not
+   * run alone there.
+   */
+  List<Effect> onAloneEnded(Fingerprint fingerprint, EndpointId endpoint, Instant now);
+
   /** Takes a crash with the own requests that ran at the endpoint. */
   List<Effect> onCrash(EndpointId endpoint, List<Fingerprint> running, Instant now);
 
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/suspect/support/CountingSuspectTable.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/suspect/support/CountingSuspectTable.java
@@ -94,6 +94,11 @@
     return effects;
   }
 
+  @Override
+  public List<Effect> onAloneEnded(Fingerprint fingerprint, EndpointId endpoint, Instant now) {
+    return fingerprint.equals(ownAlone.get(endpoint)) ? endAlone(endpoint, now) : List.of();
+  }
+
   @Override
   public List<Effect> onCrash(EndpointId endpoint, List<Fingerprint> running, Instant now) {
     Fingerprint alone = ownAlone.get(endpoint);
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/suspect/support/TrustingSuspectTable.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/suspect/support/TrustingSuspectTable.java
@@ -34,6 +34,11 @@
     return List.of();
   }
 
+  @Override
+  public List<Effect> onAloneEnded(Fingerprint fingerprint, EndpointId endpoint, Instant now) {
+    return List.of();
+  }
+
   @Override
   public List<Effect> onCrash(EndpointId endpoint, List<Fingerprint> running, Instant now) {
     return List.of();
