Move what is known of suspects out of the online decisions

SuspectRuns takes judging, runs alone and crashes. AloneRunFailureTest and SuspectFailureTest pass as before; no behaviour changes.

--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/CoreOnlineDecisions.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/entry/CoreOnlineDecisions.java
@@ -31,8 +31,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
@@ -47,6 +45,7 @@
   private final OnlinePolicies policies;
   private final CrashDetector crashes;
   private final EffectSink effects;
+  private final SuspectRuns suspects;
   private final RequestObserver observer;
   private final DataCentre dataCentre;
   private final int mostRequests;
@@ -69,6 +68,7 @@
     this.policies = policies;
     this.crashes = crashes;
     this.effects = effects;
+    this.suspects = new SuspectRuns(policies, effects, clock);
     this.observer = observer;
     this.dataCentre = dataCentre;
     this.mostRequests = mostRequests;
@@ -106,7 +106,7 @@
             return;
           }
           observer.succeeded(state.request(), since(state));
-          clearSuspicion(state, attempt.endpoint());
+          suspects.succeeded(state, attempt.endpoint());
           leave(state);
         });
   }
@@ -135,7 +135,7 @@
   /** Lets requests that wait start or refuses them, as time calls for; on the loop. */
   public void tick() {
     perform(policies.admission().onTick(clock.instant()));
-    effects.perform(policies.suspects().onTick(clock.instant()));
+    suspects.tick(clock.instant());
   }
 
   /** Refuses every new request from now on; on the loop. */
@@ -193,7 +193,7 @@
       return;
     }
     Instant now = clock.instant();
-    Verdict verdict = policies.suspects().judge(request.fingerprint(), candidates(state, now), now);
+    Verdict verdict = suspects.judge(state, now);
     if (verdict instanceof Verdict.Refused refused) {
       refuse(state, refused.refusal(), sink);
     } else if (verdict instanceof Verdict.Wait wait) {
@@ -221,26 +221,6 @@
     loop.after(wait.delay(), () -> choose(request, sink));
   }
 
-  /**
-   * Returns the endpoints that may run a suspect alone: those that take work and have not failed
-   * this request, or else all that take work.
-   */
-  private Set<EndpointId> candidates(ActiveRequest state, Instant now) {
-    Set<EndpointId> accepting = accepting(state.request(), now);
-    Set<EndpointId> untried =
-        accepting.stream()
-            .filter(endpoint -> !state.failed().contains(endpoint))
-            .collect(Collectors.toSet());
-    return untried.isEmpty() ? accepting : untried;
-  }
-
-  private Set<EndpointId> accepting(OnlineRequest request, Instant now) {
-    return policies.endpoints().of(request.service().name()).stream()
-        .filter(endpoint -> endpoint.accepts(now))
-        .map(Endpoint::id)
-        .collect(Collectors.toSet());
-  }
-
   private void startAlone(
       ActiveRequest state, EndpointId target, MonoSink<RoutedAttempt> sink, Instant now) {
     Endpoint endpoint = policies.endpoints().find(target).orElse(null);
@@ -248,7 +228,7 @@
       refuse(state, noEndpoint("the endpoint has gone"), sink);
       return;
     }
-    effects.perform(policies.suspects().onAloneStarted(state.request().fingerprint(), target, now));
+    suspects.started(state, target, now);
     start(state, target, endpoint.address(), true, sink, now);
   }
 
@@ -345,12 +325,10 @@
     EndpointId endpoint = attempt.endpoint();
     observe(endpoint, result.crashed() ? Observation.CRASH : Observation.FAILURE);
     if (result.crashed() && result.firstToSee()) {
-      List<io.hawthornlb.core.suspect.Fingerprint> suspects =
-          running.stream().map(OnlineRequest::fingerprint).distinct().toList();
       policies.prefixes().onLost(endpoint, now);
-      effects.perform(policies.suspects().onCrash(endpoint, suspects, now));
+      suspects.crashed(endpoint, running, now);
     } else if (!result.crashed()) {
-      clearSuspicion(state, endpoint);
+      suspects.succeeded(state, endpoint);
     }
     afterFailure(state, attempt, EndpointFault.BROKEN, sink);
   }
@@ -358,7 +336,7 @@
   private void afterFailure(
       ActiveRequest state, RoutedAttempt attempt, EndpointFault fault, MonoSink<Duration> sink) {
     Instant now = clock.instant();
-    endAlone(state, attempt.endpoint());
+    suspects.left(state, attempt.endpoint());
     policies.inFlight().onFinished(attempt.endpoint(), now);
     state.failedAt(attempt.endpoint(), fault.mayHaveRun());
     FailedAttempt failed =
@@ -394,7 +372,7 @@
   private void leave(ActiveRequest state) {
     EndpointId endpoint = state.endpoint();
     if (endpoint != null) {
-      endAlone(state, endpoint);
+      suspects.left(state, endpoint);
       policies.inFlight().onFinished(endpoint, clock.instant());
       state.leftEndpoint();
     }
@@ -437,32 +415,6 @@
     }
   }
 
-  private void clearSuspicion(ActiveRequest state, EndpointId endpoint) {
-    if (state.alone()) {
-      effects.perform(
-          policies
-              .suspects()
-              .onAloneSucceeded(state.request().fingerprint(), endpoint, clock.instant()));
-    }
-  }
-
-  /**
-   * Opens the endpoint that was kept for a suspect.
-   *
-   * <p>Failure: an engine that crashed is tried again before the list lacks it, a suspect is sent
-   * there alone and finds no listener, or its caller leaves. It shows as requests that hang until
-   * their deadline, since the suspect seems to run alone for two minutes. Guard: whichever way a
-   * run alone ends, its endpoint is open again.
-   */
-  private void endAlone(ActiveRequest state, EndpointId endpoint) {
-    if (state.alone()) {
-      effects.perform(
-          policies
-              .suspects()
-              .onAloneEnded(state.request().fingerprint(), endpoint, clock.instant()));
-    }
-  }
-
   private void observe(EndpointId endpoint, Observation observation) {
     effects.perform(policies.endpoints().onObservation(endpoint, observation, clock.instant()));
   }
