--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontConnection.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontConnection.java
@@ -29,7 +29,6 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
@@ -310,7 +309,7 @@
     public void own(int status, @Nullable Duration retryAfter) {
       HttpHeaders headers = new DefaultHttpHeaders();
       if (retryAfter != null) {
-        headers.set(HttpHeaderNames.RETRY_AFTER, seconds(retryAfter));
+        headers.set(HttpHeaderNames.RETRY_AFTER, RetryAfter.seconds(retryAfter));
       }
       whole(status, headers, new byte[0]);
     }
@@ -376,9 +375,5 @@
         headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
       }
     }
-
-    private static String seconds(Duration time) {
-      return String.format(Locale.ROOT, "%.2f", time.toMillis() / 1000.0);
-    }
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/HoldNotices.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/HoldNotices.java
@@ -19,6 +19,6 @@
   interface Listener {
 
     /** Takes a notice; the higher epoch is the later holder's. */
-    void onHeld(int partition, long epoch);
+    void onHeld(String holder, int partition, long epoch);
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRecords.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRecords.java
@@ -72,6 +72,12 @@
     return new Key(fields[0], fields[1], number);
   }
 
+  /** Returns whether a key is that of progress of an item. */
+  static boolean progressOf(String key, String itemId) {
+    String[] fields = key.split(String.valueOf(SEPARATOR));
+    return fields[0].equals(PROGRESS) && fields[2].equals(itemId);
+  }
+
   static KeyedRecord end(String jobId) {
     return new KeyedRecord(END + SEPARATOR + jobId, new byte[] {1});
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobReplica.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobReplica.java
@@ -31,11 +31,18 @@
   private final int partition;
   private final Executor executor;
   private final JobTable table = new JobTable();
+  private final LoadGate gate;
   private long offset = -1;
+  private long readsBegun;
+  private long lastProof;
+  private boolean followed;
+  private CompletableFuture<Void> nextRead = new CompletableFuture<>();
   private @Nullable CompletableFuture<Void> loading;
+  private @Nullable Listing unfinished;
 
-  JobReplica(LogStore store, String topic, int partition, Executor executor) {
+  JobReplica(LogStore store, String topic, int partition, LoadGate gate, Executor executor) {
     this.store = store;
+    this.gate = gate;
     this.topic = topic;
     this.partition = partition;
     this.executor = executor;
@@ -64,17 +71,57 @@
     return loaded().thenComposeAsync(any -> readOn(wait), executor);
   }
 
+  /** Sets whether the holder of the partition reads on all the time. */
+  void followed(boolean reading) {
+    followed = reading;
+  }
+
+  /** Returns whether reads go on by themselves, so that {@link #nextRead()} ends soon. */
+  boolean followed() {
+    return followed;
+  }
+
+  /** Returns the number of reads that have begun, for {@link #provenSince}. */
+  long readsBegun() {
+    return readsBegun;
+  }
+
+  /** Returns whether a read that began after a number of others has reached the end of the log. */
+  boolean provenSince(long begun) {
+    return lastProof > begun;
+  }
+
+  /** Returns a stage that ends with the next read that brings something or reaches the end. */
+  CompletionStage<Void> nextRead() {
+    return nextRead;
+  }
+
   private CompletionStage<Void> readOn(Duration wait) {
-    return store.read(topic, partition, offset, wait).thenComposeAsync(this::takePage, executor);
+    readsBegun++;
+    long number = readsBegun;
+    return readPage(wait, number);
+  }
+
+  private CompletionStage<Void> readPage(Duration wait, long number) {
+    return store
+        .read(topic, partition, offset, wait)
+        .thenComposeAsync(page -> takePage(page, number), executor);
   }
 
-  private CompletionStage<Void> takePage(LogPage page) {
+  private CompletionStage<Void> takePage(LogPage page, long number) {
     if (page.trimmed()) {
-      return load().thenComposeAsync(any -> readOn(Duration.ZERO), executor);
+      return load().thenComposeAsync(any -> readPage(Duration.ZERO, number), executor);
     }
     page.records().forEach(table::take);
     offset = Math.max(offset, page.next());
-    return page.more() ? readOn(Duration.ZERO) : CompletableFuture.completedFuture(null);
+    if (page.more()) {
+      return readPage(Duration.ZERO, number);
+    }
+    lastProof = Math.max(lastProof, number);
+    CompletableFuture<Void> ended = nextRead;
+    nextRead = new CompletableFuture<>();
+    ended.complete(null);
+    return CompletableFuture.completedFuture(null);
   }
 
   private CompletionStage<Void> loaded() {
@@ -89,20 +136,42 @@
     }
     CompletableFuture<Void> started = new CompletableFuture<>();
     loading = started;
-    loadPage(new Listing(table.jobIds(), new HashSet<>(), -1), null, started);
+    gate.enter(() -> loadPage(begunOrNew(), started));
     return started;
   }
 
-  /** What a load has found so far: jobs known before, jobs listed, end of the log at its start. */
-  private record Listing(Set<String> knownBefore, Set<String> listed, long end) {}
+  /**
+   * What a load has found so far.
+   *
+   * @param knownBefore jobs that were known before it began
+   * @param listed jobs that it has found
+   * @param end end of the log when it began; negative before the first page
+   * @param after key behind which it goes on; null for the first page
+   */
+  private record Listing(
+      Set<String> knownBefore, Set<String> listed, long end, @Nullable String after) {}
 
-  private void loadPage(Listing listing, @Nullable String after, CompletableFuture<Void> done) {
+  /**
+   * Returns where a load goes on.
+   *
+   * <p>Failure: a page does not come in time on a small link, and the next load begins with the
+   * first page again. It shows as a partition that is never loaded while its jobs cannot be read.
+   * Guard: a load goes on behind the last page that came. What changed meanwhile is read from the
+   * log behind the end that the first page named; if that part is gone the load begins anew.
+   */
+  private Listing begunOrNew() {
+    Listing begun = unfinished;
+    return begun != null ? begun : new Listing(table.jobIds(), new HashSet<>(), -1, null);
+  }
+
+  private void loadPage(Listing listing, CompletableFuture<Void> done) {
     store
-        .newest(topic, partition, after)
+        .newest(topic, partition, listing.after())
         .whenCompleteAsync(
             (page, failure) -> {
               if (failure != null) {
-                loading = null;
+                unfinished = listing;
+                endLoad();
                 done.completeExceptionally(failure);
               } else {
                 takeList(listing, page, done);
@@ -119,15 +188,21 @@
     }
     long end = listing.end() < 0 ? page.end() : listing.end();
     if (page.more() && !records.isEmpty()) {
-      Listing further = new Listing(listing.knownBefore(), listing.listed(), end);
-      loadPage(further, records.get(records.size() - 1).key(), done);
+      String last = records.get(records.size() - 1).key();
+      loadPage(new Listing(listing.knownBefore(), listing.listed(), end, last), done);
       return;
     }
     listing.knownBefore().stream()
         .filter(jobId -> !listing.listed().contains(jobId))
         .forEach(table::drop);
     offset = Math.max(offset, end);
-    loading = null;
+    unfinished = null;
+    endLoad();
     done.complete(null);
   }
+
+  private void endLoad() {
+    loading = null;
+    gate.leave();
+  }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobReplicas.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobReplicas.java
@@ -15,6 +15,7 @@
   private final LogStore store;
   private final int partitions;
   private final Executor executor;
+  private final LoadGate gate = new LoadGate();
   private final Map<Integer, JobReplica> replicas = new HashMap<>();
 
   JobReplicas(LogStore store, int partitions, Executor executor) {
@@ -30,7 +31,7 @@
 
   JobReplica replica(int partition) {
     return replicas.computeIfAbsent(
-        partition, number -> new JobReplica(store, TOPIC, number, executor));
+        partition, number -> new JobReplica(store, TOPIC, number, gate, executor));
   }
 
   JobReplica of(String jobId) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRunners.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRunners.java
@@ -1,6 +1,5 @@
 package io.hawthornlb.gateway.job;
 
-import io.hawthornlb.gateway.front.RequestHandler;
 import io.hawthornlb.gateway.store.LogStore.GroupJoin;
 import io.hawthornlb.gateway.store.LogStore.GroupShare;
 import java.time.Duration;
@@ -36,7 +35,7 @@
 
   private final JobParts parts;
   private final JobReplicas replicas;
-  private final JobService service;
+  private final JobDesk desk;
   private final HoldNotices notices;
   private final String name;
   private final long startEpoch;
@@ -59,7 +58,7 @@
       JobParts parts,
       JobFormat format,
       HoldNotices notices,
-      String member,
+      JobPeers peers,
       int partitions,
       Supplier<OptionalInt> rank) {
     this.parts = parts;
@@ -67,18 +66,29 @@
     this.selection = new HolderSelection(partitions);
     this.notices = notices;
     notices.onHeld(this::heldElsewhere);
-    this.name = member;
+    this.name = peers.self();
     this.replicas = new JobReplicas(parts.store(), partitions, parts.executor());
-    this.service =
+    JobService service =
         new JobService(
             replicas, parts.store(), format, parts.executor(), parts.clock(), parts.log());
+    this.desk =
+        new JobDesk(
+            replicas,
+            service,
+            format,
+            peers,
+            partition -> runners.containsKey(partition) && replicas.replica(partition).followed(),
+            () -> parts.store().owners(GROUP, JobReplicas.TOPIC),
+            parts.executor(),
+            parts.clock(),
+            parts.log());
     // Tenths of a second: a process that restarts within a generation gets a higher epoch.
     this.startEpoch = parts.clock().instant().toEpochMilli() / 100 % (EPOCHS_PER_GENERATION / 2);
   }
 
   /** Returns what answers calls about jobs. */
-  public RequestHandler calls() {
-    return service;
+  public JobDesk calls() {
+    return desk;
   }
 
   /** Joins the group and stays in it, as long as this process is to be a member. */
@@ -196,7 +206,8 @@
     bumps.merge(partition, EPOCH_STEP, Long::sum);
   }
 
-  private void heldElsewhere(int partition, long epoch) {
+  private void heldElsewhere(String holder, int partition, long epoch) {
+    desk.held(holder, partition, epoch);
     PartitionRunner runner = runners.get(partition);
     if (runner != null && runner.epoch() < epoch) {
       drop(partition);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobService.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobService.java
@@ -2,7 +2,6 @@
 
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.front.FrontRequest;
-import io.hawthornlb.gateway.front.RequestHandler;
 import io.hawthornlb.gateway.front.Responder;
 import io.hawthornlb.gateway.store.LogStore;
 import io.hawthornlb.gateway.store.LogStore.AppendCall;
@@ -16,6 +15,7 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
@@ -26,7 +26,7 @@
  * Answers calls about jobs at any process: what was accepted or ended is in the log before the
  * caller hears of it, and results are shown once they are in the log.
  */
-public final class JobService implements RequestHandler {
+final class JobService {
 
   /** Bytes of texts in one page of results; the contract bounds a page at 1 MB. */
   private static final int PAGE_BYTES = 900_000;
@@ -65,25 +65,8 @@
     this.log = log;
   }
 
-  @Override
-  public Handling handle(FrontRequest request, Responder responder) {
-    Optional<JobCall> call;
-    try {
-      call = format.call(request);
-    } catch (IllegalArgumentException e) {
-      log.important("job", "call.unreadable").with("cause", e.getMessage()).write();
-      responder.own(400, null);
-      return () -> {};
-    }
-    if (call.isEmpty()) {
-      responder.own(404, null);
-      return () -> {};
-    }
-    handle(call.get(), request, responder);
-    return () -> {};
-  }
-
-  private void handle(JobCall call, FrontRequest request, Responder responder) {
+  /** Answers a call from what this process has read and reads of the log. */
+  void answer(JobCall call, FrontRequest request, Responder responder) {
     if (call instanceof JobCall.Submit submit) {
       submit(submit, request, responder);
     } else if (call instanceof JobCall.Read read) {
@@ -201,29 +184,89 @@
    * said after a read that began later than the call; if the log cannot be read, nothing is said.
    */
   private void waitForResult(Job job, JobCall.Read read, Instant arrived, Responder responder) {
-    Duration left = read.waitTime().minus(Duration.between(arrived, clock.instant()));
     JobReplica replica = replicas.of(job.id());
-    replica
-        .read(left.isNegative() ? Duration.ZERO : left)
+    Wait wait = new Wait(job, read, arrived, replica, replica.readsBegun(), responder);
+    if (replica.followed()) {
+      awaitReads(wait);
+    } else {
+      readOn(wait);
+    }
+  }
+
+  /**
+   * A caller that waits for a result.
+   *
+   * @param mark number of reads of the log that had begun when the call came
+   */
+  private record Wait(
+      Job job,
+      JobCall.Read read,
+      Instant arrived,
+      JobReplica replica,
+      long mark,
+      Responder responder) {
+
+    private Duration left(Instant now) {
+      Duration left = read.waitTime().minus(Duration.between(arrived, now));
+      return left.minus(LEAST_WAIT).isNegative() ? Duration.ZERO : left;
+    }
+  }
+
+  /**
+   * Waits for the reads that the holder makes anyway.
+   *
+   * <p>Load pattern: callers wait for results of hundreds of jobs, and each record of a partition
+   * ends all their reads. One read a partition serves them all.
+   */
+  private void awaitReads(Wait wait) {
+    if (answered(wait, wait.replica().provenSince(wait.mark()))) {
+      return;
+    }
+    Duration left = wait.left(clock.instant());
+    if (left.isZero()) {
+      readOn(wait);
+      return;
+    }
+    CompletableFuture<Void> woken = new CompletableFuture<>();
+    executor.schedule(() -> woken.complete(null), left.toMillis(), TimeUnit.MILLISECONDS);
+    wait.replica().nextRead().whenComplete((any, failure) -> woken.complete(null));
+    woken.thenRunAsync(() -> awaitReads(wait), executor);
+  }
+
+  private void readOn(Wait wait) {
+    wait.replica()
+        .read(wait.left(clock.instant()))
         .whenCompleteAsync(
             (done, failure) -> {
-              Job now = replica.table().find(job.id()).orElse(job);
-              List<JobResult> page = now.page(read.after(), PAGE_BYTES);
-              boolean waitOver =
-                  !clock.instant().plus(LEAST_WAIT).isBefore(arrived.plus(read.waitTime()));
-              if (failure != null && page.isEmpty()) {
-                logged("job.unsure", job.id(), 503);
-                responder.own(503, STORE_RETRY);
-              } else if (!page.isEmpty() || waitOver) {
-                // The read began after the call and reached the end, so that none is a true answer.
-                send(now, read, page, responder);
+              if (answered(wait, failure == null)) {
+                return;
+              }
+              if (failure != null) {
+                logged("job.unsure", wait.job().id(), 503);
+                wait.responder().own(503, STORE_RETRY);
               } else {
-                waitForResult(now, read, arrived, responder);
+                readOn(wait);
               }
             },
             executor);
   }
 
+  /**
+   * Answers if there is a result, or if the wait is over.
+   *
+   * @param proven whether a read that began after the call has reached the end of the log
+   */
+  private boolean answered(Wait wait, boolean proven) {
+    Job job = wait.replica().table().find(wait.job().id()).orElse(wait.job());
+    List<JobResult> page = job.page(wait.read().after(), PAGE_BYTES);
+    boolean over = proven && wait.left(clock.instant()).isZero();
+    if (page.isEmpty() && !over) {
+      return false;
+    }
+    send(job, wait.read(), page, wait.responder());
+    return true;
+  }
+
   private void send(Job job, JobCall.Read read, List<JobResult> page, Responder responder) {
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set(HttpHeaderNames.CONTENT_TYPE, format.resultsType());
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobTable.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobTable.java
@@ -50,6 +50,7 @@
       keys.computeIfAbsent(key.jobId(), any -> new HashSet<>()).add(record.key());
     }
     if (value == null) {
+      keys.getOrDefault(key.jobId(), new HashSet<>()).remove(record.key());
       drop(key);
     } else if (key.part()) {
       takePart(key, JobRecords.part(value));
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -31,8 +31,11 @@
   /** Pause before a failed call to the store is made again. */
   private static final Duration REPEAT = Duration.ofMillis(200);
 
-  /** Longest wait of a read for new jobs. */
-  private static final Duration READ_WAIT = Duration.ofSeconds(2);
+  /**
+   * Longest wait of a read for new jobs and results. Callers that wait a second for a result are
+   * answered after a read that began later than their call, without a read of their own.
+   */
+  private static final Duration READ_WAIT = Duration.ofMillis(450);
 
   /**
    * Time between two records of what running items have gained. After a restart of all processes an
@@ -117,6 +120,7 @@
   /** Ends all runs; what they produced so far is lost. */
   void stop() {
     stopped = true;
+    replica.followed(false);
     window.close();
     runs.values().forEach(ItemRun::stop);
     runs.clear();
@@ -137,6 +141,7 @@
         .whenCompleteAsync(
             (done, failure) -> {
               if (failure == null) {
+                replica.followed(true);
                 begin();
                 follow();
                 saveLater();
@@ -345,10 +350,24 @@
       int position = next.getOrDefault(jobId, each.job().resultCount());
       next.put(jobId, position + 1);
       records.add(JobRecords.result(jobId, position, each.result()));
+      records.addAll(withoutProgress(jobId, each.result().itemId()));
     }
     append(records);
   }
 
+  /**
+   * Returns what drops the progress of an item that has its result.
+   *
+   * <p>Kept, it would double what a process has to load that takes the partition over: an item of 3
+   * s is recorded every 1.5 s, up to its last event.
+   */
+  private List<KeyedRecord> withoutProgress(String jobId, String itemId) {
+    return replica.table().keys(jobId).stream()
+        .filter(key -> JobRecords.progressOf(key, itemId))
+        .map(key -> new KeyedRecord(key, null))
+        .toList();
+  }
+
   private void append(List<KeyedRecord> records) {
     if (stopped) {
       return;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetView.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetView.java
@@ -37,6 +37,7 @@
 
   private final GatewayInstance self;
   private final Map<String, GatewayInstance> instances = new HashMap<>();
+  private final Map<String, GatewayInstance> lastKnown = new HashMap<>();
   private final Map<String, Suspicion> suspicions = new HashMap<>();
   private @Nullable RendezvousHash hash;
 
@@ -56,6 +57,7 @@
     if (instance.name().equals(self.name())) {
       return;
     }
+    lastKnown.put(instance.name(), instance);
     GatewayInstance former = instances.put(instance.name(), instance);
     if (!instance.equals(former)) {
       suspicions.remove(instance.name());
@@ -75,6 +77,21 @@
     return instances.get(name);
   }
 
+  /**
+   * Returns a process by its name as the list last had it; null if it never did.
+   *
+   * <p>A process that stops leaves the list at once and answers for seconds more.
+   */
+  public @Nullable GatewayInstance lastKnown(String name) {
+    return name.equals(self.name()) ? self : lastKnown.get(name);
+  }
+
+  /** Returns whether a process, or its whole data centre, seems silent. */
+  public boolean seemsSilent(String name, Instant now) {
+    GatewayInstance instance = lastKnown(name);
+    return suspected(name, now) || (instance != null && cutOff(instance, now));
+  }
+
   /** Returns the other processes. */
   public List<GatewayInstance> others() {
     return instances.values().stream().filter(each -> !each.equals(self)).toList();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerHoldNotices.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerHoldNotices.java
@@ -25,7 +25,7 @@
     transport.onMessage(
         envelope -> {
           if (envelope.message() instanceof PeerMessage.Held held) {
-            listener.onHeld(held.partition(), held.epoch());
+            listener.onHeld(envelope.sender(), held.partition(), held.epoch());
           }
         });
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -15,7 +15,10 @@
 import io.hawthornlb.gateway.peer.FleetView;
 import io.hawthornlb.gateway.peer.PeerHoldNotices;
 import io.hawthornlb.gateway.peer.UdpPeerTransport;
+import io.hawthornlb.gateway.relay.RelayJobPeers;
 import io.hawthornlb.gateway.relay.RelayServer;
+import io.hawthornlb.gateway.relay.RelayTransport;
+import io.hawthornlb.gateway.relay.RelayedJobCalls;
 import io.hawthornlb.gateway.relay.RelayingHttpCaller;
 import io.hawthornlb.gateway.relay.TcpRelayTransport;
 import io.hawthornlb.gateway.route.ConfigHolder;
@@ -73,7 +76,10 @@
     this.clock = clock;
     this.log = log;
     FleetView fleet = new FleetView(settings.self());
-    LogStore store = access.client().apply(relayingCaller(access, fleet));
+    HttpCaller direct = new NettyHttpCaller(loop);
+    RelayTransport links = new TcpRelayTransport(loop);
+    RelayingHttpCaller caller = relaying(direct, links, fleet);
+    LogStore store = access.client().apply(caller);
     UdpPeerTransport transport =
         new UdpPeerTransport(loop, settings.self().address(), settings.self().name(), log);
     FleetSlotClient slots = new FleetSlotClient(fleet, transport, directory, loop, clock, log);
@@ -83,24 +89,14 @@
     instances = new InstanceSource(fleet, store, loop, log);
     jobs =
         new JobRunners(
-            new JobParts(
-                config,
-                directory,
-                slots,
-                pool,
-                names,
-                store,
-                settings.resultRetention(),
-                settings.self().dataCentre(),
-                loop,
-                clock,
-                log,
-                metrics),
+            jobParts(slots, pool, names, store),
             jobFormat,
             new PeerHoldNotices(fleet, transport),
-            settings.self().name(),
+            new RelayJobPeers(fleet, links, clock),
             settings.jobPartitions(),
             () -> rank(fleet));
+    new RelayServer(direct, access.address(), caller::away, log)
+        .bind(loop, settings.self().address(), new RelayedJobCalls(jobs.calls(), clock));
     ForwardingHandler handler =
         new ForwardingHandler(
             new ForwardingHandler.Parts(
@@ -138,19 +134,31 @@
     }
   }
 
-  /** Returns what calls the store, by peers if need be, and serves peers that need this process. */
-  private HttpCaller relayingCaller(StoreAccess access, FleetView fleet) {
-    HttpCaller direct = new NettyHttpCaller(loop);
-    RelayingHttpCaller caller =
-        new RelayingHttpCaller(
-            direct,
-            new TcpRelayTransport(loop),
-            () -> fleet.rankedOthers(settings.self().name(), clock.instant()),
-            clock,
-            log);
-    new RelayServer(direct, access.address(), caller::away, log)
-        .bind(loop, settings.self().address());
-    return caller;
+  /** Returns what calls the store, by peers if need be. */
+  private RelayingHttpCaller relaying(HttpCaller direct, RelayTransport links, FleetView fleet) {
+    return new RelayingHttpCaller(
+        direct,
+        links,
+        () -> fleet.rankedOthers(settings.self().name(), clock.instant()),
+        clock,
+        log);
+  }
+
+  private JobParts jobParts(
+      FleetSlotClient slots, EndpointPool pool, HeaderNames names, LogStore store) {
+    return new JobParts(
+        config,
+        directory,
+        slots,
+        pool,
+        names,
+        store,
+        settings.resultRetention(),
+        settings.self().dataCentre(),
+        loop,
+        clock,
+        log,
+        metrics);
   }
 
   /**
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayChannels.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayChannels.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
@@ -29,8 +30,9 @@
         .addLast(new Handler(receiver));
   }
 
-  static void send(Channel channel, RelayMessage message) {
-    channel.writeAndFlush(Unpooled.wrappedBuffer(RelayCodec.encode(message)));
+  /** Sends a message; the future ends once the socket has taken it. */
+  static ChannelFuture send(Channel channel, RelayMessage message) {
+    return channel.writeAndFlush(Unpooled.wrappedBuffer(RelayCodec.encode(message)));
   }
 
   /** Takes what comes on a channel. */
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayCodec.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayCodec.java
@@ -26,6 +26,7 @@
         packCall(packer, call);
       } else if (message instanceof RelayMessage.Reply reply) {
         packer.packInt(REPLY).packLong(reply.id()).packInt(reply.status());
+        packHeaders(packer, reply.headers());
         packBytes(packer, reply.body());
       } else if (message instanceof RelayMessage.Failure failure) {
         packer.packInt(FAILURE).packLong(failure.id()).packBoolean(failure.unsent());
@@ -48,7 +49,7 @@
       long id = unpacker.unpackLong();
       return switch (type) {
         case CALL -> unpackCall(id, unpacker);
-        case REPLY -> new RelayMessage.Reply(id, unpacker.unpackInt(), unpackBytes(unpacker));
+        case REPLY -> unpackReply(id, unpacker);
         case FAILURE ->
             new RelayMessage.Failure(id, unpacker.unpackBoolean(), unpacker.unpackString());
         default -> throw new IOException("Unknown type " + type);
@@ -62,26 +63,54 @@
 
   private static void packCall(MessageBufferPacker packer, RelayMessage.Call call)
       throws IOException {
+    packer.packInt(call.target().ordinal());
     packer.packString(call.method()).packString(call.path());
     packer.packLong(call.timeout().toMillis());
-    packer.packMapHeader(call.headers().size());
-    for (Map.Entry<String, String> header : call.headers().entrySet()) {
-      packer.packString(header.getKey()).packString(header.getValue());
-    }
+    packHeaders(packer, call.headers());
     packBytes(packer, call.body());
   }
 
-  private static RelayMessage.Call unpackCall(long id, MessageUnpacker unpacker)
+  private static void packHeaders(MessageBufferPacker packer, Map<String, String> headers)
       throws IOException {
-    String method = unpacker.unpackString();
-    String path = unpacker.unpackString();
-    Duration timeout = Duration.ofMillis(unpacker.unpackLong());
+    packer.packMapHeader(headers.size());
+    for (Map.Entry<String, String> header : headers.entrySet()) {
+      packer.packString(header.getKey()).packString(header.getValue());
+    }
+  }
+
+  private static Map<String, String> unpackHeaders(MessageUnpacker unpacker) throws IOException {
     Map<String, String> headers = new HashMap<>();
     int count = unpacker.unpackMapHeader();
     for (int i = 0; i < count; i++) {
       headers.put(unpacker.unpackString(), unpacker.unpackString());
     }
-    return new RelayMessage.Call(id, method, path, headers, unpackBytes(unpacker), timeout);
+    return headers;
+  }
+
+  private static RelayMessage.Reply unpackReply(long id, MessageUnpacker unpacker)
+      throws IOException {
+    int status = unpacker.unpackInt();
+    Map<String, String> headers = unpackHeaders(unpacker);
+    return new RelayMessage.Reply(id, status, headers, unpackBytes(unpacker));
+  }
+
+  private static RelayTarget unpackTarget(MessageUnpacker unpacker) throws IOException {
+    int number = unpacker.unpackInt();
+    RelayTarget[] targets = RelayTarget.values();
+    if (number < 0 || number >= targets.length) {
+      throw new IOException("Unknown target " + number);
+    }
+    return targets[number];
+  }
+
+  private static RelayMessage.Call unpackCall(long id, MessageUnpacker unpacker)
+      throws IOException {
+    RelayTarget target = unpackTarget(unpacker);
+    String method = unpacker.unpackString();
+    String path = unpacker.unpackString();
+    Duration timeout = Duration.ofMillis(unpacker.unpackLong());
+    Map<String, String> headers = unpackHeaders(unpacker);
+    return new RelayMessage.Call(id, target, method, path, headers, unpackBytes(unpacker), timeout);
   }
 
   private static void packBytes(MessageBufferPacker packer, byte[] bytes) throws IOException {
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayJobPeers.java
@@ -0,0 +1,92 @@
+package io.hawthornlb.gateway.relay;
+
+import io.hawthornlb.gateway.front.FrontRequest;
+import io.hawthornlb.gateway.http.HttpCall;
+import io.hawthornlb.gateway.http.HttpReply;
+import io.hawthornlb.gateway.job.JobPeers;
+import io.hawthornlb.gateway.peer.FleetView;
+import io.hawthornlb.gateway.peer.GatewayInstance;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.jspecify.annotations.Nullable;
+
+/** Asks the other processes about jobs over links. */
+public final class RelayJobPeers implements JobPeers {
+
+  private static final String PARTITION_KEY = "jobs/";
+
+  /**
+   * Time for which a process that did not answer about jobs is not asked; restarts take 1 to 2 s.
+   * It is not taken for silent otherwise: a slow log delays answers about jobs alone.
+   */
+  private static final Duration SILENT_TIME = Duration.ofMillis(1_200);
+
+  private final FleetView fleet;
+  private final RelayTransport transport;
+  private final InstantSource clock;
+  private final Map<String, Instant> silentUntil = new HashMap<>();
+
+  /** Creates peers of a fleet. */
+  public RelayJobPeers(FleetView fleet, RelayTransport transport, InstantSource clock) {
+    this.fleet = fleet;
+    this.transport = transport;
+    this.clock = clock;
+  }
+
+  @Override
+  public String self() {
+    return fleet.self().name();
+  }
+
+  @Override
+  public boolean reachable(String name) {
+    Instant now = clock.instant();
+    return fleet.lastKnown(name) != null
+        && !fleet.seemsSilent(name, now)
+        && !now.isBefore(silentUntil.getOrDefault(name, Instant.MIN));
+  }
+
+  @Override
+  public Optional<String> deputy(int partition, String holder) {
+    return fleet.ranked(PARTITION_KEY + partition, clock.instant()).stream()
+        .map(GatewayInstance::name)
+        .filter(name -> !name.equals(holder))
+        .findFirst();
+  }
+
+  @Override
+  public CompletionStage<HttpReply> ask(String name, FrontRequest request, Duration patience) {
+    @Nullable GatewayInstance peer = fleet.lastKnown(name);
+    if (peer == null) {
+      return CompletableFuture.failedFuture(
+          new IllegalStateException("The list has no instance " + name));
+    }
+    Map<String, String> headers = new LinkedHashMap<>();
+    request.headers().forEach(header -> headers.put(header.getKey(), header.getValue()));
+    HttpCall call =
+        new HttpCall(
+            peer.address(),
+            request.method().name(),
+            request.uri(),
+            headers,
+            request.body(),
+            patience);
+    return transport
+        .call(peer, RelayTarget.JOBS, call)
+        .whenComplete(
+            (reply, failure) -> {
+              if (failure == null) {
+                silentUntil.remove(name);
+              } else {
+                silentUntil.put(name, clock.instant().plus(SILENT_TIME));
+              }
+            });
+  }
+}
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayMessage.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayMessage.java
@@ -10,16 +10,18 @@
   long id();
 
   /**
-   * Asks a peer to make a call to the store.
+   * Asks a peer to make a call to the store, or to answer one about jobs.
    *
+   * @param target who is to answer
    * @param method method of the call
    * @param path path and query
    * @param headers headers of the call
    * @param body body; may be empty
-   * @param timeout time within which the store is to answer the peer
+   * @param timeout time within which the answer is to be there
    */
   record Call(
       long id,
+      RelayTarget target,
       String method,
       String path,
       Map<String, String> headers,
@@ -27,8 +29,9 @@
       Duration timeout)
       implements RelayMessage {}
 
-  /** The store's reply, as the peer got it. */
-  record Reply(long id, int status, byte[] body) implements RelayMessage {}
+  /** The whole reply of the store, as the peer got it, or of the peer. */
+  record Reply(long id, int status, Map<String, String> headers, byte[] body)
+      implements RelayMessage {}
 
   /**
    * Tells that the peer got no whole reply.
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayServer.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayServer.java
@@ -18,10 +18,10 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Makes calls to the store for peers that do not reach it.
+ * Makes calls to the store for peers that do not reach it, and answers their calls about jobs.
  *
- * <p>A call goes to the store and nowhere else, and is never handed on to another peer, so that
- * calls do not go round among gateways while the store is away for all.
+ * <p>A call is never handed on to another peer, so that calls do not go round among gateways while
+ * the store is away for all, or while none of them holds a job.
  */
 public final class RelayServer {
 
@@ -31,11 +31,25 @@
    */
   private static final int MAX_CALLS = 256;
 
+  /**
+   * Calls about jobs at a time. Each job is read twice a second by a caller that waits up to a
+   * second, so that this many jobs of one holder can be waited for at once.
+   */
+  private static final int MAX_JOB_CALLS = 512;
+
+  /**
+   * Bytes of answers about jobs that peers have not taken yet; above it further calls are refused.
+   * A page of results is 0.9 MB at most, and an instance has some 100 MB for buffers.
+   */
+  private static final long MAX_WAITING_BYTES = 16L * 1024 * 1024;
+
   private final HttpCaller store;
   private final Supplier<InetSocketAddress> address;
   private final BooleanSupplier away;
   private final EventLog log;
   private int calls;
+  private int jobCalls;
+  private long waitingBytes;
 
   /**
    * Creates a server.
@@ -53,8 +67,12 @@
     this.log = log;
   }
 
-  /** Binds an address and takes links there. */
-  public void bind(EventLoopGroup loop, InetSocketAddress at) {
+  /**
+   * Binds an address and takes links there.
+   *
+   * @param jobs answers calls about jobs
+   */
+  public void bind(EventLoopGroup loop, InetSocketAddress at, HttpCaller jobs) {
     new ServerBootstrap()
         .group(loop)
         .channel(NioServerSocketChannel.class)
@@ -64,7 +82,7 @@
             new ChannelInitializer<Channel>() {
               @Override
               protected void initChannel(Channel channel) {
-                RelayChannels.setUp(channel, new Peer());
+                RelayChannels.setUp(channel, new Peer(jobs));
               }
             })
         .bind(at)
@@ -74,10 +92,18 @@
   /** One peer's link. */
   private final class Peer implements RelayChannels.Receiver {
 
+    private final HttpCaller jobs;
+
+    private Peer(HttpCaller jobs) {
+      this.jobs = jobs;
+    }
+
     @Override
     public void received(Channel channel, RelayMessage message) {
       if (!(message instanceof RelayMessage.Call call)) {
         channel.close();
+      } else if (call.target() == RelayTarget.JOBS) {
+        answerAboutJob(channel, call);
       } else if (away.getAsBoolean()) {
         refuse(channel, call, "this gateway does not reach the store either");
       } else if (calls >= MAX_CALLS) {
@@ -97,18 +123,32 @@
       RelayChannels.send(channel, new RelayMessage.Failure(call.id(), true, cause));
     }
 
+    private void answerAboutJob(Channel channel, RelayMessage.Call call) {
+      if (jobCalls >= MAX_JOB_CALLS || waitingBytes > MAX_WAITING_BYTES) {
+        refuse(channel, call, "this gateway answers enough calls about jobs");
+        return;
+      }
+      jobCalls++;
+      jobs.call(whole(call))
+          .whenComplete(
+              (reply, failure) -> {
+                jobCalls--;
+                long bytes = reply == null ? 0 : reply.body().length;
+                waitingBytes += bytes;
+                RelayChannels.send(channel, answer(call.id(), reply, failure))
+                    .addListener(written -> waitingBytes -= bytes);
+              });
+    }
+
+    private HttpCall whole(RelayMessage.Call call) {
+      return new HttpCall(
+          address.get(), call.method(), call.path(), call.headers(), call.body(), call.timeout());
+    }
+
     private void make(Channel channel, RelayMessage.Call call) {
       calls++;
-      HttpCall whole =
-          new HttpCall(
-              address.get(),
-              call.method(),
-              call.path(),
-              call.headers(),
-              call.body(),
-              call.timeout());
       store
-          .call(whole)
+          .call(whole(call))
           .whenComplete(
               (reply, failure) -> {
                 calls--;
@@ -119,7 +159,7 @@
     private static RelayMessage answer(
         long id, @Nullable HttpReply reply, @Nullable Throwable failure) {
       if (reply != null) {
-        return new RelayMessage.Reply(id, reply.status(), reply.body());
+        return new RelayMessage.Reply(id, reply.status(), reply.headers(), reply.body());
       }
       Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
       boolean unsent = cause instanceof HttpCallException call && call.unsent();
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayedJobCalls.java
@@ -0,0 +1,101 @@
+package io.hawthornlb.gateway.relay;
+
+import io.hawthornlb.gateway.front.FrontRequest;
+import io.hawthornlb.gateway.front.Responder;
+import io.hawthornlb.gateway.front.RetryAfter;
+import io.hawthornlb.gateway.http.HttpCall;
+import io.hawthornlb.gateway.http.HttpCaller;
+import io.hawthornlb.gateway.http.HttpReply;
+import io.hawthornlb.gateway.job.JobDesk;
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.jspecify.annotations.Nullable;
+
+/** Answers calls about jobs that peers have passed on. */
+public final class RelayedJobCalls implements HttpCaller {
+
+  private final JobDesk desk;
+  private final InstantSource clock;
+
+  /** Creates what answers from the jobs of a desk. */
+  public RelayedJobCalls(JobDesk desk, InstantSource clock) {
+    this.desk = desk;
+    this.clock = clock;
+  }
+
+  @Override
+  public CompletionStage<HttpReply> call(HttpCall call) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    call.headers().forEach(headers::set);
+    int query = call.path().indexOf('?');
+    FrontRequest request =
+        new FrontRequest(
+            HttpMethod.valueOf(call.method()),
+            call.path(),
+            query < 0 ? call.path() : call.path().substring(0, query),
+            headers.get(HttpHeaderNames.HOST, ""),
+            headers,
+            call.body(),
+            clock.instant());
+    WholeAnswer answer = new WholeAnswer();
+    desk.answerHere(request, answer);
+    return answer.reply;
+  }
+
+  /** Keeps the whole answer; calls about jobs have no other. */
+  private static final class WholeAnswer implements Responder {
+
+    private final CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+
+    @Override
+    public void whole(int status, HttpHeaders headers, byte[] body) {
+      Map<String, String> kept = new LinkedHashMap<>();
+      headers.forEach(header -> kept.put(header.getKey(), header.getValue()));
+      reply.complete(new HttpReply(status, kept, body));
+    }
+
+    @Override
+    public void own(int status, @Nullable Duration retryAfter) {
+      HttpHeaders headers = new DefaultHttpHeaders();
+      if (retryAfter != null) {
+        headers.set(HttpHeaderNames.RETRY_AFTER, RetryAfter.seconds(retryAfter));
+      }
+      whole(status, headers, new byte[0]);
+    }
+
+    @Override
+    public void head(int status, HttpHeaders headers) {
+      throw new UnsupportedOperationException("Answers about jobs are whole");
+    }
+
+    @Override
+    public void part(ByteBuf content) {
+      content.release();
+      throw new UnsupportedOperationException("Answers about jobs are whole");
+    }
+
+    @Override
+    public void end() {
+      throw new UnsupportedOperationException("Answers about jobs are whole");
+    }
+
+    @Override
+    public void breakOff() {
+      reply.completeExceptionally(new IllegalStateException("The answer was broken off"));
+    }
+
+    @Override
+    public boolean congested() {
+      return false;
+    }
+  }
+}
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayingHttpCaller.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayingHttpCaller.java
@@ -142,7 +142,7 @@
       }
       asked++;
       transport
-          .call(peer, call)
+          .call(peer, RelayTarget.STORE, call)
           .whenComplete(
               (reply, failure) -> {
                 if (reply != null && !refused(reply)) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/TcpRelayTransport.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/TcpRelayTransport.java
@@ -27,8 +27,9 @@
  * Links to peers over TCP; calls share one link a peer, and replies come in any order.
  *
  * <p>Failure: a link goes silent for good while new ones work, or its peer is frozen. It shows as a
- * call without an answer. Guard: a link on which a call timed out is closed, and the next call
- * opens another.
+ * call without an answer. Guard: a link on which a call timed out, and on which nothing came since
+ * it was sent, is closed, and the next call opens another. On a link that brings other answers the
+ * call is slow, and ends alone.
  */
 public final class TcpRelayTransport implements RelayTransport {
 
@@ -47,8 +48,8 @@
   }
 
   @Override
-  public CompletionStage<HttpReply> call(GatewayInstance peer, HttpCall call) {
-    return links.computeIfAbsent(peer.address(), Link::new).call(call);
+  public CompletionStage<HttpReply> call(GatewayInstance peer, RelayTarget target, HttpCall call) {
+    return links.computeIfAbsent(peer.address(), Link::new).call(target, call);
   }
 
   /** A link to one peer. */
@@ -58,6 +59,7 @@
     private final ChannelFuture opened;
     private final Map<Long, Pending> pending = new HashMap<>();
     private long lastId;
+    private long received;
 
     private Link(InetSocketAddress peer) {
       this.peer = peer;
@@ -77,7 +79,7 @@
               .connect(peer);
     }
 
-    private CompletionStage<HttpReply> call(HttpCall call) {
+    private CompletionStage<HttpReply> call(RelayTarget target, HttpCall call) {
       lastId++;
       long id = lastId;
       Duration patience = call.timeout().plus(HOP);
@@ -88,7 +90,7 @@
           (ChannelFutureListener)
               connected -> {
                 if (connected.isSuccess()) {
-                  write(id, call);
+                  write(id, target, call);
                 } else {
                   leave("no link to " + peer + ": " + connected.cause());
                 }
@@ -96,34 +98,38 @@
       return asked.result;
     }
 
-    private void write(long id, HttpCall call) {
+    private void write(long id, RelayTarget target, HttpCall call) {
       Pending asked = pending.get(id);
       if (asked == null) {
         return;
       }
       asked.sent = true;
+      asked.receivedBefore = received;
       RelayChannels.send(
           opened.channel(),
           new RelayMessage.Call(
-              id, call.method(), call.path(), call.headers(), call.body(), call.timeout()));
+              id, target, call.method(), call.path(), call.headers(), call.body(), call.timeout()));
     }
 
     private void timedOut(long id) {
       Pending silent = pending.remove(id);
       if (silent != null) {
         silent.fail("no answer from " + peer, !silent.sent);
-        leave("the link to " + peer + " is silent");
+        if (!silent.sent || received == silent.receivedBefore) {
+          leave("the link to " + peer + " is silent");
+        }
       }
     }
 
     @Override
     public void received(Channel channel, RelayMessage message) {
+      received++;
       Pending asked = pending.remove(message.id());
       if (asked == null) {
         return;
       }
       if (message instanceof RelayMessage.Reply reply) {
-        asked.complete(new HttpReply(reply.status(), reply.body()));
+        asked.complete(new HttpReply(reply.status(), reply.headers(), reply.body()));
       } else if (message instanceof RelayMessage.Failure failure) {
         asked.fail(failure.cause(), failure.unsent());
       }
@@ -149,6 +155,7 @@
     private final CompletableFuture<HttpReply> result;
     private @Nullable ScheduledFuture<?> timer;
     private boolean sent;
+    private long receivedBefore;
 
     private Pending(CompletableFuture<HttpReply> result) {
       this.result = result;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/LogStore.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/LogStore.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletionStage;
 import org.jspecify.annotations.Nullable;
 
@@ -35,6 +36,9 @@
   /** Leaves a group, so that others take its partitions over at once. */
   CompletionStage<Void> leave(String group, String member);
 
+  /** Tells which members of a group hold which partitions of a topic. */
+  CompletionStage<Map<Integer, String>> owners(String group, String topic);
+
   /**
    * A record of a keyed topic.
    *
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/support/InMemoryLogStore.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/support/InMemoryLogStore.java
@@ -105,6 +105,19 @@
     return CompletableFuture.completedFuture(null);
   }
 
+  @Override
+  public synchronized CompletionStage<Map<Integer, String>> owners(String name, String topic) {
+    Group group = groups.computeIfAbsent(name, any -> new Group());
+    Map<Integer, String> owners = new HashMap<>();
+    for (String member : group.members) {
+      group
+          .share(member, partitions)
+          .partitions()
+          .forEach(partition -> owners.put(partition, member));
+    }
+    return CompletableFuture.completedFuture(owners);
+  }
+
   private synchronized LogPage pageOf(Partition log, long from) {
     return log.page(from);
   }
--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/FixedJobFormat.java
@@ -0,0 +1,24 @@
+package io.hawthornlb.gateway.job;
+
+import io.hawthornlb.gateway.front.FrontRequest;
+import java.util.List;
+import java.util.Optional;
+
+/** Format that takes each request for one call. */
+record FixedJobFormat(JobCall next) implements JobFormat {
+
+  @Override
+  public Optional<JobCall> call(FrontRequest request) {
+    return Optional.of(next);
+  }
+
+  @Override
+  public byte[] results(int total, int after, List<JobResult> results) {
+    return (results.size() + " of " + total + " from " + after).getBytes();
+  }
+
+  @Override
+  public String resultsType() {
+    return "text/plain";
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobDeskTest.java
@@ -0,0 +1,153 @@
+package io.hawthornlb.gateway.job;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import io.hawthornlb.gateway.SilentEventLog;
+import io.hawthornlb.gateway.VirtualLoop;
+import io.hawthornlb.gateway.front.FrontRequest;
+import io.hawthornlb.gateway.http.HttpReply;
+import io.hawthornlb.gateway.store.LogStore.AppendCall;
+import io.hawthornlb.gateway.store.support.InMemoryLogStore;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+class JobDeskTest {
+
+  private static final JobCall READ = new JobCall.Read("j", 0, Duration.ZERO);
+  private static final HttpReply PAGE = new HttpReply(200, "page".getBytes());
+
+  private final VirtualLoop time = new VirtualLoop();
+  private final InMemoryLogStore store = new InMemoryLogStore(time.loop(), 1);
+  private final JobReplicas replicas = new JobReplicas(store, 1, time.loop());
+  private final ScriptedJobPeers peers = new ScriptedJobPeers("g1");
+  private final Map<Integer, String> owners = new HashMap<>();
+  private int questions;
+
+  @Test
+  void hasTheHolderAnswer() {
+    owners.put(0, "g7");
+    peers.answers("g7", PAGE);
+    RecordingResponder answer = handle(desk(READ));
+    assertEquals("page", answer.text());
+    assertEquals(List.of("g7"), peers.asked());
+  }
+
+  /**
+   * All jobs of a large fleet cannot be read for a minute after a power cut: while no process held
+   * a partition yet, each one that was asked loaded all of it, and the holders had to wait for the
+   * store behind them.
+   */
+  @Test
+  void loadsNothingWhileNobodyHoldsThePartition() {
+    RecordingResponder answer = handle(desk(READ));
+    assertEquals(0, answer.status());
+    time.advance(Duration.ofMillis(1_400));
+    assertEquals(503, answer.status());
+    assertNotNull(answer.retryAfter());
+    assertEquals(List.of(), peers.asked());
+    assertEquals(0, replicas.replica(0).readsBegun());
+  }
+
+  /** Reads right after a start are refused although a process joins within half a second. */
+  @Test
+  void waitsForTheNextHolder() {
+    RecordingResponder answer = handle(desk(READ));
+    owners.put(0, "g7");
+    peers.answers("g7", PAGE);
+    time.advance(Duration.ofMillis(700));
+    assertEquals("page", answer.text());
+  }
+
+  /**
+   * A job cannot be read while its holder is frozen: callers are told to come back until it wakes.
+   */
+  @Test
+  void turnsToTheDeputyOfASilentHolder() {
+    owners.put(0, "g7");
+    peers.setDeputy("g3");
+    peers.answers("g3", PAGE);
+    RecordingResponder answer = handle(desk(READ));
+    assertEquals("page", answer.text());
+    assertEquals(List.of("g7", "g3"), peers.asked());
+  }
+
+  @Test
+  void answersItselfWhenItReachesNobodyElse() {
+    owners.put(0, "g7");
+    peers.setDeputy("g3");
+    store.append(new AppendCall(JobReplicas.TOPIC, 0, JobRecords.accepted(job()), null));
+    RecordingResponder answer = handle(desk(READ));
+    assertEquals("0 of 1 from 0", answer.text());
+    assertEquals(List.of("g7", "g3"), peers.asked());
+  }
+
+  /** A job is answered by whoever held it before, and each call to that one ends in vain. */
+  @Test
+  void believesTheLaterHolder() {
+    JobDesk desk = desk(READ);
+    desk.held("g7", 0, 20);
+    desk.held("g5", 0, 10);
+    peers.answers("g7", PAGE);
+    assertEquals("page", handle(desk).text());
+    assertEquals(0, questions);
+  }
+
+  @Test
+  void asksTheStoreForHoldersOnceForManyCalls() {
+    JobDesk desk = desk(READ);
+    owners.put(0, "g7");
+    peers.answers("g7", PAGE);
+    for (int i = 0; i < 5; i++) {
+      handle(desk);
+    }
+    assertEquals(1, questions);
+  }
+
+  /** Jobs are lost with a holder: a caller's job is taken only while its holder answers. */
+  @Test
+  void takesJobsItself() {
+    RecordingResponder answer = handle(desk(new JobCall.Submit("j", job().items())));
+    assertEquals(202, answer.status());
+    assertEquals(List.of(), peers.asked());
+  }
+
+  private static Job job() {
+    return new Job(
+        "j", "h", Instant.EPOCH, List.of(new JobItem("i1", "/p", Map.of(), new byte[0])));
+  }
+
+  private JobDesk desk(JobCall call) {
+    FixedJobFormat format = new FixedJobFormat(call);
+    return new JobDesk(
+        replicas,
+        new JobService(replicas, store, format, time.loop(), time, new SilentEventLog()),
+        format,
+        peers,
+        partition -> false,
+        () -> {
+          questions++;
+          return CompletableFuture.completedFuture(owners);
+        },
+        time.loop(),
+        time,
+        new SilentEventLog());
+  }
+
+  private RecordingResponder handle(JobDesk desk) {
+    RecordingResponder responder = new RecordingResponder();
+    FrontRequest request =
+        new FrontRequest(
+            HttpMethod.GET, "/", "/", "h", new DefaultHttpHeaders(), new byte[0], time.instant());
+    desk.handle(request, responder);
+    time.advance(Duration.ofMillis(5));
+    return responder;
+  }
+}
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobReplicaTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobReplicaTest.java
@@ -21,7 +21,8 @@
 
   private final VirtualLoop time = new VirtualLoop();
   private final PagedLogStore store = new PagedLogStore(time.loop(), 1, 2);
-  private final JobReplica replica = new JobReplica(store, JobReplicas.TOPIC, 0, time.loop());
+  private final JobReplica replica =
+      new JobReplica(store, JobReplicas.TOPIC, 0, new LoadGate(), time.loop());
 
   /**
    * A report is listed at two positions. A process that had not followed the log for a while took
@@ -93,6 +94,26 @@
     assertTrue(replica.table().find("k").isPresent());
   }
 
+  /**
+   * A job cannot be read at the end of the day. Its partition had more pages than came in a row
+   * without a failure over a small link, and each failure began the load with the first page.
+   */
+  @Test
+  void goesOnWithALoadBehindTheLastPage() {
+    PagedLogStore pages = new PagedLogStore(time.loop(), 1, 2);
+    JobReplica slow = new JobReplica(pages, JobReplicas.TOPIC, 0, new LoadGate(), time.loop());
+    pages.pageKeys(2);
+    for (int i = 0; i < ITEMS; i++) {
+      pages.append(new AppendCall(JobReplicas.TOPIC, 0, JobRecords.accepted(job("j" + i)), null));
+    }
+    for (int attempt = 0; attempt < ITEMS; attempt++) {
+      pages.failListsAfter(1);
+      slow.refresh();
+      time.advance(Duration.ofMillis(1));
+    }
+    assertEquals(ITEMS, slow.table().all().size());
+  }
+
   private void refresh() {
     CompletableFuture<Void> done = replica.refresh().toCompletableFuture();
     time.advance(Duration.ofMillis(1));
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobRunnersTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobRunnersTest.java
@@ -88,7 +88,7 @@
             JobFixture.parts(store, time.loop(), time, new ConfigHolder(), new EndpointDirectory()),
             new JobFixture.NoCalls(),
             new JobFixture.SilentNotices(),
-            "g1",
+            new ScriptedJobPeers("g1"),
             2,
             () -> rank[0]);
     runners.start();
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobServiceTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobServiceTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.hawthornlb.gateway.SilentEventLog;
 import io.hawthornlb.gateway.VirtualLoop;
@@ -18,9 +19,9 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 class JobServiceTest {
@@ -124,33 +125,62 @@
     assertEquals("1 of 1 from 0", answer.text());
   }
 
+  /**
+   * Callers that wait for results cost the store a call each, again and again: each record of the
+   * partition ended the reads of all of them. The holder reads on anyway.
+   */
+  @Test
+  void waitsWithTheReadsOfTheHolder() {
+    handle(new JobCall.Submit("j", ITEMS));
+    time.advance(Duration.ofMillis(5));
+    followForever();
+    time.advance(Duration.ofMillis(5));
+    store.reads = 0;
+    List<RecordingResponder> answers =
+        IntStream.range(0, 20)
+            .mapToObj(any -> handle(new JobCall.Read("j", 0, Duration.ofSeconds(1))))
+            .toList();
+    time.advance(Duration.ofMillis(1_100));
+    answers.forEach(answer -> assertEquals("0 of 1 from 0", answer.text()));
+    assertTrue(store.reads <= 4, store.reads + " reads");
+  }
+
+  /**
+   * A result that was read is gone at the next read. That read had come to a holder which another
+   * one had replaced, and was answered by a read of the log that had begun before it.
+   */
+  @Test
+  void saysThatThereIsNothingOnlyAfterAReadThatBeganLater() {
+    handle(new JobCall.Submit("j", ITEMS));
+    time.advance(Duration.ofMillis(5));
+    followForever();
+    time.advance(Duration.ofMillis(5));
+    RecordingResponder answer = handle(new JobCall.Read("j", 0, Duration.ofMillis(100)));
+    store.append(
+        new LogStore.AppendCall(
+            JobReplicas.TOPIC,
+            0,
+            List.of(JobRecords.result("j", 0, new JobResult("i1", true, "text"))),
+            null));
+    time.advance(Duration.ofMillis(120));
+    assertEquals("1 of 1 from 0", answer.text());
+  }
+
+  private void followForever() {
+    JobReplica replica = replicas.replica(0);
+    replica.followed(true);
+    replica.read(Duration.ofMillis(450)).thenRun(this::followForever);
+  }
+
   private RecordingResponder handle(JobCall call) {
     JobService service =
-        new JobService(replicas, store, new Format(call), time.loop(), time, new SilentEventLog());
+        new JobService(
+            replicas, store, new FixedJobFormat(call), time.loop(), time, new SilentEventLog());
     RecordingResponder responder = new RecordingResponder();
     FrontRequest request =
         new FrontRequest(
             HttpMethod.GET, "/", "/", "h", new DefaultHttpHeaders(), new byte[0], time.instant());
-    service.handle(request, responder);
+    service.answer(call, request, responder);
     return responder;
   }
-
-  /** Format that takes each request for one call. */
-  private record Format(JobCall next) implements JobFormat {
-
-    @Override
-    public Optional<JobCall> call(FrontRequest request) {
-      return Optional.of(next);
-    }
-
-    @Override
-    public byte[] results(int total, int after, List<JobResult> results) {
-      return (results.size() + " of " + total + " from " + after).getBytes();
-    }
-
-    @Override
-    public String resultsType() {
-      return "text/plain";
-    }
-  }
 }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PagedLogStore.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PagedLogStore.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.job;
 
+import io.hawthornlb.gateway.store.StoreException;
 import io.hawthornlb.gateway.store.support.InMemoryLogStore;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -16,12 +17,30 @@
   private final List<Runnable> held = new ArrayList<>();
   private boolean holding;
   private boolean forgetful;
+  private int listKeys = Integer.MAX_VALUE;
+  private int listsLeft = Integer.MAX_VALUE;
+  private long listedBytes;
 
   PagedLogStore(ScheduledExecutorService executor, int partitions, int pageRecords) {
     super(executor, partitions);
     this.pageRecords = pageRecords;
   }
 
+  /** Sets how many keys a page of newest records holds. */
+  void pageKeys(int keys) {
+    listKeys = keys;
+  }
+
+  /** Lets pages of newest records fail after some more. */
+  void failListsAfter(int pages) {
+    listsLeft = pages;
+  }
+
+  /** Returns the bytes of all records that lists have held. */
+  long listedBytes() {
+    return listedBytes;
+  }
+
   /** Keeps what the next lists found until {@link #letGo()}. */
   void holdLists() {
     holding = true;
@@ -56,9 +75,22 @@
     return new LogPage(List.copyOf(first), from + pageRecords, true, false);
   }
 
+  private KeyedPage shortened(KeyedPage page) {
+    boolean cut = page.records().size() > listKeys;
+    List<KeyedRecord> records = cut ? page.records().subList(0, listKeys) : page.records();
+    records.forEach(record -> listedBytes += record.value() == null ? 0 : record.value().length);
+    return new KeyedPage(List.copyOf(records), cut || page.more(), page.end());
+  }
+
   @Override
   public CompletionStage<KeyedPage> newest(String topic, int partition, @Nullable String after) {
-    CompletionStage<KeyedPage> found = super.newest(topic, partition, after);
+    if (listsLeft == 0) {
+      return CompletableFuture.failedFuture(
+          new StoreException(StoreException.Kind.UNKNOWN, "no whole page in time"));
+    }
+    listsLeft--;
+    CompletionStage<KeyedPage> found =
+        super.newest(topic, partition, after).thenApply(this::shortened);
     if (!holding) {
       return found;
     }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PartitionRunnerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PartitionRunnerTest.java
@@ -81,12 +81,12 @@
     JobItem item = new JobItem("i1", "/jobs/1", Map.of(), new byte[0]);
     Job job = new Job("j", "h", InstantSource.system().instant(), List.of(item));
     store.append(new AppendCall(JobReplicas.TOPIC, 0, JobRecords.accepted(job), null));
-    JobReplica first = new JobReplica(store, JobReplicas.TOPIC, 0, loop);
+    JobReplica first = new JobReplica(store, JobReplicas.TOPIC, 0, new LoadGate(), loop);
     PartitionRunner killed = runner(first, 1);
     await().until(() -> endpoint.requests().size() == MAX_ATTEMPTS - 1);
     await().until(() -> failures(first) == MAX_ATTEMPTS - 1);
     loop.submit(killed::stop).syncUninterruptibly();
-    JobReplica second = new JobReplica(store, JobReplicas.TOPIC, 0, loop);
+    JobReplica second = new JobReplica(store, JobReplicas.TOPIC, 0, new LoadGate(), loop);
     runner(second, 2);
     await().until(() -> page(second).size() == 1);
     assertFalse(page(second).get(0).completed());
@@ -107,12 +107,13 @@
     JobItem item = new JobItem("i1", "/jobs/1", Map.of(), new byte[0]);
     Job job = new Job("j", "h", InstantSource.system().instant(), List.of(item));
     store.append(new AppendCall(JobReplicas.TOPIC, 0, JobRecords.accepted(job), null));
-    PartitionRunner former = runner(new JobReplica(store, JobReplicas.TOPIC, 0, loop), 1);
+    PartitionRunner former =
+        runner(new JobReplica(store, JobReplicas.TOPIC, 0, new LoadGate(), loop), 1);
     await().until(() -> endpoint.requests().size() == 1);
     // The events follow the request at once.
     Thread.sleep(200);
     loop.submit(former::handOver).syncUninterruptibly();
-    JobReplica next = new JobReplica(store, JobReplicas.TOPIC, 0, loop);
+    JobReplica next = new JobReplica(store, JobReplicas.TOPIC, 0, new LoadGate(), loop);
     runner(next, 2);
     await().until(() -> page(next).size() == 1);
     assertEquals(new JobResult("i1", true, "a\nb\nc"), page(next).get(0));
@@ -135,7 +136,7 @@
     JobItem item = new JobItem("i1", "/jobs/1", Map.of(), new byte[0]);
     Job job = new Job("j", "h", InstantSource.system().instant(), List.of(item));
     store.append(new AppendCall(JobReplicas.TOPIC, 0, JobRecords.accepted(job), null));
-    JobReplica replica = new JobReplica(store, JobReplicas.TOPIC, 0, loop);
+    JobReplica replica = new JobReplica(store, JobReplicas.TOPIC, 0, new LoadGate(), loop);
     runner(replica, 1);
     await().until(() -> page(replica).size() == 1);
     assertEquals(new JobResult("i1", true, "a\nb\nc"), page(replica).get(0));
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/RelayCodecTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/RelayCodecTest.java
@@ -20,10 +20,17 @@
   void readsCallsThatItWrote() {
     RelayMessage.Call call =
         new RelayMessage.Call(
-            7, "POST", "/a?b=c", Map.of("Type", "t"), BODY, Duration.ofMillis(900));
+            7,
+            RelayTarget.JOBS,
+            "POST",
+            "/a?b=c",
+            Map.of("Type", "t"),
+            BODY,
+            Duration.ofMillis(900));
     RelayMessage.Call read =
         assertInstanceOf(RelayMessage.Call.class, RelayCodec.decode(RelayCodec.encode(call)));
     assertEquals(call.id(), read.id());
+    assertEquals(call.target(), read.target());
     assertEquals(call.method(), read.method());
     assertEquals(call.path(), read.path());
     assertEquals(call.headers(), read.headers());
@@ -33,11 +40,12 @@
 
   @Test
   void readsRepliesThatItWrote() {
-    RelayMessage.Reply reply = new RelayMessage.Reply(7, 412, BODY);
+    RelayMessage.Reply reply = new RelayMessage.Reply(7, 412, Map.of("Type", "t"), BODY);
     RelayMessage.Reply read =
         assertInstanceOf(RelayMessage.Reply.class, RelayCodec.decode(RelayCodec.encode(reply)));
     assertEquals(reply.id(), read.id());
     assertEquals(reply.status(), read.status());
+    assertEquals(reply.headers(), read.headers());
     assertArrayEquals(BODY, read.body());
     RelayMessage.Failure failure = new RelayMessage.Failure(8, true, "away");
     assertEquals(failure, RelayCodec.decode(RelayCodec.encode(failure)));
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/RelayingHttpCallerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/RelayingHttpCallerTest.java
@@ -32,7 +32,7 @@
   private final RelayingHttpCaller caller =
       new RelayingHttpCaller(
           call -> way("direct", store),
-          (peer, call) -> way(peer.name(), byPeer),
+          (peer, target, call) -> way(peer.name(), byPeer),
           () -> List.of(peer("a1"), peer("a2"), peer("a3")),
           time,
           new SilentEventLog());
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/TcpRelayTransportTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/TcpRelayTransportTest.java
@@ -74,6 +74,46 @@
     assertTrue(failure(sure, Duration.ofSeconds(2)).unsent());
   }
 
+  /** A holder that does not reach the store answers from the jobs that it has read. */
+  @Test
+  void answersCallsAboutJobsWhileItDoesNotReachTheStore() throws IOException {
+    GatewayInstance holder =
+        serve(call -> CompletableFuture.failedFuture(new IllegalStateException("called")), true);
+    HttpReply reply = call(holder, RelayTarget.JOBS, "job", Duration.ofSeconds(2)).join();
+    assertEquals("job", new String(reply.body()));
+    assertEquals(Map.of("Retry-After", "0.40"), reply.headers());
+  }
+
+  /**
+   * All calls of an instance to a holder fail at once although it answers: one of them took too
+   * long, and the link was given up as silent with all that waited on it.
+   */
+  @Test
+  void keepsALinkOnWhichOneCallIsSlow() throws IOException {
+    List<CompletableFuture<HttpReply>> answers = new ArrayList<>();
+    GatewayInstance peer =
+        serve(
+            call -> {
+              CompletableFuture<HttpReply> answer = new CompletableFuture<>();
+              answers.add(answer);
+              if (!new String(call.body()).equals("slow")) {
+                long delay = new String(call.body()).equals("later") ? 500 : 0;
+                loop.schedule(
+                    () -> answer.complete(new HttpReply(200, call.body())),
+                    delay,
+                    TimeUnit.MILLISECONDS);
+              }
+              return answer;
+            },
+            false);
+    call(peer, "first", Duration.ofSeconds(2)).join();
+    CompletableFuture<HttpReply> slow = call(peer, "slow", Duration.ofMillis(100));
+    CompletableFuture<HttpReply> later = call(peer, "later", Duration.ofSeconds(2));
+    call(peer, "quick", Duration.ofSeconds(2)).join();
+    assertThrows(CompletionException.class, slow::join);
+    assertEquals("later", new String(later.join().body()));
+  }
+
   /** Two gateways that do not reach the store hand a call to each other again and again. */
   @Test
   void refusesCallsWhileItDoesNotReachTheStoreItself() throws IOException {
@@ -106,7 +146,12 @@
   private GatewayInstance serve(HttpCaller caller, boolean away) throws IOException {
     int port = freePort();
     new RelayServer(caller, () -> store, () -> away, new SilentEventLog())
-        .bind(loop, new InetSocketAddress("127.0.0.1", port));
+        .bind(
+            loop,
+            new InetSocketAddress("127.0.0.1", port),
+            call ->
+                CompletableFuture.completedFuture(
+                    new HttpReply(200, Map.of("Retry-After", "0.40"), call.body())));
     return instance(port);
   }
 
@@ -117,6 +162,11 @@
   }
 
   private CompletableFuture<HttpReply> call(GatewayInstance peer, String body, Duration timeout) {
+    return call(peer, RelayTarget.STORE, body, timeout);
+  }
+
+  private CompletableFuture<HttpReply> call(
+      GatewayInstance peer, RelayTarget target, String body, Duration timeout) {
     HttpCall call =
         new HttpCall(
             store,
@@ -129,7 +179,7 @@
     loop.execute(
         () ->
             transport
-                .call(peer, call)
+                .call(peer, target, call)
                 .whenComplete(
                     (reply, failure) -> {
                       if (failure == null) {
