Let each instance read a small log of jobs itself

Change: the holder tells the size of its partition; an instance reads it itself while all instances together would load at most what the store gives in a second. Larger ones are asked about, and forgotten here once they have grown.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobDesk.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobDesk.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntPredicate;
+import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -37,6 +38,9 @@
  */
 public final class JobDesk implements RequestHandler {
 
+  /** Header by which whoever answers a peer tells how large the partition is. */
+  public static final String PARTITION_BYTES = "hawthornlb-partition-bytes";
+
   /**
    * Added to the time that a call may wait by itself: the holder may have to ask the store first,
    * for 0.9 s at most, and the way there and back takes 6 ms, on a busy core 100.
@@ -62,6 +66,7 @@
   private final JobService service;
   private final JobFormat format;
   private final JobHolders holders = new JobHolders();
+  private final ReplicaRule rule = new ReplicaRule();
   private final JobPeers peers;
   private final IntPredicate heldHere;
   private final OwnersQuestion owners;
@@ -110,9 +115,15 @@
     return () -> {};
   }
 
-  /** Answers a request that a peer has passed on, from what this process reads itself. */
-  public void answerHere(FrontRequest request, Responder responder) {
-    read(request, responder).ifPresent(call -> service.answer(call, request, responder));
+  /**
+   * Answers a request that a peer has passed on, from what this process reads itself.
+   *
+   * @return tells how many bytes of the partition this process has read
+   */
+  public LongSupplier answerHere(FrontRequest request, Responder responder) {
+    Optional<JobCall> call = read(request, responder);
+    call.ifPresent(known -> service.answer(known, request, responder));
+    return () -> call.map(known -> replicas.bytes(replicas.partition(known.jobId()))).orElse(0L);
   }
 
   private Optional<JobCall> read(FrontRequest request, Responder responder) {
@@ -132,13 +143,29 @@
 
   private void route(JobCall call, FrontRequest request, Responder responder) {
     int partition = replicas.partition(call.jobId());
-    if (call instanceof JobCall.Submit || heldHere.test(partition)) {
+    if (call instanceof JobCall.Submit || heldHere.test(partition) || readsHere(partition)) {
       service.answer(call, request, responder);
     } else {
       new Question(call, partition, request, responder).start();
     }
   }
 
+  /**
+   * Returns whether this process reads a partition itself; forgets one that has grown too large.
+   */
+  private boolean readsHere(int partition) {
+    if (!rule.readsHere(partition, peers.instances())) {
+      return false;
+    }
+    rule.told(partition, Math.max(1, replicas.bytes(partition)));
+    boolean small = rule.readsHere(partition, peers.instances());
+    if (!small) {
+      replicas.forget(partition);
+      log.important("job", "partition.grown").with("partition", partition).write();
+    }
+    return small;
+  }
+
   /** Asks the store for the holders; calls that come meanwhile share one question. */
   private CompletableFuture<Void> learnHolders() {
     CompletableFuture<Void> running = asking;
@@ -274,6 +301,11 @@
     private void send(String name, HttpReply reply) {
       HttpHeaders headers = new DefaultHttpHeaders();
       reply.headers().forEach(headers::set);
+      String size = headers.get(PARTITION_BYTES);
+      if (size != null) {
+        headers.remove(PARTITION_BYTES);
+        rule.told(partition, Long.parseLong(size));
+      }
       log.routine("job", "job.answered")
           .with("id", call.jobId())
           .with("instance", name)
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobPeers.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobPeers.java
@@ -12,6 +12,9 @@
   /** Returns the name of this process. */
   String self();
 
+  /** Returns the number of processes of the fleet, this one among them. */
+  int instances();
+
   /** Returns whether a process is known and does not seem silent. */
   boolean reachable(String name);
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobReplicas.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobReplicas.java
@@ -34,6 +34,17 @@
         partition, number -> new JobReplica(store, TOPIC, number, gate, executor));
   }
 
+  /** Forgets what was read of a partition, if anything was. */
+  void forget(int partition) {
+    replicas.remove(partition);
+  }
+
+  /** Returns the bytes that are known of a partition. */
+  long bytes(int partition) {
+    JobReplica replica = replicas.get(partition);
+    return replica == null ? 0 : replica.table().bytes();
+  }
+
   JobReplica of(String jobId) {
     return replica(partition(jobId));
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobTable.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobTable.java
@@ -23,7 +23,8 @@
   private final Map<String, TreeMap<Integer, byte[]>> parts = new HashMap<>();
   private final Map<String, TreeMap<Integer, JobResult>> early = new HashMap<>();
   private final Set<String> ended = new HashSet<>();
-  private final Map<String, Set<String>> keys = new HashMap<>();
+  private final Map<String, Map<String, Integer>> bytesByKey = new HashMap<>();
+  private long bytes;
 
   Optional<Job> find(String jobId) {
     return Optional.ofNullable(jobs.get(jobId));
@@ -35,22 +36,24 @@
 
   /** Returns the ids of all jobs of which it holds records, as of now. */
   Set<String> jobIds() {
-    return Set.copyOf(keys.keySet());
+    return Set.copyOf(bytesByKey.keySet());
   }
 
   /** Returns the keys of all records of a job. */
   Set<String> keys(String jobId) {
-    return keys.getOrDefault(jobId, Set.of());
+    return bytesByKey.getOrDefault(jobId, Map.of()).keySet();
+  }
+
+  /** Returns the bytes of the newest records of all keys, as far as they were read. */
+  long bytes() {
+    return bytes;
   }
 
   void take(KeyedRecord record) {
     JobRecords.Key key = JobRecords.key(record.key());
     byte[] value = record.value();
-    if (value != null) {
-      keys.computeIfAbsent(key.jobId(), any -> new HashSet<>()).add(record.key());
-    }
+    count(key.jobId(), record);
     if (value == null) {
-      keys.getOrDefault(key.jobId(), new HashSet<>()).remove(record.key());
       drop(key);
     } else if (key.part()) {
       takePart(key, JobRecords.part(value));
@@ -68,6 +71,20 @@
     }
   }
 
+  private void count(String jobId, KeyedRecord record) {
+    byte[] value = record.value();
+    Map<String, Integer> ofJob = bytesByKey.computeIfAbsent(jobId, any -> new HashMap<>());
+    Integer former = value == null ? ofJob.remove(record.key()) : null;
+    if (value != null) {
+      former = ofJob.put(record.key(), value.length);
+      bytes += value.length;
+    }
+    bytes -= former == null ? 0 : former;
+    if (ofJob.isEmpty()) {
+      bytesByKey.remove(jobId);
+    }
+  }
+
   private void takePart(JobRecords.Key key, JobRecords.Part part) {
     if (jobs.containsKey(key.jobId())) {
       return;
@@ -107,7 +124,10 @@
     jobs.remove(jobId);
     parts.remove(jobId);
     early.remove(jobId);
-    keys.remove(jobId);
+    Map<String, Integer> gone = bytesByKey.remove(jobId);
+    if (gone != null) {
+      bytes -= gone.values().stream().mapToInt(Integer::intValue).sum();
+    }
     ended.remove(jobId);
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayJobPeers.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayJobPeers.java
@@ -45,6 +45,11 @@
     return fleet.self().name();
   }
 
+  @Override
+  public int instances() {
+    return fleet.others().size() + 1;
+  }
+
   @Override
   public boolean reachable(String name) {
     Instant now = clock.instant();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayedJobCalls.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayedJobCalls.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 
 /** Answers calls about jobs that peers have passed on. */
@@ -47,8 +48,14 @@
             call.body(),
             clock.instant());
     WholeAnswer answer = new WholeAnswer();
-    desk.answerHere(request, answer);
-    return answer.reply;
+    LongSupplier bytes = desk.answerHere(request, answer);
+    return answer.reply.thenApply(reply -> withSize(reply, bytes.getAsLong()));
+  }
+
+  private static HttpReply withSize(HttpReply reply, long bytes) {
+    Map<String, String> headers = new LinkedHashMap<>(reply.headers());
+    headers.put(JobDesk.PARTITION_BYTES, String.valueOf(bytes));
+    return new HttpReply(reply.status(), headers, reply.body());
   }
 
   /** Keeps the whole answer; calls about jobs have no other. */
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobDeskTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobDeskTest.java
@@ -111,6 +111,36 @@
     assertEquals(1, questions);
   }
 
+  /**
+   * Reports cost a small site four times what they should: each text went from its holder to an
+   * instance in another data centre, for each instance at which it was read.
+   */
+  @Test
+  void readsASmallPartitionItselfOnceItsSizeIsKnown() {
+    JobDesk desk = desk(READ);
+    owners.put(0, "g7");
+    peers.answers("g7", sized(400_000));
+    store.append(new AppendCall(JobReplicas.TOPIC, 0, JobRecords.accepted(job()), null));
+    assertEquals("page", handle(desk).text());
+    assertEquals("0 of 1 from 0", handle(desk).text());
+    assertEquals(List.of("g7"), peers.asked());
+  }
+
+  @Test
+  void keepsAskingAboutALargePartition() {
+    JobDesk desk = desk(READ);
+    owners.put(0, "g7");
+    peers.answers("g7", sized(4_000_000));
+    handle(desk);
+    handle(desk);
+    assertEquals(List.of("g7", "g7"), peers.asked());
+  }
+
+  private static HttpReply sized(long bytes) {
+    return new HttpReply(
+        200, Map.of(JobDesk.PARTITION_BYTES, String.valueOf(bytes)), "page".getBytes());
+  }
+
   /** Jobs are lost with a holder: a caller's job is taken only while its holder answers. */
   @Test
   void takesJobsItself() {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobReadLoadTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobReadLoadTest.java
@@ -136,6 +136,11 @@
       return name(instance);
     }
 
+    @Override
+    public int instances() {
+      return INSTANCES;
+    }
+
     @Override
     public boolean reachable(String name) {
       return true;
@@ -150,10 +155,16 @@
     public CompletionStage<HttpReply> ask(String name, FrontRequest request, Duration patience) {
       RecordingResponder answer = new RecordingResponder();
       int holder = Integer.parseInt(name.substring(1));
+      String id = format.next().jobId();
       service(holder, format).answer(format.next(), request, answer);
       time.advance(Duration.ofMillis(1));
       return CompletableFuture.completedFuture(
-          new HttpReply(answer.status(), answer.text().getBytes()));
+          new HttpReply(
+              answer.status(),
+              Map.of(
+                  JobDesk.PARTITION_BYTES,
+                  String.valueOf(replicas.get(holder).bytes(replicas.get(holder).partition(id)))),
+              answer.text().getBytes()));
     }
   }
 }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/ScriptedJobPeers.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/ScriptedJobPeers.java
@@ -42,6 +42,11 @@
     return self;
   }
 
+  @Override
+  public int instances() {
+    return 13;
+  }
+
   @Override
   public boolean reachable(String name) {
     return true;
