--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobReplica.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobReplica.java
@@ -36,6 +36,7 @@
   private long readsBegun;
   private long lastProof;
   private boolean followed;
+  private boolean awaited;
   private CompletableFuture<Void> nextRead = new CompletableFuture<>();
   private @Nullable CompletableFuture<Void> loading;
   private @Nullable Listing unfinished;
@@ -93,11 +94,18 @@
 
   /** Returns a stage that ends with the next read that brings something or reaches the end. */
   CompletionStage<Void> nextRead() {
+    awaited = true;
     return nextRead;
   }
 
+  /** Returns whether {@link #nextRead()} was called since the last read began. */
+  boolean awaited() {
+    return awaited;
+  }
+
   private CompletionStage<Void> readOn(Duration wait) {
     readsBegun++;
+    awaited = false;
     long number = readsBegun;
     return readPage(wait, number);
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -31,11 +31,14 @@
   /** Pause before a failed call to the store is made again. */
   private static final Duration REPEAT = Duration.ofMillis(200);
 
+  /** Longest wait of a read for new jobs while no caller waits for a result. */
+  private static final Duration READ_WAIT = Duration.ofSeconds(2);
+
   /**
-   * Longest wait of a read for new jobs and results. Callers that wait a second for a result are
-   * answered after a read that began later than their call, without a read of their own.
+   * The same while callers wait, a second at most: each is answered after a read that began later
+   * than its call, so that two reads a second serve all of them.
    */
-  private static final Duration READ_WAIT = Duration.ofMillis(450);
+  private static final Duration AWAITED_READ_WAIT = Duration.ofMillis(450);
 
   /**
    * Time between two records of what running items have gained. After a restart of all processes an
@@ -158,7 +161,7 @@
       return;
     }
     replica
-        .read(READ_WAIT)
+        .read(replica.awaited() ? AWAITED_READ_WAIT : READ_WAIT)
         .whenCompleteAsync(
             (done, failure) -> {
               if (failure == null) {
