--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRecords.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRecords.java
@@ -98,17 +98,6 @@
     return new KeyedRecord(RESULT + SEPARATOR + jobId + SEPARATOR + position, packed(result));
   }
 
-  private static byte[] packed(JobResult result) {
-    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
-      packer.packString(result.itemId());
-      packer.packBoolean(result.completed());
-      packer.packString(result.text());
-      return packer.toByteArray();
-    } catch (IOException e) {
-      throw new UncheckedIOException("A buffer in memory failed", e);
-    }
-  }
-
   static JobResult result(byte[] value) {
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(value)) {
       String itemId = unpacker.unpackString();
@@ -238,4 +227,15 @@
     byte[] body = unpacker.readPayload(unpacker.unpackBinaryHeader());
     return new JobItem(id, path, headers, body);
   }
+
+  private static byte[] packed(JobResult result) {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packer.packString(result.itemId());
+      packer.packBoolean(result.completed());
+      packer.packString(result.text());
+      return packer.toByteArray();
+    } catch (IOException e) {
+      throw new UncheckedIOException("A buffer in memory failed", e);
+    }
+  }
 }
