Forget a large partition that is held no longer

Cause: found by reading. A process that lost a partition kept what it had read of it; and while it was taking one over, a call about it could throw away the replica that the runner was loading, so that the calls were answered from a second one ever after. Change: whoever holds or takes over a partition answers its calls; a large one is forgotten when it is given away. Before: JobDeskTest.forgetsALargePartitionThatItHoldsNoLonger did not compile (no such call); after: passes.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobDesk.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobDesk.java
@@ -150,14 +150,19 @@
     }
   }
 
-  /**
-   * Returns whether this process reads a partition itself; forgets one that has grown too large.
-   */
+  /** Takes that this process holds a partition no longer. */
+  void released(int partition) {
+    keepIfSmall(partition);
+  }
+
+  /** Returns whether this process reads a partition itself, which it does not hold. */
   private boolean readsHere(int partition) {
-    if (!rule.readsHere(partition, peers.instances())) {
-      return false;
-    }
-    rule.told(partition, Math.max(1, replicas.bytes(partition)));
+    return rule.readsHere(partition, peers.instances()) && keepIfSmall(partition);
+  }
+
+  /** Forgets what was read of a partition that has grown too large; returns whether it is small. */
+  private boolean keepIfSmall(int partition) {
+    rule.told(partition, replicas.bytes(partition));
     boolean small = rule.readsHere(partition, peers.instances());
     if (!small) {
       replicas.forget(partition);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRunners.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRunners.java
@@ -77,7 +77,7 @@
             service,
             format,
             peers,
-            partition -> runners.containsKey(partition) && replicas.replica(partition).followed(),
+            runners::containsKey,
             () -> parts.store().owners(GROUP, JobReplicas.TOPIC),
             parts.executor(),
             parts.clock(),
@@ -146,8 +146,7 @@
     }
     member = false;
     parts.log().important("job", "group.left").write();
-    runners.values().forEach(PartitionRunner::handOver);
-    runners.clear();
+    List.copyOf(runners.keySet()).forEach(this::handOver);
     parts.store().leave(GROUP, name);
   }
 
@@ -202,7 +201,9 @@
 
   private void refused(int partition, PartitionRunner refused) {
     // One that hands its partition over may be refused after this process holds it anew.
-    runners.remove(partition, refused);
+    if (runners.remove(partition, refused)) {
+      desk.released(partition);
+    }
     bumps.merge(partition, EPOCH_STEP, Long::sum);
   }
 
@@ -224,6 +225,7 @@
     PartitionRunner runner = runners.remove(partition);
     if (runner != null) {
       runner.handOver();
+      desk.released(partition);
       parts.log().important("job", "partition.handed.over").with("partition", partition).write();
     }
   }
@@ -232,6 +234,7 @@
     PartitionRunner runner = runners.remove(partition);
     if (runner != null) {
       runner.giveUp();
+      desk.released(partition);
       parts.log().important("job", "partition.dropped").with("partition", partition).write();
     }
   }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobDeskTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobDeskTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.hawthornlb.gateway.SilentEventLog;
 import io.hawthornlb.gateway.VirtualLoop;
@@ -136,6 +137,21 @@
     assertEquals(List.of("g7", "g7"), peers.asked());
   }
 
+  /** A process keeps every partition that it ever held, until its memory is full. */
+  @Test
+  void forgetsALargePartitionThatItHoldsNoLonger() {
+    JobDesk desk = desk(READ);
+    List<JobItem> items =
+        List.of(new JobItem("i1", "/p", Map.of(), new byte[JobRecords.PART_BYTES * 3]));
+    Job large = new Job("j", "h", Instant.EPOCH, items);
+    store.append(new AppendCall(JobReplicas.TOPIC, 0, JobRecords.accepted(large), null));
+    replicas.replica(0).refresh();
+    time.advance(Duration.ofMillis(1));
+    assertTrue(replicas.bytes(0) > 0);
+    desk.released(0);
+    assertEquals(0, replicas.bytes(0));
+  }
+
   private static HttpReply sized(long bytes) {
     return new HttpReply(
         200, Map.of(JobDesk.PARTITION_BYTES, String.valueOf(bytes)), "page".getBytes());
