Keep appends of results below what the store takes in a call

Cause: found by reading. All results that waited went into one append. After an outage of the store of 7 s a partition of a grown site has some 180 items of 12 kB, 2.2 MB, and a call takes 2 MiB; what is refused was tried again for good, and no item of the partition would be listed. Change: an append takes records up to 1 MiB, the rest goes with the next one; the same for progress, drops and what is left to the next holder. Before (bound taken out): PartitionRunnerTest.listsMoreThanOneCallHoldsInSeveral fails; after: passes (12 results of 200 kB). Also: the header that tells when to come back is written in one place (Responder.own).

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontConnection.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontConnection.java
@@ -305,15 +305,6 @@
       finish(response);
     }
 
-    @Override
-    public void own(int status, @Nullable Duration retryAfter) {
-      HttpHeaders headers = new DefaultHttpHeaders();
-      if (retryAfter != null) {
-        headers.set(HttpHeaderNames.RETRY_AFTER, RetryAfter.seconds(retryAfter));
-      }
-      whole(status, headers, new byte[0]);
-    }
-
     @Override
     public void head(int status, HttpHeaders headers) {
       if (answered || exchange != this) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Responder.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Responder.java
@@ -1,8 +1,11 @@
 package io.hawthornlb.gateway.front;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
+import java.util.Locale;
 import org.jspecify.annotations.Nullable;
 
 /** The caller's side of one request; takes either one whole answer or a head, parts and an end. */
@@ -12,7 +15,14 @@
   void whole(int status, HttpHeaders headers, byte[] body);
 
   /** Sends an answer of the gateway's own, with when to come back if that is known. */
-  void own(int status, @Nullable Duration retryAfter);
+  default void own(int status, @Nullable Duration retryAfter) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    if (retryAfter != null) {
+      String seconds = String.format(Locale.ROOT, "%.2f", retryAfter.toMillis() / 1000.0);
+      headers.set(HttpHeaderNames.RETRY_AFTER, seconds);
+    }
+    whole(status, headers, new byte[0]);
+  }
 
   /** Sends the head of an answer whose body follows in parts. */
   void head(int status, HttpHeaders headers);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -318,7 +319,7 @@
     }
     if (!drops.isEmpty()) {
       writing = true;
-      append(drops);
+      append(AppendSize.parts(drops).get(0));
     }
   }
 
@@ -328,9 +329,14 @@
 
   private List<KeyedRecord> gained(int leastEvents) {
     List<KeyedRecord> records = new ArrayList<>();
+    AppendSize size = new AppendSize();
     for (ItemRun run : runs.values()) {
-      run.gained(leastEvents)
-          .ifPresent(gained -> records.add(JobRecords.gained(run.job().id(), gained)));
+      Optional<KeyedRecord> record =
+          run.gained(leastEvents).map(gained -> JobRecords.gained(run.job().id(), gained));
+      record.ifPresent(records::add);
+      if (!size.add(record.stream().toList())) {
+        break;
+      }
     }
     return records;
   }
@@ -378,20 +384,32 @@
     writing = true;
     List<KeyedRecord> records = new ArrayList<>(waiting);
     waiting.clear();
-    List<Finished> batch = List.copyOf(finished);
-    finished.clear();
-    inFlight.addAll(batch);
+    AppendSize size = new AppendSize();
+    boolean room = size.add(records);
     Map<String, Integer> next = new HashMap<>();
-    for (Finished each : batch) {
-      String jobId = each.job().id();
-      int position = next.getOrDefault(jobId, each.job().resultCount());
-      next.put(jobId, position + 1);
-      records.add(JobRecords.result(jobId, position, each.result()));
-      records.addAll(withoutRest(jobId, each.result().itemId()));
+    Iterator<Finished> results = finished.iterator();
+    while (room && results.hasNext()) {
+      Finished each = results.next();
+      results.remove();
+      inFlight.add(each);
+      List<KeyedRecord> listed = listed(each, next);
+      records.addAll(listed);
+      room = size.add(listed);
     }
     append(records);
   }
 
+  /** Returns what lists a result behind those of its job. */
+  private List<KeyedRecord> listed(Finished each, Map<String, Integer> next) {
+    String jobId = each.job().id();
+    int position = next.getOrDefault(jobId, each.job().resultCount());
+    next.put(jobId, position + 1);
+    List<KeyedRecord> records = new ArrayList<>();
+    records.add(JobRecords.result(jobId, position, each.result()));
+    records.addAll(withoutRest(jobId, each.result().itemId()));
+    return records;
+  }
+
   /**
    * Returns what drops the progress and the offer of an item that has its result.
    *
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/Relinquishment.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/Relinquishment.java
@@ -4,6 +4,8 @@
 import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -26,19 +28,20 @@
 
   private final JobParts parts;
   private final int partition;
-  private final List<KeyedRecord> records;
+  private final Deque<List<KeyedRecord>> left;
   private final Instant until;
 
   Relinquishment(JobParts parts, int partition, List<KeyedRecord> records) {
     this.parts = parts;
     this.partition = partition;
-    this.records = List.copyOf(records);
+    this.left = new ArrayDeque<>(AppendSize.parts(records));
     this.until = parts.clock().instant().plus(PATIENCE);
   }
 
-  /** Writes the records; taking one twice does no harm. */
+  /** Writes the records, one part after the other; taking one twice does no harm. */
   void write() {
-    if (records.isEmpty()) {
+    List<KeyedRecord> records = left.peek();
+    if (records == null) {
       return;
     }
     parts
@@ -47,22 +50,19 @@
         .whenCompleteAsync(
             (done, failure) -> {
               if (failure == null) {
-                logged("partition.relinquished");
+                logged("partition.relinquished", records.size());
+                left.remove();
+                write();
               } else if (parts.clock().instant().isBefore(until)) {
                 parts.executor().schedule(this::write, REPEAT.toMillis(), TimeUnit.MILLISECONDS);
               } else {
-                logged("partition.relinquished.in.vain");
+                logged("partition.relinquished.in.vain", records.size());
               }
             },
             parts.executor());
   }
 
-  private void logged(String event) {
-    parts
-        .log()
-        .important("job", event)
-        .with("partition", partition)
-        .with("records", records.size())
-        .write();
+  private void logged(String event, int count) {
+    parts.log().important("job", event).with("partition", partition).with("records", count).write();
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayedJobCalls.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayedJobCalls.java
@@ -2,7 +2,6 @@
 
 import io.hawthornlb.gateway.front.FrontRequest;
 import io.hawthornlb.gateway.front.Responder;
-import io.hawthornlb.gateway.front.RetryAfter;
 import io.hawthornlb.gateway.http.HttpCall;
 import io.hawthornlb.gateway.http.HttpCaller;
 import io.hawthornlb.gateway.http.HttpReply;
@@ -12,14 +11,12 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import java.time.Duration;
 import java.time.InstantSource;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.LongSupplier;
-import org.jspecify.annotations.Nullable;
 
 /** Answers calls about jobs that peers have passed on. */
 public final class RelayedJobCalls implements HttpCaller {
@@ -70,15 +67,6 @@
       reply.complete(new HttpReply(status, kept, body));
     }
 
-    @Override
-    public void own(int status, @Nullable Duration retryAfter) {
-      HttpHeaders headers = new DefaultHttpHeaders();
-      if (retryAfter != null) {
-        headers.set(HttpHeaderNames.RETRY_AFTER, RetryAfter.seconds(retryAfter));
-      }
-      whole(status, headers, new byte[0]);
-    }
-
     @Override
     public void head(int status, HttpHeaders headers) {
       throw new UnsupportedOperationException("Answers about jobs are whole");
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PartitionRunnerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PartitionRunnerTest.java
@@ -29,6 +29,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -151,9 +152,49 @@
     assertEquals(2, endpoint.requests().size());
   }
 
-  /** Log that takes no results while it is away. */
+  /**
+   * No report of a large fleet is listed any more after an outage of the store: more items ended
+   * meanwhile than it takes in one call, which it refused again and again.
+   */
+  @Test
+  void listsMoreThanOneCallHoldsInSeveral() {
+    String data = "x".repeat(200_000);
+    int count = 12;
+    for (int i = 0; i < count; i++) {
+      endpoint.then(
+          "HTTP/1.1 200 OK\r\nTest-Id: {id}\r\nTest-Signature: s\r\n"
+              + "Transfer-Encoding: chunked\r\n\r\n"
+              + chunk("id: 1\ndata: " + data + "\n\n")
+              + "0\r\n\r\n",
+          After.KEEP);
+    }
+    List<JobItem> items =
+        IntStream.range(0, count)
+            .mapToObj(number -> new JobItem("i" + number, "/jobs/1", Map.of(), new byte[0]))
+            .toList();
+    Job job = new Job("j", "h", InstantSource.system().instant(), items);
+    store.append(new AppendCall(JobReplicas.TOPIC, 0, JobRecords.accepted(job), null));
+    store.away = true;
+    JobReplica replica = new JobReplica(store, JobReplicas.TOPIC, 0, new LoadGate(), loop);
+    runner(replica, 1);
+    await().until(() -> endpoint.requests().size() == count);
+    await().until(() -> store.refused > 3);
+    store.away = false;
+    await().until(() -> resultCount(replica) == count);
+    assertEquals(count, resultCount(replica));
+  }
+
+  private int resultCount(JobReplica replica) {
+    return loop.submit(() -> replica.table().find("j").map(Job::resultCount).orElse(0))
+        .syncUninterruptibly()
+        .getNow();
+  }
+
+  /** Log that takes no results while it is away, and 2 MiB a call. */
   private static final class AwayLogStore extends InMemoryLogStore {
 
+    private static final int MAX_CALL_BYTES = 2 * 1024 * 1024;
+
     private volatile boolean away;
     private volatile int refused;
 
@@ -163,7 +204,12 @@
 
     @Override
     public CompletionStage<Appended> append(AppendCall call) {
-      if (away && call.writer() != null && !call.records().isEmpty()) {
+      long bytes =
+          call.records().stream()
+              .mapToLong(record -> record.value() == null ? 0 : record.value().length)
+              .sum();
+      boolean tooLarge = bytes > MAX_CALL_BYTES;
+      if (tooLarge || away && call.writer() != null && !call.records().isEmpty()) {
         refused++;
         return CompletableFuture.failedFuture(
             new StoreException(StoreException.Kind.NOT_DONE, "away"));
