Have the stream of the stop test run on while the process stops

Cause: takesNoRequestLateInAStop failed once: its endpoint sent a chunk of a wrong length, so that the stream broke at once; with nothing running the process stops in the same moment as it refuses connections, and the check that it has not stopped is a race. Ruled out: the product; its log shows endpoint.failed for the chunk. Change: a well-formed chunk and a route that lets the stream outlast the stop. The checks are the same.

--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/ScriptedEndpoint.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/ScriptedEndpoint.java
@@ -39,7 +39,12 @@
     WAIT
   }
 
-  private record Step(String answer, After after) {}
+  /**
+   * An answer.
+   *
+   * @param until when the rest of the answer may go out
+   */
+  private record Step(String answer, CountDownLatch until, String rest, After after) {}
 
   /** Starts to listen on a free port. */
   public ScriptedEndpoint() throws IOException {
@@ -56,7 +61,12 @@
 
   /** Answers one request more. */
   public ScriptedEndpoint then(String answer, After after) {
-    steps.add(new Step(answer, after));
+    return then(answer, new CountDownLatch(0), "", after);
+  }
+
+  /** Answers one request more, the rest of it after a latch has opened. */
+  public ScriptedEndpoint then(String answer, CountDownLatch until, String rest, After after) {
+    steps.add(new Step(answer, until, rest, after));
     return this;
   }
 
@@ -102,6 +112,9 @@
         String answer = step.answer().replace(ID, id.find() ? id.group(1) : "");
         socket.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
         socket.getOutputStream().flush();
+        step.until().await();
+        socket.getOutputStream().write(step.rest().getBytes(StandardCharsets.UTF_8));
+        socket.getOutputStream().flush();
         if (!goOn(socket, in, step.after())) {
           return;
         }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ForwardingFailureTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ForwardingFailureTest.java
@@ -88,8 +88,8 @@
    */
   @Test
   void takesNoRequestLateInAStop() throws Exception {
-    first.then(CHUNKED + "d\r\nid: 1\ndata: a\n\r\n", WAIT);
-    gateway.route(RouteKind.STREAM, 1, false, first);
+    first.then(CHUNKED + "f\r\nid: 1\ndata: a\n\n\r\n", WAIT);
+    gateway.timeout(Duration.ofSeconds(6)).route(RouteKind.STREAM, 1, false, first);
     try (Socket running = gateway.open("/a/", "x")) {
       Awaitility.await().until(() -> first.requests().size() == 1);
       gateway.stop();
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
@@ -61,8 +61,9 @@
   private final InMemoryLogStore store = new InMemoryLogStore(loop, 2);
   private final Formats formats = new Formats();
   private final SilentEventLog log = new SilentEventLog();
-  private final GatewaySettings settings = settings();
+  private final GatewaySettings settings;
   private final GatewayProcess process;
+  private Duration timeout = Duration.ofMillis(1_500);
 
   /** Formats that look objects up by a name. */
   private static final class Formats implements SourceFormats, JobFormat {
@@ -115,6 +116,12 @@
   record Answer(int status, String head, String body, boolean whole) {}
 
   GatewayFixture() {
+    this(Duration.ofSeconds(8));
+  }
+
+  /** Starts a gateway that is given a time to stop. */
+  GatewayFixture(Duration stopTime) {
+    settings = settings(stopTime);
     process =
         new GatewayProcess(
             settings,
@@ -127,6 +134,12 @@
             log);
   }
 
+  /** Sets how long requests of routes that are put in force later may take. */
+  GatewayFixture timeout(Duration longest) {
+    timeout = longest;
+    return this;
+  }
+
   /** Puts a configuration with one route in force, and offers endpoints in the order named. */
   GatewayFixture route(RouteKind kind, int maxAttempts, boolean resumable, ScriptedEndpoint... to) {
     for (int i = 0; i < to.length; i++) {
@@ -140,7 +153,7 @@
             "h.example",
             "/a/",
             kind,
-            Duration.ofMillis(1_500),
+            timeout,
             Duration.ofMillis(1_000),
             0,
             List.of(new ServiceShare(SERVICE, 1)),
@@ -168,16 +181,25 @@
   }
 
   Socket open(String path, String body) throws IOException {
-    String request =
-        "POST "
-            + path
-            + " HTTP/1.1\r\nHost: h.example\r\nTest-Id: id-1\r\nTest-Remaining: 3000\r\n"
-            + "Other: x\r\n"
-            + "Content-Length: "
-            + body.length()
-            + "\r\nConnection: close\r\n\r\n"
-            + body;
-    return raw(request);
+    return raw(request(path, body, "Connection: close\r\n"));
+  }
+
+  /** Returns a request after which the caller keeps its connection. */
+  static String keptRequest(String path, String body) {
+    return request(path, body, "");
+  }
+
+  private static String request(String path, String body, String connection) {
+    return "POST "
+        + path
+        + " HTTP/1.1\r\nHost: h.example\r\nTest-Id: id-1\r\nTest-Remaining: 6000\r\n"
+        + "Other: x\r\n"
+        + "Content-Length: "
+        + body.length()
+        + "\r\n"
+        + connection
+        + "\r\n"
+        + body;
   }
 
   Socket raw(String bytes) throws IOException {
@@ -247,7 +269,7 @@
     return text.toString();
   }
 
-  private static GatewaySettings settings() {
+  private static GatewaySettings settings(Duration stopTime) {
     InetAddress loopback = InetAddress.getLoopbackAddress();
     List<Integer> ports = new ArrayList<>();
     try (ServerSocket front = new ServerSocket(0, 1, loopback);
@@ -267,7 +289,7 @@
         new InetSocketAddress(loopback, ports.get(0)),
         new InetSocketAddress(loopback, ports.get(1)),
         new InetSocketAddress(loopback, ports.get(2)),
-        Duration.ofSeconds(8),
+        stopTime,
         Duration.ofSeconds(120),
         2);
   }
