--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GracefulStopTest.java
@@ -0,0 +1,144 @@
+package io.hawthornlb.gateway.front;
+
+import static io.hawthornlb.gateway.ScriptedEndpoint.After.KEEP;
+import static io.hawthornlb.gateway.ScriptedEndpoint.After.WAIT;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.hawthornlb.gateway.ScriptedEndpoint;
+import io.hawthornlb.gateway.front.GatewayFixture.Answer;
+import io.hawthornlb.gateway.route.RouteKind;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What callers see of a process that was told to stop. */
+class GracefulStopTest {
+
+  private static final String HEAD = "HTTP/1.1 200 OK\r\nTest-Id: {id}\r\nTest-Signature: s\r\n";
+  private static final String OK = HEAD + "Content-Length: 4\r\n\r\nbody";
+  private static final String FIRST_EVENT =
+      HEAD + "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n";
+  private static final String END = "0\r\n\r\n";
+
+  /** Time for a request that outlasts all that a stop takes. */
+  private static final Duration LONG = Duration.ofSeconds(6);
+
+  private ScriptedEndpoint endpoint;
+
+  @BeforeEach
+  void start() throws IOException {
+    endpoint = new ScriptedEndpoint();
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    endpoint.close();
+  }
+
+  /**
+   * A store hand's check is cut off midway while a gateway is restarted. It came on a connection
+   * that was kept open: the head of the stream before it had gone out before the signal to stop,
+   * and so did not tell the caller to close, and its last event came after idle connections had
+   * been closed. The next request was taken 7.19 s after the signal, reached an endpoint at 7.29 s
+   * and was cut at 7.39 s, when the process ended.
+   */
+  @Test
+  void closesAConnectionWhoseStreamBeganBeforeTheStop() throws Exception {
+    try (GatewayFixture gateway = new GatewayFixture()) {
+      CountDownLatch late = new CountDownLatch(1);
+      endpoint.then(FIRST_EVENT, late, END, KEEP).then(FIRST_EVENT, WAIT).then(FIRST_EVENT, WAIT);
+      gateway.timeout(LONG).route(RouteKind.STREAM, 1, false, endpoint);
+      try (Socket caller = gateway.raw(GatewayFixture.keptRequest("/a/", "x"));
+          Socket other = gateway.open("/a/", "z")) {
+        readUntil(caller, "data: a");
+        readUntil(other, "data: a");
+        gateway.stop();
+        awaitEvent(gateway, "process.accepts.no.more");
+        late.countDown();
+        readUntil(caller, END);
+        send(caller, GatewayFixture.keptRequest("/a/", "y"));
+        assertEquals(0, GatewayFixture.read(caller).status());
+        assertEquals(2, endpoint.requests().size());
+      }
+    }
+  }
+
+  /**
+   * A report sent over a slow line is cut off. Its head came before the signal to stop and the end
+   * of its body just before the process ended, which left no time to run it. The caller has to be
+   * told at once that it has not run.
+   */
+  @Test
+  void refusesARequestThatIsWholeTooLate() throws Exception {
+    try (GatewayFixture gateway = new GatewayFixture()) {
+      endpoint.then(OK, KEEP);
+      gateway.route(RouteKind.ONCE, 1, false, endpoint);
+      String request = GatewayFixture.keptRequest("/a/", "slow");
+      try (Socket caller = gateway.raw(request.substring(0, request.length() - 1))) {
+        gateway.stop();
+        awaitEvent(gateway, "process.accepts.no.more");
+        send(caller, request.substring(request.length() - 1));
+        Answer answer = GatewayFixture.read(caller);
+        assertEquals(503, answer.status());
+        assertTrue(answer.head().toLowerCase().contains("retry-after: 0."), answer.head());
+        assertTrue(endpoint.requests().isEmpty());
+      }
+    }
+  }
+
+  /**
+   * A caller waits until its own time is up for an answer that nobody will send: its request ran at
+   * a slow endpoint when the process ended, and its connection broke without a word.
+   */
+  @Test
+  void answersWhatItCannotFinishBeforeItEnds() throws Exception {
+    Duration stopTime = Duration.ofMillis(1_500);
+    try (GatewayFixture gateway = new GatewayFixture(stopTime)) {
+      endpoint.then("", WAIT);
+      gateway.timeout(LONG).route(RouteKind.ONCE, 1, false, endpoint);
+      try (Socket caller = gateway.raw(GatewayFixture.keptRequest("/a/", "x"))) {
+        Awaitility.await().until(() -> endpoint.requests().size() == 1);
+        gateway.stop();
+        Answer answer = GatewayFixture.read(caller);
+        assertEquals(502, answer.status());
+        assertFalse(gateway.log().events().contains("front.request.timeout"));
+      }
+    }
+  }
+
+  private static void awaitEvent(GatewayFixture gateway, String event) {
+    Awaitility.await()
+        .atMost(Duration.ofSeconds(5))
+        .until(() -> gateway.log().events().contains(event));
+  }
+
+  private static void send(Socket caller, String bytes) {
+    try {
+      caller.getOutputStream().write(bytes.getBytes(StandardCharsets.UTF_8));
+      caller.getOutputStream().flush();
+    } catch (IOException e) {
+      // The connection is closed, as the reading that follows shows.
+      assertFalse(caller.isInputShutdown());
+    }
+  }
+
+  /** Reads byte by byte until a text has come. */
+  private static void readUntil(Socket caller, String text) throws IOException {
+    StringBuilder seen = new StringBuilder();
+    while (seen.indexOf(text) < 0) {
+      int next = caller.getInputStream().read();
+      if (next < 0) {
+        throw new IOException("The connection ended after: " + seen);
+      }
+      seen.append((char) next);
+    }
+  }
+}
