End connections with their answers during a stop, answer what the end would cut

Cause: a stop closed idle connections once, 2.6 s after the signal. A connection whose stream began before the signal and ended later was kept, and took requests until the process ended and cut them. Same class: a request whose body ended late was begun; what still ran at the end got no answer. Ruled out: the listener (closed since 2.6 s); closing all connections at the signal (the balancer would send their callers back for two seconds). Change: connections close with the answer that ends; late requests are refused as not run; what is left at the end gets 503, 502 or a broken stream.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -120,6 +120,15 @@
     }
   }
 
+  @Override
+  public void processEnds() {
+    if (call != null) {
+      // It may have run, and nobody will learn whether it did.
+      runs++;
+    }
+    end(AttemptRules.gaveUp(state()), TURNED_AWAY_RETRY, "the process ends");
+  }
+
   /** Is told by the relay that the caller reads slowly. */
   void pause() {
     if (call != null) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardingHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardingHandler.java
@@ -21,7 +21,11 @@
   /** When to come back while no configuration is known; a first read takes some 10 ms. */
   private static final Duration CONFIG_RETRY = Duration.ofMillis(300);
 
+  /** When to come back to another process, which may take the request at once. */
+  private static final Duration STOPPING_RETRY = Duration.ofMillis(10);
+
   private final Parts parts;
+  private boolean stopping;
 
   /**
    * What forwarding needs.
@@ -56,8 +60,23 @@
     this.parts = parts;
   }
 
+  /**
+   * Refuses all requests from now on.
+   *
+   * <p>Failure: the end of a request comes so late in a stop that the end of the process would cut
+   * its answer. Guard: it is not begun, and its caller is told so.
+   */
+  public void stopTaking() {
+    stopping = true;
+  }
+
   @Override
   public Handling handle(FrontRequest request, Responder responder) {
+    if (stopping) {
+      refused(request, 503, "the process stops", -1);
+      responder.own(503, STOPPING_RETRY);
+      return () -> {};
+    }
     Optional<RoutingConfig> config = parts.config().current();
     if (config.isEmpty()) {
       // Nothing is known of any route: a 404 would tell the caller to give up.
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontConnection.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontConnection.java
@@ -61,6 +61,14 @@
     }
   }
 
+  /** Gives a request that is being handled its final answer, as the process ends. */
+  void end() {
+    Exchange active = exchange;
+    if (active != null) {
+      active.processEnds();
+    }
+  }
+
   void bytesCame() {
     if (!busy()) {
       schedule(server.limits().headerTimeout(), 408);
@@ -262,6 +270,7 @@
     private final boolean keepAlive;
     private RequestHandler.@Nullable Handling handling;
     private boolean answered;
+    private boolean headSent;
     private boolean closeAfter;
 
     private Exchange(boolean keepAlive) {
@@ -317,6 +326,7 @@
         HttpUtil.setTransferEncodingChunked(response, true);
       }
       setConnection(response.headers());
+      headSent = true;
       open().writeAndFlush(response);
     }
 
@@ -346,13 +356,35 @@
       }
     }
 
+    private void processEnds() {
+      if (handling != null) {
+        handling.processEnds();
+      }
+      if (answered) {
+        return;
+      }
+      if (headSent) {
+        breakOff();
+      } else {
+        own(502, null);
+      }
+    }
+
     @Override
     public boolean congested() {
       return !open().isWritable();
     }
 
+    /**
+     * Ends the answer, and the connection with it if the process stops.
+     *
+     * <p>Failure: a stream whose head went out before the signal to stop has not told its caller to
+     * close. It shows as a request that comes on the kept connection until the process ends, which
+     * cuts it. Guard: what counts is the moment at which the answer ends.
+     */
     private void finish(HttpObject last) {
       answered = true;
+      closeAfter |= server.draining();
       var written = open().writeAndFlush(last);
       if (closeAfter) {
         written.addListener(ChannelFutureListener.CLOSE);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontServer.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontServer.java
@@ -56,7 +56,7 @@
             .channel();
   }
 
-  /** Asks callers to leave: answers close their connections from now on. */
+  /** Asks callers to leave: connections close with the answers that end from now on. */
   public void drain() {
     draining = true;
   }
@@ -70,9 +70,10 @@
     closeIdle();
   }
 
-  /** Closes the connections on which no request is being handled. */
-  public void closeIdle() {
-    Set.copyOf(connections).forEach(FrontConnection::closeIfIdle);
+  /** Gives the requests that are still being handled their final answers, and closes all. */
+  public void end() {
+    Set.copyOf(connections).forEach(FrontConnection::end);
+    closeIdle();
   }
 
   /** Returns the number of requests that are being handled. */
@@ -108,6 +109,10 @@
     connections.remove(connection);
   }
 
+  private void closeIdle() {
+    Set.copyOf(connections).forEach(FrontConnection::closeIfIdle);
+  }
+
   /** Sets up a connection. */
   private final class Pipeline extends ChannelInitializer<Channel> {
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/RequestHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/RequestHandler.java
@@ -14,5 +14,13 @@
 
     /** Is told that the caller reads again after {@link Responder#congested()}. */
     default void drained() {}
+
+    /**
+     * Is told that the process ends now, so that no answer can come any more.
+     *
+     * <p>Whoever knows that the request has not run says so; otherwise the caller gets a failure
+     * that promises nothing.
+     */
+    default void processEnds() {}
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -57,6 +57,7 @@
   private final EndpointDirectory directory = new EndpointDirectory();
   private final EndpointSource endpoints;
   private final InstanceSource instances;
+  private final ForwardingHandler handler;
   private final FrontServer front;
   private final JobRunners jobs;
   private boolean stopping;
@@ -97,7 +98,7 @@
             () -> rank(fleet));
     new RelayServer(direct, access.address(), caller::away, log)
         .bind(loop, settings.self().address(), new RelayedJobCalls(jobs.calls(), clock));
-    ForwardingHandler handler =
+    handler =
         new ForwardingHandler(
             new ForwardingHandler.Parts(
                 config,
@@ -195,11 +196,12 @@
    * Takes no requests from now on.
    *
    * <p>Failure: the balancer sends connections to a process that is not ready when few others of
-   * its data centre are. It shows as requests that come until the end, and of which the last are
-   * cut. Guard: once the balancer has had time to notice, connections are refused, and callers go
-   * to other processes at once.
+   * its data centre are, and callers use connections that they kept. It shows as requests that come
+   * until the end, and of which the last are cut. Guard: once the balancer has had time to notice,
+   * neither connections nor requests are taken, and callers go to other processes at once.
    */
   private void stopAccepting() {
+    handler.stopTaking();
     front.stopAccepting();
     log.important("process", "accepts.no.more").with("active", front.active()).write();
   }
@@ -209,8 +211,8 @@
     boolean idle = front.active() == 0;
     if ((idle && now.isAfter(earliest)) || now.isAfter(latest)) {
       jobs.stop();
-      front.closeIdle();
       log.important("process", "stopped").with("active", front.active()).write();
+      front.end();
       loop.schedule(done::countDown, STOP_POLL.toMillis(), TimeUnit.MILLISECONDS);
       return;
     }
