--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GracefulStopTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GracefulStopTest.java
@@ -10,6 +10,7 @@
 import io.hawthornlb.gateway.front.GatewayFixture.Answer;
 import io.hawthornlb.gateway.route.RouteKind;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -115,6 +116,32 @@
     }
   }
 
+  /**
+   * A request is cut off by the end of a process that is given little time to stop. The end came
+   * before the moment from which requests are refused, so that one that came last was still begun.
+   */
+  @Test
+  void takesNothingAfterItsEnd() throws Exception {
+    Duration stopTime = Duration.ofMillis(1_500);
+    try (GatewayFixture gateway = new GatewayFixture(stopTime)) {
+      endpoint.then("", WAIT).then(OK, KEEP);
+      gateway.timeout(LONG).route(RouteKind.ONCE, 1, false, endpoint);
+      try (Socket caller = gateway.raw(GatewayFixture.keptRequest("/a/", "x"))) {
+        Awaitility.await().until(() -> endpoint.requests().size() == 1);
+        gateway.stop();
+        assertEquals(502, GatewayFixture.read(caller).status());
+      }
+      try (Socket late = gateway.open("/a/", "y")) {
+        // The system may have taken the connection just before; it is closed unread then.
+        int status = GatewayFixture.read(late).status();
+        assertTrue(status == 503 || status == 0, "status " + status);
+      } catch (ConnectException e) {
+        assertTrue(gateway.log().events().contains("process.stopped"));
+      }
+      assertEquals(1, endpoint.requests().size());
+    }
+  }
+
   private static void awaitEvent(GatewayFixture gateway, String event) {
     Awaitility.await()
         .atMost(Duration.ofSeconds(5))
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
@@ -208,6 +208,29 @@
     assertEquals(1, other.answers.size());
   }
 
+  /**
+   * Callers of a gateway that stops wait longer, and then share slots that are in use. It had left
+   * the list of gateways at once and took requests for seconds more; the coordinator took its
+   * questions, found no address for its answers, and the gateway decided alone in the end.
+   */
+  @Test
+  void answersAGatewayThatHasLeftTheList() {
+    String first = nodes.get("a1").fleet.ranked(SERVICE, time.instant()).get(0).name();
+    List<Node> askers = names.stream().filter(name -> !name.equals(first)).map(nodes::get).toList();
+    Node holder = askers.get(0);
+    Node stopping = askers.get(1);
+    SlotRequest held = holder.ask();
+    time.advance(Duration.ofMillis(5));
+    assertEquals(List.of(new SlotAnswer.Granted(held.key(), SERVICE)), holder.answers);
+    nodes.values().forEach(node -> node.fleet.remove(stopping.name));
+    SlotRequest late = stopping.ask();
+    time.advance(Duration.ofMillis(200));
+    assertEquals(List.of(), stopping.answers);
+    holder.slots.release(held.key(), SlotOutcome.ANSWERED);
+    time.advance(Duration.ofMillis(25));
+    assertEquals(List.of(new SlotAnswer.Granted(late.key(), SERVICE)), stopping.answers);
+  }
+
   private static GatewayInstance instance(String name) {
     return new GatewayInstance(name, name + "~1", address(), name.substring(0, 1));
   }
