--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
@@ -231,6 +231,27 @@
     assertEquals(List.of(new SlotAnswer.Granted(late.key(), SERVICE)), stopping.answers);
   }
 
+  /**
+   * Callers of other gateways wait in vain though a slot is free. A gateway that stops had asked
+   * for it; the coordinator kept it for a question whose answer it could not send, and nobody gave
+   * it back.
+   */
+  @Test
+  void keepsNoSlotForAGatewayThatHasLeftTheList() {
+    String first = nodes.get("a1").fleet.ranked(SERVICE, time.instant()).get(0).name();
+    List<Node> askers = names.stream().filter(name -> !name.equals(first)).map(nodes::get).toList();
+    Node stopping = askers.get(1);
+    nodes.values().forEach(node -> node.fleet.remove(stopping.name));
+    SlotRequest last = stopping.ask();
+    time.advance(Duration.ofMillis(200));
+    stopping.slots.release(last.key(), SlotOutcome.ANSWERED);
+    time.advance(Duration.ofMillis(5));
+    Node other = askers.get(0);
+    SlotRequest next = other.ask();
+    time.advance(Duration.ofMillis(600));
+    assertEquals(List.of(new SlotAnswer.Granted(next.key(), SERVICE)), other.answers);
+  }
+
   private static GatewayInstance instance(String name) {
     return new GatewayInstance(name, name + "~1", address(), name.substring(0, 1));
   }
