Answer a process that has left the list, where it was last

Cause: a stopping process leaves the list at once and takes requests for 2.6 s more; coordinators look up the address of their answers in the list. Its questions got none: 100 ms of waiting, slots granted twice, slots kept for nobody for 3 s. Change: answers, and the release of a late grant, go to the last known address.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
@@ -192,7 +192,7 @@
         continue;
       }
       String name = senders.get(answer.key().holder());
-      GatewayInstance holder = name == null ? null : fleet.find(name);
+      GatewayInstance holder = name == null ? null : fleet.lastKnown(name);
       if (holder != null) {
         transport.send(holder, new PeerMessage.Answer(answer));
       }
@@ -211,7 +211,7 @@
     if (asked != null && asked.coordinator.name().equals(sender)) {
       asked.answered(answer);
     } else if (answer instanceof SlotAnswer.Granted && asked != null) {
-      GatewayInstance late = fleet.find(sender);
+      GatewayInstance late = fleet.lastKnown(sender);
       if (late != null) {
         String service = asked.request.service();
         transport.send(late, new PeerMessage.Release(service, answer.key(), SlotOutcome.ABANDONED));
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetView.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetView.java
@@ -80,7 +80,9 @@
   /**
    * Returns a process by its name as the list last had it; null if it never did.
    *
-   * <p>A process that stops leaves the list at once and answers for seconds more.
+   * <p>Failure: a process that stops leaves the list at once and handles requests for seconds more.
+   * It shows as questions for slots whose answers are sent nowhere, so that its callers wait for
+   * 0.1 s and slots are kept for nobody. Guard: answers go to where it was last.
    */
   public @Nullable GatewayInstance lastKnown(String name) {
     return name.equals(self.name()) ? self : lastKnown.get(name);
