Count a request until its answer has left, take nothing after the end of a stop

Cause: an answer counted as ended once it was handed to the connection; a stop closed it with the rest unsent (2.8 of 33.6 MB). With a time to stop under 3.3 s the process ended before it refused requests. Ruled out: waiting 50 ms at the end (a slow caller needs seconds).

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontConnection.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontConnection.java
@@ -47,12 +47,20 @@
   private @Nullable ScheduledFuture<?> timer;
   private boolean closing;
 
+  /**
+   * Answers that have ended and of which the connection still holds a part.
+   *
+   * <p>Failure: a caller reads slowly while the process stops. It shows as an answer that breaks
+   * off though it was complete here. Guard: the request is handled until its answer has left.
+   */
+  private int unsent;
+
   FrontConnection(FrontServer server) {
     this.server = server;
   }
 
   boolean busy() {
-    return exchange != null || head != null;
+    return exchange != null || head != null || unsent > 0;
   }
 
   void closeIfIdle() {
@@ -243,7 +251,9 @@
     if (exchange != null) {
       return;
     }
-    if (status == 0) {
+    if (status == 0 && unsent > 0) {
+      schedule(server.limits().idleTimeout(), 0);
+    } else if (status == 0) {
       open().close();
     } else {
       refuseInput(status);
@@ -385,7 +395,9 @@
     private void finish(HttpObject last) {
       answered = true;
       closeAfter |= server.draining();
+      unsent++;
       var written = open().writeAndFlush(last);
+      written.addListener(any -> unsent--);
       if (closeAfter) {
         written.addListener(ChannelFutureListener.CLOSE);
       }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontServer.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontServer.java
@@ -72,6 +72,10 @@
 
   /** Gives the requests that are still being handled their final answers, and closes all. */
   public void end() {
+    Channel current = listening;
+    if (current != null) {
+      current.close();
+    }
     Set.copyOf(connections).forEach(FrontConnection::end);
     closeIdle();
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -212,6 +212,7 @@
     if ((idle && now.isAfter(earliest)) || now.isAfter(latest)) {
       jobs.stop();
       log.important("process", "stopped").with("active", front.active()).write();
+      handler.stopTaking();
       front.end();
       loop.schedule(done::countDown, STOP_POLL.toMillis(), TimeUnit.MILLISECONDS);
       return;
