Tell the lives of an endpoint apart

Cause: an endpoint may start again under its id. Uses of slots, grants and what a request excludes named the id alone, so that nothing could tell what belongs to a former start.

Change: entries carry the start (born); grants, uses, leases and excluded endpoints name a life, an id and a start.

The tests that named excluded ids name lives now, and check the same.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/endpoint/EndpointRecord.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/endpoint/EndpointRecord.java
@@ -6,12 +6,13 @@
 /**
  * An endpoint as it registered itself.
  *
- * @param id id of this start of the endpoint
+ * @param id id of the endpoint, which it keeps when it starts again
  * @param service service that it belongs to
  * @param address where it takes requests
  * @param dataCentre data centre that it stands in
  * @param slots requests that it runs at once
  * @param leaving whether it takes no new requests
+ * @param born Unix millisecond of its start; {@link EndpointLife#UNKNOWN} if it does not say
  */
 public record EndpointRecord(
     String id,
@@ -19,7 +20,8 @@
     InetSocketAddress address,
     String dataCentre,
     int slots,
-    boolean leaving) {
+    boolean leaving,
+    long born) {
 
   /** Checks the arguments. */
   public EndpointRecord {
@@ -27,4 +29,20 @@
     Checks.hasText(service, "service");
     Checks.isTrue(slots > 0, "slots must be positive");
   }
+
+  /** Creates the entry of an endpoint that does not say when it started. */
+  public EndpointRecord(
+      String id,
+      String service,
+      InetSocketAddress address,
+      String dataCentre,
+      int slots,
+      boolean leaving) {
+    this(id, service, address, dataCentre, slots, leaving, EndpointLife.UNKNOWN);
+  }
+
+  /** Returns which life of the endpoint wrote the entry. */
+  public EndpointLife life() {
+    return new EndpointLife(id, born);
+  }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.gateway.front;
 
 import com.dynatrace.hash4j.hashing.Hashing;
+import io.hawthornlb.gateway.endpoint.EndpointLife;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.event.EventLine;
 import io.hawthornlb.gateway.route.Route;
@@ -70,13 +71,13 @@
   private final String id;
   private final String service;
   private final Instant deadline;
-  private final Set<String> excluded = new HashSet<>();
+  private final Set<EndpointLife> excluded = new HashSet<>();
   private final AnswerRelay relay;
   private final SilenceWatch watch;
   private @Nullable ScheduledFuture<?> timer;
   private @Nullable SlotKey slot;
   private @Nullable EndpointCall call;
-  private @Nullable String endpoint;
+  private @Nullable EndpointLife endpoint;
   private Instant asked = Instant.MIN;
   private int runs;
   private int turnedAway;
@@ -108,7 +109,7 @@
   @Override
   public void callerGone() {
     if (!done) {
-      line("caller.gone").with("endpoint", endpoint).write();
+      line("caller.gone").with("endpoint", endpointId()).write();
       finish(abandoned());
     }
   }
@@ -140,7 +141,7 @@
     boolean replaced = status == 421;
     turnedAway++;
     parts.metrics().count("endpoints.refused", String.valueOf(status));
-    line("endpoint.refused").with("endpoint", endpoint).with("status", status).write();
+    line("endpoint.refused").with("endpoint", endpointId()).with("status", status).write();
     excludeCurrent(replaced ? SlotOutcome.REPLACED : SlotOutcome.SHED);
     proceed(AttemptRules.afterNotRun(state()), "endpoints turned it away");
   }
@@ -148,7 +149,7 @@
   /** Is told that no whole answer comes from the endpoint. */
   void broken(boolean sent, String cause) {
     parts.metrics().count("endpoints.failed", sent ? "after it was sent" : "not sent");
-    line("endpoint.failed").with("endpoint", endpoint).with("cause", cause).write();
+    line("endpoint.failed").with("endpoint", endpointId()).with("cause", cause).write();
     excludeCurrent(sent ? SlotOutcome.FAILED : SlotOutcome.UNREACHED);
     if (sent) {
       runs++;
@@ -176,7 +177,7 @@
         .routine("front", "request.answered")
         .with("id", id)
         .with("status", status)
-        .with("endpoint", endpoint)
+        .with("endpoint", endpointId())
         .with("firstMillis", first.toMillis())
         .with("millis", sinceArrival())
         .write();
@@ -241,7 +242,7 @@
     }
     if (answer instanceof SlotAnswer.Granted granted) {
       parts.metrics().time("requests.slot", route.name(), Duration.ofMillis(sinceArrival()));
-      send(granted.endpoint());
+      send(granted.life());
     } else if (answer instanceof SlotAnswer.Refused refused) {
       slot = null;
       noSlot(refused);
@@ -260,9 +261,9 @@
         .write();
   }
 
-  private void send(String endpointId) {
-    endpoint = endpointId;
-    Optional<EndpointRecord> target = parts.directory().find(endpointId);
+  private void send(EndpointLife life) {
+    endpoint = life;
+    Optional<EndpointRecord> target = parts.directory().find(life.id());
     if (target.isEmpty() || target.get().leaving()) {
       // The coordinator's list is behind this one's.
       turnedAway++;
@@ -276,11 +277,11 @@
         .routine("front", "request.sent")
         .with("id", id)
         .with("route", route.name())
-        .with("endpoint", endpointId)
+        .with("endpoint", life.id())
         .with("runs", runs)
         .with("millis", sinceArrival())
         .write();
-    call = parts.pool().send(target.get(), outgoing(endpointId), relay);
+    call = parts.pool().send(target.get(), outgoing(life.id()), relay);
     watch.start();
   }
 
@@ -290,7 +291,7 @@
     SlotKey held = slot;
     if (held != null) {
       line("endpoint.silent")
-          .with("endpoint", endpoint)
+          .with("endpoint", endpointId())
           .with("silentMillis", silence.toMillis())
           .write();
       parts.slots().suspect(held);
@@ -317,6 +318,10 @@
     return false;
   }
 
+  private @Nullable String endpointId() {
+    return endpoint == null ? null : endpoint.id();
+  }
+
   private FullHttpRequest outgoing(String endpointId) {
     HttpHeaders headers = ForwardedHeaders.toEndpoint(request.headers(), parts.names());
     headers.set(parts.names().remainingMillis(), Math.max(1, timeLeft().toMillis()));
@@ -370,7 +375,7 @@
     }
     boolean sent = call != null;
     parts.metrics().count("requests.timeout", route.name());
-    line("request.timeout").with("endpoint", endpoint).with("runs", runs).write();
+    line("request.timeout").with("endpoint", endpointId()).with("runs", runs).write();
     if (relay.headSent()) {
       responder.breakOff();
     } else {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.job;
 
+import io.hawthornlb.gateway.endpoint.EndpointLife;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.event.EventLine;
 import io.hawthornlb.gateway.route.Route;
@@ -55,7 +56,7 @@
   private final SilenceWatch watch;
   private final RunEstimate estimate;
   private final ItemOutput output;
-  private final Set<String> excluded = new HashSet<>();
+  private final Set<EndpointLife> excluded = new HashSet<>();
   private Duration ran = Duration.ZERO;
   private @Nullable Instant sentAt;
   private int failures;
@@ -160,7 +161,7 @@
     }
     leaveWindow();
     if (answer instanceof SlotAnswer.Granted granted) {
-      send(granted.endpoint());
+      send(granted.life());
     } else if (answer instanceof SlotAnswer.Revoked) {
       parts.metrics().count("items", "gave way");
       line("item.gave.way").write();
@@ -180,18 +181,18 @@
     }
   }
 
-  private void send(String endpointId) {
-    Optional<EndpointRecord> target = parts.directory().find(endpointId);
+  private void send(EndpointLife life) {
+    Optional<EndpointRecord> target = parts.directory().find(life.id());
     if (target.isEmpty() || target.get().leaving()) {
-      excluded.add(endpointId);
+      excluded.add(life);
       end(SlotOutcome.REPLACED);
       again(PAUSE);
       return;
     }
     lastEvent = parts.clock().instant();
     sentAt = lastEvent;
-    line("item.sent").with("endpoint", endpointId).with("after", output.lastEventId()).write();
-    call = parts.pool().send(target.get(), outgoing(endpointId), new Answer(endpointId));
+    line("item.sent").with("endpoint", life.id()).with("after", output.lastEventId()).write();
+    call = parts.pool().send(target.get(), outgoing(life.id()), new Answer(life));
     watch.start();
   }
 
@@ -281,15 +282,15 @@
   /** Takes the answer of one endpoint. */
   private final class Answer implements EndpointCallListener {
 
-    private final String endpointId;
+    private final EndpointLife life;
     private final EventSplitter splitter = new EventSplitter();
     private int status;
     private boolean notRun;
     private boolean missing;
     private boolean proven;
 
-    private Answer(String endpointId) {
-      this.endpointId = endpointId;
+    private Answer(EndpointLife life) {
+      this.life = life;
     }
 
     @Override
@@ -327,7 +328,7 @@
     @Override
     public void onEnd() {
       if (notRun) {
-        excluded.add(endpointId);
+        excluded.add(life);
         end(status == 421 ? SlotOutcome.REPLACED : SlotOutcome.SHED);
         again(PAUSE);
       } else if (status == 200 && proven && !splitter.torn() && !missing) {
@@ -336,15 +337,15 @@
         onFailure(true, "the answer is torn, lacks an event or bears no proof");
       } else {
         // Another endpoint may do what this one fails at.
-        excluded.add(endpointId);
+        excluded.add(life);
         failedWith(status);
       }
     }
 
     @Override
     public void onFailure(boolean sent, String cause) {
-      line("item.broken").with("endpoint", endpointId).with("cause", cause).write();
-      excluded.add(endpointId);
+      line("item.broken").with("endpoint", life.id()).with("cause", cause).write();
+      excluded.add(life);
       end(sent ? SlotOutcome.FAILED : SlotOutcome.UNREACHED);
       again(PAUSE);
     }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.gateway.peer;
 
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
+import io.hawthornlb.gateway.endpoint.EndpointLife;
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotClient;
@@ -283,7 +284,7 @@
     private GatewayInstance coordinator = fleet.self();
     private int tries;
     private int asked;
-    private @Nullable String endpoint;
+    private @Nullable EndpointLife endpoint;
     private @Nullable ScheduledFuture<?> timer;
 
     private Pending(SlotRequest request, Listener listener) {
@@ -337,7 +338,7 @@
         Duration longest = waiting.atMost().plus(ANSWER_MARGIN);
         timer = executor.schedule(this::lost, longest.toMillis(), TimeUnit.MILLISECONDS);
       } else if (answer instanceof SlotAnswer.Granted grant) {
-        endpoint = grant.endpoint();
+        endpoint = grant.life();
         listener.onAnswer(grant);
       } else {
         pending.remove(request.key());
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.peer;
 
+import io.hawthornlb.gateway.endpoint.EndpointLife;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotKey;
 import io.hawthornlb.gateway.slot.SlotOutcome;
@@ -101,15 +102,15 @@
     packer.packLong(request.patience().toMillis());
     packer.packLong(request.fingerprint());
     packer.packArrayHeader(request.excluded().size());
-    for (String endpoint : request.excluded()) {
-      packer.packString(endpoint);
+    for (EndpointLife life : request.excluded()) {
+      packLife(packer, life);
     }
   }
 
   private static void packAnswer(MessageBufferPacker packer, SlotAnswer answer) throws IOException {
     if (answer instanceof SlotAnswer.Granted granted) {
       packKey(packer.packInt(GRANTED), answer.key());
-      packer.packString(granted.endpoint());
+      packLife(packer, granted.life());
     } else if (answer instanceof SlotAnswer.Waiting waiting) {
       packKey(packer.packInt(WAITING), answer.key());
       packer.packLong(waiting.atMost().toMillis());
@@ -127,7 +128,7 @@
     packer.packString(renew.service()).packString(renew.holder());
     packer.packArrayHeader(renew.uses().size());
     for (SlotUse use : renew.uses()) {
-      packer.packLong(use.number()).packString(use.endpoint());
+      packLife(packer.packLong(use.number()), use.life());
       packer.packBoolean(use.batch()).packLong(use.rank());
     }
   }
@@ -136,13 +137,16 @@
     packer.packString(key.holder()).packLong(key.number());
   }
 
+  private static void packLife(MessagePacker packer, EndpointLife life) throws IOException {
+    packer.packString(life.id()).packLong(life.born());
+  }
+
   private static PeerMessage unpack(MessageUnpacker unpacker) throws IOException {
     int type = unpacker.unpackInt();
     return switch (type) {
       case ASK -> new PeerMessage.Ask(unpackRequest(unpacker));
       case GRANTED ->
-          new PeerMessage.Answer(
-              new SlotAnswer.Granted(unpackKey(unpacker), unpacker.unpackString()));
+          new PeerMessage.Answer(new SlotAnswer.Granted(unpackKey(unpacker), unpackLife(unpacker)));
       case WAITING ->
           new PeerMessage.Answer(
               new SlotAnswer.Waiting(
@@ -192,10 +196,10 @@
     Duration maxWait = Duration.ofMillis(unpacker.unpackLong());
     Duration patience = Duration.ofMillis(unpacker.unpackLong());
     long fingerprint = unpacker.unpackLong();
-    Set<String> excluded = new HashSet<>();
+    Set<EndpointLife> excluded = new HashSet<>();
     int size = unpacker.unpackArrayHeader();
     for (int i = 0; i < size; i++) {
-      excluded.add(unpacker.unpackString());
+      excluded.add(unpackLife(unpacker));
     }
     return new SlotRequest(
         key, service, batch, rank, dataCentre, maxWait, patience, fingerprint, excluded);
@@ -208,12 +212,16 @@
     int size = unpacker.unpackArrayHeader();
     for (int i = 0; i < size; i++) {
       long number = unpacker.unpackLong();
-      String endpoint = unpacker.unpackString();
-      uses.add(new SlotUse(number, endpoint, unpacker.unpackBoolean(), unpacker.unpackLong()));
+      EndpointLife life = unpackLife(unpacker);
+      uses.add(new SlotUse(number, life, unpacker.unpackBoolean(), unpacker.unpackLong()));
     }
     return new PeerMessage.Renew(service, holder, uses);
   }
 
+  private static EndpointLife unpackLife(MessageUnpacker unpacker) throws IOException {
+    return new EndpointLife(unpacker.unpackString(), unpacker.unpackLong());
+  }
+
   private static SlotKey unpackKey(MessageUnpacker unpacker) throws IOException {
     return new SlotKey(unpacker.unpackString(), unpacker.unpackLong());
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotAnswer.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotAnswer.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.slot;
 
+import io.hawthornlb.gateway.endpoint.EndpointLife;
 import java.time.Duration;
 
 /** What a coordinator tells about a request for a slot. */
@@ -11,9 +12,20 @@
   /**
    * The request may use a slot now.
    *
-   * @param endpoint id of the endpoint
+   * @param life endpoint, and which of its lives the slot is one of
    */
-  record Granted(SlotKey key, String endpoint) implements SlotAnswer {}
+  record Granted(SlotKey key, EndpointLife life) implements SlotAnswer {
+
+    /** Creates a grant at an endpoint that did not say when it started. */
+    public Granted(SlotKey key, String endpoint) {
+      this(key, EndpointLife.ofUnknownStart(endpoint));
+    }
+
+    /** Returns the id of the endpoint. */
+    public String endpoint() {
+      return life.id();
+    }
+  }
 
   /**
    * The request waits; another answer follows.
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotRequest.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotRequest.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.slot;
 
+import io.hawthornlb.gateway.endpoint.EndpointLife;
 import java.time.Duration;
 import java.util.Set;
 
@@ -16,7 +17,7 @@
  * @param patience longest time that it may wait if it was refused before, and comes back for the
  *     last time
  * @param fingerprint hash of what is asked; 0 if it need not be recognized when it comes again
- * @param excluded endpoints that refused the request or broke off on it
+ * @param excluded lives of endpoints that refused the request or broke off on it
  */
 public record SlotRequest(
     SlotKey key,
@@ -27,7 +28,7 @@
     Duration maxWait,
     Duration patience,
     long fingerprint,
-    Set<String> excluded) {
+    Set<EndpointLife> excluded) {
 
   /** Creates a request that waits no longer when it comes back. */
   public SlotRequest(
@@ -38,7 +39,7 @@
       String dataCentre,
       Duration maxWait,
       long fingerprint,
-      Set<String> excluded) {
+      Set<EndpointLife> excluded) {
     this(key, service, batch, rank, dataCentre, maxWait, maxWait, fingerprint, excluded);
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -72,7 +72,7 @@
     SlotLease held = leases.get(request.key());
     if (held != null) {
       // The answer was lost, and the holder asks again.
-      return List.of(new SlotAnswer.Granted(request.key(), held.endpoint()));
+      return List.of(new SlotAnswer.Granted(request.key(), held.life()));
     }
     Waiter known = waiting.find(request.key());
     if (known != null) {
@@ -301,7 +301,7 @@
     hold(
         new SlotLease(
             request.key(),
-            endpoint.id(),
+            endpoint.life(),
             endpoint.dataCentre(),
             request.dataCentre(),
             request.batch(),
@@ -309,7 +309,7 @@
             request.fingerprint(),
             now,
             now));
-    answers.add(new SlotAnswer.Granted(request.key(), endpoint.id()));
+    answers.add(new SlotAnswer.Granted(request.key(), endpoint.life()));
     return true;
   }
 
@@ -327,7 +327,7 @@
 
   private List<EndpointRecord> candidates(SlotRequest request, Instant now) {
     return directory.usable(service).stream()
-        .filter(endpoint -> !request.excluded().contains(endpoint.id()))
+        .filter(endpoint -> !request.excluded().contains(endpoint.life()))
         .filter(endpoint -> penalties.free(endpoint, request.dataCentre(), now))
         .toList();
   }
@@ -376,7 +376,7 @@
 
   private SlotLease adopted(SlotKey key, SlotUse use, Instant now) {
     String where = directory.find(use.endpoint()).map(EndpointRecord::dataCentre).orElse("");
-    return new SlotLease(key, use.endpoint(), where, where, use.batch(), use.rank(), 0, now, now);
+    return new SlotLease(key, use.life(), where, where, use.batch(), use.rank(), 0, now, now);
   }
 
   private Optional<EndpointRecord> revokeOne(
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotLease.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotLease.java
@@ -1,12 +1,13 @@
 package io.hawthornlb.gateway.slot.support;
 
+import io.hawthornlb.gateway.endpoint.EndpointLife;
 import io.hawthornlb.gateway.slot.SlotKey;
 import java.time.Instant;
 
 /** A use of a slot that the coordinator knows of. */
 record SlotLease(
     SlotKey key,
-    String endpoint,
+    EndpointLife life,
     String endpointDataCentre,
     String dataCentre,
     boolean batch,
@@ -15,8 +16,13 @@
     Instant since,
     Instant renewed) {
 
+  /** Returns the id of the endpoint. */
+  String endpoint() {
+    return life.id();
+  }
+
   SlotLease renewedAt(Instant now) {
     return new SlotLease(
-        key, endpoint, endpointDataCentre, dataCentre, batch, rank, fingerprint, since, now);
+        key, life, endpointDataCentre, dataCentre, batch, rank, fingerprint, since, now);
   }
 }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.hawthornlb.gateway.endpoint.EndpointLife;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotKey;
 import io.hawthornlb.gateway.slot.SlotOutcome;
@@ -33,7 +34,7 @@
                 Duration.ofMillis(150),
                 Duration.ofMillis(3_000),
                 99,
-                Set.of("e1", "e2"))),
+                Set.of(new EndpointLife("e1", 7), EndpointLife.ofUnknownStart("e2")))),
         new PeerMessage.Answer(new SlotAnswer.Granted(KEY, "e1")),
         new PeerMessage.Answer(new SlotAnswer.Waiting(KEY, Duration.ofMillis(150))),
         new PeerMessage.Answer(
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/CoordinatorFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/CoordinatorFixture.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.gateway.slot.support;
 
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
+import io.hawthornlb.gateway.endpoint.EndpointLife;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotKey;
@@ -38,7 +39,7 @@
     return request("a", true, due.toEpochMilli(), Set.of());
   }
 
-  SlotRequest request(String dataCentre, boolean batch, long rank, Set<String> excluded) {
+  SlotRequest request(String dataCentre, boolean batch, long rank, Set<EndpointLife> excluded) {
     numbers++;
     return new SlotRequest(
         new SlotKey("holder", numbers),
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinatorTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinatorTest.java
@@ -6,6 +6,8 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.hawthornlb.gateway.endpoint.EndpointLife;
+import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotKey;
 import io.hawthornlb.gateway.slot.SlotOutcome;
@@ -273,11 +275,11 @@
   }
 
   private void fail(String endpoint) {
-    Set<String> others =
+    Set<EndpointLife> others =
         Set.copyOf(
             fixture.directory.usable(CoordinatorFixture.SERVICE).stream()
-                .map(each -> each.id())
-                .filter(id -> !id.equals(endpoint))
+                .map(EndpointRecord::life)
+                .filter(life -> !life.id().equals(endpoint))
                 .toList());
     SlotRequest request = fixture.request("a", false, 0, others);
     assertEquals(endpoint, fixture.granted(request));
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/OutlierReplayTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/OutlierReplayTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
+import io.hawthornlb.gateway.endpoint.EndpointLife;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotKey;
@@ -99,11 +100,11 @@
   }
 
   private void failAt(String endpoint) {
-    Set<String> others =
+    Set<EndpointLife> others =
         Set.copyOf(
             fixture.directory.usable(CoordinatorFixture.SERVICE).stream()
-                .map(EndpointRecord::id)
-                .filter(id -> !id.equals(endpoint))
+                .map(EndpointRecord::life)
+                .filter(life -> !life.id().equals(endpoint))
                 .toList());
     for (int i = 0; i < 3; i++) {
       SlotRequest request = fixture.request("a", false, 0, others);
