--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/EndpointSource.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/EndpointSource.java
@@ -92,6 +92,13 @@
           .with("service", entry.service())
           .write();
     }
+    if (former.isPresent() && entry.life().follows(former.get().life())) {
+      log.important("endpoint", "restarted")
+          .with("endpoint", entry.id())
+          .with("born", entry.born())
+          .with("formerBorn", former.get().born())
+          .write();
+    }
     directory.put(entry);
   }
 
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/endpoint/EndpointDirectoryTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/endpoint/EndpointDirectoryTest.java
@@ -63,6 +63,36 @@
     assertEquals(List.of(), usable());
   }
 
+  /**
+   * Checks go to where an endpoint stood before it started again. An entry of its former life was
+   * written late, and counted as the newest.
+   */
+  @Test
+  void passesOverALateEntryOfAFormerLife() {
+    directory.put(entry("e1", 2));
+    directory.put(entry("e1", 1));
+    assertEquals(2, directory.find("e1").orElseThrow().born());
+    directory.replaceAll(List.of(entry("e1", 1)), now);
+    assertEquals(2, directory.find("e1").orElseThrow().born());
+    assertEquals(List.of("e1"), usable());
+  }
+
+  /** As above, when the new life had left meanwhile: the reload of the list shows both again. */
+  @Test
+  void bringsNoFormerLifeBackAfterTheLastOneLeft() {
+    directory.put(entry("e1", 2));
+    directory.remove("e1", now);
+    directory.put(entry("e1", 1));
+    assertEquals(List.of(), usable());
+    directory.put(entry("e1", 2));
+    assertEquals(List.of("e1"), usable());
+  }
+
+  private static EndpointRecord entry(String id, long born) {
+    InetSocketAddress address = new InetSocketAddress("127.0.0.1", (int) born);
+    return new EndpointRecord(id, "engine", address, "a", 8, false, born);
+  }
+
   private List<String> usable() {
     return directory.usable("engine").stream().map(EndpointRecord::id).toList();
   }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ForwardingFailureTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ForwardingFailureTest.java
@@ -73,6 +73,41 @@
     assertEquals(200, answer.status());
   }
 
+  /**
+   * A check is lost on a connection to an endpoint that has started again. The connection was kept
+   * from its former life, and the endpoint knows nothing of it.
+   */
+  @Test
+  void usesNoConnectionToAFormerLife() throws IOException {
+    first.then(OK, KEEP).then(OK, RESET);
+    gateway.route(RouteKind.ONCE, 1, false, first).call("/a/", "x");
+    second.then(OK, KEEP);
+    gateway.restart("e0", second);
+    assertEquals(200, gateway.call("/a/", "x").status());
+    assertEquals(1, second.requests().size());
+  }
+
+  /**
+   * A briefing stands still for seconds after an endpoint crashed without a word. It was back
+   * within one, and could have gone on with the stream.
+   */
+  @Test
+  void resumesAtTheNextLifeWhatAFormerOneBegan() throws Exception {
+    first.then(CHUNKED + chunk("id: 1\ndata: a\n\n"), WAIT);
+    second.then(CHUNKED + chunk("id: 2\ndata: b\n\n") + END, KEEP);
+    gateway.route(RouteKind.STREAM, 3, true, first);
+    try (Socket caller = gateway.open("/a/", "x")) {
+      Awaitility.await().until(() -> first.requests().size() == 1);
+      gateway.restart("e0", second);
+      Awaitility.await()
+          .atMost(Duration.ofMillis(1_000))
+          .until(() -> second.requests().size() == 1);
+      Answer answer = GatewayFixture.read(caller);
+      assertTrue(answer.whole());
+      assertEquals("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", answer.body());
+    }
+  }
+
   @Test
   void tellsWhenToComeBackIfNothingRan() throws IOException {
     first.then(FULL, KEEP);
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
@@ -161,6 +161,14 @@
     return this;
   }
 
+  /** Lets an endpoint start again under its id, at the address of another one. */
+  void restart(String id, ScriptedEndpoint to) {
+    long born = InstantSource.system().millis();
+    formats.endpoints.put(id, new EndpointRecord(id, SERVICE, to.address(), "a", 8, false, born));
+    put(formats.endpointTopic(), id, id);
+    Awaitility.await().until(() -> log.events().contains("endpoint.restarted"));
+  }
+
   Answer call(String path, String body) throws IOException {
     try (Socket socket = open(path, body)) {
       return read(socket);
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
@@ -6,6 +6,7 @@
 import io.hawthornlb.gateway.SilentEventLog;
 import io.hawthornlb.gateway.VirtualLoop;
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
+import io.hawthornlb.gateway.endpoint.EndpointLife;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotOutcome;
@@ -39,6 +40,7 @@
     private final String name;
     private final FleetView fleet;
     private final FleetSlotClient slots;
+    private final EndpointDirectory directory = new EndpointDirectory();
     private final List<SlotAnswer> answers = new ArrayList<>();
     private Consumer<PeerCodec.Envelope> receiver = envelope -> {};
     private boolean down;
@@ -46,7 +48,6 @@
     private Node(String name) {
       this.name = name;
       this.fleet = new FleetView(instance(name));
-      EndpointDirectory directory = new EndpointDirectory();
       directory.put(new EndpointRecord(SERVICE, SERVICE, address(), "a", 1, false));
       this.slots =
           new FleetSlotClient(fleet, this, directory, time.loop(), time, new SilentEventLog());
@@ -56,6 +57,11 @@
       names.forEach(other -> fleet.put(instance(other)));
     }
 
+    /** Takes that the endpoint has started again. */
+    private void starts(long born) {
+      directory.put(new EndpointRecord(SERVICE, SERVICE, address(), "a", 1, false, born));
+    }
+
     private SlotRequest ask() {
       return ask(0);
     }
@@ -208,6 +214,53 @@
     assertEquals(1, other.answers.size());
   }
 
+  /**
+   * A check waits for an endpoint that idles. Its list was behind: it sent the request to where the
+   * endpoint had stood in its former life, and the coordinator counted that against the new one.
+   */
+  @Test
+  void countsNothingAgainstALifeThatTheHolderDoesNotKnow() {
+    Node holder = holder();
+    nodes.values().stream().filter(node -> node != holder).forEach(node -> node.starts(2));
+    for (SlotOutcome outcome : List.of(SlotOutcome.REPLACED, SlotOutcome.UNREACHED)) {
+      SlotRequest request = holder.ask();
+      time.advance(Duration.ofMillis(5));
+      assertEquals(granted(request, 2), holder.answers.get(holder.answers.size() - 1));
+      holder.slots.release(request.key(), outcome);
+    }
+    SlotRequest next = holder.ask();
+    time.advance(Duration.ofMillis(5));
+    assertEquals(granted(next, 2), holder.answers.get(holder.answers.size() - 1));
+  }
+
+  /**
+   * Two callers share a slot. Their gateway knew of the new life before the coordinator, which
+   * forgot the use of one of them when it heard of that life.
+   */
+  @Test
+  void tellsTheLifeThatAUseIsOf() {
+    Node holder = holder();
+    holder.starts(2);
+    SlotRequest request = holder.ask();
+    time.advance(Duration.ofMillis(5));
+    assertEquals(List.of(granted(request, 2)), holder.answers);
+    time.advance(Duration.ofMillis(1_005));
+    nodes.values().stream().filter(node -> node != holder).forEach(node -> node.starts(2));
+    holder.ask();
+    time.advance(Duration.ofMillis(5));
+    assertEquals(1, holder.answers.size());
+  }
+
+  /** Returns a gateway that is not the coordinator. */
+  private Node holder() {
+    GatewayInstance first = nodes.get("a1").fleet.ranked(SERVICE, time.instant()).get(0);
+    return nodes.get(first.name().equals("a1") ? "b1" : "a1");
+  }
+
+  private static SlotAnswer granted(SlotRequest request, long born) {
+    return new SlotAnswer.Granted(request.key(), new EndpointLife(SERVICE, born));
+  }
+
   private static GatewayInstance instance(String name) {
     return new GatewayInstance(name, name + "~1", address(), name.substring(0, 1));
   }
