Forget a former life of an endpoint once the next one begins

Cause: an endpoint that starts again under its id was taken for the one before: pauses, shares of failures and told load of the former life held it back, uses of the former life took its slots and freed them late, failures that came late over datagrams counted against it, kept connections led to nobody, streams hung until silence was noticed, and an entry of the former life that was written late became the newest.

Ruled out: telling lives apart by counts (an older life may have higher ones); forgetting by removal of the entry (an endpoint may be back before it lapses); dropping uses of the former life at the coordinator (a crash under a request would no longer be counted, so such uses stay known and count for nothing else).

Change: the directory remembers the latest start of each id, passes over entries with an earlier one, and tells of each new life once; coordinators and the pool of connections forget then. Coordinators learn of it at different moments, so that uses are checked against the life they name, when they are released, renewed, suspected and counted. A holder tells the later of the life it was granted and the life it knows, and counts nothing against a life that its list has not told of. Requests that a former life took fail at once if their connection was opened before the start.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/endpoint/EndpointDirectory.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/endpoint/EndpointDirectory.java
@@ -17,6 +17,12 @@
  * the endpoints reach the store again. It shows as removals right after an outage, of up to all
  * endpoints at once. Guard: a removal that is seen within {@link #RETURN_GRACE} of the end of an
  * outage takes effect at the end of that span, unless the entry is back by then.
+ *
+ * <p>Failure: an endpoint starts again under its id. It shows as an entry with a later start; what
+ * was learned of the former life holds the new one back, and an entry of the former life that was
+ * written late sends requests where nobody is. Guard: the latest start of each id is remembered, an
+ * entry with an earlier one changes nothing, and whoever keeps something by endpoint is told once
+ * of each new life.
  */
 public final class EndpointDirectory {
 
@@ -29,17 +35,35 @@
    */
   public static final Duration MAX_GRACE = Duration.ofMillis(1_600);
 
+  /**
+   * Ids whose latest start is remembered; entries come late by seconds, and a fleet starts some
+   * hundred endpoints a day.
+   */
+  private static final int MAX_STARTS = 10_000;
+
   private final Map<String, EndpointRecord> records = new LinkedHashMap<>();
   private final Map<String, List<EndpointRecord>> usable = new HashMap<>();
   private final Map<String, Instant> lapsed = new HashMap<>();
+  private final Map<String, Long> starts = new HashMap<>();
   private final List<Consumer<EndpointRecord>> removalListeners = new ArrayList<>();
+  private final List<Consumer<EndpointLife>> lifeListeners = new ArrayList<>();
   private final List<Runnable> changeListeners = new ArrayList<>();
   private Instant outageEnd = Instant.MIN;
 
-  /** Takes an entry as it was written last. */
+  /** Takes an entry as it was written last, unless a former life of the endpoint wrote it. */
   public void put(EndpointRecord entry) {
+    if (former(entry.life())) {
+      return;
+    }
     lapsed.remove(entry.id());
     EndpointRecord former = records.put(entry.id(), entry);
+    if (starts.size() >= MAX_STARTS) {
+      starts.keySet().retainAll(records.keySet());
+    }
+    Long start = starts.put(entry.id(), entry.born());
+    if (start != null && start < entry.born()) {
+      lifeListeners.forEach(listener -> listener.accept(entry.life()));
+    }
     if (!entry.equals(former)) {
       changed();
     }
@@ -93,6 +117,18 @@
     return usable.computeIfAbsent(service, this::findUsable);
   }
 
+  /** Returns whether a later life of the endpoint has begun. */
+  public boolean former(EndpointLife life) {
+    Long start = starts.get(life.id());
+    return start != null && life.born() < start;
+  }
+
+  /** Returns whether the list has told of an earlier life of the endpoint alone. */
+  public boolean unheard(EndpointLife life) {
+    Long start = starts.get(life.id());
+    return start != null && start < life.born();
+  }
+
   /** Returns the number of entries. */
   public int size() {
     return records.size();
@@ -103,6 +139,11 @@
     removalListeners.add(listener);
   }
 
+  /** Calls a listener once when an endpoint that was known by its id has started again. */
+  public void onNewLife(Consumer<EndpointLife> listener) {
+    lifeListeners.add(listener);
+  }
+
   /** Calls a listener after each change. */
   public void onChange(Runnable listener) {
     changeListeners.add(listener);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -281,7 +281,7 @@
         .with("runs", runs)
         .with("millis", sinceArrival())
         .write();
-    call = parts.pool().send(target.get(), outgoing(life.id()), relay);
+    call = parts.pool().send(life, target.get().address(), outgoing(life.id()), relay);
     watch.start();
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -192,7 +192,7 @@
     lastEvent = parts.clock().instant();
     sentAt = lastEvent;
     line("item.sent").with("endpoint", life.id()).with("after", output.lastEventId()).write();
-    call = parts.pool().send(target.get(), outgoing(life.id()), new Answer(life));
+    call = parts.pool().send(life, target.get().address(), outgoing(life.id()), new Answer(life));
     watch.start();
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
@@ -2,6 +2,7 @@
 
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.endpoint.EndpointLife;
+import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotClient;
@@ -107,12 +108,13 @@
       return;
     }
     ended.stopTimer();
+    SlotOutcome told = ended.asTold(outcome);
     GatewayInstance coordinator = ended.coordinator;
     String service = ended.request.service();
     if (coordinator.equals(fleet.self())) {
-      deliver(local(service).release(key, outcome, clock.instant()));
+      deliver(local(service).release(key, told, clock.instant()));
     } else {
-      transport.send(coordinator, new PeerMessage.Release(service, key, outcome));
+      transport.send(coordinator, new PeerMessage.Release(service, key, told));
     }
   }
 
@@ -338,14 +340,32 @@
         Duration longest = waiting.atMost().plus(ANSWER_MARGIN);
         timer = executor.schedule(this::lost, longest.toMillis(), TimeUnit.MILLISECONDS);
       } else if (answer instanceof SlotAnswer.Granted grant) {
-        endpoint = grant.life();
-        listener.onAnswer(grant);
+        // Of two lives the later one runs: the endpoint is where this process's list says, or has
+        // started since.
+        EndpointLife listed =
+            directory.find(grant.endpoint()).map(EndpointRecord::life).orElse(grant.life());
+        EndpointLife life = listed.follows(grant.life()) ? listed : grant.life();
+        endpoint = life;
+        listener.onAnswer(new SlotAnswer.Granted(request.key(), life));
       } else {
         pending.remove(request.key());
         listener.onAnswer(answer);
       }
     }
 
+    /**
+     * Returns the outcome as the coordinator is to count it.
+     *
+     * <p>Failure: the coordinator knows that an endpoint has started again, and this process does
+     * not. Requests go to where the endpoint stood, and the pause for that would hold the new life
+     * back. Guard: that this process's list is behind counts against no endpoint.
+     */
+    private SlotOutcome asTold(SlotOutcome outcome) {
+      boolean notThere = outcome == SlotOutcome.REPLACED || outcome == SlotOutcome.UNREACHED;
+      boolean behind = endpoint != null && directory.unheard(endpoint);
+      return notThere && behind ? SlotOutcome.ABANDONED : outcome;
+    }
+
     private void lost() {
       if (pending.remove(request.key()) == this) {
         fleet.silent(coordinator.name(), clock.instant());
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/EndpointSource.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/EndpointSource.java
@@ -85,6 +85,13 @@
   }
 
   private void put(EndpointRecord entry) {
+    if (directory.former(entry.life())) {
+      log.important("endpoint", "entry.late")
+          .with("endpoint", entry.id())
+          .with("born", entry.born())
+          .write();
+      return;
+    }
     Optional<EndpointRecord> former = directory.find(entry.id());
     if (former.isEmpty() || former.get().leaving() != entry.leaving()) {
       log.important("endpoint", entry.leaving() ? "leaving" : "offered")
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -83,8 +83,9 @@
     UdpPeerTransport transport =
         new UdpPeerTransport(loop, settings.self().address(), settings.self().name(), log);
     FleetSlotClient slots = new FleetSlotClient(fleet, transport, directory, loop, clock, log);
-    EndpointPool pool = new EndpointPool(loop, names);
-    directory.onRemoval(endpoint -> pool.forget(endpoint.id()));
+    EndpointPool pool = new EndpointPool(loop, names, clock);
+    directory.onRemoval(endpoint -> pool.forget(endpoint.life()));
+    directory.onNewLife(pool::begun);
     endpoints = new EndpointSource(formats, directory, loop, clock, log);
     instances = new InstanceSource(fleet, store, loop, log);
     jobs =
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.gateway.slot.support;
 
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
+import io.hawthornlb.gateway.endpoint.EndpointLife;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotCoordinator;
@@ -49,6 +50,7 @@
   private final Map<SlotKey, SlotLease> leases = new HashMap<>();
   private final Map<String, Integer> used = new HashMap<>();
   private final WaitingRequests waiting = new WaitingRequests();
+  private int countedLeases;
   private int onlineLeases;
 
   /**
@@ -65,15 +67,17 @@
     this.penalties = new Penalties(settings);
     this.outliers = new Outliers(settings);
     this.refusedCallers = new RefusedCallers(settings);
+    directory.onNewLife(this::begun);
   }
 
   @Override
   public List<SlotAnswer> request(SlotRequest request, Instant now) {
     SlotLease held = leases.get(request.key());
-    if (held != null) {
+    if (held != null && counts(held)) {
       // The answer was lost, and the holder asks again.
       return List.of(new SlotAnswer.Granted(request.key(), held.life()));
     }
+    drop(request.key());
     Waiter known = waiting.find(request.key());
     if (known != null) {
       return List.of(waitingUntil(known, now));
@@ -99,9 +103,11 @@
     if (lease == null) {
       return List.of();
     }
-    penalties.record(
-        lease.endpoint(), lease.endpointDataCentre(), lease.dataCentre(), outcome, now);
-    outliers.ended(lease.endpoint(), lease.dataCentre(), outcome, now);
+    if (counts(lease)) {
+      penalties.record(
+          lease.endpoint(), lease.endpointDataCentre(), lease.dataCentre(), outcome, now);
+      outliers.ended(lease.endpoint(), lease.dataCentre(), outcome, now);
+    }
     if (outcome == SlotOutcome.FAILED && lease.fingerprint() != 0) {
       crashed(lease.fingerprint(), now);
     }
@@ -114,7 +120,7 @@
   @Override
   public void suspect(SlotKey key, Instant now) {
     SlotLease lease = leases.get(key);
-    if (lease != null) {
+    if (lease != null && counts(lease)) {
       // No failure yet: a full endpoint is silent as well, and must not count as cut off.
       penalties.record(
           lease.endpoint(), lease.endpointDataCentre(), lease.dataCentre(), SlotOutcome.SHED, now);
@@ -125,7 +131,7 @@
   @Override
   public void told(SlotKey key, ToldLoad load, Instant now) {
     SlotLease lease = leases.get(key);
-    if (lease != null) {
+    if (lease != null && counts(lease)) {
       foreign.told(lease.endpoint(), load, used(lease.endpoint()), now);
     }
   }
@@ -148,7 +154,10 @@
     for (SlotUse use : told.values()) {
       SlotKey key = new SlotKey(holder, use.number());
       SlotLease known = leases.get(key);
-      SlotLease renewed = known != null ? known.renewedAt(now) : adopted(key, use, now);
+      SlotLease renewed =
+          known != null && known.endpoint().equals(use.endpoint())
+              ? known.renewed(use.life(), now)
+              : adopted(key, use, now);
       hold(renewed);
     }
   }
@@ -216,7 +225,7 @@
   }
 
   private SlotAnswer refused(SlotRequest request, Duration retryAfter) {
-    SlotAnswer.Load seen = new SlotAnswer.Load(slots(), leases.size(), waiting.online());
+    SlotAnswer.Load seen = new SlotAnswer.Load(slots(), countedLeases, waiting.online());
     return new SlotAnswer.Refused(request.key(), retryAfter, seen);
   }
 
@@ -270,7 +279,7 @@
 
   /** Returns whether no endpoint has a slot that is free or can be taken back. */
   private boolean exhausted(Instant now) {
-    if (leases.size() > onlineLeases) {
+    if (countedLeases > onlineLeases) {
       return false;
     }
     for (EndpointRecord endpoint : directory.usable(service)) {
@@ -321,17 +330,22 @@
    * has cost the endpoint a prompt. So that many slots stay free.
    */
   private boolean roomForItem(Instant now) {
-    int free = slots() - leases.size() - foreign.total(now);
+    int free = slots() - countedLeases - foreign.total(now);
     return free > Math.sqrt(onlineLeases);
   }
 
   private List<EndpointRecord> candidates(SlotRequest request, Instant now) {
     return directory.usable(service).stream()
-        .filter(endpoint -> !request.excluded().contains(endpoint.life()))
+        .filter(endpoint -> !excluded(request, endpoint.life()))
         .filter(endpoint -> penalties.free(endpoint, request.dataCentre(), now))
         .toList();
   }
 
+  /** Returns whether a request excludes a life of an endpoint, or one that came after it. */
+  private static boolean excluded(SlotRequest request, EndpointLife life) {
+    return request.excluded().stream().anyMatch(each -> each.equals(life) || each.follows(life));
+  }
+
   private Optional<EndpointRecord> leastUsed(
       List<EndpointRecord> candidates, String dataCentre, Instant now) {
     Comparator<EndpointRecord> order =
@@ -352,23 +366,52 @@
     return used.getOrDefault(endpoint, 0);
   }
 
+  /**
+   * Returns whether a use is one of the endpoint's present life, or of one that the list has not
+   * told of yet.
+   *
+   * <p>Failure: uses of a former life end late, over datagrams, and would free slots and count
+   * failures of the new one. Guard: such a use stays known until it ends, so that a request that
+   * crashed the endpoint is still found, and counts for nothing else.
+   */
+  private boolean counts(SlotLease lease) {
+    return !directory.former(lease.life());
+  }
+
+  /** Forgets what a former life of an endpoint has made untrue. */
+  private void begun(EndpointLife life) {
+    penalties.forget(life.id());
+    outliers.forget(life.id());
+    foreign.forget(life.id());
+    used.clear();
+    countedLeases = 0;
+    onlineLeases = 0;
+    leases.values().forEach(lease -> count(lease, 1));
+  }
+
   private void hold(SlotLease lease) {
-    SlotLease former = leases.put(lease.key(), lease);
-    if (former == null) {
-      used.merge(lease.endpoint(), 1, Integer::sum);
-      onlineLeases += lease.batch() ? 0 : 1;
-    }
+    drop(lease.key());
+    leases.put(lease.key(), lease);
+    count(lease, 1);
   }
 
   private @Nullable SlotLease drop(SlotKey key) {
     SlotLease lease = leases.remove(key);
     if (lease != null) {
-      onlineLeases -= lease.batch() ? 0 : 1;
-      used.computeIfPresent(lease.endpoint(), (id, count) -> count > 1 ? count - 1 : null);
+      count(lease, -1);
     }
     return lease;
   }
 
+  private void count(SlotLease lease, int change) {
+    if (counts(lease)) {
+      countedLeases += change;
+      onlineLeases += lease.batch() ? 0 : change;
+      used.merge(lease.endpoint(), change, Integer::sum);
+      used.remove(lease.endpoint(), 0);
+    }
+  }
+
   private void dropAll(Predicate<SlotLease> condition) {
     List<SlotKey> keys = leases.values().stream().filter(condition).map(SlotLease::key).toList();
     keys.forEach(this::drop);
@@ -384,7 +427,7 @@
     Set<String> ids = candidates.stream().map(EndpointRecord::id).collect(Collectors.toSet());
     @Nullable SlotLease last = null;
     for (SlotLease lease : leases.values()) {
-      boolean fits = lease.batch() && ids.contains(lease.endpoint());
+      boolean fits = lease.batch() && counts(lease) && ids.contains(lease.endpoint());
       if (fits && (last == null || lease.rank() > last.rank())) {
         last = lease;
       }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/ForeignLoad.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/ForeignLoad.java
@@ -35,6 +35,11 @@
     }
   }
 
+  /** Forgets what a former life of an endpoint told. */
+  void forget(String endpoint) {
+    seen.remove(endpoint);
+  }
+
   int at(String endpoint, Instant now) {
     Seen requests = seen.get(endpoint);
     return requests == null || !now.isBefore(requests.until()) ? 0 : requests.requests();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Outliers.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Outliers.java
@@ -77,6 +77,12 @@
     return known != null && now.isBefore(known.until());
   }
 
+  /** Forgets what a former life of an endpoint did. */
+  void forget(String endpoint) {
+    ends.keySet().removeIf(place -> place.endpoint().equals(endpoint));
+    avoided.keySet().removeIf(place -> place.endpoint().equals(endpoint));
+  }
+
   private void add(String endpoint, String dataCentre, double end, double failure, Instant now) {
     Place place = new Place(endpoint, dataCentre);
     Ends before = ends.getOrDefault(place, new Ends(0, 0, now));
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Penalties.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Penalties.java
@@ -82,6 +82,17 @@
     penalize(endpoint, dataCentre, outcome, now);
   }
 
+  /** Forgets the failures of a former life of an endpoint; a crash of it was no cut. */
+  void forget(String endpoint) {
+    penalties.keySet().removeIf(place -> place.endpoint().equals(endpoint));
+    failedOnPath.forEach(
+        (path, failed) -> {
+          if (failed.remove(endpoint) && failed.size() < FAILED_FOR_CUT) {
+            cuts.remove(path);
+          }
+        });
+  }
+
   private void penalize(String endpoint, String dataCentre, SlotOutcome outcome, Instant now) {
     Place place = new Place(endpoint, dataCentre);
     switch (outcome) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotLease.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotLease.java
@@ -21,8 +21,9 @@
     return life.id();
   }
 
-  SlotLease renewedAt(Instant now) {
+  /** Returns the use as its holder tells it, which knows best at which life it is. */
+  SlotLease renewed(EndpointLife told, Instant now) {
     return new SlotLease(
-        key, life, endpointDataCentre, dataCentre, batch, rank, fingerprint, since, now);
+        key, told, endpointDataCentre, dataCentre, batch, rank, fingerprint, since, now);
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.wire;
 
+import io.hawthornlb.gateway.endpoint.EndpointLife;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -11,6 +12,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -37,7 +39,7 @@
   private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d+)");
 
   private @Nullable PooledCall call;
-  private @Nullable String idleAt;
+  private @Nullable EndpointLife idleAt;
   private @Nullable EndpointPool pool;
   private @Nullable ScheduledFuture<?> idleTimer;
   private boolean skipping;
@@ -45,6 +47,15 @@
   private boolean reusable = true;
   private boolean reset;
   private Duration idleTime = DEFAULT_IDLE;
+  private Instant opened = Instant.MAX;
+
+  void opened(Instant when) {
+    opened = when;
+  }
+
+  Instant opened() {
+    return opened;
+  }
 
   void begin(PooledCall next) {
     stopIdleTimer();
@@ -122,9 +133,9 @@
     }
     boolean keep = reusable && !current.done() && current.whollyWritten() && channel.isActive();
     if (keep) {
-      idleAt = current.endpointId();
+      idleAt = current.endpoint();
       pool = current.pool();
-      current.pool().keep(current.endpointId(), channel);
+      current.pool().keep(current.endpoint(), channel);
       startIdleTimer(channel);
     } else {
       channel.close();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointPool.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointPool.java
@@ -1,6 +1,6 @@
 package io.hawthornlb.gateway.wire;
 
-import io.hawthornlb.gateway.endpoint.EndpointRecord;
+import io.hawthornlb.gateway.endpoint.EndpointLife;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -10,13 +10,25 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
+import java.net.InetSocketAddress;
+import java.time.Instant;
+import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
-/** Sends requests to endpoints over kept connections, one request at a time on each. */
+/**
+ * Sends requests to endpoints over kept connections, one request at a time on each.
+ *
+ * <p>Failure: an endpoint starts again under its id. It shows as connections that are reset when
+ * they are used next, or stay silent under a request. Guard: connections belong to one life of an
+ * endpoint; when the next one begins, kept ones are closed, and requests on older ones have failed.
+ */
 public final class EndpointPool {
 
   /** Time to open a connection; endpoints accept within 1 ms, a link adds 6 ms, a busy core 50. */
@@ -24,12 +36,15 @@
 
   private final EventLoop loop;
   private final HeaderNames names;
-  private final Map<String, Deque<Channel>> idle = new HashMap<>();
+  private final InstantSource clock;
+  private final Map<EndpointLife, Deque<Channel>> idle = new HashMap<>();
+  private final Set<PooledCall> running = new HashSet<>();
   private final Bootstrap bootstrap;
 
   /** Creates a pool on an event loop. */
-  public EndpointPool(EventLoop loop, HeaderNames names) {
+  public EndpointPool(EventLoop loop, HeaderNames names, InstantSource clock) {
     this.loop = loop;
+    this.clock = clock;
     this.names = names;
     this.bootstrap =
         new Bootstrap()
@@ -40,21 +55,29 @@
             .handler(new Pipeline());
   }
 
-  /** Sends a request; takes over the reference to it. */
+  /**
+   * Sends a request; takes over the reference to it.
+   *
+   * @param address where the endpoint takes requests
+   */
   public EndpointCall send(
-      EndpointRecord endpoint, FullHttpRequest request, EndpointCallListener listener) {
-    PooledCall call = new PooledCall(this, endpoint.id(), request, listener);
-    Channel kept = takeIdle(endpoint.id());
+      EndpointLife endpoint,
+      InetSocketAddress address,
+      FullHttpRequest request,
+      EndpointCallListener listener) {
+    PooledCall call = new PooledCall(this, endpoint, request, listener);
+    Channel kept = takeIdle(endpoint);
     if (kept != null) {
       call.write(kept);
       return call;
     }
     bootstrap
-        .connect(endpoint.address())
+        .connect(address)
         .addListener(
             (ChannelFutureListener)
                 connected -> {
                   if (connected.isSuccess()) {
+                    handler(connected.channel()).opened(clock.instant());
                     call.write(connected.channel());
                   } else {
                     call.notSent("no connection: " + connected.cause());
@@ -64,13 +87,46 @@
   }
 
   /** Closes the idle connections to an endpoint that is gone. */
-  public void forget(String endpointId) {
-    Deque<Channel> channels = idle.remove(endpointId);
+  public void forget(EndpointLife endpoint) {
+    Deque<Channel> channels = idle.remove(endpoint);
     if (channels != null) {
       channels.forEach(Channel::close);
     }
   }
 
+  /** Gives up the connections to former lives of an endpoint that has started again. */
+  public void begun(EndpointLife endpoint) {
+    List.copyOf(idle.keySet()).stream().filter(endpoint::follows).forEach(this::forget);
+    // Later, so that whoever sends again finds the new life known everywhere.
+    loop.execute(() -> giveUpCalls(endpoint));
+  }
+
+  /**
+   * Fails the requests that a former life took. The list tells of a start up to a second late; a
+   * connection that was opened after the start is one to the new life.
+   */
+  private void giveUpCalls(EndpointLife endpoint) {
+    Instant start = Instant.ofEpochMilli(endpoint.born());
+    for (PooledCall call : List.copyOf(running)) {
+      if (endpoint.follows(call.endpoint()) && call.openedBefore(start)) {
+        call.failed("the endpoint has started again");
+        call.abort();
+      }
+    }
+  }
+
+  static EndpointHandler handler(Channel channel) {
+    return channel.pipeline().get(EndpointHandler.class);
+  }
+
+  void began(PooledCall call) {
+    running.add(call);
+  }
+
+  void ended(PooledCall call) {
+    running.remove(call);
+  }
+
   HeaderNames names() {
     return names;
   }
@@ -79,19 +135,19 @@
     return loop;
   }
 
-  void keep(String endpointId, Channel channel) {
-    idle.computeIfAbsent(endpointId, any -> new ArrayDeque<>()).push(channel);
+  void keep(EndpointLife endpoint, Channel channel) {
+    idle.computeIfAbsent(endpoint, any -> new ArrayDeque<>()).push(channel);
   }
 
-  void discard(String endpointId, Channel channel) {
-    Deque<Channel> channels = idle.get(endpointId);
+  void discard(EndpointLife endpoint, Channel channel) {
+    Deque<Channel> channels = idle.get(endpoint);
     if (channels != null) {
       channels.remove(channel);
     }
   }
 
-  private @Nullable Channel takeIdle(String endpointId) {
-    Deque<Channel> channels = idle.get(endpointId);
+  private @Nullable Channel takeIdle(EndpointLife endpoint) {
+    Deque<Channel> channels = idle.get(endpoint);
     while (channels != null && !channels.isEmpty()) {
       Channel channel = channels.pop();
       if (channel.isActive()) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/PooledCall.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/PooledCall.java
@@ -1,16 +1,18 @@
 package io.hawthornlb.gateway.wire;
 
+import io.hawthornlb.gateway.endpoint.EndpointLife;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.time.Instant;
 import org.jspecify.annotations.Nullable;
 
 /** A request on a connection of the pool. */
 final class PooledCall implements EndpointCall {
 
   private final EndpointPool pool;
-  private final String endpointId;
+  private final EndpointLife endpoint;
   private final EndpointCallListener listener;
   private final @Nullable String requestId;
   private @Nullable FullHttpRequest request;
@@ -20,11 +22,11 @@
 
   PooledCall(
       EndpointPool pool,
-      String endpointId,
+      EndpointLife endpoint,
       FullHttpRequest request,
       EndpointCallListener listener) {
     this.pool = pool;
-    this.endpointId = endpointId;
+    this.endpoint = endpoint;
     this.request = request;
     this.listener = listener;
     this.requestId = request.headers().get(pool.names().requestId());
@@ -41,7 +43,8 @@
       return;
     }
     channel = to;
-    to.pipeline().get(EndpointHandler.class).begin(this);
+    pool.began(this);
+    EndpointPool.handler(to).begin(this);
     to.config().setAutoRead(true);
     written = to.writeAndFlush(outgoing);
   }
@@ -49,14 +52,14 @@
   void notSent(String cause) {
     releaseRequest();
     if (!done) {
-      done = true;
+      end();
       listener.onFailure(false, cause);
     }
   }
 
   @Override
   public void abort() {
-    done = true;
+    end();
     releaseRequest();
     if (channel != null) {
       channel.close();
@@ -74,8 +77,13 @@
     return pool;
   }
 
-  String endpointId() {
-    return endpointId;
+  EndpointLife endpoint() {
+    return endpoint;
+  }
+
+  /** Returns whether the request went out on a connection that was opened before a moment. */
+  boolean openedBefore(Instant moment) {
+    return channel != null && EndpointPool.handler(channel).opened().isBefore(moment);
   }
 
   boolean done() {
@@ -99,18 +107,23 @@
 
   void ended() {
     if (!done) {
-      done = true;
+      end();
       listener.onEnd();
     }
   }
 
   void failed(String cause) {
     if (!done) {
-      done = true;
+      end();
       listener.onFailure(true, cause);
     }
   }
 
+  private void end() {
+    done = true;
+    pool.ended(this);
+  }
+
   private void releaseRequest() {
     if (request != null) {
       request.release();
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/endpoint/EndpointDirectoryTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/endpoint/EndpointDirectoryTest.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.gateway.endpoint;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetSocketAddress;
@@ -69,10 +70,10 @@
    */
   @Test
   void passesOverALateEntryOfAFormerLife() {
-    directory.put(entry("e1", 2));
-    directory.put(entry("e1", 1));
+    directory.put(started(2));
+    directory.put(started(1));
     assertEquals(2, directory.find("e1").orElseThrow().born());
-    directory.replaceAll(List.of(entry("e1", 1)), now);
+    directory.replaceAll(List.of(started(1)), now);
     assertEquals(2, directory.find("e1").orElseThrow().born());
     assertEquals(List.of("e1"), usable());
   }
@@ -80,17 +81,36 @@
   /** As above, when the new life had left meanwhile: the reload of the list shows both again. */
   @Test
   void bringsNoFormerLifeBackAfterTheLastOneLeft() {
-    directory.put(entry("e1", 2));
+    directory.put(started(2));
     directory.remove("e1", now);
-    directory.put(entry("e1", 1));
+    directory.put(started(1));
     assertEquals(List.of(), usable());
-    directory.put(entry("e1", 2));
+    directory.put(started(2));
     assertEquals(List.of("e1"), usable());
   }
 
-  private static EndpointRecord entry(String id, long born) {
+  /** What a former life left behind holds the new one back, or the new life loses its own. */
+  @Test
+  void tellsOnceOfEachNewLife() {
+    List<EndpointLife> begun = new ArrayList<>();
+    directory.onNewLife(begun::add);
+    directory.put(started(1));
+    directory.put(started(1));
+    directory.put(started(3));
+    directory.put(started(2));
+    directory.replaceAll(List.of(started(3)), now);
+    directory.remove("e1", now);
+    directory.put(started(4));
+    assertEquals(List.of(new EndpointLife("e1", 3), new EndpointLife("e1", 4)), begun);
+    assertTrue(directory.former(new EndpointLife("e1", 3)));
+    assertFalse(directory.unheard(new EndpointLife("e1", 4)));
+    assertTrue(directory.unheard(new EndpointLife("e1", 5)));
+    assertFalse(directory.unheard(new EndpointLife("e2", 5)));
+  }
+
+  private static EndpointRecord started(long born) {
     InetSocketAddress address = new InetSocketAddress("127.0.0.1", (int) born);
-    return new EndpointRecord(id, "engine", address, "a", 8, false, born);
+    return new EndpointRecord("e1", "engine", address, "a", 8, false, born);
   }
 
   private List<String> usable() {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
@@ -48,7 +48,7 @@
         config,
         directory,
         new FreeSlots(),
-        new EndpointPool(loop, NAMES),
+        new EndpointPool(loop, NAMES, clock),
         NAMES,
         store,
         Duration.ofSeconds(120),
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/RestartedEndpointTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/RestartedEndpointTest.java
@@ -232,9 +232,7 @@
     assertRefused();
   }
 
-  /**
-   * Checks that a request is refused and nothing else told: the one slot is in use.
-   */
+  /** Checks that a request is refused and nothing else told: the one slot is in use. */
   private void assertRefused() {
     List<SlotAnswer> told = fixture.ask(fixture.online("a"));
     assertEquals(1, told.size(), told.toString());
