--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/endpoint/EndpointDirectoryTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/endpoint/EndpointDirectoryTest.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.gateway.endpoint;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetSocketAddress;
@@ -63,6 +64,55 @@
     assertEquals(List.of(), usable());
   }
 
+  /**
+   * Checks go to where an endpoint stood before it started again. An entry of its former life was
+   * written late, and counted as the newest.
+   */
+  @Test
+  void passesOverALateEntryOfAFormerLife() {
+    directory.put(started(2));
+    directory.put(started(1));
+    assertEquals(2, directory.find("e1").orElseThrow().born());
+    directory.replaceAll(List.of(started(1)), now);
+    assertEquals(2, directory.find("e1").orElseThrow().born());
+    assertEquals(List.of("e1"), usable());
+  }
+
+  /** As above, when the new life had left meanwhile: the reload of the list shows both again. */
+  @Test
+  void bringsNoFormerLifeBackAfterTheLastOneLeft() {
+    directory.put(started(2));
+    directory.remove("e1", now);
+    directory.put(started(1));
+    assertEquals(List.of(), usable());
+    directory.put(started(2));
+    assertEquals(List.of("e1"), usable());
+  }
+
+  /** What a former life left behind holds the new one back, or the new life loses its own. */
+  @Test
+  void tellsOnceOfEachNewLife() {
+    List<EndpointLife> begun = new ArrayList<>();
+    directory.onNewLife(begun::add);
+    directory.put(started(1));
+    directory.put(started(1));
+    directory.put(started(3));
+    directory.put(started(2));
+    directory.replaceAll(List.of(started(3)), now);
+    directory.remove("e1", now);
+    directory.put(started(4));
+    assertEquals(List.of(new EndpointLife("e1", 3), new EndpointLife("e1", 4)), begun);
+    assertTrue(directory.former(new EndpointLife("e1", 3)));
+    assertFalse(directory.unheard(new EndpointLife("e1", 4)));
+    assertTrue(directory.unheard(new EndpointLife("e1", 5)));
+    assertFalse(directory.unheard(new EndpointLife("e2", 5)));
+  }
+
+  private static EndpointRecord started(long born) {
+    InetSocketAddress address = new InetSocketAddress("127.0.0.1", (int) born);
+    return new EndpointRecord("e1", "engine", address, "a", 8, false, born);
+  }
+
   private List<String> usable() {
     return directory.usable("engine").stream().map(EndpointRecord::id).toList();
   }
