Show what entries of another writer break (red)

Another writer may leave entries with missing fields, other types, unknown states or bytes that cannot be read, in the list of endpoints, under the configuration's key, in the list of instances and among the jobs' records; strangers may send datagrams and connect to the peers' port.

The clock goes to three constructors, which use it next.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/UdpPeerTransport.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/UdpPeerTransport.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
@@ -25,7 +26,8 @@
   private final List<Consumer<PeerCodec.Envelope>> receivers = new ArrayList<>();
 
   /** Binds a socket and starts to receive. */
-  public UdpPeerTransport(EventLoop loop, InetSocketAddress address, String self, EventLog log) {
+  public UdpPeerTransport(
+      EventLoop loop, InetSocketAddress address, String self, InstantSource clock, EventLog log) {
     this.self = self;
     this.log = log;
     this.channel =
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/ConfigSource.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/ConfigSource.java
@@ -5,6 +5,7 @@
 import io.hawthornlb.gateway.route.RoutingConfig;
 import io.hawthornlb.gateway.store.KeyedFollower;
 import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
+import java.time.InstantSource;
 import java.util.List;
 
 /** Takes configurations from the store in force. */
@@ -14,7 +15,7 @@
   private final ConfigHolder holder;
   private final EventLog log;
 
-  ConfigSource(SourceFormats formats, ConfigHolder holder, EventLog log) {
+  ConfigSource(SourceFormats formats, ConfigHolder holder, InstantSource clock, EventLog log) {
     this.formats = formats;
     this.holder = holder;
     this.log = log;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -81,12 +81,12 @@
     RelayingHttpCaller caller = relaying(direct, links, fleet);
     LogStore store = access.client().apply(caller);
     UdpPeerTransport transport =
-        new UdpPeerTransport(loop, settings.self().address(), settings.self().name(), log);
+        new UdpPeerTransport(loop, settings.self().address(), settings.self().name(), clock, log);
     FleetSlotClient slots = new FleetSlotClient(fleet, transport, directory, loop, clock, log);
     EndpointPool pool = new EndpointPool(loop, names);
     directory.onRemoval(endpoint -> pool.forget(endpoint.id()));
     endpoints = new EndpointSource(formats, directory, loop, clock, log);
-    instances = new InstanceSource(fleet, store, loop, log);
+    instances = new InstanceSource(fleet, store, loop, clock, log);
     jobs =
         new JobRunners(
             jobParts(slots, pool, names, store),
@@ -112,7 +112,7 @@
                 log,
                 metrics));
     front = new FrontServer(handler, config, clock, log);
-    ConfigSource configs = new ConfigSource(formats, config, log);
+    ConfigSource configs = new ConfigSource(formats, config, clock, log);
     follow(store, formats.configTopic(), KeyedFollower.PROMPT, configs);
     follow(store, formats.endpointTopic(), KeyedFollower.PROMPT, endpoints);
     follow(store, InstanceSource.TOPIC, KeyedFollower.UNHURRIED, instances);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/InstanceSource.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/InstanceSource.java
@@ -11,6 +11,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -35,7 +36,12 @@
   private boolean leaving;
   private boolean loaded;
 
-  InstanceSource(FleetView fleet, LogStore store, ScheduledExecutorService executor, EventLog log) {
+  InstanceSource(
+      FleetView fleet,
+      LogStore store,
+      ScheduledExecutorService executor,
+      InstantSource clock,
+      EventLog log) {
     this.fleet = fleet;
     this.store = store;
     this.executor = executor;
--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/ForeignJobRecordsTest.java
@@ -0,0 +1,133 @@
+package io.hawthornlb.gateway.job;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.hawthornlb.gateway.decode.ForeignBytes;
+import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * No job of a partition is run or can be read any more, at any process: another writer left one
+ * record there that cannot be read, and reading it again and again was all that its holder did.
+ */
+class ForeignJobRecordsTest {
+
+  private static final byte[] NOISE = {(byte) 0xff, 0, 7};
+  private static final List<String> KINDS = List.of("a", "r", "e", "p", "f", "o", "x", "");
+  private static final List<String> TAILS =
+      List.of("", "/", "/0", "/1", "/-1", "/x", "/99999999999", "/i1", "/i1/00000000", "/0/0/0/0");
+
+  private final JobTable table = new JobTable();
+
+  @Property(tries = 1_500, seed = ForeignBytes.SEED)
+  void aGoodNeighbourHolds(@ForAll long seed) {
+    Random random = new Random(seed);
+    List<KeyedRecord> good = records("good");
+    List<KeyedRecord> all = new ArrayList<>(good);
+    for (KeyedRecord record : records("bad")) {
+      byte[] value = ForeignBytes.of(record.value(), random);
+      all.add(random.nextInt(all.size() + 1), new KeyedRecord(record.key(), value));
+      String key =
+          KINDS.get(random.nextInt(KINDS.size()))
+              + (random.nextInt(4) == 0 ? "" : "/bad")
+              + TAILS.get(random.nextInt(TAILS.size()));
+      all.add(random.nextInt(all.size() + 1), new KeyedRecord(key, value));
+    }
+    JobTable read = new JobTable();
+    int length = all.stream().mapToInt(each -> each.value().length).sum();
+    ForeignBytes.read(
+        length,
+        () -> {
+          all.forEach(read::take);
+          read.find("bad").ifPresent(job -> job.page(0, 1_000));
+          return read;
+        });
+    Job job = read.find("good").orElseThrow();
+    assertEquals(List.of(new JobResult("i1", true, "one")), job.page(0, 1_000));
+    assertEquals(new ItemProgress(2, "two"), job.progress("i2"));
+    assertEquals(3, job.failures("i2"));
+    assertTrue(job.ended());
+  }
+
+  /** An accepted job is gone at processes that had read it. */
+  @Test
+  void aJobThatIsKnownStaysWhenItsRecordTurnsUnreadable() {
+    records("j").forEach(table::take);
+    table.take(new KeyedRecord("a/j/0", NOISE));
+    assertTrue(table.find("j").isPresent());
+  }
+
+  /** A job of which another writer destroyed the record works again once it is written anew. */
+  @Test
+  void aJobIsKnownOnceItsRecordIsWrittenAnew() {
+    table.take(new KeyedRecord("a/j/0", NOISE));
+    table.take(new KeyedRecord("a/j/1", NOISE));
+    assertFalse(table.find("j").isPresent());
+    records("j").forEach(table::take);
+    assertTrue(table.find("j").isPresent());
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"r/j/7", "r/j/-1", "r/j/2000000000"})
+  void aResultBeyondTheItemsIsNone(String key) {
+    records("j").forEach(table::take);
+    KeyedRecord result = JobRecords.result("j", 0, new JobResult("i2", true, "two"));
+    table.take(new KeyedRecord(key, result.value()));
+    assertFalse(table.find("j").orElseThrow().listed("i2"));
+  }
+
+  /** A job seems complete and lacks a result, since one names an item of another job. */
+  @Test
+  void aResultOfAnotherJobsItemIsNone() {
+    records("j").forEach(table::take);
+    table.take(JobRecords.result("j", 1, new JobResult("other", true, "two")));
+    assertEquals(1, table.find("j").orElseThrow().resultCount());
+    assertFalse(table.find("j").orElseThrow().complete());
+  }
+
+  /** A job stops running: its record of an end was none. */
+  @Test
+  void bytesThatAreNoEndEndNothing() {
+    JobRecords.accepted(job("j")).forEach(table::take);
+    table.take(new KeyedRecord("e/j", NOISE));
+    assertFalse(table.find("j").orElseThrow().ended());
+  }
+
+  /** An item is given up though no endpoint failed at it: the record names another item. */
+  @Test
+  void aRecordWhoseItemDiffersFromItsKeyIsNone() {
+    JobRecords.accepted(job("j")).forEach(table::take);
+    KeyedRecord failures = JobRecords.failures("j", new JobRecords.Failures("i2", 9));
+    table.take(new KeyedRecord("f/j/i1", failures.value()));
+    assertEquals(0, table.find("j").orElseThrow().failures("i2"));
+    assertEquals(0, table.find("j").orElseThrow().failures("i1"));
+  }
+
+  private static List<KeyedRecord> records(String jobId) {
+    List<KeyedRecord> records = new ArrayList<>(JobRecords.accepted(job(jobId)));
+    records.add(JobRecords.result(jobId, 0, new JobResult("i1", true, "one")));
+    records.add(JobRecords.gained(jobId, new JobRecords.Gained("i2", -1, 2, "two")));
+    records.add(JobRecords.failures(jobId, new JobRecords.Failures("i2", 3)));
+    records.add(JobRecords.end(jobId));
+    return records;
+  }
+
+  private static Job job(String id) {
+    List<JobItem> items =
+        List.of(
+            new JobItem("i1", "/p/1", Map.of("X", "y"), new byte[10]),
+            new JobItem("i2", "/p/2", Map.of(), new byte[10]));
+    return new Job(id, "h.example", Instant.EPOCH, items);
+  }
+}
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobServiceTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobServiceTest.java
@@ -110,6 +110,28 @@
     assertEquals(1, store.reads);
   }
 
+  /**
+   * A caller hears that its job, which was accepted, does not exist: another writer had destroyed
+   * the job's record, and a process that read the log anew knew nothing else of it. Once the caller
+   * sends the job again it runs.
+   */
+  @Test
+  void doesNotSayThatAJobIsUnknownWhoseRecordCannotBeRead() {
+    LogStore.KeyedRecord foreign = new LogStore.KeyedRecord("a/j/0", new byte[] {(byte) 0xff});
+    store.append(new LogStore.AppendCall(JobReplicas.TOPIC, 0, List.of(foreign), null));
+    RecordingResponder lost = handle(new JobCall.Read("j", 0, Duration.ZERO));
+    RecordingResponder unknown = handle(new JobCall.Read("k", 0, Duration.ZERO));
+    time.advance(Duration.ofMillis(10));
+    assertEquals(503, lost.status());
+    assertEquals(404, unknown.status());
+    RecordingResponder again = handle(new JobCall.Submit("j", ITEMS));
+    time.advance(Duration.ofMillis(10));
+    assertEquals(202, again.status());
+    RecordingResponder found = handle(new JobCall.Read("j", 0, Duration.ZERO));
+    time.advance(Duration.ofMillis(10));
+    assertEquals(200, found.status());
+  }
+
   @Test
   void waitsForAResultThatComesInTime() {
     handle(new JobCall.Submit("j", ITEMS));
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PartitionRunnerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PartitionRunnerTest.java
@@ -16,6 +16,7 @@
 import io.hawthornlb.gateway.route.RoutingConfig;
 import io.hawthornlb.gateway.route.ServiceShare;
 import io.hawthornlb.gateway.store.LogStore.AppendCall;
+import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
 import io.hawthornlb.gateway.store.StoreException;
 import io.hawthornlb.gateway.store.support.InMemoryLogStore;
 import io.netty.channel.EventLoop;
@@ -24,6 +25,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -97,6 +99,36 @@
     assertEquals(MAX_ATTEMPTS, endpoint.requests().size());
   }
 
+  /**
+   * A result that a caller has read stands elsewhere later: another writer had destroyed the record
+   * before it, and the holder gave the positions behind the gap out again.
+   */
+  @Test
+  void listsInGapsAndNeverWhereAResultStands() {
+    String answer =
+        "HTTP/1.1 200 OK\r\nTest-Id: {id}\r\nTest-Signature: s\r\n"
+            + "Content-Length: 15\r\n\r\nid: 1\ndata: a\n\n";
+    endpoint.then(answer, After.KEEP).then(answer, After.KEEP);
+    List<JobItem> items =
+        IntStream.range(0, 3)
+            .mapToObj(i -> new JobItem("i" + i, "/jobs/" + i, Map.of(), new byte[0]))
+            .toList();
+    Job job = new Job("j", "h", InstantSource.system().instant(), items);
+    List<KeyedRecord> records = new ArrayList<>(JobRecords.accepted(job));
+    JobResult kept = new JobResult("i1", true, "b");
+    records.add(new KeyedRecord("r/j/0", new byte[] {(byte) 0xff}));
+    records.add(JobRecords.result("j", 1, kept));
+    store.append(new AppendCall(JobReplicas.TOPIC, 0, records, null));
+    JobReplica replica = new JobReplica(store, JobReplicas.TOPIC, 0, new LoadGate(), loop);
+    runner(replica, 1);
+    await().until(() -> page(replica).size() == 3);
+    JobReplica next = new JobReplica(store, JobReplicas.TOPIC, 0, new LoadGate(), loop);
+    loop.submit(next::refresh).syncUninterruptibly();
+    await().until(() -> page(next).size() == 3);
+    assertEquals(kept, page(next).get(1));
+    assertEquals(3, page(next).stream().map(JobResult::itemId).distinct().count());
+  }
+
   /**
    * Reports are late on a day on which gateways are restarted: with each partition that moved, its
    * items lost what they had gained since it was last recorded, and began there anew.
--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/ForeignDatagramPropertyTest.java
@@ -0,0 +1,54 @@
+package io.hawthornlb.gateway.peer;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.hawthornlb.gateway.decode.ForeignBytes;
+import io.hawthornlb.gateway.slot.SlotAnswer;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/**
+ * A coordinator ends requests of all gateways: a datagram of a stranger held a time that is beyond
+ * every clock, or an outcome that there is none of, and the exception came up far from the reader.
+ */
+class ForeignDatagramPropertyTest {
+
+  private static final Instant NOW = Instant.parse("2026-01-01T00:00:00Z");
+  private static final Duration DAY = Duration.ofDays(1);
+
+  @Property(tries = 3_000, seed = ForeignBytes.SEED)
+  void aDatagramIsAMessageOrUnreadable(@ForAll long seed) {
+    Random random = new Random(seed);
+    List<PeerMessage> messages = PeerCodecTest.messages();
+    PeerMessage message = messages.get(random.nextInt(messages.size()));
+    byte[] good = PeerCodec.encode(new PeerCodec.Envelope("a1", message));
+    byte[] bytes = ForeignBytes.of(good, random);
+    ForeignBytes.read(bytes.length, () -> PeerCodec.decode(bytes))
+        .ifPresent(envelope -> check(envelope.message()));
+  }
+
+  private static void check(PeerMessage message) {
+    if (message instanceof PeerMessage.Ask ask) {
+      assertTrue(sound(ask.request().maxWait()) && sound(ask.request().patience()));
+      NOW.plus(ask.request().maxWait());
+    } else if (message instanceof PeerMessage.Told told) {
+      assertTrue(told.load().running() >= 0 && told.load().waiting() >= 0);
+    } else if (message instanceof PeerMessage.Held held) {
+      assertTrue(held.partition() >= 0 && held.epoch() >= 0);
+    } else if (message instanceof PeerMessage.Answer answer) {
+      if (answer.answer() instanceof SlotAnswer.Waiting waiting) {
+        assertTrue(sound(waiting.atMost()));
+      } else if (answer.answer() instanceof SlotAnswer.Refused refused) {
+        assertTrue(sound(refused.retryAfter()));
+      }
+    }
+  }
+
+  private static boolean sound(Duration time) {
+    return !time.isNegative() && time.compareTo(DAY) < 0;
+  }
+}
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
@@ -3,13 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.hawthornlb.gateway.decode.UnreadableException;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotKey;
 import io.hawthornlb.gateway.slot.SlotOutcome;
 import io.hawthornlb.gateway.slot.SlotRequest;
 import io.hawthornlb.gateway.slot.SlotUse;
 import io.hawthornlb.gateway.wire.ToldLoad;
-import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.Set;
@@ -61,6 +61,6 @@
   @ValueSource(strings = {"", "GET / HTTP/1.1", "\u0001\u0002"})
   void refusesForeignDatagrams(String text) {
     byte[] bytes = text.getBytes();
-    assertThrows(UncheckedIOException.class, () -> PeerCodec.decode(bytes));
+    assertThrows(UnreadableException.class, () -> PeerCodec.decode(bytes));
   }
 }
--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/process/ConfigSourceTest.java
@@ -0,0 +1,76 @@
+package io.hawthornlb.gateway.process;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.hawthornlb.gateway.SilentEventLog;
+import io.hawthornlb.gateway.decode.UnreadableException;
+import io.hawthornlb.gateway.endpoint.EndpointRecord;
+import io.hawthornlb.gateway.route.CallerLimits;
+import io.hawthornlb.gateway.route.ConfigHolder;
+import io.hawthornlb.gateway.route.RoutingConfig;
+import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
+import java.time.InstantSource;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ConfigSourceTest {
+
+  private final SilentEventLog log = new SilentEventLog();
+  private final ConfigHolder holder = new ConfigHolder();
+  private final ConfigSource source =
+      new ConfigSource(new Formats(), holder, InstantSource.system(), log);
+
+  /** The version is the value; 0 cannot be read. */
+  private static final class Formats implements SourceFormats {
+
+    @Override
+    public String configTopic() {
+      return "config";
+    }
+
+    @Override
+    public String configKey() {
+      return "config";
+    }
+
+    @Override
+    public String endpointTopic() {
+      return "endpoints";
+    }
+
+    @Override
+    public RoutingConfig config(byte[] value) {
+      if (value[0] == 0) {
+        throw new UnreadableException("Version", "not a whole number");
+      }
+      return new RoutingConfig(value[0], List.of(), CallerLimits.DEFAULT);
+    }
+
+    @Override
+    public EndpointRecord endpoint(String id, byte[] value) {
+      throw new UnreadableException("entry", "none here");
+    }
+  }
+
+  @Test
+  void keepsTheConfigurationInForceWhenTheNextOneCannotBeRead() {
+    source.onAll(List.of(config(3)));
+    source.onRecords(List.of(config(0)));
+    source.onAll(List.of(config(0)));
+    assertEquals(3, holder.current().orElseThrow().version());
+    assertEquals(1, log.events().stream().filter("config.unreadable"::equals).count());
+  }
+
+  @Test
+  void takesAReadableOneBehindOneThatIsNot() {
+    source.onAll(List.of(new KeyedRecord("other", new byte[] {0}), config(0)));
+    assertTrue(holder.current().isEmpty());
+    source.onRecords(List.of(config(0), config(4), config(0)));
+    assertEquals(4, holder.current().orElseThrow().version());
+  }
+
+  private static KeyedRecord config(int version) {
+    return new KeyedRecord("config", new byte[] {(byte) version});
+  }
+}
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/process/EndpointSourceTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/process/EndpointSourceTest.java
@@ -4,6 +4,7 @@
 
 import io.hawthornlb.gateway.SilentEventLog;
 import io.hawthornlb.gateway.VirtualLoop;
+import io.hawthornlb.gateway.decode.UnreadableException;
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.route.RoutingConfig;
@@ -15,10 +16,14 @@
 
 class EndpointSourceTest {
 
+  private static final byte[] GOOD = {1};
+  private static final byte[] BAD = {2};
+
   private final VirtualLoop time = new VirtualLoop();
+  private final SilentEventLog log = new SilentEventLog();
   private final EndpointDirectory directory = new EndpointDirectory();
   private final EndpointSource source =
-      new EndpointSource(new Formats(), directory, time.loop(), time, new SilentEventLog());
+      new EndpointSource(new Formats(), directory, time.loop(), time, log);
 
   private static final class Formats implements SourceFormats {
 
@@ -44,6 +49,9 @@
 
     @Override
     public EndpointRecord endpoint(String id, byte[] value) {
+      if (value[0] != 1) {
+        throw new UnreadableException("Slots", "reason " + value[0]);
+      }
       return new EndpointRecord(id, "engine", new InetSocketAddress("127.0.0.1", 1), "a", 8, false);
     }
   }
@@ -54,7 +62,7 @@
    */
   @Test
   void dropsARemovedEndpointAtOnceAfterAFailedRead() {
-    source.onAll(List.of(new KeyedRecord("e1", new byte[1])));
+    source.onAll(List.of(new KeyedRecord("e1", GOOD)));
     source.onRegained(Duration.ofMillis(100));
     source.onRecords(List.of(new KeyedRecord("e1", null)));
     assertEquals(List.of(), directory.usable("engine"));
@@ -62,11 +70,71 @@
 
   @Test
   void keepsARemovedEndpointForAWhileAfterAnOutage() {
-    source.onAll(List.of(new KeyedRecord("e1", new byte[1])));
+    source.onAll(List.of(new KeyedRecord("e1", GOOD)));
     source.onRegained(Duration.ofSeconds(3));
     source.onRecords(List.of(new KeyedRecord("e1", null)));
     assertEquals(1, directory.usable("engine").size());
     time.advance(Duration.ofMillis(1_700));
     assertEquals(List.of(), directory.usable("engine"));
   }
+
+  /**
+   * Requests go on to an endpoint whose entry another writer has destroyed: what cannot be read was
+   * passed over, and the entry before it stayed in use, after an outage longer than any endpoint
+   * that leaves stays.
+   */
+  @Test
+  void usesAnEndpointNoLongerOnceItsEntryCannotBeRead() {
+    source.onAll(List.of(new KeyedRecord("e1", GOOD), new KeyedRecord("e2", GOOD)));
+    source.onRegained(Duration.ofSeconds(3));
+    source.onRecords(List.of(new KeyedRecord("e1", BAD)));
+    assertEquals(List.of("e2"), ids());
+    source.onRecords(List.of(new KeyedRecord("e1", GOOD)));
+    assertEquals(List.of("e1", "e2"), ids());
+    source.onAll(List.of(new KeyedRecord("e1", BAD), new KeyedRecord("e2", GOOD)));
+    assertEquals(List.of("e2"), ids());
+  }
+
+  @Test
+  void takesAnEntryThatTurnsReadable() {
+    source.onAll(List.of(new KeyedRecord("", BAD), new KeyedRecord("e1", BAD)));
+    assertEquals(List.of(), ids());
+    source.onRecords(List.of(new KeyedRecord("e1", GOOD)));
+    assertEquals(List.of("e1"), ids());
+  }
+
+  /** The log holds nothing but one entry, which each read of the list told again. */
+  @Test
+  void tellsAnEntryOnceForAReason() {
+    for (int i = 0; i < 10; i++) {
+      source.onAll(List.of(new KeyedRecord("e1", BAD)));
+      source.onRecords(List.of(new KeyedRecord("e1", BAD)));
+    }
+    assertEquals(1, told());
+    source.onRecords(List.of(new KeyedRecord("e1", new byte[] {3})));
+    assertEquals(2, told());
+    source.onRecords(List.of(new KeyedRecord("e1", GOOD), new KeyedRecord("e1", BAD)));
+    assertEquals(3, told());
+  }
+
+  @Test
+  void tellsSomeOfThousands() {
+    for (int round = 0; round < 3; round++) {
+      for (int i = 0; i < 10_000; i++) {
+        source.onRecords(List.of(new KeyedRecord("bad" + i, BAD)));
+      }
+    }
+    assertEquals(50, told());
+    time.advance(Duration.ofSeconds(61));
+    source.onRecords(List.of(new KeyedRecord("another", BAD)));
+    assertEquals(51, told());
+  }
+
+  private long told() {
+    return log.events().stream().filter("endpoint.unreadable"::equals).count();
+  }
+
+  private List<String> ids() {
+    return directory.usable("engine").stream().map(EndpointRecord::id).sorted().toList();
+  }
 }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/RelayCodecTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/RelayCodecTest.java
@@ -5,7 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-import java.io.UncheckedIOException;
+import io.hawthornlb.gateway.decode.UnreadableException;
 import java.time.Duration;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -55,6 +55,6 @@
   @ValueSource(strings = {"", "GET / HTTP/1.1", "\u0001\u0002"})
   void refusesForeignFrames(String text) {
     byte[] bytes = text.getBytes();
-    assertThrows(UncheckedIOException.class, () -> RelayCodec.decode(bytes));
+    assertThrows(UnreadableException.class, () -> RelayCodec.decode(bytes));
   }
 }
