--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/endpoint/EndpointDirectory.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/endpoint/EndpointDirectory.java
@@ -59,6 +59,14 @@
     drop(id);
   }
 
+  /**
+   * Takes that the entry of an endpoint cannot be read any more: it is there and names no endpoint,
+   * so that, unlike one that is missing after an outage, it is not waited for.
+   */
+  public void withdraw(String id) {
+    drop(id);
+  }
+
   /** Takes the whole list, as read at once; entries that it lacks count as removed. */
   public void replaceAll(List<EndpointRecord> entries, Instant now) {
     entries.forEach(this::put);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/Job.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/Job.java
@@ -17,6 +17,7 @@
   private final String host;
   private final Instant accepted;
   private final List<JobItem> items;
+  private final Map<String, JobItem> itemsById = new HashMap<>();
   private final TreeMap<Integer, JobResult> results = new TreeMap<>();
   private final Set<String> listed = new HashSet<>();
   private final Map<String, ItemProgress> progress = new HashMap<>();
@@ -30,6 +31,7 @@
     this.host = host;
     this.accepted = accepted;
     this.items = List.copyOf(items);
+    this.items.forEach(item -> itemsById.put(item.id(), item));
   }
 
   /** Returns the id. */
@@ -75,7 +77,16 @@
 
   /** Returns an item. */
   public Optional<JobItem> item(String itemId) {
-    return items.stream().filter(item -> item.id().equals(itemId)).findFirst();
+    return Optional.ofNullable(itemsById.get(itemId));
+  }
+
+  /** Returns the first position from one on at which no result stands. */
+  int freePosition(int from) {
+    int position = from;
+    while (results.containsKey(position)) {
+      position++;
+    }
+    return position;
   }
 
   /** Returns results from a position on, up to a number of bytes but at least one. */
@@ -130,8 +141,14 @@
     }
   }
 
-  /** Takes a result; the first one at a position, and the first one of an item, stays. */
+  /**
+   * Takes a result; the first one at a position, and the first one of an item, stays. One of an
+   * item that the job lacks, or beyond its last item, is passed over.
+   */
   void put(int position, JobResult result) {
+    if (!has(position, result)) {
+      return;
+    }
     if (!results.containsKey(position) && listed.add(result.itemId())) {
       results.put(position, result);
       progress.remove(result.itemId());
@@ -139,15 +156,16 @@
     }
   }
 
+  /** Returns whether a result can be one of this job at a position. */
+  boolean has(int position, JobResult result) {
+    return position < items.size() && itemsById.containsKey(result.itemId());
+  }
+
   void end() {
     ended = true;
   }
 
   private int contiguous() {
-    int position = 0;
-    while (results.containsKey(position)) {
-      position++;
-    }
-    return position;
+    return freePosition(0);
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobCall.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobCall.java
@@ -1,5 +1,7 @@
 package io.hawthornlb.gateway.job;
 
+import io.hawthornlb.gateway.decode.HttpText;
+import io.hawthornlb.gateway.decode.UnreadableException;
 import java.time.Duration;
 import java.util.List;
 
@@ -9,6 +11,15 @@
   /** Returns the id of the job. */
   String jobId();
 
+  /**
+   * Checks the id of a new job, which becomes part of keys.
+   *
+   * @throws UnreadableException if it cannot
+   */
+  static void checkId(String place, String id) {
+    HttpText.id(place, id, JobRecords.MAX_ID);
+  }
+
   /** Submits a job. */
   record Submit(String jobId, List<JobItem> items) implements JobCall {}
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobDesk.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobDesk.java
@@ -309,7 +309,7 @@
       String size = headers.get(PARTITION_BYTES);
       if (size != null) {
         headers.remove(PARTITION_BYTES);
-        rule.told(partition, Long.parseLong(size));
+        tellSize(name, size);
       }
       log.routine("job", "job.answered")
           .with("id", call.jobId())
@@ -319,6 +319,15 @@
       responder.whole(reply.status(), headers, reply.body());
     }
 
+    private void tellSize(String name, String size) {
+      try {
+        rule.told(partition, Long.parseLong(size));
+      } catch (NumberFormatException e) {
+        // The answer is the caller's; the size decides only who reads the partition next.
+        log.important("job", "partition.size.unreadable").with("instance", name).write();
+      }
+    }
+
     private void answerHere() {
       log.important("job", "job.answered.here")
           .with("id", call.jobId())
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobFormat.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobFormat.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.job;
 
+import io.hawthornlb.gateway.decode.UnreadableException;
 import io.hawthornlb.gateway.front.FrontRequest;
 import java.util.List;
 import java.util.Optional;
@@ -11,7 +12,7 @@
    * Reads a call.
    *
    * @return empty if it is none about a job
-   * @throws IllegalArgumentException if it is one that cannot be read
+   * @throws UnreadableException if it is one that cannot be read, with the place
    */
   Optional<JobCall> call(FrontRequest request);
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRecords.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRecords.java
@@ -1,5 +1,8 @@
 package io.hawthornlb.gateway.job;
 
+import io.hawthornlb.gateway.decode.HttpText;
+import io.hawthornlb.gateway.decode.MessageReader;
+import io.hawthornlb.gateway.decode.UnreadableException;
 import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -9,9 +12,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
-import org.msgpack.core.MessageUnpacker;
 
 /**
  * Records of jobs in the log, by key.
@@ -31,10 +34,36 @@
   private static final String FAILURES = "f";
   private static final String OFFER = "o";
 
+  /** Fields of a key of each kind. */
+  private static final Map<String, Integer> FIELDS =
+      Map.of(PART, 3, RESULT, 3, END, 2, PROGRESS, 4, FAILURES, 3, OFFER, 3);
+
+  /** Longest id of a job or an item; keys of the log hold 255 bytes, with two ids and a number. */
+  static final int MAX_ID = 100;
+
+  /** Digits of a part's number or a result's position. */
+  private static final int MAX_DIGITS = 6;
+
+  /** Parts of a job at most; a call to the log holds 2 MiB, callers may send 4 MiB. */
+  private static final int MAX_PARTS = 1_000;
+
+  /** Failed runs of an item at most; it is given up after a few. */
+  private static final int MAX_FAILURES = 10_000;
+
+  private static final byte ENDED = 1;
+
+  /** Latest time at which a job may have been accepted: the end of the year 9999. */
+  private static final long MAX_MILLIS = 253_402_300_799_999L;
+
   private JobRecords() {}
 
-  /** What the key of a record says. */
-  record Key(String kind, String jobId, int number) {
+  /**
+   * What the key of a record says.
+   *
+   * @param itemId item that it is about; empty if it is about the job
+   * @param number number of a part, or position of a result; 0 for all others
+   */
+  record Key(String kind, String jobId, String itemId, int number) {
 
     boolean part() {
       return kind.equals(PART);
@@ -70,18 +99,45 @@
   /** A part of an accepted job. */
   record Part(int count, byte[] bytes) {}
 
+  /**
+   * Returns what a key says.
+   *
+   * @throws UnreadableException if it is none of ours
+   */
   static Key key(String text) {
-    String[] fields = text.split(String.valueOf(SEPARATOR));
+    String[] fields = text.split(String.valueOf(SEPARATOR), -1);
+    Integer expected = FIELDS.get(fields[0]);
+    if (expected == null || fields.length != expected) {
+      throw new UnreadableException("key", "not the key of a record of jobs");
+    }
+    String jobId = HttpText.id("key", fields[1], MAX_ID);
     boolean numbered = fields[0].equals(PART) || fields[0].equals(RESULT);
-    int number = numbered ? Integer.parseInt(fields[2]) : 0;
-    return new Key(fields[0], fields[1], number);
+    int number = numbered ? number(fields[2]) : 0;
+    boolean ofItem = !numbered && expected > 2;
+    String itemId = ofItem ? HttpText.id("key", fields[2], MAX_ID) : "";
+    return new Key(fields[0], jobId, itemId, number);
+  }
+
+  /** Returns the job that a key is about; empty if it is none of ours, which its reader tells. */
+  static Optional<String> jobId(String key) {
+    String[] fields = key.split(String.valueOf(SEPARATOR), -1);
+    boolean ours = FIELDS.containsKey(fields[0]) && fields.length > 1;
+    return ours ? Optional.of(fields[1]) : Optional.empty();
+  }
+
+  private static int number(String text) {
+    boolean digits = text.chars().allMatch(each -> each >= '0' && each <= '9');
+    if (text.isEmpty() || !digits || text.length() > MAX_DIGITS) {
+      throw new UnreadableException("key", "no number");
+    }
+    return Integer.parseInt(text);
   }
 
   /** Returns whether a key is that of a record which the result of an item makes needless. */
   static boolean neededUntilResult(String key, String itemId) {
     String[] fields = key.split(String.valueOf(SEPARATOR));
     boolean ofUnfinished = fields[0].equals(PROGRESS) || fields[0].equals(OFFER);
-    return ofUnfinished && fields[2].equals(itemId);
+    return ofUnfinished && fields.length > 2 && fields[2].equals(itemId);
   }
 
   /** Returns a result without a position, for the holder of the partition to list. */
@@ -91,20 +147,39 @@
   }
 
   static KeyedRecord end(String jobId) {
-    return new KeyedRecord(END + SEPARATOR + jobId, new byte[] {1});
+    return new KeyedRecord(END + SEPARATOR + jobId, new byte[] {ENDED});
+  }
+
+  static String resultKey(String jobId, int position) {
+    return RESULT + SEPARATOR + jobId + SEPARATOR + position;
   }
 
   static KeyedRecord result(String jobId, int position, JobResult result) {
-    return new KeyedRecord(RESULT + SEPARATOR + jobId + SEPARATOR + position, packed(result));
+    return new KeyedRecord(resultKey(jobId, position), packed(result));
+  }
+
+  /** Checks that a value says that a job has ended. */
+  static void checkEnd(byte[] value) {
+    if (value.length != 1 || value[0] != ENDED) {
+      throw new UnreadableException("end", "not the end of a job");
+    }
   }
 
   static JobResult result(byte[] value) {
-    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(value)) {
-      String itemId = unpacker.unpackString();
-      boolean completed = unpacker.unpackBoolean();
-      return new JobResult(itemId, completed, unpacker.unpackString());
-    } catch (IOException e) {
-      throw new UncheckedIOException("Not a result", e);
+    return MessageReader.read(
+        "result",
+        value,
+        reader -> {
+          String itemId = reader.text();
+          boolean completed = reader.flag();
+          return new JobResult(itemId, completed, reader.text());
+        });
+  }
+
+  /** Checks that a value is about the item that its key names. */
+  static void checkItem(Key key, String itemId) {
+    if (!key.itemId().equals(itemId)) {
+      throw new UnreadableException("item", "another one than in the key");
     }
   }
 
@@ -122,13 +197,15 @@
   }
 
   static Gained gained(byte[] value) {
-    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(value)) {
-      String itemId = unpacker.unpackString();
-      long after = unpacker.unpackLong();
-      return new Gained(itemId, after, unpacker.unpackLong(), unpacker.unpackString());
-    } catch (IOException e) {
-      throw new UncheckedIOException("Not the progress of an item", e);
-    }
+    return MessageReader.read(
+        "progress",
+        value,
+        reader -> {
+          String itemId = reader.text();
+          long after = reader.number("after", -1L, Long.MAX_VALUE - 1);
+          long upTo = reader.number("upTo", after + 1, Long.MAX_VALUE);
+          return new Gained(itemId, after, upTo, reader.text());
+        });
   }
 
   static KeyedRecord failures(String jobId, Failures failures) {
@@ -142,11 +219,10 @@
   }
 
   static Failures failures(byte[] value) {
-    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(value)) {
-      return new Failures(unpacker.unpackString(), unpacker.unpackInt());
-    } catch (IOException e) {
-      throw new UncheckedIOException("Not the failures of an item", e);
-    }
+    return MessageReader.read(
+        "failures",
+        value,
+        reader -> new Failures(reader.text(), reader.number("count", 0, MAX_FAILURES)));
   }
 
   static List<KeyedRecord> accepted(Job job) {
@@ -174,12 +250,8 @@
   }
 
   static Part part(byte[] value) {
-    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(value)) {
-      int count = unpacker.unpackInt();
-      return new Part(count, unpacker.readPayload(unpacker.unpackBinaryHeader()));
-    } catch (IOException e) {
-      throw new UncheckedIOException("Not a part of a job", e);
-    }
+    return MessageReader.read(
+        "part", value, reader -> new Part(reader.number("count", 1, MAX_PARTS), reader.bytes()));
   }
 
   private static byte[] encode(Job job) {
@@ -202,30 +274,30 @@
   }
 
   static Job decode(String jobId, byte[] bytes) {
-    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
-      String host = unpacker.unpackString();
-      Instant accepted = Instant.ofEpochMilli(unpacker.unpackLong());
-      int count = unpacker.unpackArrayHeader();
-      List<JobItem> items = new ArrayList<>(count);
-      for (int i = 0; i < count; i++) {
-        items.add(item(unpacker));
-      }
-      return new Job(jobId, host, accepted, items);
-    } catch (IOException e) {
-      throw new UncheckedIOException("Not a job", e);
-    }
+    return MessageReader.read(
+        "job",
+        bytes,
+        reader -> {
+          String host = HttpText.headerValue("host", reader.text());
+          Instant accepted = Instant.ofEpochMilli(reader.number("accepted", 0L, MAX_MILLIS));
+          int count = reader.listSize();
+          List<JobItem> items = new ArrayList<>();
+          for (int i = 0; i < count; i++) {
+            items.add(item(reader));
+          }
+          return new Job(jobId, host, accepted, JobItem.checked(items));
+        });
   }
 
-  private static JobItem item(MessageUnpacker unpacker) throws IOException {
-    String id = unpacker.unpackString();
-    String path = unpacker.unpackString();
+  private static JobItem item(MessageReader reader) throws IOException {
+    String id = reader.text();
+    String path = reader.text();
     Map<String, String> headers = new HashMap<>();
-    int count = unpacker.unpackMapHeader();
+    int count = reader.mapSize();
     for (int i = 0; i < count; i++) {
-      headers.put(unpacker.unpackString(), unpacker.unpackString());
+      headers.put(reader.text(), reader.text());
     }
-    byte[] body = unpacker.readPayload(unpacker.unpackBinaryHeader());
-    return new JobItem(id, path, headers, body);
+    return new JobItem(id, path, headers, reader.bytes());
   }
 
   private static byte[] packed(JobResult result) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobReplica.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobReplica.java
@@ -192,7 +192,7 @@
     List<KeyedRecord> records = page.records();
     for (KeyedRecord record : records) {
       table.take(record);
-      listing.listed().add(JobRecords.key(record.key()).jobId());
+      JobRecords.jobId(record.key()).ifPresent(listing.listed()::add);
     }
     long end = listing.end() < 0 ? page.end() : listing.end();
     if (page.more() && !records.isEmpty()) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobReplicas.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobReplicas.java
@@ -1,10 +1,12 @@
 package io.hawthornlb.gateway.job;
 
 import com.dynatrace.hash4j.hashing.Hashing;
+import io.hawthornlb.gateway.decode.UnreadableException;
 import io.hawthornlb.gateway.store.LogStore;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.Executor;
+import java.util.function.BiConsumer;
 
 /** Finds the partition of a job, and the replica of a partition. */
 final class JobReplicas {
@@ -17,6 +19,7 @@
   private final Executor executor;
   private final LoadGate gate = new LoadGate();
   private final Map<Integer, JobReplica> replicas = new HashMap<>();
+  private BiConsumer<String, UnreadableException> unreadable = (key, cause) -> {};
 
   JobReplicas(LogStore store, int partitions, Executor executor) {
     this.store = store;
@@ -30,8 +33,18 @@
   }
 
   JobReplica replica(int partition) {
-    return replicas.computeIfAbsent(
-        partition, number -> new JobReplica(store, TOPIC, number, gate, executor));
+    return replicas.computeIfAbsent(partition, this::created);
+  }
+
+  /** Calls a listener with the key of each record that cannot be read, and what is wrong. */
+  void onUnreadable(BiConsumer<String, UnreadableException> listener) {
+    unreadable = listener;
+  }
+
+  private JobReplica created(int partition) {
+    JobReplica replica = new JobReplica(store, TOPIC, partition, gate, executor);
+    replica.table().onUnreadable((key, cause) -> unreadable.accept(key, cause));
+    return replica;
   }
 
   /** Forgets what was read of a partition, if anything was. */
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRunners.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRunners.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.job;
 
+import io.hawthornlb.gateway.decode.UnreadableRecords;
 import io.hawthornlb.gateway.store.LogStore.GroupJoin;
 import io.hawthornlb.gateway.store.LogStore.GroupShare;
 import java.time.Duration;
@@ -34,6 +35,7 @@
   private static final int UNKNOWN_RANK = Integer.MAX_VALUE;
 
   private final JobParts parts;
+  private final int partitions;
   private final JobReplicas replicas;
   private final JobDesk desk;
   private final HoldNotices notices;
@@ -67,7 +69,11 @@
     this.notices = notices;
     notices.onHeld(this::heldElsewhere);
     this.name = peers.self();
+    this.partitions = partitions;
     this.replicas = new JobReplicas(parts.store(), partitions, parts.executor());
+    UnreadableRecords unreadable =
+        new UnreadableRecords(parts.log(), parts.clock(), "job", "record.unreadable", "key");
+    replicas.onUnreadable(unreadable::report);
     JobService service =
         new JobService(
             replicas, parts.store(), format, parts.executor(), parts.clock(), parts.log());
@@ -208,6 +214,15 @@
   }
 
   private void heldElsewhere(String holder, int partition, long epoch) {
+    if (partition >= partitions) {
+      parts
+          .log()
+          .important("job", "notice.refused")
+          .with("instance", holder)
+          .with("partition", partition)
+          .write();
+      return;
+    }
     desk.held(holder, partition, epoch);
     PartitionRunner runner = runners.get(partition);
     if (runner != null && runner.epoch() < epoch) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobService.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobService.java
@@ -306,7 +306,7 @@
           Optional<Job> found = replica.table().find(jobId);
           if (found.isPresent()) {
             action.accept(found.get());
-          } else if (failure != null) {
+          } else if (failure != null || replica.table().unsure(jobId)) {
             logged("job.unsure", jobId, 503);
             responder.own(503, STORE_RETRY);
           } else {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobTable.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobTable.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.job;
 
+import io.hawthornlb.gateway.decode.UnreadableException;
 import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
 import java.io.ByteArrayOutputStream;
 import java.util.Collection;
@@ -10,6 +11,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The jobs of one partition, folded from its records.
@@ -23,8 +26,10 @@
   private final Map<String, TreeMap<Integer, byte[]>> parts = new HashMap<>();
   private final Map<String, TreeMap<Integer, JobResult>> early = new HashMap<>();
   private final Set<String> ended = new HashSet<>();
+  private final Set<String> damaged = new HashSet<>();
   private final Map<String, Map<String, Integer>> bytesByKey = new HashMap<>();
   private long bytes;
+  private BiConsumer<String, UnreadableException> unreadable = (key, cause) -> {};
 
   Optional<Job> find(String jobId) {
     return Optional.ofNullable(jobs.get(jobId));
@@ -49,25 +54,61 @@
     return bytes;
   }
 
+  /**
+   * Calls a listener for each record that cannot be read.
+   *
+   * @param listener takes the key of the record and what is wrong
+   */
+  void onUnreadable(BiConsumer<String, UnreadableException> listener) {
+    unreadable = listener;
+  }
+
+  /**
+   * Returns whether a job may have been accepted whose records cannot be read. It is not known, but
+   * must not be called unknown.
+   */
+  boolean unsure(String jobId) {
+    return !jobs.containsKey(jobId) && (damaged.contains(jobId) || parts.containsKey(jobId));
+  }
+
+  /**
+   * Takes a record.
+   *
+   * <p>Failure: another writer leaves a record that cannot be read, or destroys one. It shows as a
+   * partition none of whose jobs can be read any more. Guard: such a record is told and passed
+   * over; what is known of its job stays.
+   */
   void take(KeyedRecord record) {
-    JobRecords.Key key = JobRecords.key(record.key());
-    byte[] value = record.value();
-    count(key.jobId(), record);
+    try {
+      JobRecords.Key key = JobRecords.key(record.key());
+      count(key.jobId(), record);
+      take(key, record.value());
+    } catch (UnreadableException e) {
+      unreadable.accept(record.key(), e);
+    }
+  }
+
+  private void take(JobRecords.Key key, byte @Nullable [] value) {
     if (value == null) {
       drop(key);
     } else if (key.part()) {
-      takePart(key, JobRecords.part(value));
+      takePart(key, value);
     } else if (key.result()) {
       takeResult(key, JobRecords.result(value));
     } else if (key.progress()) {
       JobRecords.Gained gained = JobRecords.gained(value);
+      JobRecords.checkItem(key, gained.itemId());
       find(key.jobId()).ifPresent(job -> job.gain(gained));
     } else if (key.offer()) {
-      find(key.jobId()).ifPresent(job -> job.offer(JobRecords.result(value)));
+      JobResult offered = JobRecords.result(value);
+      JobRecords.checkItem(key, offered.itemId());
+      find(key.jobId()).ifPresent(job -> job.offer(offered));
     } else if (key.failures()) {
       JobRecords.Failures failures = JobRecords.failures(value);
+      JobRecords.checkItem(key, failures.itemId());
       find(key.jobId()).ifPresent(job -> job.fail(failures));
     } else if (key.end()) {
+      JobRecords.checkEnd(value);
       ended.add(key.jobId());
       find(key.jobId()).ifPresent(Job::end);
     }
@@ -87,17 +128,32 @@
     }
   }
 
-  private void takePart(JobRecords.Key key, JobRecords.Part part) {
-    if (jobs.containsKey(key.jobId())) {
+  private void takePart(JobRecords.Key key, byte[] value) {
+    String jobId = key.jobId();
+    if (jobs.containsKey(jobId)) {
+      // Accepted once; but what stands there now is told if the next reader will not be able to.
+      JobRecords.part(value);
       return;
     }
-    TreeMap<Integer, byte[]> known = parts.computeIfAbsent(key.jobId(), any -> new TreeMap<>());
-    known.put(key.number(), part.bytes());
-    if (known.size() == part.count()) {
-      ByteArrayOutputStream whole = new ByteArrayOutputStream();
-      known.values().forEach(whole::writeBytes);
-      parts.remove(key.jobId());
-      add(JobRecords.decode(key.jobId(), whole.toByteArray()));
+    try {
+      JobRecords.Part part = JobRecords.part(value);
+      if (key.number() >= part.count()) {
+        throw new UnreadableException("part", "beyond the last one");
+      }
+      TreeMap<Integer, byte[]> known = parts.computeIfAbsent(jobId, any -> new TreeMap<>());
+      known.tailMap(part.count(), true).clear();
+      known.put(key.number(), part.bytes());
+      if (known.size() == part.count()) {
+        ByteArrayOutputStream whole = new ByteArrayOutputStream();
+        known.values().forEach(whole::writeBytes);
+        add(JobRecords.decode(jobId, whole.toByteArray()));
+        // Parts that make no job stay: when it is written anew, they are replaced one by one.
+        parts.remove(jobId);
+        damaged.remove(jobId);
+      }
+    } catch (UnreadableException e) {
+      damaged.add(jobId);
+      throw e;
     }
   }
 
@@ -105,7 +161,7 @@
     jobs.put(job.id(), job);
     TreeMap<Integer, JobResult> waiting = early.remove(job.id());
     if (waiting != null) {
-      waiting.forEach(job::put);
+      waiting.forEach((position, result) -> put(job, position, result));
     }
     if (ended.contains(job.id())) {
       job.end();
@@ -115,12 +171,22 @@
   private void takeResult(JobRecords.Key key, JobResult result) {
     Job job = jobs.get(key.jobId());
     if (job != null) {
-      job.put(key.number(), result);
+      put(job, key.number(), result);
     } else {
       early.computeIfAbsent(key.jobId(), any -> new TreeMap<>()).putIfAbsent(key.number(), result);
     }
   }
 
+  private void put(Job job, int position, JobResult result) {
+    if (job.has(position, result)) {
+      job.put(position, result);
+    } else {
+      unreadable.accept(
+          JobRecords.resultKey(job.id(), position),
+          new UnreadableException("result", "of no item of its job, or beyond the last"));
+    }
+  }
+
   /** Forgets a job that the log no longer holds. */
   void drop(String jobId) {
     jobs.remove(jobId);
@@ -131,6 +197,7 @@
       bytes -= gone.values().stream().mapToInt(Integer::intValue).sum();
     }
     ended.remove(jobId);
+    damaged.remove(jobId);
   }
 
   private void drop(JobRecords.Key key) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -402,7 +402,8 @@
   /** Returns what lists a result behind those of its job. */
   private List<KeyedRecord> listed(Finished each, Map<String, Integer> next) {
     String jobId = each.job().id();
-    int position = next.getOrDefault(jobId, each.job().resultCount());
+    // A result behind a gap that another writer made keeps its position.
+    int position = each.job().freePosition(next.getOrDefault(jobId, each.job().resultCount()));
     next.put(jobId, position + 1);
     List<KeyedRecord> records = new ArrayList<>();
     records.add(JobRecords.result(jobId, position, each.result()));
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
@@ -1,5 +1,7 @@
 package io.hawthornlb.gateway.peer;
 
+import io.hawthornlb.gateway.decode.MessageReader;
+import io.hawthornlb.gateway.decode.UnreadableException;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotKey;
 import io.hawthornlb.gateway.slot.SlotOutcome;
@@ -15,9 +17,7 @@
 import java.util.Set;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
-import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessagePacker;
-import org.msgpack.core.MessageUnpacker;
 
 /** Writes and reads datagrams as MessagePack. */
 public final class PeerCodec {
@@ -34,6 +34,15 @@
   private static final int TOLD = 10;
   private static final int BARRED = 11;
 
+  /**
+   * Longest time that a message tells; batch items wait for minutes at most. What is longer would
+   * overflow when it is added to an instant.
+   */
+  private static final Duration MAX_TIME = Duration.ofHours(6);
+
+  /** Most slots, uses or requests that a message counts, far above those of the largest fleet. */
+  private static final int MAX_COUNT = 1_000_000;
+
   private PeerCodec() {}
 
   /**
@@ -58,16 +67,11 @@
   /**
    * Returns what a datagram holds.
    *
-   * @throws UncheckedIOException if it is none of ours
+   * @throws UnreadableException if it is none of ours
    */
   public static Envelope decode(byte[] bytes) {
-    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
-      return new Envelope(unpacker.unpackString(), unpack(unpacker));
-    } catch (MessagePackException e) {
-      throw new UncheckedIOException("Not a message between gateways", new IOException(e));
-    } catch (IOException e) {
-      throw new UncheckedIOException("Not a message between gateways", e);
-    }
+    return MessageReader.read(
+        "datagram", bytes, reader -> new Envelope(reader.text(), unpack(reader)));
   }
 
   private static void pack(MessageBufferPacker packer, PeerMessage message) throws IOException {
@@ -136,85 +140,95 @@
     packer.packString(key.holder()).packLong(key.number());
   }
 
-  private static PeerMessage unpack(MessageUnpacker unpacker) throws IOException {
-    int type = unpacker.unpackInt();
+  private static PeerMessage unpack(MessageReader reader) throws IOException {
+    int type = reader.number("type", ASK, BARRED);
     return switch (type) {
-      case ASK -> new PeerMessage.Ask(unpackRequest(unpacker));
+      case ASK -> new PeerMessage.Ask(unpackRequest(reader));
       case GRANTED ->
-          new PeerMessage.Answer(
-              new SlotAnswer.Granted(unpackKey(unpacker), unpacker.unpackString()));
+          new PeerMessage.Answer(new SlotAnswer.Granted(unpackKey(reader), reader.text()));
       case WAITING ->
           new PeerMessage.Answer(
-              new SlotAnswer.Waiting(
-                  unpackKey(unpacker), Duration.ofMillis(unpacker.unpackLong())));
-      case REFUSED ->
-          new PeerMessage.Answer(
-              new SlotAnswer.Refused(
-                  unpackKey(unpacker),
-                  Duration.ofMillis(unpacker.unpackLong()),
-                  new SlotAnswer.Load(
-                      unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackInt())));
-      case REVOKED -> new PeerMessage.Answer(new SlotAnswer.Revoked(unpackKey(unpacker)));
-      case RELEASE -> unpackRelease(unpacker);
-      case RENEW -> unpackRenew(unpacker);
-      case SUSPECT -> unpackSuspect(unpacker);
-      case TOLD -> unpackTold(unpacker);
-      case BARRED -> new PeerMessage.Barred(unpacker.unpackString(), unpacker.unpackLong());
-      case HELD -> new PeerMessage.Held(unpacker.unpackInt(), unpacker.unpackLong());
-      default -> throw new IOException("Unknown type " + type);
+              new SlotAnswer.Waiting(unpackKey(reader), reader.millis("atMost", MAX_TIME)));
+      case REFUSED -> new PeerMessage.Answer(unpackRefused(reader));
+      case REVOKED -> new PeerMessage.Answer(new SlotAnswer.Revoked(unpackKey(reader)));
+      case RELEASE -> unpackRelease(reader);
+      case RENEW -> unpackRenew(reader);
+      case SUSPECT -> unpackSuspect(reader);
+      case TOLD -> unpackTold(reader);
+      case BARRED -> new PeerMessage.Barred(reader.text(), reader.number());
+      case HELD ->
+          new PeerMessage.Held(
+              reader.number("partition", 0, Integer.MAX_VALUE),
+              reader.number("epoch", 0L, Long.MAX_VALUE));
+      default -> throw new UnreadableException("type", "unknown");
     };
   }
 
-  private static PeerMessage unpackRelease(MessageUnpacker unpacker) throws IOException {
-    SlotKey key = unpackKey(unpacker);
-    String service = unpacker.unpackString();
-    return new PeerMessage.Release(service, key, SlotOutcome.values()[unpacker.unpackInt()]);
+  private static SlotAnswer unpackRefused(MessageReader reader) throws IOException {
+    SlotKey key = unpackKey(reader);
+    Duration retryAfter = reader.millis("retryAfter", MAX_TIME);
+    // Counts of -1 say that the refusal was not due to load.
+    SlotAnswer.Load seen =
+        new SlotAnswer.Load(
+            reader.number("slots", -1, MAX_COUNT),
+            reader.number("used", -1, MAX_COUNT),
+            reader.number("waiting", -1, MAX_COUNT));
+    return new SlotAnswer.Refused(key, retryAfter, seen);
+  }
+
+  private static PeerMessage unpackRelease(MessageReader reader) throws IOException {
+    SlotKey key = unpackKey(reader);
+    String service = reader.text();
+    SlotOutcome[] outcomes = SlotOutcome.values();
+    SlotOutcome outcome = outcomes[reader.number("outcome", 0, outcomes.length - 1)];
+    return new PeerMessage.Release(service, key, outcome);
   }
 
-  private static PeerMessage unpackTold(MessageUnpacker unpacker) throws IOException {
-    SlotKey key = unpackKey(unpacker);
-    String service = unpacker.unpackString();
-    ToldLoad load = new ToldLoad(unpacker.unpackInt(), unpacker.unpackInt());
+  private static PeerMessage unpackTold(MessageReader reader) throws IOException {
+    SlotKey key = unpackKey(reader);
+    String service = reader.text();
+    int running = reader.number("running", 0, MAX_COUNT);
+    ToldLoad load = new ToldLoad(running, reader.number("waiting", 0, MAX_COUNT));
     return new PeerMessage.Told(service, key, load);
   }
 
-  private static PeerMessage unpackSuspect(MessageUnpacker unpacker) throws IOException {
-    SlotKey key = unpackKey(unpacker);
-    return new PeerMessage.Suspect(unpacker.unpackString(), key);
+  private static PeerMessage unpackSuspect(MessageReader reader) throws IOException {
+    SlotKey key = unpackKey(reader);
+    return new PeerMessage.Suspect(reader.text(), key);
   }
 
-  private static SlotRequest unpackRequest(MessageUnpacker unpacker) throws IOException {
-    SlotKey key = unpackKey(unpacker);
-    String service = unpacker.unpackString();
-    boolean batch = unpacker.unpackBoolean();
-    long rank = unpacker.unpackLong();
-    String dataCentre = unpacker.unpackString();
-    Duration maxWait = Duration.ofMillis(unpacker.unpackLong());
-    Duration patience = Duration.ofMillis(unpacker.unpackLong());
-    long fingerprint = unpacker.unpackLong();
+  private static SlotRequest unpackRequest(MessageReader reader) throws IOException {
+    SlotKey key = unpackKey(reader);
+    String service = reader.text();
+    boolean batch = reader.flag();
+    long rank = reader.number();
+    String dataCentre = reader.text();
+    Duration maxWait = reader.millis("maxWait", MAX_TIME);
+    Duration patience = reader.millis("patience", MAX_TIME);
+    long fingerprint = reader.number();
     Set<String> excluded = new HashSet<>();
-    int size = unpacker.unpackArrayHeader();
+    int size = reader.listSize();
     for (int i = 0; i < size; i++) {
-      excluded.add(unpacker.unpackString());
+      excluded.add(reader.text());
     }
     return new SlotRequest(
         key, service, batch, rank, dataCentre, maxWait, patience, fingerprint, excluded);
   }
 
-  private static PeerMessage unpackRenew(MessageUnpacker unpacker) throws IOException {
-    String service = unpacker.unpackString();
-    String holder = unpacker.unpackString();
+  private static PeerMessage unpackRenew(MessageReader reader) throws IOException {
+    String service = reader.text();
+    String holder = reader.text();
     List<SlotUse> uses = new ArrayList<>();
-    int size = unpacker.unpackArrayHeader();
+    int size = reader.listSize();
     for (int i = 0; i < size; i++) {
-      long number = unpacker.unpackLong();
-      String endpoint = unpacker.unpackString();
-      uses.add(new SlotUse(number, endpoint, unpacker.unpackBoolean(), unpacker.unpackLong()));
+      long number = reader.number();
+      String endpoint = reader.text();
+      uses.add(new SlotUse(number, endpoint, reader.flag(), reader.number()));
     }
     return new PeerMessage.Renew(service, holder, uses);
   }
 
-  private static SlotKey unpackKey(MessageUnpacker unpacker) throws IOException {
-    return new SlotKey(unpacker.unpackString(), unpacker.unpackLong());
+  private static SlotKey unpackKey(MessageReader reader) throws IOException {
+    return new SlotKey(reader.text(), reader.number());
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/UdpPeerTransport.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/UdpPeerTransport.java
@@ -1,5 +1,7 @@
 package io.hawthornlb.gateway.peer;
 
+import io.hawthornlb.gateway.decode.UnreadableException;
+import io.hawthornlb.gateway.decode.UnreadableRecords;
 import io.hawthornlb.gateway.event.EventLog;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -10,7 +12,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
-import java.io.UncheckedIOException;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.InstantSource;
 import java.util.ArrayList;
@@ -23,6 +25,7 @@
   private final Channel channel;
   private final String self;
   private final EventLog log;
+  private final UnreadableRecords foreign;
   private final List<Consumer<PeerCodec.Envelope>> receivers = new ArrayList<>();
 
   /** Binds a socket and starts to receive. */
@@ -30,6 +33,7 @@
       EventLoop loop, InetSocketAddress address, String self, InstantSource clock, EventLog log) {
     this.self = self;
     this.log = log;
+    this.foreign = new UnreadableRecords(log, clock, "peer", "datagram.foreign", "from");
     this.channel =
         new Bootstrap()
             .group(loop)
@@ -59,18 +63,19 @@
       try {
         PeerCodec.Envelope envelope = PeerCodec.decode(ByteBufUtil.getBytes(packet.content()));
         receivers.forEach(receiver -> receiver.accept(envelope));
-      } catch (UncheckedIOException e) {
-        log.important("peer", "datagram.foreign")
-            .with("from", String.valueOf(packet.sender()))
-            .with("cause", e.getMessage())
-            .write();
+      } catch (UnreadableException e) {
+        foreign.report(String.valueOf(packet.sender().getAddress()), e);
       }
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-      // A port without a listener answers with an error; the missing reply is noticed by a timeout.
-      log.routine("peer", "datagram.failed").with("cause", String.valueOf(cause)).write();
+      if (cause instanceof IOException) {
+        // A port without a listener answers so; the missing reply is noticed by a timeout.
+        log.routine("peer", "datagram.failed").with("cause", cause.toString()).write();
+      } else {
+        log.important("peer", "message.failed").with("cause", String.valueOf(cause)).write();
+      }
     }
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/ConfigSource.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/ConfigSource.java
@@ -1,5 +1,7 @@
 package io.hawthornlb.gateway.process;
 
+import io.hawthornlb.gateway.decode.UnreadableException;
+import io.hawthornlb.gateway.decode.UnreadableRecords;
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.route.ConfigHolder;
 import io.hawthornlb.gateway.route.RoutingConfig;
@@ -14,11 +16,13 @@
   private final SourceFormats formats;
   private final ConfigHolder holder;
   private final EventLog log;
+  private final UnreadableRecords unreadable;
 
   ConfigSource(SourceFormats formats, ConfigHolder holder, InstantSource clock, EventLog log) {
     this.formats = formats;
     this.holder = holder;
     this.log = log;
+    this.unreadable = new UnreadableRecords(log, clock, "config", "unreadable", "key");
   }
 
   @Override
@@ -39,13 +43,14 @@
   private void take(byte[] value) {
     try {
       RoutingConfig config = formats.config(value);
+      unreadable.forget(formats.configKey());
       boolean newer = holder.offer(config);
       log.important("config", newer ? "applied" : "passed.over")
           .with("version", config.version())
           .write();
-    } catch (IllegalArgumentException e) {
+    } catch (UnreadableException e) {
       // The former configuration stays in force.
-      log.important("config", "unreadable").with("cause", e.getMessage()).write();
+      unreadable.report(formats.configKey(), e);
     }
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/EndpointSource.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/EndpointSource.java
@@ -1,5 +1,7 @@
 package io.hawthornlb.gateway.process;
 
+import io.hawthornlb.gateway.decode.UnreadableException;
+import io.hawthornlb.gateway.decode.UnreadableRecords;
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.event.EventLog;
@@ -29,6 +31,7 @@
   private final ScheduledExecutorService executor;
   private final InstantSource clock;
   private final EventLog log;
+  private final UnreadableRecords unreadable;
   private boolean loaded;
 
   EndpointSource(
@@ -42,6 +45,7 @@
     this.executor = executor;
     this.clock = clock;
     this.log = log;
+    this.unreadable = new UnreadableRecords(log, clock, "endpoint", "unreadable", "endpoint");
   }
 
   boolean loaded() {
@@ -69,6 +73,7 @@
       byte[] value = record.value();
       if (value == null) {
         log.important("endpoint", "removed").with("endpoint", record.key()).write();
+        unreadable.forget(record.key());
         directory.remove(record.key(), clock.instant());
         expireLater();
       } else {
@@ -95,14 +100,28 @@
     directory.put(entry);
   }
 
+  /**
+   * Reads an entry; empty if it names no endpoint.
+   *
+   * <p>Failure: another writer replaces the entry of an endpoint by what cannot be read. It shows
+   * as an endpoint that stays in use with what it said before, and whose leaving nobody learns of.
+   * Guard: such an entry names no endpoint, so the one under its key is used no longer, until a
+   * heartbeat brings its entry back.
+   */
   private Optional<EndpointRecord> read(String id, byte[] value) {
     try {
-      return Optional.of(formats.endpoint(id, value));
-    } catch (IllegalArgumentException e) {
-      log.important("endpoint", "unreadable")
-          .with("endpoint", id)
-          .with("cause", e.getMessage())
-          .write();
+      EndpointRecord entry = formats.endpoint(id, value);
+      unreadable.forget(id);
+      return Optional.of(entry);
+    } catch (UnreadableException e) {
+      unreadable.report(id, e);
+      if (directory.find(id).isPresent()) {
+        log.important("endpoint", "withdrawn")
+            .with("endpoint", id)
+            .with("cause", e.getMessage())
+            .write();
+        directory.withdraw(id);
+      }
       return Optional.empty();
     }
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/InstanceSource.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/InstanceSource.java
@@ -1,5 +1,9 @@
 package io.hawthornlb.gateway.process;
 
+import io.hawthornlb.gateway.decode.IpAddress;
+import io.hawthornlb.gateway.decode.MessageReader;
+import io.hawthornlb.gateway.decode.UnreadableException;
+import io.hawthornlb.gateway.decode.UnreadableRecords;
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.peer.FleetView;
 import io.hawthornlb.gateway.peer.GatewayInstance;
@@ -17,8 +21,6 @@
 import java.util.concurrent.TimeUnit;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
-import org.msgpack.core.MessagePackException;
-import org.msgpack.core.MessageUnpacker;
 
 /** Lists this process in the store, and keeps the view of the fleet as the store tells. */
 final class InstanceSource implements KeyedFollower.Listener {
@@ -26,6 +28,11 @@
   /** Keyed topic of the processes, by their names. */
   static final String TOPIC = "keyed.instances";
 
+  private static final int MAX_PORT = 65_535;
+
+  /** Cores of an instance at most; the largest machines have some hundreds. */
+  private static final double MAX_CORES = 1_024;
+
   /** Pause before this process is listed again after a failure. */
   private static final Duration REPEAT = Duration.ofMillis(500);
 
@@ -33,6 +40,8 @@
   private final LogStore store;
   private final ScheduledExecutorService executor;
   private final EventLog log;
+  private final UnreadableRecords unreadable;
+  private boolean announcing;
   private boolean leaving;
   private boolean loaded;
 
@@ -46,6 +55,7 @@
     this.store = store;
     this.executor = executor;
     this.log = log;
+    this.unreadable = new UnreadableRecords(log, clock, "fleet", "entry.unreadable", "instance");
   }
 
   /** Lists this process; repeats until the store has taken it. */
@@ -53,13 +63,17 @@
     if (leaving) {
       return;
     }
+    announcing = true;
     KeyedRecord record = new KeyedRecord(fleet.self().name(), encode(fleet.self()));
     store
         .append(new AppendCall(TOPIC, 0, List.of(record), null))
         .whenCompleteAsync(
             (done, failure) -> {
               if (failure != null) {
+                log.routine("fleet", "list.refused").with("cause", failure.toString()).write();
                 executor.schedule(this::announce, REPEAT.toMillis(), TimeUnit.MILLISECONDS);
+              } else {
+                announcing = false;
               }
             },
             executor);
@@ -69,7 +83,15 @@
   void leave() {
     leaving = true;
     KeyedRecord record = new KeyedRecord(fleet.self().name(), null);
-    store.append(new AppendCall(TOPIC, 0, List.of(record), null));
+    store
+        .append(new AppendCall(TOPIC, 0, List.of(record), null))
+        .whenComplete(
+            (done, failure) -> {
+              if (failure != null) {
+                // Others notice the end by silence.
+                log.important("fleet", "leave.failed").with("cause", failure.toString()).write();
+              }
+            });
   }
 
   /** Returns whether the list was read. */
@@ -88,7 +110,9 @@
     for (KeyedRecord record : records) {
       byte[] value = record.value();
       if (value == null) {
+        unreadable.forget(record.key());
         fleet.remove(record.key());
+        announceAnew(record.key());
       } else {
         take(record.key(), value);
       }
@@ -96,14 +120,34 @@
     log.important("fleet", "list.changed").with("others", fleet.others().size()).write();
   }
 
+  /**
+   * Takes an entry.
+   *
+   * <p>Failure: another writer destroys the entry of a process that lives. It shows as partitions
+   * and coordinators that move though nothing has stopped. Guard: an entry that cannot be read
+   * changes nothing, since a process that is gone is noticed by its silence, and one that lives
+   * writes its entry anew.
+   */
   private void take(String name, byte[] value) {
     try {
       fleet.put(decode(name, value));
-    } catch (UncheckedIOException e) {
-      log.important("fleet", "entry.unreadable").with("instance", name).write();
+      unreadable.forget(name);
+    } catch (UnreadableException e) {
+      unreadable.report(name, e);
+      announceAnew(name);
     }
   }
 
+  /** Lists this process again if the entry that is gone or destroyed is its own. */
+  private void announceAnew(String name) {
+    if (!name.equals(fleet.self().name()) || leaving || announcing) {
+      return;
+    }
+    log.important("fleet", "listed.anew").with("instance", name).write();
+    announcing = true;
+    executor.schedule(this::announce, REPEAT.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
   private static byte[] encode(GatewayInstance instance) {
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       packer.packString(instance.boot());
@@ -118,16 +162,17 @@
   }
 
   private static GatewayInstance decode(String name, byte[] value) {
-    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(value)) {
-      String boot = unpacker.unpackString();
-      String host = unpacker.unpackString();
-      InetSocketAddress address = new InetSocketAddress(host, unpacker.unpackInt());
-      String dataCentre = unpacker.unpackString();
-      return new GatewayInstance(name, boot, address, dataCentre, unpacker.unpackDouble());
-    } catch (MessagePackException e) {
-      throw new UncheckedIOException("Not an entry of a gateway", new IOException(e));
-    } catch (IOException e) {
-      throw new UncheckedIOException("Not an entry of a gateway", e);
-    }
+    return MessageReader.read(
+        "instance",
+        value,
+        reader -> {
+          String boot = reader.text();
+          String host = reader.text();
+          InetSocketAddress address =
+              IpAddress.of("address", host, reader.number("port", 1, MAX_PORT));
+          String dataCentre = reader.text();
+          double cores = reader.positive("cores", MAX_CORES);
+          return new GatewayInstance(name, boot, address, dataCentre, cores);
+        });
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/SourceFormats.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/SourceFormats.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.process;
 
+import io.hawthornlb.gateway.decode.UnreadableException;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.route.RoutingConfig;
 
@@ -16,16 +17,16 @@
   String endpointTopic();
 
   /**
-   * Reads a configuration.
+   * Reads a configuration, as a whole or not at all.
    *
-   * @throws IllegalArgumentException if it cannot be read; the message says where
+   * @throws UnreadableException if it cannot be read, with the place
    */
   RoutingConfig config(byte[] value);
 
   /**
    * Reads an endpoint's entry.
    *
-   * @throws IllegalArgumentException if it cannot be read; the message says where
+   * @throws UnreadableException if it names no endpoint, with the place
    */
   EndpointRecord endpoint(String id, byte[] value);
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayCodec.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayCodec.java
@@ -1,5 +1,8 @@
 package io.hawthornlb.gateway.relay;
 
+import io.hawthornlb.gateway.decode.HttpText;
+import io.hawthornlb.gateway.decode.MessageReader;
+import io.hawthornlb.gateway.decode.UnreadableException;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.time.Duration;
@@ -7,8 +10,6 @@
 import java.util.Map;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
-import org.msgpack.core.MessagePackException;
-import org.msgpack.core.MessageUnpacker;
 
 /** Writes and reads the messages of a link, in MessagePack. */
 final class RelayCodec {
@@ -17,6 +18,12 @@
   private static final int REPLY = 2;
   private static final int FAILURE = 3;
 
+  private static final int LEAST_STATUS = 100;
+  private static final int MOST_STATUS = 999;
+
+  /** Longest time for a call; those of the store take 35 s at most. */
+  private static final Duration MAX_TIME = Duration.ofMinutes(5);
+
   private RelayCodec() {}
 
   static byte[] encode(RelayMessage message) {
@@ -41,24 +48,21 @@
   /**
    * Returns the message that a frame holds.
    *
-   * @throws UncheckedIOException if it holds none
+   * @throws UnreadableException if it holds none
    */
   static RelayMessage decode(byte[] bytes) {
-    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
-      int type = unpacker.unpackInt();
-      long id = unpacker.unpackLong();
-      return switch (type) {
-        case CALL -> unpackCall(id, unpacker);
-        case REPLY -> unpackReply(id, unpacker);
-        case FAILURE ->
-            new RelayMessage.Failure(id, unpacker.unpackBoolean(), unpacker.unpackString());
-        default -> throw new IOException("Unknown type " + type);
-      };
-    } catch (MessagePackException e) {
-      throw new UncheckedIOException("Not a message of a link", new IOException(e));
-    } catch (IOException e) {
-      throw new UncheckedIOException("Not a message of a link", e);
-    }
+    return MessageReader.read(
+        "frame",
+        bytes,
+        reader -> {
+          int type = reader.number("type", CALL, FAILURE);
+          long id = reader.number();
+          return switch (type) {
+            case CALL -> unpackCall(id, reader);
+            case REPLY -> unpackReply(id, reader);
+            default -> new RelayMessage.Failure(id, reader.flag(), reader.text());
+          };
+        });
   }
 
   private static void packCall(MessageBufferPacker packer, RelayMessage.Call call)
@@ -78,46 +82,33 @@
     }
   }
 
-  private static Map<String, String> unpackHeaders(MessageUnpacker unpacker) throws IOException {
+  private static Map<String, String> unpackHeaders(MessageReader reader) throws IOException {
     Map<String, String> headers = new HashMap<>();
-    int count = unpacker.unpackMapHeader();
+    int count = reader.mapSize();
     for (int i = 0; i < count; i++) {
-      headers.put(unpacker.unpackString(), unpacker.unpackString());
+      String name = HttpText.headerName("header", reader.text());
+      headers.put(name, HttpText.headerValue("header", reader.text()));
     }
     return headers;
   }
 
-  private static RelayMessage.Reply unpackReply(long id, MessageUnpacker unpacker)
-      throws IOException {
-    int status = unpacker.unpackInt();
-    Map<String, String> headers = unpackHeaders(unpacker);
-    return new RelayMessage.Reply(id, status, headers, unpackBytes(unpacker));
+  private static RelayMessage.Reply unpackReply(long id, MessageReader reader) throws IOException {
+    int status = reader.number("status", LEAST_STATUS, MOST_STATUS);
+    Map<String, String> headers = unpackHeaders(reader);
+    return new RelayMessage.Reply(id, status, headers, reader.bytes());
   }
 
-  private static RelayTarget unpackTarget(MessageUnpacker unpacker) throws IOException {
-    int number = unpacker.unpackInt();
+  private static RelayMessage.Call unpackCall(long id, MessageReader reader) throws IOException {
     RelayTarget[] targets = RelayTarget.values();
-    if (number < 0 || number >= targets.length) {
-      throw new IOException("Unknown target " + number);
-    }
-    return targets[number];
-  }
-
-  private static RelayMessage.Call unpackCall(long id, MessageUnpacker unpacker)
-      throws IOException {
-    RelayTarget target = unpackTarget(unpacker);
-    String method = unpacker.unpackString();
-    String path = unpacker.unpackString();
-    Duration timeout = Duration.ofMillis(unpacker.unpackLong());
-    Map<String, String> headers = unpackHeaders(unpacker);
-    return new RelayMessage.Call(id, target, method, path, headers, unpackBytes(unpacker), timeout);
+    RelayTarget target = targets[reader.number("target", 0, targets.length - 1)];
+    String method = HttpText.headerName("method", reader.text());
+    String path = HttpText.path("path", reader.text());
+    Duration timeout = reader.millis("timeout", MAX_TIME);
+    Map<String, String> headers = unpackHeaders(reader);
+    return new RelayMessage.Call(id, target, method, path, headers, reader.bytes(), timeout);
   }
 
   private static void packBytes(MessageBufferPacker packer, byte[] bytes) throws IOException {
     packer.packBinaryHeader(bytes.length).writePayload(bytes);
   }
-
-  private static byte[] unpackBytes(MessageUnpacker unpacker) throws IOException {
-    return unpacker.readPayload(unpacker.unpackBinaryHeader());
-  }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayServer.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayServer.java
@@ -13,6 +13,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
@@ -128,16 +129,17 @@
         refuse(channel, call, "this gateway answers enough calls about jobs");
         return;
       }
+      // Counted once the call is made: what makes none would be counted for ever.
+      CompletionStage<HttpReply> made = jobs.call(whole(call));
       jobCalls++;
-      jobs.call(whole(call))
-          .whenComplete(
-              (reply, failure) -> {
-                jobCalls--;
-                long bytes = reply == null ? 0 : reply.body().length;
-                waitingBytes += bytes;
-                RelayChannels.send(channel, answer(call.id(), reply, failure))
-                    .addListener(written -> waitingBytes -= bytes);
-              });
+      made.whenComplete(
+          (reply, failure) -> {
+            jobCalls--;
+            long bytes = reply == null ? 0 : reply.body().length;
+            waitingBytes += bytes;
+            RelayChannels.send(channel, answer(call.id(), reply, failure))
+                .addListener(written -> waitingBytes -= bytes);
+          });
     }
 
     private HttpCall whole(RelayMessage.Call call) {
@@ -146,14 +148,13 @@
     }
 
     private void make(Channel channel, RelayMessage.Call call) {
+      CompletionStage<HttpReply> made = store.call(whole(call));
       calls++;
-      store
-          .call(whole(call))
-          .whenComplete(
-              (reply, failure) -> {
-                calls--;
-                RelayChannels.send(channel, answer(call.id(), reply, failure));
-              });
+      made.whenComplete(
+          (reply, failure) -> {
+            calls--;
+            RelayChannels.send(channel, answer(call.id(), reply, failure));
+          });
     }
 
     private static RelayMessage answer(
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/ForeignJobRecordsTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/ForeignJobRecordsTest.java
@@ -8,6 +8,7 @@
 import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -78,6 +79,24 @@
     assertTrue(table.find("j").isPresent());
   }
 
+  /** The same for a job of several records, one of which holds bytes of another writer. */
+  @Test
+  void aJobOfSeveralRecordsIsKnownOnceItIsWrittenAnew() {
+    List<JobItem> items =
+        List.of(new JobItem("i1", "/p/1", Map.of(), new byte[2 * JobRecords.PART_BYTES]));
+    Job job = new Job("j", "h.example", Instant.EPOCH, items);
+    List<KeyedRecord> records = JobRecords.accepted(job);
+    byte[] foreign = records.get(0).value().clone();
+    Arrays.fill(foreign, 20, 60, (byte) 0xc1);
+    table.take(new KeyedRecord(records.get(0).key(), foreign));
+    records.stream().skip(1).forEach(table::take);
+    assertFalse(table.find("j").isPresent());
+    assertTrue(table.unsure("j"));
+    records.forEach(table::take);
+    assertTrue(table.find("j").isPresent());
+    assertFalse(table.unsure("j"));
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"r/j/7", "r/j/-1", "r/j/2000000000"})
   void aResultBeyondTheItemsIsNone(String key) {
