Tell errors that were swallowed, with their reason

Change: failures of calls to the store and of endpoints' connections bear the cause; `job group.leave.failed`, `peer datagram.unsent`, `process ready.failed`; the Keep-Alive is read up to nine digits. Left as they are, with their reasons in place: a load in another form counts as none told, an event id that is no number cannot be resumed after, standard output that is closed.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/NettyHttpCaller.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/NettyHttpCaller.java
@@ -178,6 +178,7 @@
   private static final class ReplyHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
 
     private @Nullable Pending pending;
+    private String cause = "";
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
@@ -198,14 +199,15 @@
       Pending waiting = pending;
       pending = null;
       if (waiting != null) {
-        waiting.fail("The connection closed before a whole reply");
+        waiting.fail("The connection closed before a whole reply" + cause);
       }
       ctx.fireChannelInactive();
     }
 
     @Override
-    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-      // The call fails by channelInactive, which follows.
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable failure) {
+      // The call fails by channelInactive, which follows and tells the cause.
+      cause = ": " + failure;
       ctx.close();
     }
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRunners.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRunners.java
@@ -11,6 +11,7 @@
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
 
 /** Shares the partitions of all jobs among the processes, and runs those of this process. */
 public final class JobRunners {
@@ -153,7 +154,14 @@
     member = false;
     parts.log().important("job", "group.left").write();
     List.copyOf(runners.keySet()).forEach(this::handOver);
-    parts.store().leave(GROUP, name);
+    parts.store().leave(GROUP, name).whenComplete((done, failure) -> left(failure));
+  }
+
+  private void left(@Nullable Throwable failure) {
+    if (failure != null) {
+      // The lease ends by itself.
+      parts.log().important("job", "group.leave.failed").with("cause", failure.toString()).write();
+    }
   }
 
   private void joined(GroupShare share) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/UdpPeerTransport.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/UdpPeerTransport.java
@@ -12,6 +12,8 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.GenericFutureListener;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.InstantSource;
@@ -26,6 +28,7 @@
   private final String self;
   private final EventLog log;
   private final UnreadableRecords foreign;
+  private final GenericFutureListener<Future<Void>> unsent = this::tellUnsent;
   private final List<Consumer<PeerCodec.Envelope>> receivers = new ArrayList<>();
 
   /** Binds a socket and starts to receive. */
@@ -47,7 +50,16 @@
   @Override
   public void send(GatewayInstance to, PeerMessage message) {
     byte[] bytes = PeerCodec.encode(new PeerCodec.Envelope(self, message));
-    channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to.address()));
+    channel
+        .writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to.address()))
+        .addListener(unsent);
+  }
+
+  /** Tells of a datagram that was not sent; its sender notices that no reply comes. */
+  private void tellUnsent(Future<?> sent) {
+    if (!sent.isSuccess()) {
+      log.routine("peer", "datagram.unsent").with("cause", String.valueOf(sent.cause())).write();
+    }
   }
 
   @Override
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -174,7 +174,7 @@
   }
 
   private void bindReadiness() {
-    ReadyServer readiness = new ReadyServer(this::ready, new MetricsText(metrics));
+    ReadyServer readiness = new ReadyServer(this::ready, new MetricsText(metrics), log);
     readiness.bind(loop, settings.ready());
     readiness.bind(loop, settings.metrics());
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/ReadyServer.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/ReadyServer.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.process;
 
+import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.metric.MetricsText;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -30,10 +31,12 @@
 
   private final BooleanSupplier ready;
   private final MetricsText metrics;
+  private final EventLog log;
 
-  ReadyServer(BooleanSupplier ready, MetricsText metrics) {
+  ReadyServer(BooleanSupplier ready, MetricsText metrics, EventLog log) {
     this.ready = ready;
     this.metrics = metrics;
+    this.log = log;
   }
 
   void bind(EventLoopGroup loop, InetSocketAddress address) {
@@ -85,6 +88,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
       // The balancer asks again in a second.
+      log.routine("process", "ready.failed").with("cause", cause.toString()).write();
       ctx.close();
     }
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
@@ -34,7 +34,8 @@
    */
   private static final Duration IDLE_MARGIN = Duration.ofMillis(500);
 
-  private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d+)");
+  /** Up to nine digits: a longer time would overflow, and the answer it came with be reset. */
+  private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,9})");
 
   private @Nullable PooledCall call;
   private @Nullable String idleAt;
@@ -44,6 +45,7 @@
   private boolean inAnswer;
   private boolean reusable = true;
   private boolean reset;
+  private String cause = "";
   private Duration idleTime = DEFAULT_IDLE;
 
   void begin(PooledCall next) {
@@ -117,7 +119,7 @@
     inAnswer = false;
     call = null;
     if (reset) {
-      current.failed("the connection was reset");
+      current.failed("the connection was reset" + cause);
       return;
     }
     boolean keep = reusable && !current.done() && current.whollyWritten() && channel.isActive();
@@ -141,15 +143,16 @@
       pool.discard(idleAt, ctx.channel());
     }
     if (current != null) {
-      current.failed(reset ? "the connection was reset" : "the connection closed");
+      current.failed(reset ? "the connection was reset" + cause : "the connection closed");
     }
     ctx.fireChannelInactive();
   }
 
   @Override
-  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    // The request fails by channelInactive, which follows.
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable failure) {
+    // The request fails by channelInactive, which follows and tells the cause.
     reset = true;
+    cause = ": " + failure;
     ctx.close();
   }
 
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
@@ -25,11 +25,13 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.InstantSource;
@@ -210,6 +212,35 @@
     return new Answer(status, head, chunked ? unchunk(body) : body, whole);
   }
 
+  /**
+   * Sends what is none of ours to the port of the peers; each connection ends, whatever it brings.
+   */
+  void strangers() throws IOException {
+    InetSocketAddress at = settings.self().address();
+    byte[][] foreign = {
+      "GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII),
+      {-1, -1, -1, -1, 0},
+      {0, 0, 0, 0},
+      {0, 0, 0, 3, 1, 2, 3},
+      // A reply whose body claims 2 GB.
+      {0, 0, 0, 9, 2, 1, (byte) 0x64, (byte) 0x80, (byte) 0xc6, 0x7f, -1, -1, -1}
+    };
+    for (byte[] bytes : foreign) {
+      try (Socket socket = new Socket(at.getAddress(), at.getPort());
+          DatagramSocket datagrams = new DatagramSocket(0, at.getAddress())) {
+        socket.setSoTimeout(5_000);
+        socket.getOutputStream().write(bytes);
+        datagrams.send(new DatagramPacket(bytes, bytes.length, at));
+        if (socket.getInputStream().read() >= 0) {
+          throw new IOException("A stranger was answered");
+        }
+      } catch (SocketException e) {
+        // A reset ends the connection as well.
+        log.important("test", "stranger.reset").write();
+      }
+    }
+  }
+
   /** Begins a graceful stop, without waiting for its end. */
   void stop() {
     Thread stopping = new Thread(process::stop, "gateway-stop");
