--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PartitionRunnerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PartitionRunnerTest.java
@@ -129,6 +129,60 @@
     assertEquals(3, page(next).stream().map(JobResult::itemId).distinct().count());
   }
 
+  /**
+   * A job that was accepted and read is lost once its holder is restarted: another writer had
+   * destroyed its records, and what the holder knew went with it.
+   */
+  @Test
+  void writesAnewWhatAnotherWriterDestroyed() {
+    JobItem item = new JobItem("i0", "/jobs/0", Map.of("X", "y"), new byte[] {1, 2});
+    Job job = new Job("j", "h", InstantSource.system().instant(), List.of(item));
+    JobResult result = new JobResult("i0", true, "a");
+    List<KeyedRecord> records = new ArrayList<>(JobRecords.accepted(job));
+    records.add(JobRecords.result("j", 0, result));
+    records.add(JobRecords.end("j"));
+    store.append(new AppendCall(JobReplicas.TOPIC, 0, records, null));
+    JobReplica replica = new JobReplica(store, JobReplicas.TOPIC, 0, new LoadGate(), loop);
+    runner(replica, 1);
+    await().until(replica::followed);
+    List<KeyedRecord> foreign =
+        records.stream().map(each -> new KeyedRecord(each.key(), new byte[] {-1})).toList();
+    store.append(new AppendCall(JobReplicas.TOPIC, 0, foreign, null));
+    await()
+        .until(
+            () -> {
+              JobReplica next = loaded();
+              return page(next).equals(List.of(result))
+                  && next.table().find("j").orElseThrow().ended();
+            });
+  }
+
+  /** A result that a caller has read is another one after a restart of its holder. */
+  @Test
+  void keepsAResultThatAnotherWriterReplaced() {
+    List<JobItem> items =
+        List.of(
+            new JobItem("i0", "/jobs/0", Map.of(), new byte[0]),
+            new JobItem("i1", "/jobs/1", Map.of(), new byte[0]));
+    Job job = new Job("j", "h", InstantSource.system().instant(), items);
+    JobResult result = new JobResult("i0", true, "a");
+    List<KeyedRecord> records = new ArrayList<>(JobRecords.accepted(job));
+    records.add(JobRecords.result("j", 0, result));
+    records.add(JobRecords.end("j"));
+    store.append(new AppendCall(JobReplicas.TOPIC, 0, records, null));
+    JobReplica replica = new JobReplica(store, JobReplicas.TOPIC, 0, new LoadGate(), loop);
+    runner(replica, 1);
+    await().until(replica::followed);
+    KeyedRecord other = JobRecords.result("j", 0, new JobResult("i1", true, "b"));
+    store.append(new AppendCall(JobReplicas.TOPIC, 0, List.of(other), null));
+    await()
+        .until(
+            () -> {
+              JobReplica next = loaded();
+              return replica.table().find("j").isPresent() && page(next).equals(List.of(result));
+            });
+  }
+
   /**
    * Reports are late on a day on which gateways are restarted: with each partition that moved, its
    * items lost what they had gained since it was last recorded, and began there anew.
@@ -293,6 +347,14 @@
         .getNow();
   }
 
+  /** Returns what a process knows that has just read the partition. */
+  private JobReplica loaded() {
+    JobReplica replica = new JobReplica(store, JobReplicas.TOPIC, 0, new LoadGate(), loop);
+    CompletionStage<Void> read = loop.submit(replica::refresh).syncUninterruptibly().getNow();
+    read.toCompletableFuture().join();
+    return replica;
+  }
+
   private List<JobResult> page(JobReplica replica) {
     return loop.submit(
             () -> replica.table().find("j").map(job -> job.page(0, 100)).orElse(List.of()))
