Write destroyed records of known jobs again

Cause: a holder knew a job whose records another writer had destroyed, ran and showed it, and took what it knew with it when it was restarted: the job was 503 for good, or a result another one.

Ruled out: answering from memory alone, which lasts as long as the process; refusing a second record under a key when loading, since a list of newest records holds no first one.

All parts of a job go in one append, as they did when it was accepted. Keys that it never writes are left alone, so that nothing is written again and again.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/Job.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/Job.java
@@ -80,6 +80,11 @@
     return Optional.ofNullable(itemsById.get(itemId));
   }
 
+  /** Returns the result at a position. */
+  Optional<JobResult> result(int position) {
+    return Optional.ofNullable(results.get(position));
+  }
+
   /** Returns the first position from one on at which no result stands. */
   int freePosition(int from) {
     int position = from;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobTable.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobTable.java
@@ -7,6 +7,8 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -26,6 +28,7 @@
   private final Map<String, TreeMap<Integer, byte[]>> parts = new HashMap<>();
   private final Map<String, TreeMap<Integer, JobResult>> early = new HashMap<>();
   private final Set<String> ended = new HashSet<>();
+  private final Set<String> destroyed = new LinkedHashSet<>();
   private final Set<String> damaged = new HashSet<>();
   private final Map<String, Map<String, Integer>> bytesByKey = new HashMap<>();
   private long bytes;
@@ -79,15 +82,53 @@
    * over; what is known of its job stays.
    */
   void take(KeyedRecord record) {
+    JobRecords.Key key;
+    try {
+      key = JobRecords.key(record.key());
+    } catch (UnreadableException e) {
+      unreadable.accept(record.key(), e);
+      return;
+    }
+    destroyed.remove(record.key());
+    count(key.jobId(), record);
     try {
-      JobRecords.Key key = JobRecords.key(record.key());
-      count(key.jobId(), record);
       take(key, record.value());
     } catch (UnreadableException e) {
       unreadable.accept(record.key(), e);
+      destroyed.add(record.key());
     }
   }
 
+  /**
+   * Returns the records of jobs that this process knows and whose newest ones in the log another
+   * writer has destroyed: whoever loads the log next knows nothing of what they held. Records that
+   * belong together are in one list; a key that this process never writes is left alone.
+   */
+  List<List<KeyedRecord>> restorations() {
+    Map<String, List<KeyedRecord>> lists = new LinkedHashMap<>();
+    for (String text : destroyed) {
+      List<KeyedRecord> known = known(JobRecords.key(text));
+      if (known.stream().anyMatch(record -> record.key().equals(text))) {
+        lists.put(known.get(0).key(), known);
+      }
+    }
+    return List.copyOf(lists.values());
+  }
+
+  /** Returns the record that this process would write under a key, with its job's other parts. */
+  private List<KeyedRecord> known(JobRecords.Key key) {
+    Job job = jobs.get(key.jobId());
+    if (job != null && key.part()) {
+      return JobRecords.accepted(job);
+    }
+    if (job != null && key.result()) {
+      Optional<JobResult> result = job.result(key.number());
+      return result.map(each -> JobRecords.result(job.id(), key.number(), each)).stream().toList();
+    }
+    boolean ended = job != null && key.end() && job.ended();
+    return ended ? List.of(JobRecords.end(key.jobId())) : List.of();
+  }
+
   private void take(JobRecords.Key key, byte @Nullable [] value) {
     if (value == null) {
       drop(key);
@@ -131,8 +172,11 @@
   private void takePart(JobRecords.Key key, byte[] value) {
     String jobId = key.jobId();
     if (jobs.containsKey(jobId)) {
-      // Accepted once; but what stands there now is told if the next reader will not be able to.
-      JobRecords.part(value);
+      // Accepted once; but what stands there now is told if the next reader cannot read it.
+      JobRecords.Part part = JobRecords.part(value);
+      if (part.count() == 1) {
+        JobRecords.decode(jobId, part.bytes());
+      }
       return;
     }
     try {
@@ -178,6 +222,11 @@
   }
 
   private void put(Job job, int position, JobResult result) {
+    Optional<JobResult> known = job.result(position);
+    if (known.isPresent() && !known.get().equals(result)) {
+      // The first one stays, here and, once it is written again, in the log.
+      destroyed.add(JobRecords.resultKey(job.id(), position));
+    }
     if (job.has(position, result)) {
       job.put(position, result);
     } else {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/ForeignJobRecordsTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/ForeignJobRecordsTest.java
@@ -123,6 +123,23 @@
     assertFalse(table.find("j").orElseThrow().ended());
   }
 
+  /**
+   * A holder writes the same records again and again, since none of them replaces a foreign one.
+   */
+  @Test
+  void restoresNoRecordUnderAKeyThatItNeverWrites() {
+    records("j").forEach(table::take);
+    for (String key : List.of("a/j/7", "r/j/00", "r/j/1", "p/j/i1/x", "e/k", "a/k/0")) {
+      table.take(new KeyedRecord(key, NOISE));
+    }
+    assertEquals(List.of(), table.restorations());
+    table.take(new KeyedRecord("r/j/0", NOISE));
+    table.take(new KeyedRecord("e/j", NOISE));
+    assertEquals(2, table.restorations().size());
+    table.restorations().forEach(each -> each.forEach(table::take));
+    assertEquals(List.of(), table.restorations());
+  }
+
   /** An item is given up though no endpoint failed at it: the record names another item. */
   @Test
   void aRecordWhoseItemDiffersFromItsKeyIsNone() {
