--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRunners.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRunners.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.job;
 
+import io.hawthornlb.gateway.decode.UnreadableRecords;
 import io.hawthornlb.gateway.store.LogStore.GroupJoin;
 import io.hawthornlb.gateway.store.LogStore.GroupShare;
 import java.time.Duration;
@@ -10,6 +11,7 @@
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
 
 /** Shares the partitions of all jobs among the processes, and runs those of this process. */
 public final class JobRunners {
@@ -34,6 +36,7 @@
   private static final int UNKNOWN_RANK = Integer.MAX_VALUE;
 
   private final JobParts parts;
+  private final int partitions;
   private final JobReplicas replicas;
   private final JobDesk desk;
   private final HoldNotices notices;
@@ -67,7 +70,11 @@
     this.notices = notices;
     notices.onHeld(this::heldElsewhere);
     this.name = peers.self();
+    this.partitions = partitions;
     this.replicas = new JobReplicas(parts.store(), partitions, parts.executor());
+    UnreadableRecords unreadable =
+        new UnreadableRecords(parts.log(), parts.clock(), "job", "record.unreadable", "key");
+    replicas.onUnreadable(unreadable::report);
     JobService service =
         new JobService(
             replicas, parts.store(), format, parts.executor(), parts.clock(), parts.log());
@@ -147,7 +154,14 @@
     member = false;
     parts.log().important("job", "group.left").write();
     List.copyOf(runners.keySet()).forEach(this::handOver);
-    parts.store().leave(GROUP, name);
+    parts.store().leave(GROUP, name).whenComplete((done, failure) -> left(failure));
+  }
+
+  private void left(@Nullable Throwable failure) {
+    if (failure != null) {
+      // The lease ends by itself.
+      parts.log().important("job", "group.leave.failed").with("cause", failure.toString()).write();
+    }
   }
 
   private void joined(GroupShare share) {
@@ -208,6 +222,15 @@
   }
 
   private void heldElsewhere(String holder, int partition, long epoch) {
+    if (partition >= partitions) {
+      parts
+          .log()
+          .important("job", "notice.refused")
+          .with("instance", holder)
+          .with("partition", partition)
+          .write();
+      return;
+    }
     desk.held(holder, partition, epoch);
     PartitionRunner runner = runners.get(partition);
     if (runner != null && runner.epoch() < epoch) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobTable.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobTable.java
@@ -1,15 +1,20 @@
 package io.hawthornlb.gateway.job;
 
+import io.hawthornlb.gateway.decode.UnreadableException;
 import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
 import java.io.ByteArrayOutputStream;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The jobs of one partition, folded from its records.
@@ -23,8 +28,11 @@
   private final Map<String, TreeMap<Integer, byte[]>> parts = new HashMap<>();
   private final Map<String, TreeMap<Integer, JobResult>> early = new HashMap<>();
   private final Set<String> ended = new HashSet<>();
+  private final Set<String> destroyed = new LinkedHashSet<>();
+  private final Set<String> damaged = new HashSet<>();
   private final Map<String, Map<String, Integer>> bytesByKey = new HashMap<>();
   private long bytes;
+  private BiConsumer<String, UnreadableException> unreadable = (key, cause) -> {};
 
   Optional<Job> find(String jobId) {
     return Optional.ofNullable(jobs.get(jobId));
@@ -49,25 +57,99 @@
     return bytes;
   }
 
+  /**
+   * Calls a listener for each record that cannot be read.
+   *
+   * @param listener takes the key of the record and what is wrong
+   */
+  void onUnreadable(BiConsumer<String, UnreadableException> listener) {
+    unreadable = listener;
+  }
+
+  /**
+   * Returns whether a job may have been accepted whose records cannot be read. It is not known, but
+   * must not be called unknown.
+   */
+  boolean unsure(String jobId) {
+    return !jobs.containsKey(jobId) && (damaged.contains(jobId) || parts.containsKey(jobId));
+  }
+
+  /**
+   * Takes a record.
+   *
+   * <p>Failure: another writer leaves a record that cannot be read, or destroys one. It shows as a
+   * partition none of whose jobs can be read any more. Guard: such a record is told and passed
+   * over; what is known of its job stays.
+   */
   void take(KeyedRecord record) {
-    JobRecords.Key key = JobRecords.key(record.key());
-    byte[] value = record.value();
+    JobRecords.Key key;
+    try {
+      key = JobRecords.key(record.key());
+    } catch (UnreadableException e) {
+      unreadable.accept(record.key(), e);
+      return;
+    }
+    destroyed.remove(record.key());
     count(key.jobId(), record);
+    try {
+      take(key, record.value());
+    } catch (UnreadableException e) {
+      unreadable.accept(record.key(), e);
+      destroyed.add(record.key());
+    }
+  }
+
+  /**
+   * Returns the records of jobs that this process knows and whose newest ones in the log another
+   * writer has destroyed: whoever loads the log next knows nothing of what they held. Records that
+   * belong together are in one list; a key that this process never writes is left alone.
+   */
+  List<List<KeyedRecord>> restorations() {
+    Map<String, List<KeyedRecord>> lists = new LinkedHashMap<>();
+    for (String text : destroyed) {
+      List<KeyedRecord> known = known(JobRecords.key(text));
+      if (known.stream().anyMatch(record -> record.key().equals(text))) {
+        lists.put(known.get(0).key(), known);
+      }
+    }
+    return List.copyOf(lists.values());
+  }
+
+  /** Returns the record that this process would write under a key, with its job's other parts. */
+  private List<KeyedRecord> known(JobRecords.Key key) {
+    Job job = jobs.get(key.jobId());
+    if (job != null && key.part()) {
+      return JobRecords.accepted(job);
+    }
+    if (job != null && key.result()) {
+      Optional<JobResult> result = job.result(key.number());
+      return result.map(each -> JobRecords.result(job.id(), key.number(), each)).stream().toList();
+    }
+    boolean ended = job != null && key.end() && job.ended();
+    return ended ? List.of(JobRecords.end(key.jobId())) : List.of();
+  }
+
+  private void take(JobRecords.Key key, byte @Nullable [] value) {
     if (value == null) {
       drop(key);
     } else if (key.part()) {
-      takePart(key, JobRecords.part(value));
+      takePart(key, value);
     } else if (key.result()) {
       takeResult(key, JobRecords.result(value));
     } else if (key.progress()) {
       JobRecords.Gained gained = JobRecords.gained(value);
+      JobRecords.checkItem(key, gained.itemId());
       find(key.jobId()).ifPresent(job -> job.gain(gained));
     } else if (key.offer()) {
-      find(key.jobId()).ifPresent(job -> job.offer(JobRecords.result(value)));
+      JobResult offered = JobRecords.result(value);
+      JobRecords.checkItem(key, offered.itemId());
+      find(key.jobId()).ifPresent(job -> job.offer(offered));
     } else if (key.failures()) {
       JobRecords.Failures failures = JobRecords.failures(value);
+      JobRecords.checkItem(key, failures.itemId());
       find(key.jobId()).ifPresent(job -> job.fail(failures));
     } else if (key.end()) {
+      JobRecords.checkEnd(value);
       ended.add(key.jobId());
       find(key.jobId()).ifPresent(Job::end);
     }
@@ -87,17 +169,35 @@
     }
   }
 
-  private void takePart(JobRecords.Key key, JobRecords.Part part) {
-    if (jobs.containsKey(key.jobId())) {
+  private void takePart(JobRecords.Key key, byte[] value) {
+    String jobId = key.jobId();
+    if (jobs.containsKey(jobId)) {
+      // Accepted once; but what stands there now is told if the next reader cannot read it.
+      JobRecords.Part part = JobRecords.part(value);
+      if (part.count() == 1) {
+        JobRecords.decode(jobId, part.bytes());
+      }
       return;
     }
-    TreeMap<Integer, byte[]> known = parts.computeIfAbsent(key.jobId(), any -> new TreeMap<>());
-    known.put(key.number(), part.bytes());
-    if (known.size() == part.count()) {
-      ByteArrayOutputStream whole = new ByteArrayOutputStream();
-      known.values().forEach(whole::writeBytes);
-      parts.remove(key.jobId());
-      add(JobRecords.decode(key.jobId(), whole.toByteArray()));
+    try {
+      JobRecords.Part part = JobRecords.part(value);
+      if (key.number() >= part.count()) {
+        throw new UnreadableException("part", "beyond the last one");
+      }
+      TreeMap<Integer, byte[]> known = parts.computeIfAbsent(jobId, any -> new TreeMap<>());
+      known.tailMap(part.count(), true).clear();
+      known.put(key.number(), part.bytes());
+      if (known.size() == part.count()) {
+        ByteArrayOutputStream whole = new ByteArrayOutputStream();
+        known.values().forEach(whole::writeBytes);
+        add(JobRecords.decode(jobId, whole.toByteArray()));
+        // Parts that make no job stay: when it is written anew, they are replaced one by one.
+        parts.remove(jobId);
+        damaged.remove(jobId);
+      }
+    } catch (UnreadableException e) {
+      damaged.add(jobId);
+      throw e;
     }
   }
 
@@ -105,7 +205,7 @@
     jobs.put(job.id(), job);
     TreeMap<Integer, JobResult> waiting = early.remove(job.id());
     if (waiting != null) {
-      waiting.forEach(job::put);
+      waiting.forEach((position, result) -> put(job, position, result));
     }
     if (ended.contains(job.id())) {
       job.end();
@@ -115,12 +215,27 @@
   private void takeResult(JobRecords.Key key, JobResult result) {
     Job job = jobs.get(key.jobId());
     if (job != null) {
-      job.put(key.number(), result);
+      put(job, key.number(), result);
     } else {
       early.computeIfAbsent(key.jobId(), any -> new TreeMap<>()).putIfAbsent(key.number(), result);
     }
   }
 
+  private void put(Job job, int position, JobResult result) {
+    Optional<JobResult> known = job.result(position);
+    if (known.isPresent() && !known.get().equals(result)) {
+      // The first one stays, here and, once it is written again, in the log.
+      destroyed.add(JobRecords.resultKey(job.id(), position));
+    }
+    if (job.has(position, result)) {
+      job.put(position, result);
+    } else {
+      unreadable.accept(
+          JobRecords.resultKey(job.id(), position),
+          new UnreadableException("result", "of no item of its job, or beyond the last"));
+    }
+  }
+
   /** Forgets a job that the log no longer holds. */
   void drop(String jobId) {
     jobs.remove(jobId);
@@ -131,6 +246,7 @@
       bytes -= gone.values().stream().mapToInt(Integer::intValue).sum();
     }
     ended.remove(jobId);
+    damaged.remove(jobId);
   }
 
   private void drop(JobRecords.Key key) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/UdpPeerTransport.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/UdpPeerTransport.java
@@ -1,5 +1,7 @@
 package io.hawthornlb.gateway.peer;
 
+import io.hawthornlb.gateway.decode.UnreadableException;
+import io.hawthornlb.gateway.decode.UnreadableRecords;
 import io.hawthornlb.gateway.event.EventLog;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -10,8 +12,11 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
-import java.io.UncheckedIOException;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.GenericFutureListener;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
@@ -22,12 +27,16 @@
   private final Channel channel;
   private final String self;
   private final EventLog log;
+  private final UnreadableRecords foreign;
+  private final GenericFutureListener<Future<Void>> unsent = this::tellUnsent;
   private final List<Consumer<PeerCodec.Envelope>> receivers = new ArrayList<>();
 
   /** Binds a socket and starts to receive. */
-  public UdpPeerTransport(EventLoop loop, InetSocketAddress address, String self, EventLog log) {
+  public UdpPeerTransport(
+      EventLoop loop, InetSocketAddress address, String self, InstantSource clock, EventLog log) {
     this.self = self;
     this.log = log;
+    this.foreign = new UnreadableRecords(log, clock, "peer", "datagram.foreign", "from");
     this.channel =
         new Bootstrap()
             .group(loop)
@@ -41,7 +50,16 @@
   @Override
   public void send(GatewayInstance to, PeerMessage message) {
     byte[] bytes = PeerCodec.encode(new PeerCodec.Envelope(self, message));
-    channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to.address()));
+    channel
+        .writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to.address()))
+        .addListener(unsent);
+  }
+
+  /** Tells of a datagram that was not sent; its sender notices that no reply comes. */
+  private void tellUnsent(Future<?> sent) {
+    if (!sent.isSuccess()) {
+      log.routine("peer", "datagram.unsent").with("cause", String.valueOf(sent.cause())).write();
+    }
   }
 
   @Override
@@ -57,18 +75,19 @@
       try {
         PeerCodec.Envelope envelope = PeerCodec.decode(ByteBufUtil.getBytes(packet.content()));
         receivers.forEach(receiver -> receiver.accept(envelope));
-      } catch (UncheckedIOException e) {
-        log.important("peer", "datagram.foreign")
-            .with("from", String.valueOf(packet.sender()))
-            .with("cause", e.getMessage())
-            .write();
+      } catch (UnreadableException e) {
+        foreign.report(String.valueOf(packet.sender().getAddress()), e);
       }
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-      // A port without a listener answers with an error; the missing reply is noticed by a timeout.
-      log.routine("peer", "datagram.failed").with("cause", String.valueOf(cause)).write();
+      if (cause instanceof IOException) {
+        // A port without a listener answers so; the missing reply is noticed by a timeout.
+        log.routine("peer", "datagram.failed").with("cause", cause.toString()).write();
+      } else {
+        log.important("peer", "message.failed").with("cause", String.valueOf(cause)).write();
+      }
     }
   }
 }
