Show that cut reads of all instances hide a change for seconds

The store cuts all waiting reads at 2.2 s. Each instance takes its cut read for a store that is away and asks its peers, which refuse since theirs were cut too. What is to find out that the store answers is the read of a partition's holder, which waits 2 s (2.41 to 4.42 s), and its reply is not given to whoever asked.

Ruled out: that a read that goes on from its offset is answered as of seconds ago. Every read after the cut that reached the store was told that its history is gone (410) and every list loaded then held version 5.

Beside it: a list that is loaded anew does not take away instances that it lacks.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/support/InMemoryLogStore.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/support/InMemoryLogStore.java
@@ -19,7 +19,8 @@
 /**
  * Log in the memory of one process, for trials and tests; keeps the contract of {@link LogStore}.
  *
- * <p>A member of a group that joins or leaves changes the generation; members do not expire.
+ * <p>A member of a group that joins or leaves changes the generation; members do not expire. Reads
+ * that wait can be silenced and cut, and a partition's history forgotten, as a platform's log may.
  */
 public class InMemoryLogStore implements LogStore {
 
@@ -29,6 +30,7 @@
   private final int partitions;
   private final Map<String, Partition> topics = new HashMap<>();
   private final Map<String, Group> groups = new HashMap<>();
+  private boolean silent;
 
   /** Creates an empty log; waiting reads end on the executor. */
   public InMemoryLogStore(ScheduledExecutorService executor, int partitions) {
@@ -52,7 +54,9 @@
     if (writer != null && !call.records().isEmpty()) {
       partition.answers.put(writer, appended);
     }
-    partition.wake();
+    if (!silent) {
+      partition.wake();
+    }
     return CompletableFuture.completedFuture(appended);
   }
 
@@ -60,12 +64,12 @@
   public synchronized CompletionStage<LogPage> read(
       String topic, int partition, long from, Duration wait) {
     Partition log = partition(topic, partition);
-    if (from < log.records.size() || wait.isZero()) {
+    if (from < log.records.size() || from < log.firstKept || wait.isZero()) {
       return CompletableFuture.completedFuture(log.page(from));
     }
     CompletableFuture<Void> woken = new CompletableFuture<>();
     log.waiting.add(woken);
-    executor.schedule(() -> woken.complete(null), wait.toMillis(), TimeUnit.MILLISECONDS);
+    executor.schedule(() -> waited(log, woken), wait.toMillis(), TimeUnit.MILLISECONDS);
     return woken.thenApply(any -> pageOf(log, from));
   }
 
@@ -118,6 +122,35 @@
     return CompletableFuture.completedFuture(owners);
   }
 
+  /** Lets reads that wait hear nothing, not even that their wait is over, until they are cut. */
+  public synchronized void silence() {
+    silent = true;
+  }
+
+  /** Cuts all reads that wait; those that come after it hear again. */
+  public synchronized void cutReads() {
+    silent = false;
+    for (Partition partition : topics.values()) {
+      List<CompletableFuture<Void>> cut = List.copyOf(partition.waiting);
+      partition.waiting.clear();
+      StoreException failure = new StoreException(StoreException.Kind.UNKNOWN, "The read was cut");
+      cut.forEach(each -> each.completeExceptionally(failure));
+    }
+  }
+
+  /** Forgets the records of a partition, but for the newest one of each key. */
+  public synchronized void forgetHistory(String topic, int partition) {
+    Partition log = partition(topic, partition);
+    log.firstKept = log.records.size();
+  }
+
+  private synchronized void waited(Partition log, CompletableFuture<Void> read) {
+    if (!silent) {
+      log.waiting.remove(read);
+      read.complete(null);
+    }
+  }
+
   private synchronized LogPage pageOf(Partition log, long from) {
     return log.page(from);
   }
@@ -134,6 +167,7 @@
     private final Map<String, Long> epochs = new HashMap<>();
     private final Map<String, Long> sequences = new HashMap<>();
     private final Map<FencedWriter, Appended> answers = new HashMap<>();
+    private long firstKept;
 
     /** Returns the answer of an append that was carried out before; null for a new one. */
     private @Nullable Appended admit(FencedWriter writer, boolean empty) {
@@ -159,6 +193,9 @@
     }
 
     private LogPage page(long from) {
+      if (from < firstKept) {
+        return new LogPage(List.of(), from, true, true);
+      }
       int start = (int) Math.min(from, records.size());
       List<KeyedRecord> rest = List.copyOf(records.subList(start, records.size()));
       return new LogPage(rest, records.size(), false, false);
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PartitionRunnerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PartitionRunnerTest.java
@@ -28,6 +28,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
@@ -190,6 +191,20 @@
         .getNow();
   }
 
+  /**
+   * Callers are told 503 for seconds after the store is back. What found out that it answers was a
+   * read of a partition's holder that waited 2 s for new records.
+   */
+  @Test
+  void readsWithoutWaitingAfterACutRead() {
+    runner(new JobReplica(store, JobReplicas.TOPIC, 0, new LoadGate(), loop), 1);
+    await().until(() -> store.waits.size() == 2);
+    store.cutReads();
+    await().until(() -> store.waits.size() >= 4);
+    assertEquals(Duration.ZERO, store.waits.get(2));
+    assertTrue(store.waits.get(3).compareTo(Duration.ZERO) > 0, store.waits.toString());
+  }
+
   /** Log that takes no results while it is away, and 2 MiB a call. */
   private static final class AwayLogStore extends InMemoryLogStore {
 
@@ -197,11 +212,18 @@
 
     private volatile boolean away;
     private volatile int refused;
+    private final List<Duration> waits = new CopyOnWriteArrayList<>();
 
     private AwayLogStore(EventLoop loop) {
       super(loop, 1);
     }
 
+    @Override
+    public CompletionStage<LogPage> read(String topic, int partition, long from, Duration wait) {
+      waits.add(wait);
+      return super.read(topic, partition, from, wait);
+    }
+
     @Override
     public CompletionStage<Appended> append(AppendCall call) {
       long bytes =
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/RelayingHttpCallerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/RelayingHttpCallerTest.java
@@ -78,6 +78,50 @@
     assertEquals(List.of("direct", "a1"), ways);
   }
 
+  /**
+   * A change is in force seconds late on most gateways. The store cut all waiting reads at once and
+   * answered new ones; each gateway took that for a store that is away, and all refused each other.
+   */
+  @Test
+  void callsTheStoreAgainAfterACutRead() {
+    store = () -> ways.size() == 1 ? cut() : replied(DONE);
+    assertEquals(200, status(caller.call(read())));
+    assertEquals(List.of("direct", "direct"), ways);
+    assertFalse(caller.away());
+  }
+
+  @Test
+  void asksAPeerIfTheStoreCutsTheRepeatedReadToo() {
+    store = RelayingHttpCallerTest::cut;
+    assertEquals(200, status(caller.call(read())));
+    assertEquals(List.of("direct", "direct", "a1"), ways);
+    assertTrue(caller.away());
+  }
+
+  /** An append whose connection closed may have happened, also on the second try. */
+  @Test
+  void repeatsNoAppendThatWasCut() {
+    store = RelayingHttpCallerTest::cut;
+    assertTrue(caller.call(append()).toCompletableFuture().isCompletedExceptionally());
+    assertEquals(List.of("direct"), ways);
+  }
+
+  /**
+   * A change is seen late after an outage: the read that found out that the store answers again had
+   * its reply thrown away, and whoever waited for it waited for the next one.
+   */
+  @Test
+  void hasTheReplyOfACallThatFindsTheStoreAnswering() {
+    store = () -> replied(BUSY);
+    byPeer = () -> failed(true);
+    caller.call(read());
+    store = () -> replied(DONE);
+    ways.clear();
+    time.advance(StoreReach.FIRST_PROBE);
+    assertEquals(200, status(caller.call(read())));
+    assertEquals(List.of("direct"), ways);
+  }
+
   /**
    * A gateway asks its peers for good after one outage, which costs each call a hop: nothing found
    * out that the store answers again.
@@ -144,6 +188,10 @@
     return CompletableFuture.failedFuture(new HttpCallException("as told", unsent));
   }
 
+  private static CompletionStage<HttpReply> cut() {
+    return CompletableFuture.failedFuture(HttpCallException.cut("as told"));
+  }
+
   private static int status(CompletionStage<HttpReply> result) {
     return result.toCompletableFuture().join().status();
   }
--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/StoreOverCalls.java
@@ -0,0 +1,145 @@
+package io.hawthornlb.gateway.relay;
+
+import io.hawthornlb.gateway.http.HttpCall;
+import io.hawthornlb.gateway.http.HttpCallException;
+import io.hawthornlb.gateway.http.HttpCaller;
+import io.hawthornlb.gateway.http.HttpReply;
+import io.hawthornlb.gateway.store.LogStore;
+import io.hawthornlb.gateway.store.StoreException;
+import io.hawthornlb.gateway.store.support.InMemoryLogStore;
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One log in memory that is reached by calls, as a platform's is, so that a test has the callers
+ * between a reader and the log.
+ *
+ * <p>A reply names the answer by its number; whoever asked takes it out of the list.
+ */
+final class StoreOverCalls {
+
+  /** Time beyond its wait after which a caller gives a call up. */
+  private static final Duration CALL_TIME = Duration.ofMillis(900);
+
+  /** Time from a call to the log and back. */
+  private static final Duration TRIP = Duration.ofMillis(4);
+
+  private static final InetSocketAddress ADDRESS = new InetSocketAddress("127.0.0.1", 1);
+
+  private final InMemoryLogStore log;
+  private final EventLoop loop;
+  private final List<Object> answers = new ArrayList<>();
+  private int calls;
+
+  StoreOverCalls(InMemoryLogStore log, EventLoop loop) {
+    this.log = log;
+    this.loop = loop;
+  }
+
+  /** Returns the number of calls that reached the log. */
+  int calls() {
+    return calls;
+  }
+
+  /** Returns a caller that reaches the log itself. */
+  HttpCaller direct() {
+    return this::answer;
+  }
+
+  /** Returns the log as it looks through a caller. */
+  LogStore through(HttpCaller caller) {
+    return new Client(caller);
+  }
+
+  private CompletionStage<HttpReply> answer(HttpCall call) {
+    calls++;
+    CompletableFuture<HttpReply> result = new CompletableFuture<>();
+    String[] words = call.path().split("/");
+    CompletionStage<?> answer =
+        words[0].equals("read")
+            ? log.read(words[1], 0, Long.parseLong(words[2]), Duration.parse(words[3]))
+            : log.newest(words[1], 0, null);
+    answer.whenComplete(
+        (page, failure) ->
+            loop.schedule(
+                () -> {
+                  if (failure == null) {
+                    answers.add(page);
+                    String number = String.valueOf(answers.size() - 1);
+                    result.complete(new HttpReply(200, number.getBytes(StandardCharsets.UTF_8)));
+                  } else {
+                    result.completeExceptionally(HttpCallException.cut("The connection closed"));
+                  }
+                },
+                TRIP.toMillis(),
+                TimeUnit.MILLISECONDS));
+    loop.schedule(
+        () -> result.completeExceptionally(new HttpCallException("No reply in time", false)),
+        call.timeout().toMillis(),
+        TimeUnit.MILLISECONDS);
+    return result;
+  }
+
+  /** The log as a reader sees it. */
+  private final class Client implements LogStore {
+
+    private final HttpCaller caller;
+
+    private Client(HttpCaller caller) {
+      this.caller = caller;
+    }
+
+    @Override
+    public CompletionStage<LogPage> read(String topic, int partition, long from, Duration wait) {
+      return call("read/" + topic + "/" + from + "/" + wait, wait).thenApply(LogPage.class::cast);
+    }
+
+    @Override
+    public CompletionStage<KeyedPage> newest(String topic, int partition, @Nullable String after) {
+      return call("newest/" + topic, Duration.ZERO).thenApply(KeyedPage.class::cast);
+    }
+
+    private CompletionStage<Object> call(String path, Duration wait) {
+      HttpCall call =
+          new HttpCall(ADDRESS, "GET", path, Map.of(), new byte[0], wait.plus(CALL_TIME));
+      return caller
+          .call(call)
+          .thenApply(
+              reply ->
+                  answers.get(Integer.parseInt(new String(reply.body(), StandardCharsets.UTF_8))))
+          .exceptionally(
+              failure -> {
+                throw new StoreException(StoreException.Kind.UNKNOWN, failure.getMessage());
+              });
+    }
+
+    @Override
+    public CompletionStage<Appended> append(AppendCall call) {
+      throw new UnsupportedOperationException("readers only");
+    }
+
+    @Override
+    public CompletionStage<GroupShare> join(GroupJoin join) {
+      throw new UnsupportedOperationException("readers only");
+    }
+
+    @Override
+    public CompletionStage<Void> leave(String group, String member) {
+      throw new UnsupportedOperationException("readers only");
+    }
+
+    @Override
+    public CompletionStage<Map<Integer, String>> owners(String group, String topic) {
+      throw new UnsupportedOperationException("readers only");
+    }
+  }
+}
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/store/KeyedFollowerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/store/KeyedFollowerTest.java
@@ -32,6 +32,7 @@
     private boolean away;
     private boolean forgotten;
     private int reads;
+    private final List<Duration> waits = new ArrayList<>();
 
     private TroubledStore(VirtualLoop time) {
       super(time.loop(), 1);
@@ -40,6 +41,7 @@
     @Override
     public CompletionStage<LogPage> read(String topic, int partition, long from, Duration wait) {
       reads++;
+      waits.add(wait);
       if (away) {
         return failure();
       }
@@ -121,6 +123,53 @@
     assertTrue(outage != null && outage.compareTo(Duration.ofSeconds(2)) > 0, "outage " + outage);
   }
 
+  /**
+   * A change is seen seconds after an outage's end: the read that would have found it waited for a
+   * further one, and nobody knew meanwhile whether the store answers.
+   */
+  @Test
+  void readsWithoutWaitingUntilTheStoreAnswers() {
+    follow(KeyedFollower.UNHURRIED);
+    store.away = true;
+    time.advance(Duration.ofSeconds(12));
+    store.waits.clear();
+    time.advance(Duration.ofSeconds(1));
+    assertTrue(store.waits.stream().allMatch(Duration.ZERO::equals), store.waits.toString());
+    store.away = false;
+    time.advance(Duration.ofSeconds(1));
+    assertEquals(KeyedFollower.UNHURRIED, store.waits.get(store.waits.size() - 1));
+  }
+
+  /** Each change in the whole of what was cut is told once the store answers, none twice. */
+  @Test
+  void tellsWhatWasMadeWhileItsReadWasCut() {
+    put("a");
+    follow(KeyedFollower.PROMPT);
+    store.silence();
+    put("b");
+    time.advance(Duration.ofMillis(700));
+    store.cutReads();
+    time.advance(Duration.ofMillis(200));
+    assertEquals(List.of("a", "b"), heard.keys);
+    assertEquals(1, heard.wholes);
+  }
+
+  /** A cut read whose part of the history is gone finds removed keys gone, and added ones there. */
+  @Test
+  void tellsTheWholeContentWhenTheCutReadsHistoryIsGone() {
+    put("a");
+    follow(KeyedFollower.PROMPT);
+    store.silence();
+    drop("a");
+    put("b");
+    time.advance(Duration.ofMillis(700));
+    store.forgetHistory(TOPIC, 0);
+    store.cutReads();
+    time.advance(Duration.ofMillis(200));
+    assertEquals(List.of("b"), heard.keys);
+    assertEquals(2, heard.wholes);
+  }
+
   /** Idle processes of a large fleet use up what the store can answer, and pay for each call. */
   @Test
   void asksSeldomForWhatMayBeSeenLate() {
