Read again at once after a cut, and let prompt calls find the store

A cut read of a waiting reader counted as a store that is away; all instances were cut at once and refused each other; the probe of the store was a read that waits 2 s and its reply was dropped.

Change: a read whose connection closed is made again once, directly, before the store counts as away (never an append); calls that are answered at once have probes of their own beside reads that wait, and whoever made the probe gets its reply; followers and holders of partitions read without waiting until the store answers; a list of instances that is loaded anew takes away those that it lacks.

Ruled out: a read-on that is answered as of the past; no test makes the stand-in do that, since no trace shows it and the store's page says that answers are linearizable.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/HttpCallException.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/HttpCallException.java
@@ -20,7 +20,7 @@
   }
 
   /** Creates an exception of a call that was sent and whose connection closed without a reply. */
-  public static HttpCallException cut(String message) {
+  public static HttpCallException connectionClosed(String message) {
     return new HttpCallException(message, false, true);
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/NettyHttpCaller.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/NettyHttpCaller.java
@@ -155,6 +155,12 @@
       result.completeExceptionally(new HttpCallException(message, !written));
     }
 
+    private void cut() {
+      stopTimer();
+      result.completeExceptionally(
+          HttpCallException.connectionClosed("The connection closed before a whole reply"));
+    }
+
     private void replied(FullHttpResponse response) {
       stopTimer();
       byte[] body = ByteBufUtil.getBytes(response.content());
@@ -198,7 +204,7 @@
       Pending waiting = pending;
       pending = null;
       if (waiting != null) {
-        waiting.fail("The connection closed before a whole reply");
+        waiting.cut();
       }
       ctx.fireChannelInactive();
     }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -173,7 +173,26 @@
                 begin();
                 follow();
               } else {
-                storeFailed("read", failure, this::follow);
+                // Without waiting, so that it shows at once when the store answers again.
+                storeFailed("read", failure, this::readOnce);
+              }
+            },
+            parts.executor());
+  }
+
+  private void readOnce() {
+    if (stopped) {
+      return;
+    }
+    replica
+        .refresh()
+        .whenCompleteAsync(
+            (done, failure) -> {
+              if (failure == null) {
+                begin();
+                follow();
+              } else {
+                storeFailed("read", failure, this::readOnce);
               }
             },
             parts.executor());
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/InstanceSource.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/InstanceSource.java
@@ -12,8 +12,10 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -73,6 +75,11 @@
 
   @Override
   public void onAll(List<KeyedRecord> records) {
+    Set<String> listed = records.stream().map(KeyedRecord::key).collect(Collectors.toSet());
+    fleet.others().stream()
+        .map(GatewayInstance::name)
+        .filter(name -> !listed.contains(name))
+        .forEach(fleet::remove);
     onRecords(records);
     loaded = true;
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayingHttpCaller.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayingHttpCaller.java
@@ -22,6 +22,10 @@
  * it. It shows as calls that are refused or get no answer. Guard: what certainly was not carried
  * out, or may be carried out twice, is handed to a peer at once; any other call ends as it did, and
  * whoever made it decides.
+ *
+ * <p>Failure: the store cuts all reads that wait and answers new ones. It would show as instances
+ * that all take it for away and refuse each other for seconds. Guard: a read that was cut is made
+ * again once, over another connection, before the store counts as away.
  */
 public final class RelayingHttpCaller implements HttpCaller {
 
@@ -71,10 +75,10 @@
     if (!reach.away()) {
       attempt.callDirectly();
     } else {
-      if (repeatable(call) && reach.probeDue(clock.instant())) {
-        direct.call(call).whenComplete(this::note);
+      if (repeatable(call) && reach.probeDue(clock.instant(), call.timeout())) {
+        attempt.probe();
       }
-      attempt.callPeers();
+      attempt.callPeersUnlessAnswered();
     }
     return attempt.result;
   }
@@ -103,6 +107,11 @@
     return cause instanceof HttpCallException call && call.unsent();
   }
 
+  private static boolean cut(@Nullable Throwable failure) {
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    return cause instanceof HttpCallException call && call.cut();
+  }
+
   private static String cause(@Nullable HttpReply reply, @Nullable Throwable failure) {
     return reply == null ? String.valueOf(failure) : "status " + reply.status();
   }
@@ -121,18 +130,45 @@
     }
 
     private void callDirectly() {
+      direct
+          .call(call)
+          .whenComplete(
+              (reply, failure) -> {
+                if (cut(failure) && repeatable(call)) {
+                  log.routine("relay", "read.cut").with("path", call.path()).write();
+                  direct.call(call).whenComplete(this::answeredDirectly);
+                } else {
+                  answeredDirectly(reply, failure);
+                }
+              });
+    }
+
+    private void answeredDirectly(@Nullable HttpReply reply, @Nullable Throwable failure) {
+      if (note(reply, failure)) {
+        result.complete(reply);
+      } else {
+        passOn(reply, failure);
+      }
+    }
+
+    /** Finds out whether the store answers again; its answer counts if it is the first. */
+    private void probe() {
       direct
           .call(call)
           .whenComplete(
               (reply, failure) -> {
                 if (note(reply, failure)) {
                   result.complete(reply);
-                } else {
-                  passOn(reply, failure);
                 }
               });
     }
 
+    private void callPeersUnlessAnswered() {
+      if (!result.isDone()) {
+        callPeers();
+      }
+    }
+
     private void callPeers() {
       Instant now = clock.instant();
       GatewayInstance peer = asked < MAX_PEERS && reach.peersMayHelp(now) ? nextPeer() : null;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/StoreReach.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/StoreReach.java
@@ -11,6 +11,9 @@
  * others. Each call that first waits for the store itself loses up to 0.9 s, more than callers wait
  * for a job to be taken. So once a call got no answer, calls go to peers, and one now and then
  * finds out whether the store answers again.
+ *
+ * <p>Failure: the call that is to find that out is a read that waits, and tells so seconds later.
+ * Guard: calls that wait and calls that are answered at once take turns of their own.
  */
 final class StoreReach {
 
@@ -29,9 +32,14 @@
    */
   static final Duration PEERS_PAUSE = Duration.ofMillis(300);
 
+  /**
+   * Longest time that a call has if it is answered at once; a read that waits has its wait more.
+   */
+  static final Duration AT_ONCE = Duration.ofSeconds(1);
+
+  private final Turn waiting = new Turn();
+  private final Turn atOnce = new Turn();
   private boolean away;
-  private Duration probeEvery = FIRST_PROBE;
-  private Instant nextProbe = Instant.MIN;
   private Instant peersAgain = Instant.MIN;
 
   /** Returns whether the last direct call got no answer. */
@@ -43,7 +51,8 @@
   boolean answered() {
     boolean regained = away;
     away = false;
-    probeEvery = FIRST_PROBE;
+    waiting.reset();
+    atOnce.reset();
     return regained;
   }
 
@@ -52,20 +61,19 @@
     boolean lost = !away;
     if (lost) {
       away = true;
-      nextProbe = now.plus(probeEvery);
+      waiting.lost(now);
+      atOnce.lost(now);
     }
     return lost;
   }
 
-  /** Returns whether a direct call is due to find out whether the store answers again. */
-  boolean probeDue(Instant now) {
-    if (!away || now.isBefore(nextProbe)) {
-      return false;
-    }
-    Duration doubled = probeEvery.multipliedBy(2);
-    probeEvery = doubled.compareTo(MAX_PROBE) > 0 ? MAX_PROBE : doubled;
-    nextProbe = now.plus(probeEvery);
-    return true;
+  /**
+   * Returns whether a direct call is due to find out whether the store answers again.
+   *
+   * @param timeout time that the call has
+   */
+  boolean probeDue(Instant now, Duration timeout) {
+    return away && (timeout.compareTo(AT_ONCE) > 0 ? waiting : atOnce).take(now);
   }
 
   /** Returns whether peers may be asked. */
@@ -77,4 +85,29 @@
   void peersFailed(Instant now) {
     peersAgain = now.plus(PEERS_PAUSE);
   }
+
+  /** When the next direct call of a kind is due. */
+  private static final class Turn {
+
+    private Duration every = FIRST_PROBE;
+    private Instant next = Instant.MIN;
+
+    private void reset() {
+      every = FIRST_PROBE;
+    }
+
+    private void lost(Instant now) {
+      next = now.plus(every);
+    }
+
+    private boolean take(Instant now) {
+      if (now.isBefore(next)) {
+        return false;
+      }
+      Duration doubled = every.multipliedBy(2);
+      every = doubled.compareTo(MAX_PROBE) > 0 ? MAX_PROBE : doubled;
+      next = now.plus(every);
+      return true;
+    }
+  }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/KeyedFollower.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/KeyedFollower.java
@@ -18,9 +18,10 @@
  * when the history it needs is gone.
  *
  * <p>Failure: the store is away, slow or forgets its history. It shows as failed reads, or as a
- * page that says that records are gone. Guard: failed reads are repeated after a pause that grows;
- * after missing history the listener gets the whole content anew, so that removals in the gap are
- * not missed.
+ * page that says that records are gone. Guard: failed reads are repeated after a pause that grows,
+ * and without waiting, so that the answer tells at once that the store is back and what changed
+ * meanwhile; after missing history the listener gets the whole content anew, so that removals in
+ * the gap are not missed.
  */
 public final class KeyedFollower {
 
@@ -119,7 +120,7 @@
         .whenCompleteAsync(
             (page, failure) -> {
               if (failure != null) {
-                failed(failure, this::start);
+                failed("newest", -1, failure, this::start);
                 return;
               }
               loadedPage(records, page, firstEnd);
@@ -138,6 +139,11 @@
       loadAll(records, last, from);
       return;
     }
+    log.important("store", "loaded")
+        .with("topic", topic)
+        .with("records", records.size())
+        .with("end", from)
+        .write();
     listener.onAll(records);
     readFrom(from);
   }
@@ -147,11 +153,11 @@
       return;
     }
     store
-        .read(topic, partition, offset, wait)
+        .read(topic, partition, offset, lost ? Duration.ZERO : wait)
         .whenCompleteAsync(
             (page, failure) -> {
               if (failure != null) {
-                failed(failure, () -> readFrom(offset));
+                failed("read", offset, failure, () -> readFrom(offset));
                 return;
               }
               readPage(page);
@@ -178,17 +184,22 @@
     pause = FIRST_PAUSE;
     if (lost) {
       lost = false;
-      log.important("store", "regained").with("topic", topic).write();
+      log.important("store", "regained")
+          .with("topic", topic)
+          .with("millis", Duration.between(lostAt, clock.instant()).toMillis())
+          .write();
       listener.onRegained(Duration.between(lostAt, clock.instant()));
     }
   }
 
-  private void failed(Throwable failure, Runnable again) {
+  private void failed(String call, long offset, Throwable failure, Runnable again) {
     if (!lost) {
       lost = true;
       lostAt = clock.instant();
       log.important("store", "lost")
           .with("topic", topic)
+          .with("call", call)
+          .with("from", offset)
           .with("cause", String.valueOf(failure.getMessage()))
           .write();
     }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/RelayingHttpCallerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/RelayingHttpCallerTest.java
@@ -122,6 +122,25 @@
     assertEquals(List.of("direct"), ways);
   }
 
+  /**
+   * The same, seconds later still: what was to find out that the store answers was a read that
+   * waits for new records, and calls that are answered at once were not made meanwhile.
+   */
+  @Test
+  void findsTheStoreAnsweringWhileAReadWaits() {
+    store = () -> replied(BUSY);
+    byPeer = () -> failed(true);
+    caller.call(read());
+    time.advance(StoreReach.FIRST_PROBE);
+    store = CompletableFuture::new;
+    caller.call(waitingRead());
+    store = () -> replied(DONE);
+    ways.clear();
+    assertEquals(200, status(caller.call(read())));
+    assertEquals(List.of("direct"), ways);
+    assertFalse(caller.away());
+  }
+
   /**
    * A gateway asks its peers for good after one outage, which costs each call a hop: nothing found
    * out that the store answers again.
@@ -189,7 +208,7 @@
   }
 
   private static CompletionStage<HttpReply> cut() {
-    return CompletableFuture.failedFuture(HttpCallException.cut("as told"));
+    return CompletableFuture.failedFuture(HttpCallException.connectionClosed("as told"));
   }
 
   private static int status(CompletionStage<HttpReply> result) {
@@ -204,9 +223,17 @@
     return call("GET");
   }
 
+  private static HttpCall waitingRead() {
+    return call("GET", Duration.ofMillis(2_900));
+  }
+
   private static HttpCall call(String method) {
+    return call(method, Duration.ofMillis(900));
+  }
+
+  private static HttpCall call(String method, Duration timeout) {
     InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
-    return new HttpCall(address, method, "/", Map.of(), new byte[0], Duration.ofMillis(900));
+    return new HttpCall(address, method, "/", Map.of(), new byte[0], timeout);
   }
 
   private static GatewayInstance peer(String name) {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/StoreOverCalls.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/StoreOverCalls.java
@@ -77,7 +77,8 @@
                     String number = String.valueOf(answers.size() - 1);
                     result.complete(new HttpReply(200, number.getBytes(StandardCharsets.UTF_8)));
                   } else {
-                    result.completeExceptionally(HttpCallException.cut("The connection closed"));
+                    result.completeExceptionally(
+                        HttpCallException.connectionClosed("The connection closed"));
                   }
                 },
                 TRIP.toMillis(),
