--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/CutReadsTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/CutReadsTest.java
@@ -122,6 +122,22 @@
     assertEquals(INSTANCES, knowing(URGENT, "v3", "v5"));
   }
 
+  /** The same after an outage in which no call got an answer, for a change made at its end. */
+  @Test
+  void aChangeMadeAtTheEndOfAnOutageIsInForceInTime() {
+    put(URGENT, "v3");
+    startFleet();
+    store.away(true);
+    time.advance(Duration.ofMillis(6_300));
+    store.away(false);
+    put(URGENT, "v5");
+    put(ENDPOINTS, "came");
+    time.advance(IN_FORCE);
+
+    assertEquals(INSTANCES, knowing(URGENT, "v3", "v5"));
+    assertEquals(INSTANCES, knowing(ENDPOINTS, "came"));
+  }
+
   /** Calls are paid for, and bounded a second for all instances together. */
   @Test
   void aCutCostsEachReaderFewCalls() {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/StoreOverCalls.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/StoreOverCalls.java
@@ -38,6 +38,7 @@
   private final InMemoryLogStore log;
   private final EventLoop loop;
   private final List<Object> answers = new ArrayList<>();
+  private boolean away;
   private int calls;
 
   StoreOverCalls(InMemoryLogStore log, EventLoop loop) {
@@ -45,6 +46,11 @@
     this.loop = loop;
   }
 
+  /** Sets whether calls that come from now on get no answer. */
+  void away(boolean silent) {
+    away = silent;
+  }
+
   /** Returns the number of calls that reached the log. */
   int calls() {
     return calls;
@@ -63,6 +69,13 @@
   private CompletionStage<HttpReply> answer(HttpCall call) {
     calls++;
     CompletableFuture<HttpReply> result = new CompletableFuture<>();
+    loop.schedule(
+        () -> result.completeExceptionally(new HttpCallException("No reply in time", false)),
+        call.timeout().toMillis(),
+        TimeUnit.MILLISECONDS);
+    if (away) {
+      return result;
+    }
     String[] words = call.path().split("/");
     CompletionStage<?> answer =
         words[0].equals("read")
@@ -83,10 +96,6 @@
                 },
                 TRIP.toMillis(),
                 TimeUnit.MILLISECONDS));
-    loop.schedule(
-        () -> result.completeExceptionally(new HttpCallException("No reply in time", false)),
-        call.timeout().toMillis(),
-        TimeUnit.MILLISECONDS);
     return result;
   }
 
