Log why a write to the store failed where nothing told

Looked through the readers and writers of the store for what a refusal (503, 429), a reset or silence leaves in the log. Nothing told of: the call that lists an instance (repeated without end), the one that takes it off the list, the one that leaves the group of holders, and what a former holder leaves to the next one. Each has an event with its cause now. The two of the list have tests, which failed before; the other two have none.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRunners.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRunners.java
@@ -147,7 +147,21 @@
     member = false;
     parts.log().important("job", "group.left").write();
     List.copyOf(runners.keySet()).forEach(this::handOver);
-    parts.store().leave(GROUP, name);
+    parts
+        .store()
+        .leave(GROUP, name)
+        .whenCompleteAsync(
+            (done, failure) -> {
+              if (failure != null) {
+                // The lease ends the membership.
+                parts
+                    .log()
+                    .important("job", "group.leave.failed")
+                    .with("cause", String.valueOf(failure.getMessage()))
+                    .write();
+              }
+            },
+            parts.executor());
   }
 
   private void joined(GroupShare share) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/Relinquishment.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/Relinquishment.java
@@ -8,6 +8,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Leaves what a process that no longer holds a partition has of it to the next holder.
@@ -50,19 +51,26 @@
         .whenCompleteAsync(
             (done, failure) -> {
               if (failure == null) {
-                logged("partition.relinquished", records.size());
+                logged("partition.relinquished", records.size(), null);
                 left.remove();
                 write();
               } else if (parts.clock().instant().isBefore(until)) {
+                logged("partition.relinquish.failed", records.size(), failure);
                 parts.executor().schedule(this::write, REPEAT.toMillis(), TimeUnit.MILLISECONDS);
               } else {
-                logged("partition.relinquished.in.vain", records.size());
+                logged("partition.relinquished.in.vain", records.size(), failure);
               }
             },
             parts.executor());
   }
 
-  private void logged(String event, int count) {
-    parts.log().important("job", event).with("partition", partition).with("records", count).write();
+  private void logged(String event, int count, @Nullable Throwable failure) {
+    parts
+        .log()
+        .important("job", event)
+        .with("partition", partition)
+        .with("records", count)
+        .with("cause", failure == null ? null : failure.getMessage())
+        .write();
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/InstanceSource.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/InstanceSource.java
@@ -55,6 +55,7 @@
         .whenCompleteAsync(
             (done, failure) -> {
               if (failure != null) {
+                failed("announce.failed", failure);
                 executor.schedule(this::announce, REPEAT.toMillis(), TimeUnit.MILLISECONDS);
               }
             },
@@ -65,7 +66,20 @@
   void leave() {
     leaving = true;
     KeyedRecord record = new KeyedRecord(fleet.self().name(), null);
-    store.append(new AppendCall(TOPIC, 0, List.of(record), null));
+    store
+        .append(new AppendCall(TOPIC, 0, List.of(record), null))
+        .whenCompleteAsync(
+            (done, failure) -> {
+              if (failure != null) {
+                // Peers pass this process over once it is silent.
+                failed("leave.failed", failure);
+              }
+            },
+            executor);
+  }
+
+  private void failed(String event, Throwable failure) {
+    log.important("fleet", event).with("cause", String.valueOf(failure.getMessage())).write();
   }
 
   /** Returns whether the list was read. */
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/process/InstanceSourceTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/process/InstanceSourceTest.java
@@ -9,10 +9,13 @@
 import io.hawthornlb.gateway.store.KeyedFollower;
 import io.hawthornlb.gateway.store.LogStore.AppendCall;
 import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
+import io.hawthornlb.gateway.store.StoreException;
 import io.hawthornlb.gateway.store.support.InMemoryLogStore;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import org.junit.jupiter.api.Test;
 
 class InstanceSourceTest {
@@ -47,6 +50,53 @@
     assertEquals("self", fleet.self().name());
   }
 
+  /**
+   * An instance gets no datagrams for seconds after its start, and its log does not tell why: the
+   * store had turned away the calls by which it is listed, and only the repeats were seen.
+   */
+  @Test
+  void tellsWhyItIsNotListedAndRepeats() {
+    TurningAway away = new TurningAway();
+    SilentEventLog log = new SilentEventLog();
+    InstanceSource source = new InstanceSource(fleet, away, time.loop(), log);
+    source.announce();
+    time.advance(Duration.ofMillis(100));
+    assertEquals(List.of("fleet.announce.failed"), log.events());
+    away.turning = false;
+    time.advance(Duration.ofSeconds(1));
+    assertEquals(1, away.taken);
+    assertEquals(List.of("fleet.announce.failed"), log.events());
+  }
+
+  @Test
+  void tellsWhyItIsStillListedAfterItLeft() {
+    SilentEventLog log = new SilentEventLog();
+    new InstanceSource(fleet, new TurningAway(), time.loop(), log).leave();
+    time.advance(Duration.ofMillis(100));
+    assertEquals(List.of("fleet.leave.failed"), log.events());
+  }
+
+  /** Log that turns writers away. */
+  private final class TurningAway extends InMemoryLogStore {
+
+    private boolean turning = true;
+    private int taken;
+
+    private TurningAway() {
+      super(time.loop(), 1);
+    }
+
+    @Override
+    public CompletionStage<Appended> append(AppendCall call) {
+      if (turning) {
+        return CompletableFuture.failedFuture(
+            new StoreException(StoreException.Kind.NOT_DONE, "The store answered 503"));
+      }
+      taken++;
+      return super.append(call);
+    }
+  }
+
   private void follow(InstanceSource source) {
     new KeyedFollower(
             store,
