Let a test's timed calls begin on a JVM that has loaded them

Change: each kind of call is made once, without haste, before the tests. Times and assertions are as they were.

--- a/hawthornlb-net/src/test/java/io/hawthornlb/net/platform/support/HttpPlatformClientsTest.java
+++ b/hawthornlb-net/src/test/java/io/hawthornlb/net/platform/support/HttpPlatformClientsTest.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -36,6 +37,29 @@
   private HttpPlatformLogClient log;
   private HttpInstanceListClient list;
 
+  /** Time of a call that only makes the JVM load what calls need. */
+  private static final Duration WARM_UP = Duration.ofSeconds(30);
+
+  // A JVM that starts on a busy machine takes over a second for its first call of a kind, longer
+  // than calls have here, while later ones take a tenth of that.
+  @BeforeAll
+  static void warmUp() throws Exception {
+    PlatformTimeouts patient = new PlatformTimeouts(WARM_UP, WARM_UP, Duration.ZERO);
+    try (FakePlatform warm = new FakePlatform();
+        HttpPlatformLogClient warmLog = new HttpPlatformLogClient(warm.uri(), patient);
+        HttpInstanceListClient warmList = new HttpInstanceListClient(warm.uri(), patient)) {
+      awaitWarm(warmLog.append(STREAM, List.of(new byte[] {1})));
+      awaitWarm(warmLog.read(STREAM, 0, 10, Duration.ZERO));
+      awaitWarm(
+          warmList.announce(process("n-1", ListedKind.ENTRY, Optional.empty(), ListedState.LIVE)));
+      awaitWarm(warmList.list());
+    }
+  }
+
+  private static void awaitWarm(CompletionStage<?> stage) throws Exception {
+    stage.toCompletableFuture().get(WARM_UP.toSeconds(), TimeUnit.SECONDS);
+  }
+
   @BeforeEach
   void start() throws IOException {
     platform = new FakePlatform();
@@ -118,6 +142,20 @@
     assertEquals(1, await(log.append(STREAM, List.of(new byte[] {2}))));
   }
 
+  // The same, but the connection's own timeout does not come in time: a read that waits shortly
+  // uses
+  // connections on which reads may wait for long. What cuts the call must close the connection too.
+  @Test
+  void leavesAConnectionThatHasGoneSilentUnderAShortRead() throws Exception {
+    await(log.read(STREAM, 0, 10, Duration.ZERO));
+    platform.silenceOpenConnections();
+
+    assertInstanceOf(
+        LogUnavailableException.class, failure(log.read(STREAM, 0, 10, Duration.ZERO)));
+
+    assertEquals(0, await(log.read(STREAM, 0, 10, Duration.ZERO)).nextOffset());
+  }
+
   @Test
   void listsWhatWasAnnounced() throws Exception {
     ListedProcess entry = process("n-1", ListedKind.ENTRY, Optional.empty(), ListedState.LIVE);
