--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontConnection.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontConnection.java
@@ -47,12 +47,20 @@
   private @Nullable ScheduledFuture<?> timer;
   private boolean closing;
 
+  /**
+   * Answers that have ended and of which the connection still holds a part.
+   *
+   * <p>Failure: a caller reads slowly while the process stops. It shows as an answer that breaks
+   * off though it was complete here. Guard: the request is handled until its answer has left.
+   */
+  private int unsent;
+
   FrontConnection(FrontServer server) {
     this.server = server;
   }
 
   boolean busy() {
-    return exchange != null || head != null;
+    return exchange != null || head != null || unsent > 0;
   }
 
   void closeIfIdle() {
@@ -61,6 +69,14 @@
     }
   }
 
+  /** Gives a request that is being handled its final answer, as the process ends. */
+  void end() {
+    Exchange active = exchange;
+    if (active != null) {
+      active.processEnds();
+    }
+  }
+
   void bytesCame() {
     if (!busy()) {
       schedule(server.limits().headerTimeout(), 408);
@@ -235,7 +251,9 @@
     if (exchange != null) {
       return;
     }
-    if (status == 0) {
+    if (status == 0 && unsent > 0) {
+      schedule(server.limits().idleTimeout(), 0);
+    } else if (status == 0) {
       open().close();
     } else {
       refuseInput(status);
@@ -262,6 +280,7 @@
     private final boolean keepAlive;
     private RequestHandler.@Nullable Handling handling;
     private boolean answered;
+    private boolean headSent;
     private boolean closeAfter;
 
     private Exchange(boolean keepAlive) {
@@ -317,6 +336,7 @@
         HttpUtil.setTransferEncodingChunked(response, true);
       }
       setConnection(response.headers());
+      headSent = true;
       open().writeAndFlush(response);
     }
 
@@ -346,14 +366,38 @@
       }
     }
 
+    private void processEnds() {
+      if (handling != null) {
+        handling.processEnds();
+      }
+      if (answered) {
+        return;
+      }
+      if (headSent) {
+        breakOff();
+      } else {
+        own(502, null);
+      }
+    }
+
     @Override
     public boolean congested() {
       return !open().isWritable();
     }
 
+    /**
+     * Ends the answer, and the connection with it if the process stops.
+     *
+     * <p>Failure: a stream whose head went out before the signal to stop has not told its caller to
+     * close. It shows as a request that comes on the kept connection until the process ends, which
+     * cuts it. Guard: what counts is the moment at which the answer ends.
+     */
     private void finish(HttpObject last) {
       answered = true;
+      closeAfter |= server.draining();
+      unsent++;
       var written = open().writeAndFlush(last);
+      written.addListener(any -> unsent--);
       if (closeAfter) {
         written.addListener(ChannelFutureListener.CLOSE);
       }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ForwardingFailureTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ForwardingFailureTest.java
@@ -73,6 +73,59 @@
     assertEquals(200, answer.status());
   }
 
+  /**
+   * A check is lost on a connection to an endpoint that has started again. The connection was kept
+   * from its former life, and the endpoint knows nothing of it.
+   */
+  @Test
+  void usesNoConnectionToAFormerLife() throws IOException {
+    first.then(OK, KEEP).then(OK, RESET);
+    gateway.route(RouteKind.ONCE, 1, false, first).call("/a/", "x");
+    second.then(OK, KEEP);
+    gateway.restart("e0", second);
+    assertEquals(200, gateway.call("/a/", "x").status());
+    assertEquals(1, second.requests().size());
+  }
+
+  /**
+   * A briefing stands still for seconds after an endpoint crashed without a word. It was back
+   * within one, and could have gone on with the stream.
+   */
+  @Test
+  void resumesAtTheNextLifeWhatAFormerOneBegan() throws Exception {
+    first.then(CHUNKED + chunk("id: 1\ndata: a\n\n"), WAIT);
+    second.then(CHUNKED + chunk("id: 2\ndata: b\n\n") + END, KEEP);
+    gateway.route(RouteKind.STREAM, 3, true, first);
+    try (Socket caller = gateway.open("/a/", "x")) {
+      Awaitility.await().until(() -> first.requests().size() == 1);
+      gateway.restart("e0", second);
+      Awaitility.await()
+          .atMost(Duration.ofMillis(1_000))
+          .until(() -> second.requests().size() == 1);
+      Answer answer = GatewayFixture.read(caller);
+      assertTrue(answer.whole());
+      assertEquals("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", answer.body());
+    }
+  }
+
+  /**
+   * A briefing breaks off at an endpoint that is well. It was sent there just after the endpoint
+   * had started again, and before the list told of that.
+   */
+  @Test
+  void keepsWhatTheNewLifeTookBeforeItWasKnown() throws Exception {
+    first.then(CHUNKED + chunk("id: 1\ndata: a\n\n"), WAIT);
+    gateway.route(RouteKind.STREAM, 1, false, first);
+    long born = System.currentTimeMillis();
+    Thread.sleep(20);
+    try (Socket caller = gateway.open("/a/", "x")) {
+      Awaitility.await().until(() -> first.requests().size() == 1);
+      gateway.restart("e0", first, born);
+      assertFalse(first.callerLeft().await(300, TimeUnit.MILLISECONDS));
+      assertTrue(caller.isConnected());
+    }
+  }
+
   @Test
   void tellsWhenToComeBackIfNothingRan() throws IOException {
     first.then(FULL, KEEP);
@@ -88,8 +141,8 @@
    */
   @Test
   void takesNoRequestLateInAStop() throws Exception {
-    first.then(CHUNKED + "d\r\nid: 1\ndata: a\n\r\n", WAIT);
-    gateway.route(RouteKind.STREAM, 1, false, first);
+    first.then(CHUNKED + "f\r\nid: 1\ndata: a\n\n\r\n", WAIT);
+    gateway.timeout(Duration.ofSeconds(6)).route(RouteKind.STREAM, 1, false, first);
     try (Socket running = gateway.open("/a/", "x")) {
       Awaitility.await().until(() -> first.requests().size() == 1);
       gateway.stop();
