--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/NettyHttpCaller.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/NettyHttpCaller.java
@@ -155,6 +155,11 @@
       result.completeExceptionally(new HttpCallException(message, !written));
     }
 
+    private void cut(String message) {
+      stopTimer();
+      result.completeExceptionally(HttpCallException.connectionClosed(message));
+    }
+
     private void replied(FullHttpResponse response) {
       stopTimer();
       byte[] body = ByteBufUtil.getBytes(response.content());
@@ -199,7 +204,7 @@
       Pending waiting = pending;
       pending = null;
       if (waiting != null) {
-        waiting.fail("The connection closed before a whole reply" + cause);
+        waiting.cut("The connection closed before a whole reply" + cause);
       }
       ctx.fireChannelInactive();
     }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRunners.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRunners.java
@@ -154,7 +154,10 @@
     member = false;
     parts.log().important("job", "group.left").write();
     List.copyOf(runners.keySet()).forEach(this::handOver);
-    parts.store().leave(GROUP, name).whenComplete((done, failure) -> left(failure));
+    parts
+        .store()
+        .leave(GROUP, name)
+        .whenCompleteAsync((done, failure) -> left(failure), parts.executor());
   }
 
   private void left(@Nullable Throwable failure) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/InstanceSource.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/InstanceSource.java
@@ -17,8 +17,10 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 
@@ -70,7 +72,7 @@
         .whenCompleteAsync(
             (done, failure) -> {
               if (failure != null) {
-                log.routine("fleet", "list.refused").with("cause", failure.toString()).write();
+                failed("announce.failed", failure);
                 executor.schedule(this::announce, REPEAT.toMillis(), TimeUnit.MILLISECONDS);
               } else {
                 announcing = false;
@@ -85,13 +87,18 @@
     KeyedRecord record = new KeyedRecord(fleet.self().name(), null);
     store
         .append(new AppendCall(TOPIC, 0, List.of(record), null))
-        .whenComplete(
+        .whenCompleteAsync(
             (done, failure) -> {
               if (failure != null) {
-                // Others notice the end by silence.
-                log.important("fleet", "leave.failed").with("cause", failure.toString()).write();
+                // Peers pass this process over once it is silent.
+                failed("leave.failed", failure);
               }
-            });
+            },
+            executor);
+  }
+
+  private void failed(String event, Throwable failure) {
+    log.important("fleet", event).with("cause", String.valueOf(failure.getMessage())).write();
   }
 
   /** Returns whether the list was read. */
@@ -101,6 +108,11 @@
 
   @Override
   public void onAll(List<KeyedRecord> records) {
+    Set<String> listed = records.stream().map(KeyedRecord::key).collect(Collectors.toSet());
+    fleet.others().stream()
+        .map(GatewayInstance::name)
+        .filter(name -> !listed.contains(name))
+        .forEach(fleet::remove);
     onRecords(records);
     loaded = true;
   }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/RelayingHttpCallerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/RelayingHttpCallerTest.java
@@ -78,6 +78,69 @@
     assertEquals(List.of("direct", "a1"), ways);
   }
 
+  /**
+   * A change is in force seconds late on most gateways. The store cut all waiting reads at once and
+   * answered new ones; each gateway took that for a store that is away, and all refused each other.
+   */
+  @Test
+  void callsTheStoreAgainAfterACutRead() {
+    store = () -> ways.size() == 1 ? cut() : replied(DONE);
+    assertEquals(200, status(caller.call(read())));
+    assertEquals(List.of("direct", "direct"), ways);
+    assertFalse(caller.away());
+  }
+
+  @Test
+  void asksAPeerIfTheStoreCutsTheRepeatedReadToo() {
+    store = RelayingHttpCallerTest::cut;
+    assertEquals(200, status(caller.call(read())));
+    assertEquals(List.of("direct", "direct", "a1"), ways);
+    assertTrue(caller.away());
+  }
+
+  /** An append whose connection closed may have happened, also on the second try. */
+  @Test
+  void repeatsNoAppendThatWasCut() {
+    store = RelayingHttpCallerTest::cut;
+    assertTrue(caller.call(append()).toCompletableFuture().isCompletedExceptionally());
+    assertEquals(List.of("direct"), ways);
+  }
+
+  /**
+   * A change is seen late after an outage: the read that found out that the store answers again had
+   * its reply thrown away, and whoever waited for it waited for the next one.
+   */
+  @Test
+  void hasTheReplyOfACallThatFindsTheStoreAnswering() {
+    store = () -> replied(BUSY);
+    byPeer = () -> failed(true);
+    caller.call(read());
+    store = () -> replied(DONE);
+    ways.clear();
+    time.advance(StoreReach.FIRST_PROBE);
+    assertEquals(200, status(caller.call(read())));
+    assertEquals(List.of("direct"), ways);
+  }
+
+  /**
+   * The same, seconds later still: what was to find out that the store answers was a read that
+   * waits for new records, and calls that are answered at once were not made meanwhile.
+   */
+  @Test
+  void findsTheStoreAnsweringWhileAReadWaits() {
+    store = () -> replied(BUSY);
+    byPeer = () -> failed(true);
+    caller.call(read());
+    time.advance(StoreReach.FIRST_PROBE);
+    store = CompletableFuture::new;
+    caller.call(waitingRead());
+    store = () -> replied(DONE);
+    ways.clear();
+    assertEquals(200, status(caller.call(read())));
+    assertEquals(List.of("direct"), ways);
+    assertFalse(caller.away());
+  }
+
   /**
    * A gateway asks its peers for good after one outage, which costs each call a hop: nothing found
    * out that the store answers again.
@@ -144,6 +207,10 @@
     return CompletableFuture.failedFuture(new HttpCallException("as told", unsent));
   }
 
+  private static CompletionStage<HttpReply> cut() {
+    return CompletableFuture.failedFuture(HttpCallException.connectionClosed("as told"));
+  }
+
   private static int status(CompletionStage<HttpReply> result) {
     return result.toCompletableFuture().join().status();
   }
@@ -156,9 +223,17 @@
     return call("GET");
   }
 
+  private static HttpCall waitingRead() {
+    return call("GET", Duration.ofMillis(2_900));
+  }
+
   private static HttpCall call(String method) {
+    return call(method, Duration.ofMillis(900));
+  }
+
+  private static HttpCall call(String method, Duration timeout) {
     InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
-    return new HttpCall(address, method, "/", Map.of(), new byte[0], Duration.ofMillis(900));
+    return new HttpCall(address, method, "/", Map.of(), new byte[0], timeout);
   }
 
   private static GatewayInstance peer(String name) {
