Compare excluded endpoints only where a request excludes any

Cause: the lives of endpoints were compared for each endpoint and decision, in a stream each, though most requests exclude none.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -336,14 +336,24 @@
 
   private List<EndpointRecord> candidates(SlotRequest request, Instant now) {
     return directory.usable(service).stream()
-        .filter(endpoint -> !excluded(request, endpoint.life()))
+        .filter(endpoint -> !excluded(request, endpoint))
         .filter(endpoint -> penalties.free(endpoint, request.dataCentre(), now))
         .toList();
   }
 
   /** Returns whether a request excludes a life of an endpoint, or one that came after it. */
-  private static boolean excluded(SlotRequest request, EndpointLife life) {
-    return request.excluded().stream().anyMatch(each -> each.equals(life) || each.follows(life));
+  private static boolean excluded(SlotRequest request, EndpointRecord endpoint) {
+    // Asked for each endpoint and decision, mostly with nothing excluded.
+    if (request.excluded().isEmpty()) {
+      return false;
+    }
+    EndpointLife life = endpoint.life();
+    for (EndpointLife each : request.excluded()) {
+      if (each.equals(life) || each.follows(life)) {
+        return true;
+      }
+    }
+    return false;
   }
 
   private Optional<EndpointRecord> leastUsed(
