--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRecords.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRecords.java
@@ -158,13 +158,6 @@
     return new KeyedRecord(resultKey(jobId, position), packed(result));
   }
 
-  /** Checks that a value says that a job has ended. */
-  static void checkEnd(byte[] value) {
-    if (value.length != 1 || value[0] != ENDED) {
-      throw new UnreadableException("end", "not the end of a job");
-    }
-  }
-
   static JobResult result(byte[] value) {
     return MessageReader.read(
         "result",
@@ -176,6 +169,13 @@
         });
   }
 
+  /** Checks that a value says that a job has ended. */
+  static void checkEnd(byte[] value) {
+    if (value.length != 1 || value[0] != ENDED) {
+      throw new UnreadableException("end", "not the end of a job");
+    }
+  }
+
   /** Checks that a value is about the item that its key names. */
   static void checkItem(Key key, String itemId) {
     if (!key.itemId().equals(itemId)) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobTable.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobTable.java
@@ -92,7 +92,7 @@
     destroyed.remove(record.key());
     count(key.jobId(), record);
     try {
-      take(key, record.value());
+      fold(key, record.value());
     } catch (UnreadableException e) {
       unreadable.accept(record.key(), e);
       destroyed.add(record.key());
@@ -129,7 +129,7 @@
     return ended ? List.of(JobRecords.end(key.jobId())) : List.of();
   }
 
-  private void take(JobRecords.Key key, byte @Nullable [] value) {
+  private void fold(JobRecords.Key key, byte @Nullable [] value) {
     if (value == null) {
       drop(key);
     } else if (key.part()) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -261,7 +261,7 @@
       return;
     }
     if (!writing) {
-      List<KeyedRecord> records = restored();
+      List<KeyedRecord> records = Restoration.next(replica.table(), partition, parts.log());
       if (records.isEmpty()) {
         records = gained(SAVED_EVENTS);
       }
@@ -273,37 +273,6 @@
     saveLater();
   }
 
-  /**
-   * Returns what another writer destroyed and this process knows, as much as fits an append.
-   *
-   * <p>Failure: a job's records are destroyed and its holder is restarted. It would show as an
-   * accepted job that nobody knows, or as a result that is another one. Guard: the holder writes
-   * them again, with its next record of what items have gained.
-   */
-  private List<KeyedRecord> restored() {
-    List<KeyedRecord> records = new ArrayList<>();
-    AppendSize size = new AppendSize();
-    for (List<KeyedRecord> together : replica.table().restorations()) {
-      boolean large = !new AppendSize().add(together);
-      if (large && !records.isEmpty()) {
-        break;
-      }
-      records.addAll(together);
-      if (!size.add(together)) {
-        break;
-      }
-    }
-    if (!records.isEmpty()) {
-      parts
-          .log()
-          .important("job", "records.restored")
-          .with("partition", partition)
-          .with("records", records.size())
-          .write();
-    }
-    return records;
-  }
-
   private void sweepLater() {
     parts.executor().schedule(this::sweep, SWEEP_EVERY.toMillis(), TimeUnit.MILLISECONDS);
   }
