--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/process/EndpointSourceTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/process/EndpointSourceTest.java
@@ -60,6 +60,19 @@
     assertEquals(List.of(), directory.usable("engine"));
   }
 
+  /**
+   * Requests go to an endpoint that left, and none to the one that came: both happened in a part of
+   * the history that the store forgot before anybody heard of it.
+   */
+  @Test
+  void findsInAWholeListWhatLeftAndWhatCameUnheard() {
+    source.onAll(List.of(new KeyedRecord("e1", new byte[1])));
+    source.onRegained(Duration.ofMillis(100));
+    source.onAll(List.of(new KeyedRecord("e2", new byte[1])));
+    assertEquals(
+        List.of("e2"), directory.usable("engine").stream().map(EndpointRecord::id).toList());
+  }
+
   @Test
   void keepsARemovedEndpointForAWhileAfterAnOutage() {
     source.onAll(List.of(new KeyedRecord("e1", new byte[1])));
