--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/process/ConfigSourceTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/process/ConfigSourceTest.java
@@ -70,6 +70,32 @@
     assertEquals(4, holder.current().orElseThrow().version());
   }
 
+  /**
+   * A route that was removed is served again for seconds. A list that was loaded anew, or a record
+   * that was read late, held an earlier version than the one in force.
+   */
+  @Test
+  void passesOverAnEarlierVersionWhereverItComesFrom() {
+    source.onAll(List.of(config(3)));
+    source.onRecords(List.of(config(5)));
+    source.onAll(List.of(config(3)));
+    source.onRecords(List.of(config(4)));
+    assertEquals(5, holder.current().orElseThrow().version());
+    assertEquals(
+        List.of("config.applied", "config.applied", "config.passed.over", "config.passed.over"),
+        log.events());
+  }
+
+  /** All requests get 404: the configuration was dropped or spoiled, or the list came empty. */
+  @Test
+  void keepsTheVersionInForceWhenNoneCanBeRead() {
+    source.onAll(List.of(config(3)));
+    source.onAll(List.of());
+    source.onRecords(List.of(new KeyedRecord("config", null), config(0)));
+    assertEquals(3, holder.current().orElseThrow().version());
+    assertEquals(List.of("config.applied", "config.unreadable"), log.events());
+  }
+
   private static KeyedRecord config(int version) {
     return new KeyedRecord("config", new byte[] {(byte) version});
   }
