Show that connections which endpoints forget go on being kept

An endpoint may drop connections that rest, sooner than usual and without notice; whatever is sent next is reset. The gateway keeps them for 0.9 s whatever happens, so that each request on one fails anew.

--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/ScriptedEndpoint.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/ScriptedEndpoint.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -29,6 +30,7 @@
   private final ServerSocket server;
   private final BlockingQueue<Step> steps = new LinkedBlockingQueue<>();
   private final List<String> requests = new CopyOnWriteArrayList<>();
+  private final AtomicInteger connections = new AtomicInteger();
   private final CountDownLatch callerLeft = new CountDownLatch(1);
 
   /** What follows an answer. */
@@ -65,6 +67,11 @@
     return requests;
   }
 
+  /** Returns the number of connections so far. */
+  public int connections() {
+    return connections.get();
+  }
+
   /** Waits until the other side closed a connection on which the endpoint worked. */
   public CountDownLatch callerLeft() {
     return callerLeft;
@@ -79,6 +86,7 @@
     while (!server.isClosed()) {
       try {
         Socket socket = server.accept();
+        connections.incrementAndGet();
         Thread thread = new Thread(() -> serve(socket), "endpoint-connection");
         thread.setDaemon(true);
         thread.start();
