--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
@@ -45,9 +45,12 @@
   private @Nullable ScheduledFuture<?> idleTimer;
   private boolean skipping;
   private boolean inAnswer;
+  private boolean answered;
   private boolean reusable = true;
   private boolean reset;
   private String cause = "";
+  private Duration restBefore = Duration.ZERO;
+  private long begunNanos;
   private Duration idleTime = DEFAULT_IDLE;
   private Instant opened = Instant.MAX;
 
@@ -60,11 +63,21 @@
   }
 
   void begin(PooledCall next) {
+    restBefore = rested();
+    begunNanos = next.pool().loop().ticker().nanoTime();
     stopIdleTimer();
     call = next;
     idleAt = null;
     skipping = false;
     inAnswer = false;
+    answered = false;
+  }
+
+  /** Returns how long the connection has rested by now; no time if it is in use or new. */
+  Duration rested() {
+    return idleTimer == null
+        ? Duration.ZERO
+        : idleTime.minusNanos(idleTimer.getDelay(TimeUnit.NANOSECONDS));
   }
 
   @Override
@@ -106,6 +119,7 @@
       return;
     }
     inAnswer = true;
+    answered = true;
     reusable &= HttpUtil.isKeepAlive(response) && hasLength(response);
     noteIdleTime(response);
     current.listener().onResponse(response);
@@ -154,6 +168,11 @@
       pool.discard(idleAt, ctx.channel());
     }
     if (current != null) {
+      if (!answered && !current.done()) {
+        EndpointPool at = current.pool();
+        Duration since = Duration.ofNanos(at.loop().ticker().nanoTime() - begunNanos);
+        at.rests().resetAfter(ctx.channel().remoteAddress(), restBefore, since);
+      }
       current.failed(reset ? "the connection was reset" + cause : "the connection closed");
     }
     ctx.fireChannelInactive();
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/process/EndpointSourceTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/process/EndpointSourceTest.java
@@ -74,9 +74,9 @@
    */
   @Test
   void findsInAWholeListWhatLeftAndWhatCameUnheard() {
-    source.onAll(List.of(new KeyedRecord("e1", new byte[1])));
+    source.onAll(List.of(new KeyedRecord("e1", GOOD)));
     source.onRegained(Duration.ofMillis(100));
-    source.onAll(List.of(new KeyedRecord("e2", new byte[1])));
+    source.onAll(List.of(new KeyedRecord("e2", GOOD)));
     assertEquals(
         List.of("e2"), directory.usable("engine").stream().map(EndpointRecord::id).toList());
   }
