Work the order of the fleet out once for each list

Cause: each question to a coordinator, and each renewal and look at the own rank, hashed all instances anew and sorted them: work for each request that grows with the fleet. Change: the orders of up to 100 keys are kept until the list changes; silent instances are filtered out of them.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetView.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetView.java
@@ -30,6 +30,9 @@
   /** Silent processes after which their whole data centre is passed over. */
   private static final int SILENT_FOR_DATA_CENTRE = 2;
 
+  /** Orders that are kept; there are some ten services, and a partition of jobs is a key, too. */
+  private static final int MAX_ORDERS = 100;
+
   private static final Comparator<GatewayInstance> BY_SIZE =
       Comparator.comparingDouble(GatewayInstance::cores).reversed();
 
@@ -39,6 +42,7 @@
   private final Map<String, GatewayInstance> instances = new HashMap<>();
   private final Map<String, GatewayInstance> lastKnown = new HashMap<>();
   private final Map<String, Suspicion> suspicions = new HashMap<>();
+  private final Map<String, List<GatewayInstance>> orders = new HashMap<>();
   private @Nullable RendezvousHash hash;
 
   /** Creates a view that holds this process alone. */
@@ -61,17 +65,22 @@
     GatewayInstance former = instances.put(instance.name(), instance);
     if (!instance.equals(former)) {
       suspicions.remove(instance.name());
-      hash = null;
+      changed();
     }
   }
 
   /** Takes the end of a process. */
   public void remove(String name) {
     if (!name.equals(self.name()) && instances.remove(name) != null) {
-      hash = null;
+      changed();
     }
   }
 
+  private void changed() {
+    hash = null;
+    orders.clear();
+  }
+
   /** Returns a process by its name; null if the list lacks it. */
   public @Nullable GatewayInstance find(String name) {
     return instances.get(name);
@@ -127,21 +136,44 @@
    * instance of 0.36 cores beside its own requests that is too much, so the largest come first.
    */
   public List<GatewayInstance> ranked(String key, Instant now) {
+    List<GatewayInstance> order = order(key);
+    if (suspicions.isEmpty()) {
+      return order;
+    }
+    return order.stream()
+        .filter(each -> !suspected(each.name(), now) && !cutOff(each, now))
+        .toList();
+  }
+
+  /**
+   * Returns all processes in the order for a key.
+   *
+   * <p>Asked for each request, and changed with the list alone: an order is a hash and a comparison
+   * for each process of the fleet.
+   */
+  private List<GatewayInstance> order(String key) {
+    if (orders.size() >= MAX_ORDERS && !orders.containsKey(key)) {
+      orders.clear();
+    }
+    return orders.computeIfAbsent(key, this::newOrder);
+  }
+
+  private List<GatewayInstance> newOrder(String key) {
     RendezvousHash current = hash;
     if (current == null) {
       current = new RendezvousHash(instances.keySet().stream().map(FleetView::id).toList());
       hash = current;
     }
-    List<GatewayInstance> ranked = new ArrayList<>();
+    List<GatewayInstance> order = new ArrayList<>();
     for (InstanceId id : current.ranked(Hashing.wyhashFinal4().hashCharsToLong(key))) {
       GatewayInstance instance = instances.get(id.stableName());
-      if (instance != null && !suspected(instance.name(), now) && !cutOff(instance, now)) {
-        ranked.add(instance);
+      if (instance != null) {
+        order.add(instance);
       }
     }
     // The sort is stable, so that the order by key stays among those of one size.
-    ranked.sort(BY_SIZE);
-    return ranked;
+    order.sort(BY_SIZE);
+    return List.copyOf(order);
   }
 
   /**
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetViewTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetViewTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetSocketAddress;
@@ -67,6 +68,22 @@
     assertTrue(names(fleet, now).contains("c1"));
   }
 
+  /**
+   * Each request of a large fleet costs its gateway more than a small one's: the order of all
+   * processes was worked out anew for each question to a coordinator.
+   */
+  @Test
+  void worksAnOrderOutOnceForEachList() {
+    assertSame(fleet.ranked("key", now), fleet.ranked("key", now));
+    fleet.remove("c1");
+    assertTrue(!names(fleet, now).contains("c1"));
+    fleet.put(instance("c1", "c"));
+    assertEquals(6, names(fleet, now).size());
+    for (int key = 0; key < 1_000; key++) {
+      assertEquals(6, fleet.ranked("key" + key, now).size());
+    }
+  }
+
   private static List<String> names(FleetView view, Instant now) {
     return view.ranked("key", now).stream().map(GatewayInstance::name).toList();
   }
