--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/VirtualLoop.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/VirtualLoop.java
@@ -36,6 +36,14 @@
     }
   }
 
+  /** Lets time pass in which the loop stands still, and then runs what is due. */
+  public void standStill(Duration time) {
+    now = now.plus(time);
+    channel.advanceTimeBy(time.toMillis(), TimeUnit.MILLISECONDS);
+    channel.runScheduledPendingTasks();
+    channel.runPendingTasks();
+  }
+
   @Override
   public Instant instant() {
     return now;
