--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PartitionRunnerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PartitionRunnerTest.java
@@ -24,6 +24,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
@@ -184,6 +185,26 @@
             });
   }
 
+  /**
+   * A buyer's reports come back as given up four seconds after they were ordered. The clock of the
+   * gateway that took the job was behind by minutes, the holder's was right, and by the difference
+   * the items were past the time for which they are kept.
+   */
+  @Test
+  void givesUpNothingByTheClockOfAnotherInstance() throws InterruptedException {
+    endpoint.then("", After.WAIT);
+    JobItem item = new JobItem("i1", "/jobs/1", Map.of(), new byte[0]);
+    Instant behind = InstantSource.system().instant().minus(Duration.ofMinutes(5));
+    Job job = new Job("j", "h", behind, List.of(item));
+    store.append(new AppendCall(JobReplicas.TOPIC, 0, JobRecords.accepted(job), null));
+    JobReplica replica = new JobReplica(store, JobReplicas.TOPIC, 0, new LoadGate(), loop);
+    runner(replica, 1);
+    await().until(() -> endpoint.requests().size() == 1);
+    // Old jobs are looked for every 5 s.
+    Thread.sleep(5_500);
+    assertEquals(List.of(), page(replica));
+  }
+
   /**
    * Reports are late on a day on which gateways are restarted: with each partition that moved, its
    * items lost what they had gained since it was last recorded, and began there anew.
