Count the age of a job by the clock of the process that holds it

Ruled out: a larger margin (any step may come); estimating the other's clock (one more thing to be wrong). Change: JobAges notes when this process first knew a job, by its steady clock; items are given up and jobs dropped by that. After a take-over that is too young, which keeps jobs longer and never less. Before: PartitionRunnerTest.givesUpNothingByTheClockOfAnotherInstance fails. After: it, JobAgesTest and the other tests of jobs pass, once.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -56,12 +56,6 @@
   /** Time between two looks for items to give up and jobs to drop. */
   private static final Duration SWEEP_EVERY = Duration.ofSeconds(5);
 
-  /**
-   * Added to the times at which items are given up and jobs dropped, since another instance's clock
-   * told when a job was accepted; clocks may differ by some seconds.
-   */
-  private static final Duration CLOCK_MARGIN = Duration.ofSeconds(10);
-
   /** When items are due if their route names no time. */
   private static final Duration DEFAULT_COMPLETION = Duration.ofSeconds(60);
 
@@ -73,6 +67,7 @@
   private final Consumer<PartitionRunner> lost;
   private final RunEstimate estimate = new RunEstimate();
   private final AskWindow window = new AskWindow();
+  private final JobAges ages;
   private final Map<String, ItemRun> runs = new HashMap<>();
   private final List<Finished> finished = new ArrayList<>();
   private final List<Finished> inFlight = new ArrayList<>();
@@ -97,6 +92,7 @@
     this.partition = partition;
     this.epoch = epoch;
     this.lost = lost;
+    this.ages = new JobAges(parts.clock());
   }
 
   /** Fences former holders, then begins. */
@@ -300,6 +296,7 @@
     if (stopped) {
       return;
     }
+    ages.note(replica.table().all());
     for (Job job : List.copyOf(replica.table().all())) {
       giveUpOld(job);
     }
@@ -315,7 +312,7 @@
             .current()
             .flatMap(config -> config.jobRoute(job.host()))
             .map(Route::retention);
-    if (kept.isEmpty() || job.ended() || !olderThan(job, kept.get())) {
+    if (kept.isEmpty() || job.ended() || !ages.olderThan(job, kept.get())) {
       return;
     }
     for (JobItem item : job.items()) {
@@ -335,7 +332,7 @@
     List<KeyedRecord> drops = new ArrayList<>();
     for (Job job : replica.table().all()) {
       boolean over = job.ended() || job.complete();
-      if (over && olderThan(job, parts.resultRetention())) {
+      if (over && ages.olderThan(job, parts.resultRetention())) {
         replica.table().keys(job.id()).forEach(key -> drops.add(new KeyedRecord(key, null)));
       }
     }
@@ -345,10 +342,6 @@
     }
   }
 
-  private boolean olderThan(Job job, Duration age) {
-    return parts.clock().instant().isAfter(job.accepted().plus(age).plus(CLOCK_MARGIN));
-  }
-
   private List<KeyedRecord> gained(int leastEvents) {
     List<KeyedRecord> records = new ArrayList<>();
     AppendSize size = new AppendSize();
