--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/NettyHttpCaller.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/NettyHttpCaller.java
@@ -155,10 +155,9 @@
       result.completeExceptionally(new HttpCallException(message, !written));
     }
 
-    private void cut() {
+    private void cut(String message) {
       stopTimer();
-      result.completeExceptionally(
-          HttpCallException.connectionClosed("The connection closed before a whole reply"));
+      result.completeExceptionally(HttpCallException.connectionClosed(message));
     }
 
     private void replied(FullHttpResponse response) {
@@ -184,6 +183,7 @@
   private static final class ReplyHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
 
     private @Nullable Pending pending;
+    private String cause = "";
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
@@ -204,14 +204,15 @@
       Pending waiting = pending;
       pending = null;
       if (waiting != null) {
-        waiting.cut();
+        waiting.cut("The connection closed before a whole reply" + cause);
       }
       ctx.fireChannelInactive();
     }
 
     @Override
-    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-      // The call fails by channelInactive, which follows.
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable failure) {
+      // The call fails by channelInactive, which follows and tells the cause.
+      cause = ": " + failure;
       ctx.close();
     }
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -280,7 +280,10 @@
       return;
     }
     if (!writing) {
-      List<KeyedRecord> records = gained(SAVED_EVENTS);
+      List<KeyedRecord> records = Restoration.next(replica.table(), partition, parts.log());
+      if (records.isEmpty()) {
+        records = gained(SAVED_EVENTS);
+      }
       if (!records.isEmpty()) {
         writing = true;
         append(records);
@@ -421,7 +424,8 @@
   /** Returns what lists a result behind those of its job. */
   private List<KeyedRecord> listed(Finished each, Map<String, Integer> next) {
     String jobId = each.job().id();
-    int position = next.getOrDefault(jobId, each.job().resultCount());
+    // A result behind a gap that another writer made keeps its position.
+    int position = each.job().freePosition(next.getOrDefault(jobId, each.job().resultCount()));
     next.put(jobId, position + 1);
     List<KeyedRecord> records = new ArrayList<>();
     records.add(JobRecords.result(jobId, position, each.result()));
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/ConfigSource.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/ConfigSource.java
@@ -1,10 +1,13 @@
 package io.hawthornlb.gateway.process;
 
+import io.hawthornlb.gateway.decode.UnreadableException;
+import io.hawthornlb.gateway.decode.UnreadableRecords;
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.route.ConfigHolder;
 import io.hawthornlb.gateway.route.RoutingConfig;
 import io.hawthornlb.gateway.store.KeyedFollower;
 import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
+import java.time.InstantSource;
 import java.util.List;
 
 /** Takes configurations from the store in force. */
@@ -13,11 +16,13 @@
   private final SourceFormats formats;
   private final ConfigHolder holder;
   private final EventLog log;
+  private final UnreadableRecords unreadable;
 
-  ConfigSource(SourceFormats formats, ConfigHolder holder, EventLog log) {
+  ConfigSource(SourceFormats formats, ConfigHolder holder, InstantSource clock, EventLog log) {
     this.formats = formats;
     this.holder = holder;
     this.log = log;
+    this.unreadable = new UnreadableRecords(log, clock, "config", "unreadable", "key");
   }
 
   @Override
@@ -38,13 +43,14 @@
   private void take(byte[] value) {
     try {
       RoutingConfig config = formats.config(value);
+      unreadable.forget(formats.configKey());
       boolean newer = holder.offer(config);
       log.important("config", newer ? "applied" : "passed.over")
           .with("version", config.version())
           .write();
-    } catch (IllegalArgumentException e) {
+    } catch (UnreadableException e) {
       // The former configuration stays in force.
-      log.important("config", "unreadable").with("cause", e.getMessage()).write();
+      unreadable.report(formats.configKey(), e);
     }
   }
 }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
@@ -95,7 +95,7 @@
     time.advance(Duration.ofMillis(5));
     nodes.get("b1").ask();
     time.advance(Duration.ofMillis(5));
-    assertEquals(List.of(granted(first, 1)), nodes.get("a1").answers);
+    assertEquals(List.of(granted(first, EndpointLife.UNKNOWN)), nodes.get("a1").answers);
     assertEquals(List.of(), nodes.get("b1").answers);
     nodes.get("a1").slots.release(first.key(), SlotOutcome.ANSWERED);
     time.advance(Duration.ofMillis(5));
@@ -118,7 +118,7 @@
             .orElseThrow();
     SlotRequest request = asker.ask();
     time.advance(Duration.ofMillis(60));
-    assertEquals(List.of(granted(request, 1)), asker.answers);
+    assertEquals(List.of(granted(request, EndpointLife.UNKNOWN)), asker.answers);
   }
 
   /**
@@ -136,7 +136,7 @@
     nodes.get(first.name()).down = true;
     SlotRequest request = asker.ask();
     time.advance(Duration.ofMillis(60));
-    assertEquals(List.of(granted(request, 1)), asker.answers);
+    assertEquals(List.of(granted(request, EndpointLife.UNKNOWN)), asker.answers);
     nodes.get(first.name()).down = false;
     for (SlotAnswer late :
         List.of(
@@ -156,7 +156,7 @@
     names.stream().filter(name -> !name.equals("a1")).forEach(name -> nodes.get(name).down = true);
     SlotRequest request = alone.ask();
     time.advance(Duration.ofMillis(150));
-    assertEquals(List.of(granted(request, 1)), alone.answers);
+    assertEquals(List.of(granted(request, EndpointLife.UNKNOWN)), alone.answers);
   }
 
   /**
@@ -227,14 +227,14 @@
     Node stopping = askers.get(1);
     SlotRequest held = holder.ask();
     time.advance(Duration.ofMillis(5));
-    assertEquals(List.of(granted(held, 1)), holder.answers);
+    assertEquals(List.of(granted(held, EndpointLife.UNKNOWN)), holder.answers);
     nodes.values().forEach(node -> node.fleet.remove(stopping.name));
     SlotRequest late = stopping.ask();
     time.advance(Duration.ofMillis(200));
     assertEquals(List.of(), stopping.answers);
     holder.slots.release(held.key(), SlotOutcome.ANSWERED);
     time.advance(Duration.ofMillis(25));
-    assertEquals(List.of(granted(late, 1)), stopping.answers);
+    assertEquals(List.of(granted(late, EndpointLife.UNKNOWN)), stopping.answers);
   }
 
   /**
@@ -255,7 +255,7 @@
     Node other = askers.get(0);
     SlotRequest next = other.ask();
     time.advance(Duration.ofMillis(600));
-    assertEquals(List.of(granted(next, 1)), other.answers);
+    assertEquals(List.of(granted(next, EndpointLife.UNKNOWN)), other.answers);
   }
 
   /**
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/process/ConfigSourceTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/process/ConfigSourceTest.java
@@ -1,25 +1,27 @@
 package io.hawthornlb.gateway.process;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.hawthornlb.gateway.SilentEventLog;
+import io.hawthornlb.gateway.decode.UnreadableException;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.route.CallerLimits;
 import io.hawthornlb.gateway.route.ConfigHolder;
 import io.hawthornlb.gateway.route.RoutingConfig;
 import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
+import java.time.InstantSource;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class ConfigSourceTest {
 
-  private static final String KEY = "config";
-
-  private final ConfigHolder holder = new ConfigHolder();
   private final SilentEventLog log = new SilentEventLog();
-  private final ConfigSource source = new ConfigSource(new Formats(), holder, log);
+  private final ConfigHolder holder = new ConfigHolder();
+  private final ConfigSource source =
+      new ConfigSource(new Formats(), holder, InstantSource.system(), log);
 
-  /** Reads a configuration whose one byte is its version; 0 cannot be read. */
+  /** The version is the value; 0 cannot be read. */
   private static final class Formats implements SourceFormats {
 
     @Override
@@ -29,7 +31,7 @@
 
     @Override
     public String configKey() {
-      return KEY;
+      return "config";
     }
 
     @Override
@@ -40,27 +42,44 @@
     @Override
     public RoutingConfig config(byte[] value) {
       if (value[0] == 0) {
-        throw new IllegalArgumentException("no version");
+        throw new UnreadableException("Version", "not a whole number");
       }
       return new RoutingConfig(value[0], List.of(), CallerLimits.DEFAULT);
     }
 
     @Override
     public EndpointRecord endpoint(String id, byte[] value) {
-      throw new IllegalArgumentException("none here");
+      throw new UnreadableException("entry", "none here");
     }
   }
 
+  @Test
+  void keepsTheConfigurationInForceWhenTheNextOneCannotBeRead() {
+    source.onAll(List.of(config(3)));
+    source.onRecords(List.of(config(0)));
+    source.onAll(List.of(config(0)));
+    assertEquals(3, holder.current().orElseThrow().version());
+    assertEquals(1, log.events().stream().filter("config.unreadable"::equals).count());
+  }
+
+  @Test
+  void takesAReadableOneBehindOneThatIsNot() {
+    source.onAll(List.of(new KeyedRecord("other", new byte[] {0}), config(0)));
+    assertTrue(holder.current().isEmpty());
+    source.onRecords(List.of(config(0), config(4), config(0)));
+    assertEquals(4, holder.current().orElseThrow().version());
+  }
+
   /**
    * A route that was removed is served again for seconds. A list that was loaded anew, or a record
    * that was read late, held an earlier version than the one in force.
    */
   @Test
   void passesOverAnEarlierVersionWhereverItComesFrom() {
-    source.onAll(List.of(version(3)));
-    source.onRecords(List.of(version(5)));
-    source.onAll(List.of(version(3)));
-    source.onRecords(List.of(version(4)));
+    source.onAll(List.of(config(3)));
+    source.onRecords(List.of(config(5)));
+    source.onAll(List.of(config(3)));
+    source.onRecords(List.of(config(4)));
     assertEquals(5, holder.current().orElseThrow().version());
     assertEquals(
         List.of("config.applied", "config.applied", "config.passed.over", "config.passed.over"),
@@ -70,14 +89,14 @@
   /** All requests get 404: the configuration was dropped or spoiled, or the list came empty. */
   @Test
   void keepsTheVersionInForceWhenNoneCanBeRead() {
-    source.onAll(List.of(version(3)));
+    source.onAll(List.of(config(3)));
     source.onAll(List.of());
-    source.onRecords(List.of(new KeyedRecord(KEY, null), version(0)));
+    source.onRecords(List.of(new KeyedRecord("config", null), config(0)));
     assertEquals(3, holder.current().orElseThrow().version());
     assertEquals(List.of("config.applied", "config.unreadable"), log.events());
   }
 
-  private static KeyedRecord version(int number) {
-    return new KeyedRecord(KEY, new byte[] {(byte) number});
+  private static KeyedRecord config(int version) {
+    return new KeyedRecord("config", new byte[] {(byte) version});
   }
 }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/process/InstanceSourceTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/process/InstanceSourceTest.java
@@ -1,120 +1,130 @@
 package io.hawthornlb.gateway.process;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.hawthornlb.gateway.SilentEventLog;
 import io.hawthornlb.gateway.VirtualLoop;
+import io.hawthornlb.gateway.decode.ForeignBytes;
 import io.hawthornlb.gateway.peer.FleetView;
 import io.hawthornlb.gateway.peer.GatewayInstance;
-import io.hawthornlb.gateway.store.KeyedFollower;
 import io.hawthornlb.gateway.store.LogStore.AppendCall;
 import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
-import io.hawthornlb.gateway.store.StoreException;
 import io.hawthornlb.gateway.store.support.InMemoryLogStore;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
 
 class InstanceSourceTest {
 
+  private static final byte[] NOISE = {(byte) 0xff};
+
   private final VirtualLoop time = new VirtualLoop();
   private final InMemoryLogStore store = new InMemoryLogStore(time.loop(), 1);
-  private final FleetView fleet = new FleetView(instance("self"));
+  private final SilentEventLog log = new SilentEventLog();
+  private final FleetView fleet = new FleetView(instance("g1"));
+  private final InstanceSource source = new InstanceSource(fleet, store, time.loop(), time, log);
 
   /**
-   * Calls go to an instance that left long ago, and each waits until it seems silent. Its end was
-   * in a part of the history that the store forgot, and the list that was loaded in its place was
-   * only added to what was known.
+   * A gateway runs no job for as long as it lives, and takes no part in the fleet: the list holds
+   * one entry of another writer, and reading the list ended there.
    */
   @Test
-  void forgetsAnInstanceThatTheWholeListLacks() {
-    InstanceSource other = source(new FleetView(instance("other")));
-    other.announce();
-    InstanceSource source = source(fleet);
-    source.announce();
-    follow(source);
-    time.advance(Duration.ofMillis(50));
-    assertEquals(1, fleet.others().size());
-
-    store.silence();
-    store.append(
-        new AppendCall(InstanceSource.TOPIC, 0, List.of(new KeyedRecord("other", null)), null));
-    store.forgetHistory(InstanceSource.TOPIC, 0);
-    store.cutReads();
-    time.advance(Duration.ofSeconds(3));
+  void readsTheListWithForeignEntries() throws IOException {
+    source.onAll(
+        List.of(
+            new KeyedRecord("", entry("127.0.0.1", 9, 1)),
+            new KeyedRecord("bad", NOISE),
+            new KeyedRecord("blank", entry("", 9, 1)),
+            new KeyedRecord("named", entry("localhost", 9, 1)),
+            new KeyedRecord("portless", entry("127.0.0.1", 0, 1)),
+            new KeyedRecord("far", entry("127.0.0.1", 70_000, 1)),
+            new KeyedRecord("nan", entry("127.0.0.1", 9, Double.NaN)),
+            new KeyedRecord("giant", entry("127.0.0.1", 9, 1e300)),
+            new KeyedRecord("g2", entry("127.0.0.1", 9, 1))));
+    assertTrue(source.loaded());
+    assertEquals(List.of("g2"), fleet.others().stream().map(GatewayInstance::name).toList());
+  }
 
-    assertEquals(List.of(), fleet.others());
-    assertEquals("self", fleet.self().name());
+  /** A peer that lives and serves stays in the fleet, since its own entry comes back. */
+  @Test
+  void keepsAPeerWhoseEntryWasDestroyed() throws IOException {
+    source.onAll(List.of(new KeyedRecord("g2", entry("127.0.0.1", 9, 1))));
+    source.onRecords(List.of(new KeyedRecord("g2", NOISE)));
+    source.onRecords(List.of(new KeyedRecord("g2", NOISE)));
+    assertEquals(1, fleet.others().size());
+    assertEquals(1, log.events().stream().filter("fleet.entry.unreadable"::equals).count());
   }
 
   /**
-   * An instance gets no datagrams for seconds after its start, and its log does not tell why: the
-   * store had turned away the calls by which it is listed, and only the repeats were seen.
+   * A process works alone until it is restarted: another writer destroyed its entry, or the one
+   * before it under its name took it off when it stopped, and nobody else learned of it any more.
    */
   @Test
-  void tellsWhyItIsNotListedAndRepeats() {
-    TurningAway away = new TurningAway();
-    SilentEventLog log = new SilentEventLog();
-    InstanceSource source = new InstanceSource(fleet, away, time.loop(), log);
+  void listsItselfAnewWhenItsEntryIsDestroyedOrGone() {
     source.announce();
-    time.advance(Duration.ofMillis(100));
-    assertEquals(List.of("fleet.announce.failed"), log.events());
-    away.turning = false;
+    time.advance(Duration.ofMillis(10));
+    write(NOISE);
+    source.onRecords(List.of(new KeyedRecord("g1", NOISE)));
+    time.advance(Duration.ofSeconds(1));
+    assertTrue(listed());
+    write(null);
+    source.onRecords(List.of(new KeyedRecord("g1", null)));
+    time.advance(Duration.ofSeconds(1));
+    assertTrue(listed());
+    source.leave();
+    source.onRecords(List.of(new KeyedRecord("g1", null)));
     time.advance(Duration.ofSeconds(1));
-    assertEquals(1, away.taken);
-    assertEquals(List.of("fleet.announce.failed"), log.events());
+    assertTrue(!listed());
   }
 
-  @Test
-  void tellsWhyItIsStillListedAfterItLeft() {
-    SilentEventLog log = new SilentEventLog();
-    new InstanceSource(fleet, new TurningAway(), time.loop(), log).leave();
-    time.advance(Duration.ofMillis(100));
-    assertEquals(List.of("fleet.leave.failed"), log.events());
+  @Property(tries = 1_000, seed = ForeignBytes.SEED)
+  void anEntryIsAnInstanceOrUnreadable(@ForAll long seed) throws IOException {
+    byte[] bytes = ForeignBytes.of(entry("127.0.0.1", 9, 1), new Random(seed));
+    List<KeyedRecord> records =
+        List.of(new KeyedRecord("bad", bytes), new KeyedRecord("g2", entry("127.0.0.1", 9, 1)));
+    ForeignBytes.read(
+        bytes.length,
+        () -> {
+          source.onAll(records);
+          return fleet;
+        });
+    assertTrue(source.loaded());
+    assertTrue(fleet.find("g2") != null);
+    fleet.others().forEach(each -> assertTrue(each.address().getPort() > 0));
   }
 
-  /** Log that turns writers away. */
-  private final class TurningAway extends InMemoryLogStore {
-
-    private boolean turning = true;
-    private int taken;
-
-    private TurningAway() {
-      super(time.loop(), 1);
-    }
-
-    @Override
-    public CompletionStage<Appended> append(AppendCall call) {
-      if (turning) {
-        return CompletableFuture.failedFuture(
-            new StoreException(StoreException.Kind.NOT_DONE, "The store answered 503"));
-      }
-      taken++;
-      return super.append(call);
-    }
+  private void write(byte[] value) {
+    KeyedRecord record = new KeyedRecord("g1", value);
+    store.append(new AppendCall(InstanceSource.TOPIC, 0, List.of(record), null));
   }
 
-  private void follow(InstanceSource source) {
-    new KeyedFollower(
-            store,
-            InstanceSource.TOPIC,
-            0,
-            KeyedFollower.UNHURRIED,
-            time.loop(),
-            time,
-            new SilentEventLog(),
-            source)
-        .start();
+  private boolean listed() {
+    return store
+        .newest(InstanceSource.TOPIC, 0, null)
+        .toCompletableFuture()
+        .join()
+        .records()
+        .stream()
+        .anyMatch(each -> each.key().equals("g1") && each.value().length > NOISE.length);
   }
 
-  private InstanceSource source(FleetView view) {
-    return new InstanceSource(view, store, time.loop(), new SilentEventLog());
+  private static GatewayInstance instance(String name) {
+    return new GatewayInstance(name, name + "~1", new InetSocketAddress("127.0.0.1", 7), "a");
   }
 
-  private static GatewayInstance instance(String name) {
-    return new GatewayInstance(name, name + "~1", new InetSocketAddress("127.0.0.1", 1), "a");
+  private static byte[] entry(String host, int port, double cores) throws IOException {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packer.packString("boot~1").packString(host).packInt(port).packString("a");
+      packer.packDouble(cores);
+      return packer.toByteArray();
+    }
   }
 }
