--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontConnection.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontConnection.java
@@ -17,7 +17,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -39,11 +38,6 @@
   /** Messages of following requests that are kept while one is handled. */
   private static final int MAX_QUEUED = 64;
 
-  /** Bytes around a chunk: its length in up to eight hexadecimal digits, and two line ends. */
-  private static final int CHUNK_FRAME_BYTES = 12;
-
-  private static final int CRLF = '\r' << 8 | '\n';
-
   private final FrontServer server;
   private final Deque<HttpObject> queued = new ArrayDeque<>();
   private @Nullable Channel channel;
@@ -284,8 +278,6 @@
   private final class Exchange implements Responder {
 
     private final boolean keepAlive;
-    private boolean ownChunks;
-    private @Nullable HttpMethod method;
     private RequestHandler.@Nullable Handling handling;
     private boolean answered;
     private boolean headSent;
@@ -296,7 +288,6 @@
     }
 
     private void start(FrontRequest request) {
-      method = request.method();
       RequestHandler.Handling begun = server.handler().handle(request, this);
       if (exchange == this) {
         handling = begun;
@@ -343,9 +334,6 @@
               HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers.copy());
       if (!HttpUtil.isContentLengthSet(response)) {
         HttpUtil.setTransferEncodingChunked(response, true);
-        // Answers to HEAD and of other statuses may have no body; the codec knows which.
-        ownChunks =
-            response.status().equals(HttpResponseStatus.OK) && !HttpMethod.HEAD.equals(method);
       }
       setConnection(response.headers());
       headSent = true;
@@ -358,33 +346,7 @@
         content.release();
         return;
       }
-      if (ownChunks) {
-        writeChunk(content);
-      } else {
-        open().writeAndFlush(new DefaultHttpContent(content));
-      }
-    }
-
-    /**
-     * Writes a part as one buffer, past the codec, which would make three of it and a promise for
-     * each; most of what a gateway writes are events of 100 bytes.
-     */
-    private void writeChunk(ByteBuf content) {
-      try {
-        int length = content.readableBytes();
-        if (length == 0) {
-          // An empty chunk would end the answer.
-          return;
-        }
-        ByteBuf chunk = open().alloc().directBuffer(length + CHUNK_FRAME_BYTES);
-        ByteBufUtil.writeAscii(chunk, Integer.toHexString(length));
-        ByteBufUtil.writeShortBE(chunk, CRLF);
-        chunk.writeBytes(content);
-        ByteBufUtil.writeShortBE(chunk, CRLF);
-        open().pipeline().firstContext().writeAndFlush(chunk);
-      } finally {
-        content.release();
-      }
+      open().writeAndFlush(new DefaultHttpContent(content));
     }
 
     @Override
