Look for a state of 0.1 s more often than that, allow items to be sent again

Cause: two tests of partition runners failed on busy machines: one looked each 100 ms for a state that lasts 106 ms, the other had answers for one run of each item, while an item that got no event for 2 s is sent once more, as it should be. Ruled out: the product; both states are as designed.

--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PartitionRunnerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PartitionRunnerTest.java
@@ -91,8 +91,8 @@
     store.append(new AppendCall(JobReplicas.TOPIC, 0, JobRecords.accepted(job), null));
     JobReplica first = new JobReplica(store, JobReplicas.TOPIC, 0, new LoadGate(), loop);
     PartitionRunner killed = runner(first, 1);
-    await().until(() -> endpoint.requests().size() == MAX_ATTEMPTS - 1);
-    await().until(() -> failures(first) == MAX_ATTEMPTS - 1);
+    // The next run follows 0.1 s later, so this is looked for more often than that.
+    await().pollInterval(Duration.ofMillis(5)).until(() -> failures(first) == MAX_ATTEMPTS - 1);
     loop.submit(killed::stop).syncUninterruptibly();
     JobReplica second = new JobReplica(store, JobReplicas.TOPIC, 0, new LoadGate(), loop);
     runner(second, 2);
@@ -268,7 +268,8 @@
   void listsMoreThanOneCallHoldsInSeveral() {
     String data = "x".repeat(200_000);
     int count = 12;
-    for (int i = 0; i < count; i++) {
+    // An item that got no event for 2 s, as on a busy machine, is sent once more.
+    for (int i = 0; i < 2 * count; i++) {
       endpoint.then(
           "HTTP/1.1 200 OK\r\nTest-Id: {id}\r\nTest-Signature: s\r\n"
               + "Transfer-Encoding: chunked\r\n\r\n"
@@ -285,7 +286,7 @@
     store.away = true;
     JobReplica replica = new JobReplica(store, JobReplicas.TOPIC, 0, new LoadGate(), loop);
     runner(replica, 1);
-    await().until(() -> endpoint.requests().size() == count);
+    await().until(() -> endpoint.requests().size() >= count);
     await().until(() -> store.refused > 3);
     store.away = false;
     await().until(() -> resultCount(replica) == count);
