--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -203,6 +203,7 @@
             service,
             false,
             route.priority(),
+            Duration.ZERO,
             parts.dataCentre(),
             maxWait(),
             patience(),
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -142,9 +142,11 @@
             key,
             route.get().service(0),
             true,
-            rank(),
+            due.toEpochMilli(),
+            estimate.left(output.lastEventId()),
             parts.dataCentre(),
             SLOT_WAIT,
+            SLOT_WAIT,
             0,
             Set.copyOf(excluded));
     excluded.clear();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
@@ -102,6 +102,7 @@
   private static void packRequest(MessagePacker packer, SlotRequest request) throws IOException {
     packKey(packer, request.key());
     packer.packString(request.service()).packBoolean(request.batch()).packLong(request.rank());
+    packer.packLong(request.work().toMillis());
     packer.packString(request.dataCentre()).packLong(request.maxWait().toMillis());
     packer.packLong(request.patience().toMillis());
     packer.packLong(request.fingerprint());
@@ -133,7 +134,7 @@
     packer.packArrayHeader(renew.uses().size());
     for (SlotUse use : renew.uses()) {
       packLife(packer.packLong(use.number()), use.life());
-      packer.packBoolean(use.batch()).packLong(use.rank());
+      packer.packBoolean(use.batch()).packLong(use.rank()).packLong(use.work().toMillis());
     }
   }
 
@@ -207,6 +208,7 @@
     String service = reader.text();
     boolean batch = reader.flag();
     long rank = reader.number();
+    Duration work = reader.millis("work", MAX_TIME);
     String dataCentre = reader.text();
     Duration maxWait = reader.millis("maxWait", MAX_TIME);
     Duration patience = reader.millis("patience", MAX_TIME);
@@ -217,7 +219,7 @@
       excluded.add(unpackLife(reader));
     }
     return new SlotRequest(
-        key, service, batch, rank, dataCentre, maxWait, patience, fingerprint, excluded);
+        key, service, batch, rank, work, dataCentre, maxWait, patience, fingerprint, excluded);
   }
 
   private static PeerMessage unpackRenew(MessageReader reader) throws IOException {
@@ -228,7 +230,9 @@
     for (int i = 0; i < size; i++) {
       long number = reader.number();
       EndpointLife life = unpackLife(reader);
-      uses.add(new SlotUse(number, life, reader.flag(), reader.number()));
+      boolean batch = reader.flag();
+      long rank = reader.number();
+      uses.add(new SlotUse(number, life, batch, rank, reader.millis("work", MAX_TIME)));
     }
     return new PeerMessage.Renew(service, holder, uses);
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotRequest.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotRequest.java
@@ -12,6 +12,7 @@
  * @param batch whether somebody waits for the answer (false) or it may give way (true)
  * @param rank order among those that wait; the lowest goes first. Priority of the route for online
  *     requests, due time for batch items
+ * @param work time for which a batch item still has to run; zero for online requests
  * @param dataCentre where the gateway stands
  * @param maxWait longest time that it may wait for a slot
  * @param patience longest time that it may wait if it was refused before, and comes back for the
@@ -24,13 +25,14 @@
     String service,
     boolean batch,
     long rank,
+    Duration work,
     String dataCentre,
     Duration maxWait,
     Duration patience,
     long fingerprint,
     Set<EndpointLife> excluded) {
 
-  /** Creates a request that waits no longer when it comes back. */
+  /** Creates a request of unknown work that waits no longer when it comes back. */
   public SlotRequest(
       SlotKey key,
       String service,
@@ -40,6 +42,16 @@
       Duration maxWait,
       long fingerprint,
       Set<EndpointLife> excluded) {
-    this(key, service, batch, rank, dataCentre, maxWait, maxWait, fingerprint, excluded);
+    this(
+        key,
+        service,
+        batch,
+        rank,
+        Duration.ZERO,
+        dataCentre,
+        maxWait,
+        maxWait,
+        fingerprint,
+        excluded);
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotUse.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotUse.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.gateway.slot;
 
 import io.hawthornlb.gateway.endpoint.EndpointLife;
+import java.time.Duration;
 
 /**
  * A slot in use, as its holder tells it.
@@ -9,12 +10,13 @@
  * @param life endpoint, and which of its lives the slot is one of
  * @param batch whether a batch item runs there
  * @param rank order of the request; see {@link SlotRequest#rank()}
+ * @param work time for which it still has to run; see {@link SlotRequest#work()}
  */
-public record SlotUse(long number, EndpointLife life, boolean batch, long rank) {
+public record SlotUse(long number, EndpointLife life, boolean batch, long rank, Duration work) {
 
   /** Creates a use at an endpoint that did not say when it started. */
   public SlotUse(long number, String endpoint, boolean batch, long rank) {
-    this(number, EndpointLife.ofUnknownStart(endpoint), batch, rank);
+    this(number, EndpointLife.ofUnknownStart(endpoint), batch, rank, Duration.ZERO);
   }
 
   /** Returns the id of the endpoint. */
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -27,8 +27,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Coordinator that places on the endpoint with the smallest share of its slots in use, queues by
- * rank, and revokes the batch item that is due last when an online request finds no slot.
+ * Coordinator that queues by rank, and revokes a batch item when an online request finds no slot for
+ * a while.
  *
  * <p>A request that is refused at once can come back while there is time; one that waits longer
  * than it may would be late and would have kept others waiting. So an online request waits only
@@ -36,6 +36,12 @@
  */
 public final class DefaultSlotCoordinator implements SlotCoordinator {
 
+  /** Items that can be in time before those that cannot, then by due time, then by what is left. */
+  private static final Comparator<SlotLease> ITEM_ORDER =
+      Comparator.comparing(SlotLease::late)
+          .thenComparing(SlotLease::rank)
+          .thenComparing(SlotLease::ends);
+
   private final String service;
   private final EndpointDirectory directory;
   private final SlotSettings settings;
@@ -47,11 +53,9 @@
   private final OverloadSpell spell = new OverloadSpell();
   private final ForeignLoad foreign = new ForeignLoad();
   private final WaitEstimate estimate = new WaitEstimate();
-  private final Map<SlotKey, SlotLease> leases = new HashMap<>();
-  private final Map<String, Integer> used = new HashMap<>();
+  private final SlotLeases leases;
   private final WaitingRequests waiting = new WaitingRequests();
-  private int countedLeases;
-  private int onlineLeases;
+  private final LateItems lateItems;
 
   /**
    * Creates a coordinator of a service.
@@ -67,17 +71,19 @@
     this.penalties = new Penalties(settings);
     this.outliers = new Outliers(settings);
     this.refusedCallers = new RefusedCallers(settings);
+    this.leases = new SlotLeases(directory);
+    this.lateItems = new LateItems(leases, waiting);
     directory.onNewLife(this::begun);
   }
 
   @Override
   public List<SlotAnswer> request(SlotRequest request, Instant now) {
-    SlotLease held = leases.get(request.key());
-    if (held != null && counts(held)) {
+    SlotLease held = leases.find(request.key());
+    if (held != null && leases.counts(held)) {
       // The answer was lost, and the holder asks again.
       return List.of(new SlotAnswer.Granted(request.key(), held.life()));
     }
-    drop(request.key());
+    leases.drop(request.key());
     Waiter known = waiting.find(request.key());
     if (known != null) {
       return List.of(waitingUntil(known, now));
@@ -88,7 +94,7 @@
     List<SlotAnswer> answers = new ArrayList<>();
     boolean returning = refusedCallers.returned(request.fingerprint(), now);
     boolean alone = waiting.isEmpty();
-    if (!tryGrant(request, now, answers)) {
+    if (!tryGrant(request, giveWayAfter(request).isZero(), now, answers)) {
       waitOrRefuse(request, returning, now, answers);
     } else if (alone) {
       spell.eased(now);
@@ -99,11 +105,11 @@
   @Override
   public List<SlotAnswer> release(SlotKey key, SlotOutcome outcome, Instant now) {
     waiting.remove(key);
-    SlotLease lease = drop(key);
+    SlotLease lease = leases.drop(key);
     if (lease == null) {
       return List.of();
     }
-    if (counts(lease)) {
+    if (leases.counts(lease)) {
       penalties.record(
           lease.endpoint(), lease.endpointDataCentre(), lease.dataCentre(), outcome, now);
       outliers.ended(lease.endpoint(), lease.dataCentre(), outcome, now);
@@ -119,8 +125,8 @@
 
   @Override
   public void suspect(SlotKey key, Instant now) {
-    SlotLease lease = leases.get(key);
-    if (lease != null && counts(lease)) {
+    SlotLease lease = leases.find(key);
+    if (lease != null && leases.counts(lease)) {
       // No failure yet: a full endpoint is silent as well, and must not count as cut off.
       penalties.record(
           lease.endpoint(), lease.endpointDataCentre(), lease.dataCentre(), SlotOutcome.SHED, now);
@@ -130,9 +136,9 @@
 
   @Override
   public void told(SlotKey key, ToldLoad load, Instant now) {
-    SlotLease lease = leases.get(key);
-    if (lease != null && counts(lease)) {
-      foreign.told(lease.endpoint(), load, used(lease.endpoint()), now);
+    SlotLease lease = leases.find(key);
+    if (lease != null && leases.counts(lease)) {
+      foreign.told(lease.endpoint(), load, leases.used(lease.endpoint()), now);
     }
   }
 
@@ -146,26 +152,29 @@
     Map<Long, SlotUse> told =
         uses.stream().collect(Collectors.toMap(SlotUse::number, use -> use, (a, b) -> b));
     Instant settled = now.minus(settings.leaseTime().dividedBy(3));
-    dropAll(
+    leases.dropAll(
         lease ->
             lease.key().holder().equals(holder)
                 && !told.containsKey(lease.key().number())
                 && lease.since().isBefore(settled));
     for (SlotUse use : told.values()) {
       SlotKey key = new SlotKey(holder, use.number());
-      SlotLease known = leases.get(key);
+      SlotLease known = leases.find(key);
       SlotLease renewed =
           known != null && known.endpoint().equals(use.endpoint())
               ? known.renewed(use.life(), now)
               : adopted(key, use, now);
-      hold(renewed);
+      leases.hold(renewed);
     }
   }
 
   @Override
   public List<SlotAnswer> tick(Instant now) {
     Instant silentSince = now.minus(settings.leaseTime());
-    dropAll(lease -> lease.renewed().isBefore(silentSince));
+    leases.dropAll(lease -> lease.renewed().isBefore(silentSince));
+    if (settings.lateItemsLast()) {
+      lateItems.look(now);
+    }
     List<SlotAnswer> answers = new ArrayList<>(fill(now));
     for (Waiter waiter : waiting.removeExpired(now)) {
       answers.add(refuse(waiter, now));
@@ -188,8 +197,9 @@
   private void waitOrRefuse(
       SlotRequest request, boolean returning, Instant now, List<SlotAnswer> answers) {
     Duration longest = returning ? request.patience() : request.maxWait();
-    Waiter waiter = new Waiter(request, returning, now, now.plus(longest));
-    if (!request.batch() && expectedWait(waiter, now).compareTo(longest) > 0) {
+    Waiter waiter = new Waiter(request, returning, late(request, now), now, now.plus(longest));
+    boolean itemGivesWay = leases.items().size() > waiting.online();
+    if (!request.batch() && !itemGivesWay && expectedWait(waiter, now).compareTo(longest) > 0) {
       answers.add(refuse(waiter, now));
       return;
     }
@@ -225,7 +235,7 @@
   }
 
   private SlotAnswer refused(SlotRequest request, Duration retryAfter) {
-    SlotAnswer.Load seen = new SlotAnswer.Load(slots(), countedLeases, waiting.online());
+    SlotAnswer.Load seen = new SlotAnswer.Load(slots(), leases.counted(), waiting.online());
     return new SlotAnswer.Refused(request.key(), retryAfter, seen);
   }
 
@@ -256,16 +266,18 @@
     Set<Search> failed = new HashSet<>();
     Iterator<Waiter> next = waiting.inOrder();
     while (next.hasNext() && !exhausted(now)) {
-      SlotRequest request = next.next().request();
-      if (request.batch() && !roomForItem(now)) {
-        // Items come last, and there is room for none of those behind it either.
+      Waiter waiter = next.next();
+      SlotRequest request = waiter.request();
+      if (request.batch() && !anyFree(now)) {
+        // Items come last, and there is a slot for none of those behind it either.
         break;
       }
-      Search search = new Search(request.dataCentre(), request.batch());
+      boolean mayRevoke = !now.isBefore(waiter.since().plus(giveWayAfter(request)));
+      Search search = new Search(request.dataCentre(), request.batch(), mayRevoke);
       if (failed.contains(search)) {
         continue;
       }
-      if (tryGrant(request, now, answers)) {
+      if (tryGrant(request, mayRevoke, now, answers)) {
         next.remove();
       } else if (request.excluded().isEmpty()) {
         failed.add(search);
@@ -275,39 +287,61 @@
   }
 
   /** Where a slot is looked for; those with an equal one find the same, less what they exclude. */
-  private record Search(String dataCentre, boolean batch) {}
+  private record Search(String dataCentre, boolean batch, boolean mayRevoke) {}
 
-  /** Returns whether no endpoint has a slot that is free or can be taken back. */
-  private boolean exhausted(Instant now) {
-    if (countedLeases > onlineLeases) {
-      return false;
+  /**
+   * Returns how long a request waits for a slot that comes free before an item gives way.
+   *
+   * <p>Load pattern: when all slots are in use, one comes free every 10 to 20 ms. An item that gives
+   * way to a request at once, and gets that slot instead, has cost an endpoint a prompt for nothing.
+   */
+  private Duration giveWayAfter(SlotRequest request) {
+    if (!request.excluded().isEmpty()) {
+      return Duration.ZERO;
     }
+    return Duration.ofMillis((long) (request.maxWait().toMillis() * settings.giveWayShare()));
+  }
+
+  private boolean anyFree(Instant now) {
     for (EndpointRecord endpoint : directory.usable(service)) {
       if (inUse(endpoint, now) < endpoint.slots()) {
-        return false;
+        return true;
       }
     }
-    return true;
+    return false;
   }
 
-  private boolean tryGrant(SlotRequest request, Instant now, List<SlotAnswer> answers) {
-    if (request.batch() && !roomForItem(now)) {
-      return false;
-    }
+  private boolean late(SlotRequest request, Instant now) {
+    return settings.lateItemsLast() && lateItems.late(request, now);
+  }
+
+  /** Returns whether no endpoint has a slot that is free or can be taken back. */
+  private boolean exhausted(Instant now) {
+    return !leases.anyItem() && !anyFree(now);
+  }
+
+  private boolean tryGrant(
+      SlotRequest request, boolean mayRevoke, Instant now, List<SlotAnswer> answers) {
     List<EndpointRecord> candidates = candidates(request, now);
     String from = request.dataCentre();
     List<EndpointRecord> sound =
         candidates.stream().filter(each -> !outliers.avoided(each.id(), from, now)).toList();
-    Optional<EndpointRecord> found = leastUsed(sound, from, now);
+    if (request.batch() && !roomForItem(sound, now)) {
+      return false;
+    }
+    Optional<EndpointRecord> found = withFreeSlot(sound, from, now);
     if (found.isEmpty() && !request.batch()) {
-      found = revokeOne(sound, answers).or(() -> leastUsed(candidates, from, now));
+      if (mayRevoke) {
+        found = revokeOne(sound, answers);
+      }
+      found = found.or(() -> withFreeSlot(candidates, from, now));
     }
     if (found.isEmpty()) {
       return false;
     }
     EndpointRecord endpoint = found.get();
     penalties.granted(endpoint, request.dataCentre(), now);
-    hold(
+    leases.hold(
         new SlotLease(
             request.key(),
             endpoint.life(),
@@ -315,6 +349,8 @@
             request.dataCentre(),
             request.batch(),
             request.rank(),
+            request.work(),
+            late(request, now),
             request.fingerprint(),
             now,
             now));
@@ -328,10 +364,18 @@
    * <p>Load pattern: on a crest the number of online requests goes up and down around its mean by
    * about its square root. An item that takes a slot in each dip is revoked some 10 ms later and
    * has cost the endpoint a prompt. So that many slots stay free.
+   *
+   * <p>Failure: endpoints that do not answer stay in the list for seconds, and those behind a cut
+   * for as long as it lasts. It shows as items that are revoked as soon as they have begun, again
+   * and again, since an online request finds no slot where an item saw some. Guard: a slot counts as
+   * free only at an endpoint that would get the item.
    */
-  private boolean roomForItem(Instant now) {
-    int free = slots() - countedLeases - foreign.total(now);
-    return free > Math.sqrt(onlineLeases);
+  private boolean roomForItem(List<EndpointRecord> endpoints, Instant now) {
+    int free = 0;
+    for (EndpointRecord endpoint : endpoints) {
+      free += Math.max(0, endpoint.slots() - inUse(endpoint, now));
+    }
+    return free > waiting.online() + settings.itemReserve() * Math.sqrt(leases.online());
   }
 
   private List<EndpointRecord> candidates(SlotRequest request, Instant now) {
@@ -356,36 +400,15 @@
     return false;
   }
 
-  private Optional<EndpointRecord> leastUsed(
+  private Optional<EndpointRecord> withFreeSlot(
       List<EndpointRecord> candidates, String dataCentre, Instant now) {
-    Comparator<EndpointRecord> order =
-        Comparator.comparingDouble(
-                (EndpointRecord endpoint) -> (double) inUse(endpoint, now) / endpoint.slots())
-            .thenComparing(endpoint -> !endpoint.dataCentre().equals(dataCentre))
-            .thenComparing(EndpointRecord::id);
     return candidates.stream()
         .filter(endpoint -> inUse(endpoint, now) < endpoint.slots())
-        .min(order);
+        .min(settings.placement().order(dataCentre, endpoint -> inUse(endpoint, now)));
   }
 
   private int inUse(EndpointRecord endpoint, Instant now) {
-    return used(endpoint.id()) + foreign.at(endpoint.id(), now);
-  }
-
-  private int used(String endpoint) {
-    return used.getOrDefault(endpoint, 0);
-  }
-
-  /**
-   * Returns whether a use is one of the endpoint's present life, or of one that the list has not
-   * told of yet.
-   *
-   * <p>Failure: uses of a former life end late, over datagrams, and would free slots and count
-   * failures of the new one. Guard: such a use stays known until it ends, so that a request that
-   * crashed the endpoint is still found, and counts for nothing else.
-   */
-  private boolean counts(SlotLease lease) {
-    return !directory.former(lease.life());
+    return leases.used(endpoint.id()) + foreign.at(endpoint.id(), now);
   }
 
   /** Forgets what a former life of an endpoint has made untrue. */
@@ -393,52 +416,21 @@
     penalties.forget(life.id());
     outliers.forget(life.id());
     foreign.forget(life.id());
-    used.clear();
-    countedLeases = 0;
-    onlineLeases = 0;
-    leases.values().forEach(lease -> count(lease, 1));
-  }
-
-  private void hold(SlotLease lease) {
-    drop(lease.key());
-    leases.put(lease.key(), lease);
-    count(lease, 1);
-  }
-
-  private @Nullable SlotLease drop(SlotKey key) {
-    SlotLease lease = leases.remove(key);
-    if (lease != null) {
-      count(lease, -1);
-    }
-    return lease;
-  }
-
-  private void count(SlotLease lease, int change) {
-    if (counts(lease)) {
-      countedLeases += change;
-      onlineLeases += lease.batch() ? 0 : change;
-      used.merge(lease.endpoint(), change, Integer::sum);
-      used.remove(lease.endpoint(), 0);
-    }
-  }
-
-  private void dropAll(Predicate<SlotLease> condition) {
-    List<SlotKey> keys = leases.values().stream().filter(condition).map(SlotLease::key).toList();
-    keys.forEach(this::drop);
+    leases.recount();
   }
 
   private SlotLease adopted(SlotKey key, SlotUse use, Instant now) {
     String where = directory.find(use.endpoint()).map(EndpointRecord::dataCentre).orElse("");
-    return new SlotLease(key, use.life(), where, where, use.batch(), use.rank(), 0, now, now);
+    return new SlotLease(key, use.life(), where, where, use.batch(), use.rank(), use.work(), false, 0, now, now);
   }
 
   private Optional<EndpointRecord> revokeOne(
       List<EndpointRecord> candidates, List<SlotAnswer> answers) {
     Set<String> ids = candidates.stream().map(EndpointRecord::id).collect(Collectors.toSet());
     @Nullable SlotLease last = null;
-    for (SlotLease lease : leases.values()) {
-      boolean fits = lease.batch() && counts(lease) && ids.contains(lease.endpoint());
-      if (fits && (last == null || lease.rank() > last.rank())) {
+    for (SlotLease lease : leases.items()) {
+      boolean fits = ids.contains(lease.endpoint());
+      if (fits && (last == null || ITEM_ORDER.compare(lease, last) > 0)) {
         last = lease;
       }
     }
@@ -446,7 +438,7 @@
       return Optional.empty();
     }
     SlotLease revoked = last;
-    drop(revoked.key());
+    leases.drop(revoked.key());
     answers.add(new SlotAnswer.Revoked(revoked.key()));
     return candidates.stream()
         .filter(endpoint -> endpoint.id().equals(revoked.endpoint()))
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotLease.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotLease.java
@@ -2,9 +2,15 @@
 
 import io.hawthornlb.gateway.endpoint.EndpointLife;
 import io.hawthornlb.gateway.slot.SlotKey;
+import java.time.Duration;
 import java.time.Instant;
 
-/** A use of a slot that the coordinator knows of. */
+/**
+ * A use of a slot that the coordinator knows of.
+ *
+ * @param work time for which it had to run when it became known
+ * @param late whether it is a batch item that goes behind those which can be in time
+ */
 record SlotLease(
     SlotKey key,
     EndpointLife life,
@@ -12,6 +18,8 @@
     String dataCentre,
     boolean batch,
     long rank,
+    Duration work,
+    boolean late,
     long fingerprint,
     Instant since,
     Instant renewed) {
@@ -24,6 +32,43 @@
   /** Returns the use as its holder tells it, which knows best at which life it is. */
   SlotLease renewed(EndpointLife told, Instant now) {
     return new SlotLease(
-        key, told, endpointDataCentre, dataCentre, batch, rank, fingerprint, since, now);
+        key,
+        told,
+        endpointDataCentre,
+        dataCentre,
+        batch,
+        rank,
+        work,
+        late,
+        fingerprint,
+        since,
+        now);
+  }
+
+  /** Returns the use with another place among the batch items. */
+  SlotLease withLate(boolean nowLate) {
+    return new SlotLease(
+        key,
+        life,
+        endpointDataCentre,
+        dataCentre,
+        batch,
+        rank,
+        work,
+        nowLate,
+        fingerprint,
+        since,
+        renewed);
+  }
+
+  /** Returns when it has run for as long as it had to. */
+  Instant ends() {
+    return since.plus(work);
+  }
+
+  /** Returns for how long it still has to run. */
+  Duration left(Instant now) {
+    Duration left = work.minus(Duration.between(since, now));
+    return left.isNegative() ? Duration.ZERO : left;
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSettings.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSettings.java
@@ -16,6 +16,11 @@
  * @param maxOutlierTime longest such time
  * @param returnTime time after the one told for which a refused caller is expected; negative if
  *     refused callers are not told from others when they come back
+ * @param lateItemsLast whether items that can no longer be in time go behind the others
+ * @param giveWayShare part of the longest wait of an online request after which an item gives way
+ * @param itemReserve slots kept free from items, as a multiple of the square root of those that
+ *     online requests use
+ * @param placement which endpoint gets a request
  */
 public record SlotSettings(
     Duration leaseTime,
@@ -27,17 +32,15 @@
     double outlierShare,
     Duration outlierTime,
     Duration maxOutlierTime,
-    Duration returnTime) {
+    Duration returnTime,
+    boolean lateItemsLast,
+    double giveWayShare,
+    double itemReserve,
+    Placement placement) {
 
   /**
-   * Defaults. Holders renew every second, so three seconds bear two lost datagrams. A first failure
-   * is often one cut connection, hence 200 ms; crashed endpoints are back after 3 to 5 s. A full
-   * endpoint frees a slot about every 90 ms (8 slots of 0.7 s each). Cuts last about 5 s; a try
-   * every 700 ms costs one connection attempt of 120 ms and finds the end soon. A connection
-   * attempt fails after 120 ms, and a first event takes 60 to 100 ms. Lost and torn answers of 5 in
-   * 100 requests are ordinary trouble, endpoints that fail part of their requests fail 40 in 100,
-   * for 5 to 7 s. A caller that comes back needs 20 ms for its way and a connection, on a busy
-   * instance some 100 ms.
+   * Defaults. A lease bears two lost renewals. The first penalty is short, since a first failure is
+   * often one cut connection; the longest is as long as a crashed endpoint takes to be back.
    */
   public static final SlotSettings DEFAULT =
       new SlotSettings(
@@ -50,7 +53,11 @@
           0.25,
           Duration.ofSeconds(2),
           Duration.ofSeconds(8),
-          Duration.ofMillis(500));
+          Duration.ofMillis(500),
+          true,
+          0.2,
+          0.5,
+          new NearestPlacement());
 
   /** Returns a builder that starts from the defaults. */
   public static Builder builder() {
@@ -62,6 +69,10 @@
 
     private double outlierShare = DEFAULT.outlierShare();
     private Duration returnTime = DEFAULT.returnTime();
+    private boolean lateItemsLast = DEFAULT.lateItemsLast();
+    private double giveWayShare = DEFAULT.giveWayShare();
+    private double itemReserve = DEFAULT.itemReserve();
+    private Placement placement = DEFAULT.placement();
 
     private Builder() {}
 
@@ -77,6 +88,30 @@
       return this;
     }
 
+    /** Sets whether items that can no longer be in time go behind the others. */
+    public Builder lateItemsLast(boolean last) {
+      lateItemsLast = last;
+      return this;
+    }
+
+    /** Sets the part of its longest wait after which an item gives way to an online request. */
+    public Builder giveWayShare(double share) {
+      giveWayShare = share;
+      return this;
+    }
+
+    /** Sets how many slots are kept free from items. */
+    public Builder itemReserve(double factor) {
+      itemReserve = factor;
+      return this;
+    }
+
+    /** Sets which endpoint gets a request. */
+    Builder placement(Placement order) {
+      placement = order;
+      return this;
+    }
+
     /** Returns the settings. */
     public SlotSettings build() {
       return new SlotSettings(
@@ -89,7 +124,11 @@
           outlierShare,
           DEFAULT.outlierTime(),
           DEFAULT.maxOutlierTime(),
-          returnTime);
+          returnTime,
+          lateItemsLast,
+          giveWayShare,
+          itemReserve,
+          placement);
     }
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Waiter.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Waiter.java
@@ -9,17 +9,31 @@
  *
  * @param request the request
  * @param returning whether it was refused before
+ * @param late whether it is a batch item that goes behind those which can be in time
  * @param since when it came
  * @param until when it has waited long enough
  */
-record Waiter(SlotRequest request, boolean returning, Instant since, Instant until) {
+record Waiter(
+    SlotRequest request, boolean returning, boolean late, Instant since, Instant until) {
 
-  /** Online requests before items, then by rank, newcomers first, then by how long they wait. */
+  /**
+   * Online requests before items, then by rank, newcomers first, then by how long they wait.
+   *
+   * <p>Of items due at one time those with the least work go first, so that some are done while
+   * others wait, rather than all a little too late.
+   */
   static final Comparator<Waiter> ORDER =
       Comparator.comparing((Waiter waiter) -> waiter.request().batch())
+          .thenComparing(Waiter::late)
           .thenComparing(waiter -> waiter.request().rank())
+          .thenComparing(waiter -> waiter.request().work())
           .thenComparing(Waiter::returning)
           .thenComparing(Waiter::since)
           .thenComparing(waiter -> waiter.request().key().holder())
           .thenComparing(waiter -> waiter.request().key().number());
+
+  /** Returns the request with another place among the batch items. */
+  Waiter withLate(boolean nowLate) {
+    return new Waiter(request, returning, nowLate, since, until);
+  }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/WaitingRequests.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/WaitingRequests.java
@@ -64,6 +64,18 @@
     return expired;
   }
 
+  /** Returns the batch items. */
+  List<Waiter> items() {
+    return ordered.stream().filter(waiter -> waiter.request().batch()).toList();
+  }
+
+  /** Puts a request at another place in the order. */
+  void replace(Waiter former, Waiter next) {
+    ordered.remove(former);
+    ordered.add(next);
+    byKey.put(next.request().key(), next);
+  }
+
   /** Returns an iterator that can remove. */
   Iterator<Waiter> inOrder() {
     Iterator<Waiter> each = ordered.iterator();
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
@@ -30,6 +30,7 @@
                 "engine",
                 true,
                 7L << 33,
+                Duration.ofMillis(4_200),
                 "a",
                 Duration.ofMillis(150),
                 Duration.ofMillis(3_000),
@@ -48,7 +49,10 @@
         new PeerMessage.Renew(
             "engine",
             "holder~1",
-            List.of(new SlotUse(1, "e1", true, 9), new SlotUse(2, "e2", false, 0))));
+            List.of(
+                new SlotUse(
+                    1, EndpointLife.ofUnknownStart("e1"), true, 9, Duration.ofMillis(700)),
+                new SlotUse(2, "e2", false, 0))));
   }
 
   @ParameterizedTest
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/CoordinatorFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/CoordinatorFixture.java
@@ -7,10 +7,13 @@
 import io.hawthornlb.gateway.slot.SlotKey;
 import io.hawthornlb.gateway.slot.SlotOutcome;
 import io.hawthornlb.gateway.slot.SlotRequest;
+import io.hawthornlb.gateway.slot.SlotUse;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /** A coordinator of one service, with its clock. */
@@ -19,11 +22,19 @@
   static final String SERVICE = "engine";
 
   final EndpointDirectory directory = new EndpointDirectory();
-  final DefaultSlotCoordinator coordinator =
-      new DefaultSlotCoordinator(SERVICE, directory, SlotSettings.DEFAULT, fingerprint -> {});
+  final DefaultSlotCoordinator coordinator;
   Instant now = Instant.parse("2026-01-01T00:00:00Z");
+  private final Map<SlotKey, SlotUse> uses = new HashMap<>();
   private long numbers;
 
+  CoordinatorFixture() {
+    this(SlotSettings.DEFAULT);
+  }
+
+  CoordinatorFixture(SlotSettings settings) {
+    coordinator = new DefaultSlotCoordinator(SERVICE, directory, settings, fingerprint -> {});
+  }
+
   CoordinatorFixture endpoint(String id, String dataCentre, int slots) {
     directory.put(
         new EndpointRecord(
@@ -39,6 +50,22 @@
     return request("a", true, due.toEpochMilli(), Set.of());
   }
 
+  /** Returns a batch item. */
+  SlotRequest item(Instant due, Duration work) {
+    numbers++;
+    return new SlotRequest(
+        new SlotKey("holder", numbers),
+        SERVICE,
+        true,
+        due.toEpochMilli(),
+        work,
+        "a",
+        Duration.ofSeconds(2),
+        Duration.ofSeconds(2),
+        0,
+        Set.of());
+  }
+
   SlotRequest request(String dataCentre, boolean batch, long rank, Set<EndpointLife> excluded) {
     numbers++;
     return new SlotRequest(
@@ -56,6 +83,29 @@
     return coordinator.request(request, now);
   }
 
+  /** Looks at the time, as a gateway does that coordinates; returns what it has to tell. */
+  List<SlotAnswer> tick() {
+    return coordinator.tick(now);
+  }
+
+  /** Takes that a request uses its slot from now on, until {@link #ended}. */
+  void began(SlotRequest request, String endpoint) {
+    EndpointLife life = EndpointLife.ofUnknownStart(endpoint);
+    uses.put(
+        request.key(),
+        new SlotUse(
+            request.key().number(), life, request.batch(), request.rank(), request.work()));
+  }
+
+  void ended(SlotKey key) {
+    uses.remove(key);
+  }
+
+  /** Renews all uses, as their holders do every second. */
+  void renew() {
+    coordinator.renew("holder", List.copyOf(uses.values()), now);
+  }
+
   /** Returns the endpoint that a request is granted at once. */
   String granted(SlotRequest request) {
     for (SlotAnswer answer : ask(request)) {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/RestartedEndpointTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/RestartedEndpointTest.java
@@ -247,7 +247,7 @@
   }
 
   private static SlotUse use(long number, long born) {
-    return new SlotUse(number, new EndpointLife("e1", born), false, 0);
+    return new SlotUse(number, new EndpointLife("e1", born), false, 0, Duration.ZERO);
   }
 
   private static SlotRequest deadly(int attempt) {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/ReturnReplayTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/ReturnReplayTest.java
@@ -98,6 +98,7 @@
         "engine",
         false,
         0,
+        Duration.ZERO,
         "a",
         maxWait,
         PATIENCE,
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/WaveReplay.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/WaveReplay.java
@@ -30,6 +30,8 @@
   private static final int ITEMS_WAITING = 60;
   private static final int FIRST_EVENT_MILLIS = 60;
   private static final int OBJECTIVE_MILLIS = 300;
+  private static final int TICK_MILLIS = 20;
+  private static final int RENEW_MILLIS = 1_000;
 
   private final Random random;
   private final boolean coordinated;
@@ -38,6 +40,7 @@
   private final PriorityQueue<Due> due = new PriorityQueue<>();
   private final List<Engine> engines = new ArrayList<>();
   private final Map<SlotKey, Runnable> onGrant = new HashMap<>();
+  private final Map<SlotKey, Runnable> onRefusal = new HashMap<>();
   private final Map<SlotKey, Runnable> onRevoke = new HashMap<>();
   private final Map<SlotKey, String> grantedAt = new HashMap<>();
   private final int[][] ownCounts = new int[GATEWAYS][ENDPOINTS];
@@ -110,6 +113,12 @@
       int item = i;
       at(0, () -> startItem(item));
     }
+    for (int millis = 0; coordinated && millis < RUN_MILLIS; millis += TICK_MILLIS) {
+      at(millis, () -> take(fixture.tick()));
+    }
+    for (int millis = 0; coordinated && millis < RUN_MILLIS; millis += RENEW_MILLIS) {
+      at(millis, fixture::renew);
+    }
     while (!due.isEmpty() && due.peek().at() < RUN_MILLIS) {
       Due next = due.poll();
       now = next.at();
@@ -145,7 +154,12 @@
         request.key(),
         () -> {
           int endpoint = Integer.parseInt(grantedAt.get(request.key()));
-          Runnable release = () -> take(fixture.release(request, SlotOutcome.ANSWERED));
+          fixture.began(request, String.valueOf(endpoint));
+          Runnable release =
+              () -> {
+                fixture.ended(request.key());
+                take(fixture.release(request, SlotOutcome.ANSWERED));
+              };
           engines.get(endpoint).arrive(() -> use(arrived, endpoint, release));
         });
     take(fixture.ask(request));
@@ -189,8 +203,10 @@
         request.key(),
         () -> {
           int endpoint = Integer.parseInt(grantedAt.get(request.key()));
+          fixture.began(request, String.valueOf(endpoint));
           engines.get(endpoint).arrive(() -> runItem(item, request, endpoint, over));
         });
+    onRefusal.put(request.key(), () -> startItem(item));
     take(fixture.ask(request));
   }
 
@@ -211,6 +227,7 @@
           if (!over[0]) {
             over[0] = true;
             itemMillis += now - began;
+            fixture.ended(request.key());
             engines.get(endpoint).left();
             at(now, () -> startItem(item));
           }
@@ -234,8 +251,15 @@
           end.run();
         }
       } else if (answer instanceof SlotAnswer.Granted granted) {
+        onRefusal.remove(granted.key());
         grantedAt.put(granted.key(), granted.endpoint());
         onGrant.remove(granted.key()).run();
+      } else if (answer instanceof SlotAnswer.Refused) {
+        onGrant.remove(answer.key());
+        Runnable askAgain = onRefusal.remove(answer.key());
+        if (askAgain != null) {
+          at(now, askAgain);
+        }
       }
     }
   }
