--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
@@ -256,9 +256,7 @@
       List<SlotUse> ofService =
           uses.computeIfAbsent(held.request.service(), any -> new ArrayList<>());
       if (held.endpoint != null) {
-        SlotRequest request = held.request;
-        ofService.add(
-            new SlotUse(request.key().number(), held.endpoint, request.batch(), request.rank()));
+        ofService.add(held.use(held.endpoint, clock.instant()));
       }
     }
     uses.forEach(this::renewAt);
@@ -287,6 +285,7 @@
     private int tries;
     private int asked;
     private @Nullable EndpointLife endpoint;
+    private Instant grantedAt = Instant.MAX;
     private @Nullable ScheduledFuture<?> timer;
 
     private Pending(SlotRequest request, Listener listener) {
@@ -346,6 +345,7 @@
             directory.find(grant.endpoint()).map(EndpointRecord::life).orElse(grant.life());
         EndpointLife life = listed.follows(grant.life()) ? listed : grant.life();
         endpoint = life;
+        grantedAt = clock.instant();
         listener.onAnswer(new SlotAnswer.Granted(request.key(), life));
       } else {
         pending.remove(request.key());
@@ -366,6 +366,16 @@
       return notThere && behind ? SlotOutcome.ABANDONED : outcome;
     }
 
+    private SlotUse use(EndpointLife life, Instant now) {
+      Duration left = request.work().minus(Duration.between(grantedAt, now));
+      return new SlotUse(
+          request.key().number(),
+          life,
+          request.batch(),
+          request.rank(),
+          left.isNegative() ? Duration.ZERO : left);
+    }
+
     private void lost() {
       if (pending.remove(request.key()) == this) {
         fleet.silent(coordinator.name(), clock.instant());
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -27,8 +27,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Coordinator that queues by rank, and revokes a batch item when an online request finds no slot for
- * a while.
+ * Coordinator that places on the endpoint with the smallest share of its slots in use, queues by
+ * rank, and revokes a batch item when an online request finds no slot.
  *
  * <p>A request that is refused at once can come back while there is time; one that waits longer
  * than it may would be late and would have kept others waiting. So an online request waits only
@@ -94,7 +94,7 @@
     List<SlotAnswer> answers = new ArrayList<>();
     boolean returning = refusedCallers.returned(request.fingerprint(), now);
     boolean alone = waiting.isEmpty();
-    if (!tryGrant(request, giveWayAfter(request).isZero(), now, answers)) {
+    if (!tryGrant(request, now, answers)) {
       waitOrRefuse(request, returning, now, answers);
     } else if (alone) {
       spell.eased(now);
@@ -198,8 +198,7 @@
       SlotRequest request, boolean returning, Instant now, List<SlotAnswer> answers) {
     Duration longest = returning ? request.patience() : request.maxWait();
     Waiter waiter = new Waiter(request, returning, late(request, now), now, now.plus(longest));
-    boolean itemGivesWay = leases.items().size() > waiting.online();
-    if (!request.batch() && !itemGivesWay && expectedWait(waiter, now).compareTo(longest) > 0) {
+    if (!request.batch() && expectedWait(waiter, now).compareTo(longest) > 0) {
       answers.add(refuse(waiter, now));
       return;
     }
@@ -266,18 +265,16 @@
     Set<Search> failed = new HashSet<>();
     Iterator<Waiter> next = waiting.inOrder();
     while (next.hasNext() && !exhausted(now)) {
-      Waiter waiter = next.next();
-      SlotRequest request = waiter.request();
-      if (request.batch() && !anyFree(now)) {
-        // Items come last, and there is a slot for none of those behind it either.
+      SlotRequest request = next.next().request();
+      if (request.batch() && !roomForItem(now)) {
+        // Items come last, and there is room for none of those behind it either.
         break;
       }
-      boolean mayRevoke = !now.isBefore(waiter.since().plus(giveWayAfter(request)));
-      Search search = new Search(request.dataCentre(), request.batch(), mayRevoke);
+      Search search = new Search(request.dataCentre(), request.batch());
       if (failed.contains(search)) {
         continue;
       }
-      if (tryGrant(request, mayRevoke, now, answers)) {
+      if (tryGrant(request, now, answers)) {
         next.remove();
       } else if (request.excluded().isEmpty()) {
         failed.add(search);
@@ -287,20 +284,7 @@
   }
 
   /** Where a slot is looked for; those with an equal one find the same, less what they exclude. */
-  private record Search(String dataCentre, boolean batch, boolean mayRevoke) {}
-
-  /**
-   * Returns how long a request waits for a slot that comes free before an item gives way.
-   *
-   * <p>Load pattern: when all slots are in use, one comes free every 10 to 20 ms. An item that gives
-   * way to a request at once, and gets that slot instead, has cost an endpoint a prompt for nothing.
-   */
-  private Duration giveWayAfter(SlotRequest request) {
-    if (!request.excluded().isEmpty()) {
-      return Duration.ZERO;
-    }
-    return Duration.ofMillis((long) (request.maxWait().toMillis() * settings.giveWayShare()));
-  }
+  private record Search(String dataCentre, boolean batch) {}
 
   private boolean anyFree(Instant now) {
     for (EndpointRecord endpoint : directory.usable(service)) {
@@ -320,21 +304,17 @@
     return !leases.anyItem() && !anyFree(now);
   }
 
-  private boolean tryGrant(
-      SlotRequest request, boolean mayRevoke, Instant now, List<SlotAnswer> answers) {
+  private boolean tryGrant(SlotRequest request, Instant now, List<SlotAnswer> answers) {
+    if (request.batch() && !roomForItem(now)) {
+      return false;
+    }
     List<EndpointRecord> candidates = candidates(request, now);
     String from = request.dataCentre();
     List<EndpointRecord> sound =
         candidates.stream().filter(each -> !outliers.avoided(each.id(), from, now)).toList();
-    if (request.batch() && !roomForItem(sound, now)) {
-      return false;
-    }
-    Optional<EndpointRecord> found = withFreeSlot(sound, from, now);
+    Optional<EndpointRecord> found = leastUsed(sound, from, now);
     if (found.isEmpty() && !request.batch()) {
-      if (mayRevoke) {
-        found = revokeOne(sound, answers);
-      }
-      found = found.or(() -> withFreeSlot(candidates, from, now));
+      found = revokeOne(sound, answers).or(() -> leastUsed(candidates, from, now));
     }
     if (found.isEmpty()) {
       return false;
@@ -364,18 +344,10 @@
    * <p>Load pattern: on a crest the number of online requests goes up and down around its mean by
    * about its square root. An item that takes a slot in each dip is revoked some 10 ms later and
    * has cost the endpoint a prompt. So that many slots stay free.
-   *
-   * <p>Failure: endpoints that do not answer stay in the list for seconds, and those behind a cut
-   * for as long as it lasts. It shows as items that are revoked as soon as they have begun, again
-   * and again, since an online request finds no slot where an item saw some. Guard: a slot counts as
-   * free only at an endpoint that would get the item.
    */
-  private boolean roomForItem(List<EndpointRecord> endpoints, Instant now) {
-    int free = 0;
-    for (EndpointRecord endpoint : endpoints) {
-      free += Math.max(0, endpoint.slots() - inUse(endpoint, now));
-    }
-    return free > waiting.online() + settings.itemReserve() * Math.sqrt(leases.online());
+  private boolean roomForItem(Instant now) {
+    int free = slots() - leases.counted() - foreign.total(now);
+    return free > Math.sqrt(leases.online());
   }
 
   private List<EndpointRecord> candidates(SlotRequest request, Instant now) {
@@ -400,11 +372,16 @@
     return false;
   }
 
-  private Optional<EndpointRecord> withFreeSlot(
+  private Optional<EndpointRecord> leastUsed(
       List<EndpointRecord> candidates, String dataCentre, Instant now) {
+    Comparator<EndpointRecord> order =
+        Comparator.comparingDouble(
+                (EndpointRecord endpoint) -> (double) inUse(endpoint, now) / endpoint.slots())
+            .thenComparing(endpoint -> !endpoint.dataCentre().equals(dataCentre))
+            .thenComparing(EndpointRecord::id);
     return candidates.stream()
         .filter(endpoint -> inUse(endpoint, now) < endpoint.slots())
-        .min(settings.placement().order(dataCentre, endpoint -> inUse(endpoint, now)));
+        .min(order);
   }
 
   private int inUse(EndpointRecord endpoint, Instant now) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSettings.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSettings.java
@@ -17,10 +17,6 @@
  * @param returnTime time after the one told for which a refused caller is expected; negative if
  *     refused callers are not told from others when they come back
  * @param lateItemsLast whether items that can no longer be in time go behind the others
- * @param giveWayShare part of the longest wait of an online request after which an item gives way
- * @param itemReserve slots kept free from items, as a multiple of the square root of those that
- *     online requests use
- * @param placement which endpoint gets a request
  */
 public record SlotSettings(
     Duration leaseTime,
@@ -33,10 +29,7 @@
     Duration outlierTime,
     Duration maxOutlierTime,
     Duration returnTime,
-    boolean lateItemsLast,
-    double giveWayShare,
-    double itemReserve,
-    Placement placement) {
+    boolean lateItemsLast) {
 
   /**
    * Defaults. A lease bears two lost renewals. The first penalty is short, since a first failure is
@@ -54,10 +47,7 @@
           Duration.ofSeconds(2),
           Duration.ofSeconds(8),
           Duration.ofMillis(500),
-          true,
-          0.2,
-          0.5,
-          new NearestPlacement());
+          true);
 
   /** Returns a builder that starts from the defaults. */
   public static Builder builder() {
@@ -70,9 +60,6 @@
     private double outlierShare = DEFAULT.outlierShare();
     private Duration returnTime = DEFAULT.returnTime();
     private boolean lateItemsLast = DEFAULT.lateItemsLast();
-    private double giveWayShare = DEFAULT.giveWayShare();
-    private double itemReserve = DEFAULT.itemReserve();
-    private Placement placement = DEFAULT.placement();
 
     private Builder() {}
 
@@ -94,24 +81,6 @@
       return this;
     }
 
-    /** Sets the part of its longest wait after which an item gives way to an online request. */
-    public Builder giveWayShare(double share) {
-      giveWayShare = share;
-      return this;
-    }
-
-    /** Sets how many slots are kept free from items. */
-    public Builder itemReserve(double factor) {
-      itemReserve = factor;
-      return this;
-    }
-
-    /** Sets which endpoint gets a request. */
-    Builder placement(Placement order) {
-      placement = order;
-      return this;
-    }
-
     /** Returns the settings. */
     public SlotSettings build() {
       return new SlotSettings(
@@ -125,10 +94,7 @@
           DEFAULT.outlierTime(),
           DEFAULT.maxOutlierTime(),
           returnTime,
-          lateItemsLast,
-          giveWayShare,
-          itemReserve,
-          placement);
+          lateItemsLast);
     }
   }
 }
