Tell a new coordinator of all uses with the first question

Cause: a coordinator that ends or is cut off leaves its slots to the next one, which learns of their uses with the next renewal, up to a second later, and until then hands them out a second time: requests queue at endpoints. What waited at the former one, items above all, went on waiting there for up to 2 s.

Hypothesis: whoever first asks another coordinator can renew at once and ask for all that waits. Two tests show both cases; they fail on the former code. Ruled out: doing so when a process decides alone, which would move back and forth in a cut.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
@@ -63,6 +63,9 @@
   private final Map<String, SlotCoordinator> coordinators = new HashMap<>();
   private final Map<SlotKey, Pending> pending = new HashMap<>();
 
+  /** Names of the processes that coordinated the services last. */
+  private final Map<String, String> lastAsked = new HashMap<>();
+
   /** Names of the processes by their starts; answers go to these. */
   private final Map<String, String> senders = new HashMap<>();
 
@@ -251,6 +254,20 @@
 
   private void renew() {
     renewing = false;
+    Map<String, List<SlotUse>> uses = uses();
+    uses.forEach(
+        (service, ofService) -> {
+          GatewayInstance coordinator = fleet.ranked(service, clock.instant()).get(0);
+          moveTo(coordinator, service);
+          renewAt(coordinator, service, ofService);
+        });
+    if (!uses.isEmpty()) {
+      renewSoon();
+    }
+  }
+
+  /** Returns the uses of this process by service; a service that is only waited for has none. */
+  private Map<String, List<SlotUse>> uses() {
     Map<String, List<SlotUse>> uses = new HashMap<>();
     for (Pending held : pending.values()) {
       List<SlotUse> ofService =
@@ -259,15 +276,32 @@
         ofService.add(held.use(held.endpoint, clock.instant()));
       }
     }
-    uses.forEach(this::renewAt);
-    if (!uses.isEmpty()) {
-      renewSoon();
+    return uses;
+  }
+
+  /**
+   * Moves to another coordinator of a service with all that this process has there.
+   *
+   * <p>Failure: a coordinator ends or is cut off. It shows as slots that the next one hands out a
+   * second time, since it learns of their uses with the next renewal, and as items that go on
+   * waiting at the former one. Guard: whoever finds a new coordinator tells it of its uses first,
+   * and asks it for all that waits.
+   */
+  private void moveTo(GatewayInstance coordinator, String service) {
+    String former = lastAsked.put(service, coordinator.name());
+    if (former == null || former.equals(coordinator.name())) {
+      return;
+    }
+    renewAt(coordinator, service, uses().getOrDefault(service, List.of()));
+    for (Pending each : List.copyOf(pending.values())) {
+      if (each.waitsAt(former, service)) {
+        each.askAnew();
+      }
     }
   }
 
-  private void renewAt(String service, List<SlotUse> uses) {
+  private void renewAt(GatewayInstance coordinator, String service, List<SlotUse> uses) {
     String holder = fleet.self().boot();
-    GatewayInstance coordinator = fleet.ranked(service, clock.instant()).get(0);
     if (coordinator.equals(fleet.self())) {
       local(service).renew(holder, uses, clock.instant());
       tickSoon();
@@ -284,6 +318,7 @@
     private GatewayInstance coordinator = fleet.self();
     private int tries;
     private int asked;
+    private boolean waits;
     private @Nullable EndpointLife endpoint;
     private Instant grantedAt = Instant.MAX;
     private @Nullable ScheduledFuture<?> timer;
@@ -295,12 +330,30 @@
 
     private void askNext() {
       List<GatewayInstance> ranked = fleet.ranked(request.service(), clock.instant());
-      coordinator = asked < INSTANCES_ASKED && !ranked.isEmpty() ? ranked.get(0) : fleet.self();
+      boolean alone = asked >= INSTANCES_ASKED || ranked.isEmpty();
+      coordinator = alone ? fleet.self() : ranked.get(0);
       asked++;
       tries = 0;
+      if (!alone) {
+        moveTo(coordinator, request.service());
+      }
       ask();
     }
 
+    private boolean waitsAt(String instance, String service) {
+      return pending.get(request.key()) == this
+          && waits
+          && coordinator.name().equals(instance)
+          && request.service().equals(service);
+    }
+
+    private void askAnew() {
+      stopTimer();
+      waits = false;
+      asked = 0;
+      askNext();
+    }
+
     private void ask() {
       if (coordinator.equals(fleet.self())) {
         deliver(local(request.service()).request(request, clock.instant()));
@@ -335,6 +388,7 @@
         return;
       }
       stopTimer();
+      waits = answer instanceof SlotAnswer.Waiting;
       if (answer instanceof SlotAnswer.Waiting waiting) {
         Duration longest = waiting.atMost().plus(ANSWER_MARGIN);
         timer = executor.schedule(this::lost, longest.toMillis(), TimeUnit.MILLISECONDS);
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
@@ -189,6 +189,53 @@
         other.answers.toString());
   }
 
+  /**
+   * First events come late after a coordinator was killed, though slots are free elsewhere. The next
+   * one hands out slots that are in use, for as long as it takes until their holders renew them.
+   */
+  @Test
+  void tellsItsUsesWithTheFirstQuestionToANewCoordinator() {
+    GatewayInstance coordinator = nodes.get("a1").fleet.ranked(SERVICE, time.instant()).get(0);
+    Node holder = otherThan(coordinator.name());
+    holder.ask();
+    time.advance(Duration.ofMillis(5));
+    assertEquals(1, holder.answers.size());
+    nodes.get(coordinator.name()).down = true;
+    SlotRequest next = holder.ask();
+    time.advance(Duration.ofMillis(60));
+    assertEquals(1, holder.answers.size(), "granted twice: " + holder.answers);
+    holder.slots.release(next.key(), SlotOutcome.ABANDONED);
+  }
+
+  /**
+   * Letters stand still for two seconds after a coordinator was killed. Its successor has free
+   * slots, and the items go on waiting at the one that is gone.
+   */
+  @Test
+  void asksANewCoordinatorForWhatWaitsAtTheFormerOne() {
+    GatewayInstance coordinator = nodes.get("a1").fleet.ranked(SERVICE, time.instant()).get(0);
+    Node first = otherThan(coordinator.name());
+    SlotRequest running = first.ask();
+    time.advance(Duration.ofMillis(5));
+    SlotRequest waits = first.ask();
+    time.advance(Duration.ofMillis(5));
+    assertEquals(1, first.answers.size());
+    nodes.get(coordinator.name()).down = true;
+    first.slots.release(running.key(), SlotOutcome.ANSWERED);
+    first.ask();
+    time.advance(Duration.ofMillis(60));
+    assertTrue(
+        first.answers.contains(granted(waits, EndpointLife.UNKNOWN)), first.answers.toString());
+  }
+
+  private Node otherThan(String name) {
+    return names.stream()
+        .filter(each -> !each.equals(name))
+        .map(nodes::get)
+        .findFirst()
+        .orElseThrow();
+  }
+
   /**
    * A request that crashes whoever runs it takes three endpoints more after the coordinator died.
    * The next coordinator had not heard of the crashes.
