Use endpoints nearby first, for what gives way as well

Each gateway had connections to all endpoints.

Placement is an interface now; NearestPlacement goes before LeastUsedPlacement, and an item nearby gives way before one elsewhere.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -27,8 +27,7 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Coordinator that places on the endpoint with the smallest share of its slots in use, queues by
- * rank, and revokes a batch item when an online request finds no slot.
+ * Coordinator that queues by rank and revokes a batch item when an online request finds no slot.
  *
  * <p>A request that is refused at once can come back while there is time; one that waits longer
  * than it may would be late and would have kept others waiting. So an online request waits only
@@ -36,11 +35,10 @@
  */
 public final class DefaultSlotCoordinator implements SlotCoordinator {
 
-  /** Items that can be in time before those that cannot, then by due time, then by what is left. */
+  /** Items that can be in time before those that cannot, then by due time. */
   private static final Comparator<SlotLease> ITEM_ORDER =
       Comparator.comparing(SlotLease::late)
-          .thenComparing(SlotLease::rank)
-          .thenComparing(SlotLease::ends);
+          .thenComparing(SlotLease::rank);
 
   private final String service;
   private final EndpointDirectory directory;
@@ -312,9 +310,12 @@
     if (request.batch() && !roomForItem(sound, now)) {
       return false;
     }
-    Optional<EndpointRecord> found = leastUsed(sound, from, now);
+    Optional<EndpointRecord> found = withFreeSlot(sound, from, now);
     if (found.isEmpty() && !request.batch()) {
-      found = revokeOne(sound, answers).or(() -> leastUsed(candidates, from, now));
+      found =
+          revokeOne(preferred(sound, from), answers)
+              .or(() -> revokeOne(sound, answers))
+              .or(() -> withFreeSlot(candidates, from, now));
     }
     if (found.isEmpty()) {
       return false;
@@ -380,16 +381,17 @@
     return false;
   }
 
-  private Optional<EndpointRecord> leastUsed(
+  private Optional<EndpointRecord> withFreeSlot(
       List<EndpointRecord> candidates, String dataCentre, Instant now) {
-    Comparator<EndpointRecord> order =
-        Comparator.comparingDouble(
-                (EndpointRecord endpoint) -> (double) inUse(endpoint, now) / endpoint.slots())
-            .thenComparing(endpoint -> !endpoint.dataCentre().equals(dataCentre))
-            .thenComparing(EndpointRecord::id);
     return candidates.stream()
         .filter(endpoint -> inUse(endpoint, now) < endpoint.slots())
-        .min(order);
+        .min(settings.placement().order(dataCentre, endpoint -> inUse(endpoint, now)));
+  }
+
+  private List<EndpointRecord> preferred(List<EndpointRecord> endpoints, String dataCentre) {
+    return endpoints.stream()
+        .filter(endpoint -> settings.placement().prefers(endpoint, dataCentre))
+        .toList();
   }
 
   private int inUse(EndpointRecord endpoint, Instant now) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotLease.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotLease.java
@@ -61,11 +61,6 @@
         renewed);
   }
 
-  /** Returns when it has run for as long as it had to. */
-  Instant ends() {
-    return since.plus(work);
-  }
-
   /** Returns for how long it still has to run. */
   Duration left(Instant now) {
     Duration left = work.minus(Duration.between(since, now));
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSettings.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSettings.java
@@ -17,6 +17,7 @@
  * @param returnTime time after the one told for which a refused caller is expected; negative if
  *     refused callers are not told from others when they come back
  * @param lateItemsLast whether items that can no longer be in time go behind the others
+ * @param placement which endpoint gets a request
  */
 public record SlotSettings(
     Duration leaseTime,
@@ -29,7 +30,8 @@
     Duration outlierTime,
     Duration maxOutlierTime,
     Duration returnTime,
-    boolean lateItemsLast) {
+    boolean lateItemsLast,
+    Placement placement) {
 
   /**
    * Defaults. A lease bears two lost renewals. The first penalty is short, since a first failure is
@@ -47,7 +49,8 @@
           Duration.ofSeconds(2),
           Duration.ofSeconds(8),
           Duration.ofMillis(500),
-          true);
+          true,
+          new NearestPlacement());
 
   /** Returns a builder that starts from the defaults. */
   public static Builder builder() {
@@ -60,6 +63,7 @@
     private double outlierShare = DEFAULT.outlierShare();
     private Duration returnTime = DEFAULT.returnTime();
     private boolean lateItemsLast = DEFAULT.lateItemsLast();
+    private Placement placement = DEFAULT.placement();
 
     private Builder() {}
 
@@ -81,6 +85,12 @@
       return this;
     }
 
+    /** Sets which endpoint gets a request. */
+    Builder placement(Placement order) {
+      placement = order;
+      return this;
+    }
+
     /** Returns the settings. */
     public SlotSettings build() {
       return new SlotSettings(
@@ -94,7 +104,8 @@
           DEFAULT.outlierTime(),
           DEFAULT.maxOutlierTime(),
           returnTime,
-          lateItemsLast);
+          lateItemsLast,
+          placement);
     }
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Waiter.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Waiter.java
@@ -17,16 +17,13 @@
     SlotRequest request, boolean returning, boolean late, Instant since, Instant until) {
 
   /**
-   * Online requests before items, then by rank, newcomers first, then by how long they wait.
-   *
-   * <p>Of items due at one time those with the least work go first, so that some are done while
-   * others wait, rather than all a little too late.
+   * Online requests before items, items that can be in time before others, then by rank, newcomers
+   * first, then by how long they wait.
    */
   static final Comparator<Waiter> ORDER =
       Comparator.comparing((Waiter waiter) -> waiter.request().batch())
           .thenComparing(Waiter::late)
           .thenComparing(waiter -> waiter.request().rank())
-          .thenComparing(waiter -> waiter.request().work())
           .thenComparing(Waiter::returning)
           .thenComparing(Waiter::since)
           .thenComparing(waiter -> waiter.request().key().holder())
