--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -356,7 +356,7 @@
     for (EndpointRecord endpoint : endpoints) {
       free += Math.max(0, endpoint.slots() - inUse(endpoint, now));
     }
-    return free > Math.sqrt(leases.online());
+    return free > settings.itemReserve() * Math.sqrt(leases.online());
   }
 
   private List<EndpointRecord> candidates(SlotRequest request, Instant now) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSettings.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSettings.java
@@ -17,6 +17,8 @@
  * @param returnTime time after the one told for which a refused caller is expected; negative if
  *     refused callers are not told from others when they come back
  * @param lateItemsLast whether items that can no longer be in time go behind the others
+ * @param itemReserve slots kept free from items, as a multiple of the square root of those that
+ *     online requests use
  * @param placement which endpoint gets a request
  */
 public record SlotSettings(
@@ -31,6 +33,7 @@
     Duration maxOutlierTime,
     Duration returnTime,
     boolean lateItemsLast,
+    double itemReserve,
     Placement placement) {
 
   /**
@@ -50,6 +53,7 @@
           Duration.ofSeconds(8),
           Duration.ofMillis(500),
           true,
+          1,
           new NearestPlacement());
 
   /** Returns a builder that starts from the defaults. */
@@ -63,6 +67,7 @@
     private double outlierShare = DEFAULT.outlierShare();
     private Duration returnTime = DEFAULT.returnTime();
     private boolean lateItemsLast = DEFAULT.lateItemsLast();
+    private double itemReserve = DEFAULT.itemReserve();
     private Placement placement = DEFAULT.placement();
 
     private Builder() {}
@@ -85,6 +90,12 @@
       return this;
     }
 
+    /** Sets how many slots are kept free from items. */
+    public Builder itemReserve(double factor) {
+      itemReserve = factor;
+      return this;
+    }
+
     /** Sets which endpoint gets a request. */
     Builder placement(Placement order) {
       placement = order;
@@ -105,6 +116,7 @@
           DEFAULT.maxOutlierTime(),
           returnTime,
           lateItemsLast,
+          itemReserve,
           placement);
     }
   }
