--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -34,10 +34,7 @@
 /** One request on its way: gets a slot, is sent, and is sent again where the rules allow it. */
 final class Forwarding implements RequestHandler.Handling, SilenceWatch.Listener {
 
-  /**
-   * Part of the objective that a request may wait for a slot. The rest is for the answer: a first
-   * event takes 50 to 100 ms of 300, a plain call 40 of 193.
-   */
+  /** Part of the objective that a request may wait for a slot. The rest is for the answer. */
   private static final double WAIT_SHARE = 0.5;
 
   /**
@@ -51,17 +48,17 @@
 
   /**
    * Silence after which another endpoint is tried where the route allows it, as a multiple of the
-   * objective. A first event takes 0.2 of it, under a full crest 0.8.
+   * objective; a first event takes less than one, also on a crest.
    */
   private static final double STALL_OBJECTIVES = 2.0;
 
   /**
-   * Silence before a first event that is told to the coordinator, as a multiple of the objective. A
-   * first event takes 0.2 of it, since requests do not queue at endpoints; plain calls take 0.3.
+   * Silence before a first event that is told to the coordinator, as a multiple of the objective.
+   * Requests do not queue at endpoints, so that an answer takes much less.
    */
   private static final double SUSPECT_OBJECTIVES = 0.8;
 
-  /** When to come back after endpoints turned a request away; a slot frees about every 90 ms. */
+  /** When to come back after endpoints turned a request away; slots come free meanwhile. */
   private static final Duration TURNED_AWAY_RETRY = Duration.ofMillis(150);
 
   private final ForwardingHandler.Parts parts;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/AppendSize.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/AppendSize.java
@@ -7,8 +7,8 @@
 /**
  * Keeps appends below what the store takes in one call.
  *
- * <p>Failure: the store is away for 7 s, 180 items of 12 kB end meanwhile, and their results are
- * more than it takes at once. It shows as an append that is refused for good, and no item of the
+ * <p>Failure: the store is away for seconds, many items end meanwhile, and their results are more
+ * than it takes at once. It shows as an append that is refused for good, and no item of the
  * partition is ever listed again. Guard: what is more goes with the next append.
  */
 final class AppendSize {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/HolderSelection.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/HolderSelection.java
@@ -8,17 +8,16 @@
  * Decides whether this process is among those that share the partitions. No I/O; time is passed in.
  *
  * <p>Load pattern: each process that joins or leaves the group moves partitions, and with each of
- * them all items that run there. When 13 processes joined anew after an outage, 14 generations came
- * in 1.2 s, and up to 7 of 12 partitions moved with one. In a fleet of 89 that are restarted in
- * turn this goes on for minutes, and an item runs 3 s. So only as many share the partitions as
- * there are of them; the others' restarts move nothing.
+ * them all items that run there. In a large fleet that is restarted in turn this goes on for
+ * minutes, and an item runs for seconds. So only as many share the partitions as there are of them;
+ * the others' restarts move nothing.
  */
 final class HolderSelection {
 
   /** Ranks beyond the number of partitions at which a member stays; views of the fleet differ. */
   private static final int STAYS = 4;
 
-  /** Time for which a member must rank behind that before it leaves; suspicions last up to 4 s. */
+  /** Time for which a member must rank behind that before it leaves; longer than a suspicion. */
   private static final Duration LEAVE_AFTER = Duration.ofSeconds(10);
 
   private final int partitions;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -43,7 +43,7 @@
   /** Pause before a slot is asked for again after a refusal or a failure. */
   private static final Duration PAUSE = Duration.ofMillis(100);
 
-  /** Silence after which a stream is taken for lost; events come every 20 to 30 ms. */
+  /** Silence after which a stream is taken for lost. */
   private static final SilenceWatch.Limits SILENCE =
       new SilenceWatch.Limits(Duration.ofSeconds(2), Duration.ofSeconds(2));
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobDesk.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobDesk.java
@@ -26,11 +26,9 @@
  * Takes callers' requests about jobs and has the holder of the job's partition answer them.
  *
  * <p>Load pattern: after all instances lost power, callers read their jobs at every one of them. If
- * each loads the partitions it is asked for, through one store that gives 80 MB a second to all
- * readers and over links of 21 Mbit/s, no job can be read anywhere for a minute. A holder has read
- * its partition anyway, and asking it takes one message there and back. In a replay with 89
- * instances and 960 reads of 240 jobs the store hands out 3 MB in place of 172 ({@code
- * JobReadLoadTest}).
+ * each loads the partitions it is asked for, through one store and over slow links, no job can be
+ * read anywhere for a minute. A holder has read its partition anyway, and asking it takes one
+ * message there and back.
  *
  * <p>Failure: the holder is frozen, cut off or restarting. It shows as a call without an answer.
  * Guard: the call goes to the partition's deputy, the same for all processes, and at last is
@@ -43,19 +41,19 @@
 
   /**
    * Added to the time that a call may wait by itself: the holder may have to ask the store first,
-   * for 0.9 s at most, and the way there and back takes 6 ms, on a busy core 100.
+   * and may be busy.
    */
   private static final Duration ANSWER_TIME = Duration.ofMillis(1_000);
 
-  /** The same for the end of a job, which the holder may have to append for up to 3 s. */
+  /** The same for the end of a job, which the holder may have to append in several tries. */
   private static final Duration END_TIME = Duration.ofMillis(3_300);
 
-  /** Pause between two questions to the store for the holders; a lease ends after 2.5 s. */
+  /** Pause between two questions to the store for the holders. */
   private static final Duration OWNERS_PAUSE = Duration.ofMillis(300);
 
   /**
-   * Time that a call waits for a holder if it may not wait for something else: processes that start
-   * join within 0.6 s, and ask the store for the fleet before that.
+   * Time that a call waits for a holder if it may not wait for something else; processes that start
+   * join within it.
    */
   private static final Duration HOLDER_TIME = Duration.ofMillis(1_000);
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobService.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobService.java
@@ -31,7 +31,7 @@
   /** Bytes of texts in one page of results; the contract bounds a page at 1 MB. */
   private static final int PAGE_BYTES = 900_000;
 
-  /** Longest time that appends are repeated; callers wait 4 s and more. */
+  /** Longest time that appends are repeated; callers wait longer. */
   private static final Duration APPEND_TIME = Duration.ofMillis(3_000);
 
   /** When to come back if the store cannot be asked. */
@@ -40,7 +40,7 @@
   /** Pause before an append that was refused is tried again. */
   private static final Duration REPEAT = Duration.ofMillis(200);
 
-  /** Wait for a result that is worth another call to the store, which takes 4 ms and more. */
+  /** Wait for a result that is worth another call to the store. */
   private static final Duration LEAST_WAIT = Duration.ofMillis(20);
 
   private final JobReplicas replicas;
@@ -135,9 +135,8 @@
   /**
    * Tries again for a while, then tells the caller.
    *
-   * <p>Load pattern: the store is away for all for 2 to 7 s. A caller that is refused at once comes
-   * back a moment later, is refused again, and its job is lost. Of an outage of 7 s the last 3.4 s
-   * are bridged so, in place of the last 0.4 s.
+   * <p>Load pattern: the store is away for all for seconds. A caller that is refused at once comes
+   * back a moment later, is refused again, and its job is lost.
    *
    * <p>Failure: a try gets no answer and is carried out, and the next one is refused. Passed on,
    * that refusal would say of a job that runs that it does not. Guard: only a write of which no try
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/LoadGate.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/LoadGate.java
@@ -7,8 +7,8 @@
  * Lets a bounded number of partitions be loaded at a time.
  *
  * <p>Load pattern: after a restart of all processes each one loads the partitions that it holds,
- * over a link that may carry 21 Mbit/s. Loaded all at once, no page of 1 MB comes within the time
- * of its call; one after the other, each comes in 0.6 s.
+ * over a slow link. Loaded all at once, no page comes within the time of its call; one after the
+ * other, each does.
  */
 final class LoadGate {
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -44,12 +44,12 @@
   private static final Duration AWAITED_READ_WAIT = Duration.ofMillis(450);
 
   /**
-   * Time between two records of what running items have gained: what each of them loses at most when
-   * all processes are killed. A record costs a call for all items of a partition together.
+   * Time between two records of what running items have gained: what each of them loses at most
+   * when all processes are killed. A record costs a call for all items of a partition together.
    */
   private static final Duration SAVE_EVERY = Duration.ofMillis(700);
 
-  /** Events below which a record is not worth its bytes; about 0.2 s of a run. */
+  /** Events below which a record is not worth its bytes. */
   private static final int SAVED_EVENTS = 10;
 
   /** Time between two looks for items to give up and jobs to drop. */
@@ -428,8 +428,8 @@
   /**
    * Returns what drops the progress and the offer of an item that has its result.
    *
-   * <p>Kept, it would double what a process has to load that takes the partition over: an item of 3
-   * s is recorded every 1.5 s, up to its last event.
+   * <p>Kept, it would double what a process has to load that takes the partition over: an item is
+   * recorded several times, up to its last event.
    */
   private List<KeyedRecord> withoutRest(String jobId, String itemId) {
     return replica.table().keys(jobId).stream()
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/Relinquishment.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/Relinquishment.java
@@ -24,7 +24,7 @@
   /** Pause before the records are written again after a failure. */
   private static final Duration REPEAT = Duration.ofMillis(200);
 
-  /** Time after which they are given up: an item lasts 3 to 7 s, so it has run again by then. */
+  /** Time after which they are given up; an item has run again by then. */
   private static final Duration PATIENCE = Duration.ofSeconds(8);
 
   private final JobParts parts;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ReplicaRule.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ReplicaRule.java
@@ -8,9 +8,9 @@
  *
  * <p>Load pattern: callers read each job at any instance, twice a second. A text that the holder
  * sends goes between data centres, which is dear, once for each instance that is asked; one that
- * the store hands out does not. So a small log is read by all instances: 13 of them move 3 MB
- * between data centres on a calm day in place of 15. But each instance that starts reads it from
- * the beginning, and a large fleet that starts at once would keep the store busy for a minute.
+ * the store hands out does not. So a small log is read by all instances. But each instance that
+ * starts reads it from the beginning, and a large fleet that starts at once would keep the store
+ * busy for a minute.
  */
 final class ReplicaRule {
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/RunEstimate.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/RunEstimate.java
@@ -8,15 +8,14 @@
  *
  * <p>Load pattern: after an outage more items wait than can be done in time. In the order of their
  * due times each gets its slot just too late, and all are late. Items that can no longer be in time
- * go behind those that can, and are done in what is left. In a replay of 200 items on 20 slots the
- * 80 that slots allow are in time, in place of 20 at most by due times alone.
+ * go behind those that can, and are done in what is left.
  */
 final class RunEstimate {
 
   /** Weight of the newest item; about the last ten count. */
   private static final double SMOOTHING = 0.1;
 
-  /** Assumed before the first item is done: 200 events of 7 tokens at 3 ms a token. */
+  /** Assumed before the first item is done; an item of some 200 events. */
   private static final double FIRST_RUN_MILLIS = 4_200;
 
   private static final double FIRST_EVENTS = 200;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetView.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetView.java
@@ -21,7 +21,7 @@
  */
 public final class FleetView {
 
-  /** First time for which a silent process is passed over; restarts take 1 to 2 s. */
+  /** First time for which a silent process is passed over; about a restart. */
   private static final Duration FIRST_SUSPICION = Duration.ofMillis(1_200);
 
   /** Longest such time; after a cut has healed, both sides agree again within it. */
@@ -134,8 +134,8 @@
    * Returns the processes that do not seem silent, in the order in which they serve a key.
    *
    * <p>Load pattern: in a fleet of instances of several sizes the coordinator of a busy service
-   * decides 1,600 times a second, which takes 0.07 of a core and more for its datagrams. On an
-   * instance of 0.36 cores beside its own requests that is too much, so the largest come first.
+   * decides for all requests, which is too much for a small instance beside its own. So the largest
+   * come first.
    */
   public List<GatewayInstance> ranked(String key, Instant now) {
     List<GatewayInstance> order = order(key);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/StoreReach.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/StoreReach.java
@@ -8,9 +8,9 @@
  * is passed in.
  *
  * <p>Load pattern: the store turns away or is cut off from some gateways for seconds and serves the
- * others. Each call that first waits for the store itself loses up to 0.9 s, more than callers wait
- * for a job to be taken. So once a call got no answer, calls go to peers, and one now and then
- * finds out whether the store answers again.
+ * others. Each call that first waits for the store itself loses more time than callers wait for a
+ * job to be taken. So once a call got no answer, calls go to peers, and one now and then finds out
+ * whether the store answers again.
  *
  * <p>Failure: the call that is to find that out is a read that waits, and tells so seconds later.
  * Guard: calls that wait and calls that are answered at once take turns of their own.
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -14,7 +14,6 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
@@ -22,7 +21,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongConsumer;
-import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
@@ -37,8 +35,7 @@
 
   /** Items that can be in time before those that cannot, then by due time. */
   private static final Comparator<SlotLease> ITEM_ORDER =
-      Comparator.comparing(SlotLease::late)
-          .thenComparing(SlotLease::rank);
+      Comparator.comparing(SlotLease::late).thenComparing(SlotLease::rank);
 
   private final String service;
   private final EndpointDirectory directory;
@@ -255,8 +252,7 @@
    *
    * <p>Load pattern: on the crest of a large fleet hundreds wait while slots come free one by one.
    * A search that found nothing is not made again for others from the same data centre, who would
-   * find nothing either: 63 endpoints with 300 waiting took 1,550 us a decision without this and
-   * {@link #exhausted}, and take 42 us (mean of 6,000 decisions, beside a busy machine).
+   * find nothing either, and none is made while all slots are in use ({@link #exhausted}).
    */
   private List<SlotAnswer> fill(Instant now) {
     List<SlotAnswer> answers = new ArrayList<>();
@@ -343,13 +339,13 @@
    * Returns whether a batch item may take a slot and leave enough for online requests.
    *
    * <p>Load pattern: on a crest the number of online requests goes up and down around its mean by
-   * about its square root. An item that takes a slot in each dip is revoked some 10 ms later and
-   * has cost the endpoint a prompt. So that many slots stay free.
+   * about its square root. An item that takes a slot in each dip is revoked a moment later and has
+   * cost the endpoint a prompt. So that many slots stay free.
    *
    * <p>Failure: endpoints that do not answer stay in the list for seconds, and those behind a cut
    * for as long as it lasts. It shows as items that are revoked as soon as they have begun, again
-   * and again, since an online request finds no slot where an item saw some. Guard: a slot counts as
-   * free only at an endpoint that would get the item.
+   * and again, since an online request finds no slot where an item saw some. Guard: a slot counts
+   * as free only at an endpoint that would get the item.
    */
   private boolean roomForItem(List<EndpointRecord> endpoints, Instant now) {
     int free = 0;
@@ -408,7 +404,8 @@
 
   private SlotLease adopted(SlotKey key, SlotUse use, Instant now) {
     String where = directory.find(use.endpoint()).map(EndpointRecord::dataCentre).orElse("");
-    return new SlotLease(key, use.life(), where, where, use.batch(), use.rank(), use.work(), false, 0, now, now);
+    return new SlotLease(
+        key, use.life(), where, where, use.batch(), use.rank(), use.work(), false, 0, now, now);
   }
 
   private Optional<EndpointRecord> revokeOne(
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/ForeignLoad.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/ForeignLoad.java
@@ -17,8 +17,8 @@
 final class ForeignLoad {
 
   /**
-   * Time for which what an endpoint told holds. Answers come about every 100 ms at an endpoint that
-   * is full, so that it is told anew while it lasts.
+   * Time for which what an endpoint told holds; one that is full answers more often, and tells it
+   * anew.
    */
   private static final Duration VALID = Duration.ofMillis(500);
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/LeastUsedPlacement.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/LeastUsedPlacement.java
@@ -8,8 +8,7 @@
 final class LeastUsedPlacement implements Placement {
 
   @Override
-  public Comparator<EndpointRecord> order(
-      String dataCentre, ToIntFunction<EndpointRecord> inUse) {
+  public Comparator<EndpointRecord> order(String dataCentre, ToIntFunction<EndpointRecord> inUse) {
     return Comparator.comparingDouble(
             (EndpointRecord endpoint) -> (double) inUse.applyAsInt(endpoint) / endpoint.slots())
         .thenComparing(endpoint -> !endpoint.dataCentre().equals(dataCentre))
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/NearestPlacement.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/NearestPlacement.java
@@ -16,8 +16,7 @@
   private final Placement among = new LeastUsedPlacement();
 
   @Override
-  public Comparator<EndpointRecord> order(
-      String dataCentre, ToIntFunction<EndpointRecord> inUse) {
+  public Comparator<EndpointRecord> order(String dataCentre, ToIntFunction<EndpointRecord> inUse) {
     return Comparator.comparing(
             (EndpointRecord endpoint) -> !endpoint.dataCentre().equals(dataCentre))
         .thenComparing(among.order(dataCentre, inUse));
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Outliers.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Outliers.java
@@ -15,12 +15,11 @@
  * more often than others and placing by free slots sends it more than its share. It shows as
  * failures between successes, which end each penalty for a failure. Guard: the share of failures
  * among the recent ends of uses is kept; above a limit the endpoint gets requests only when no
- * other has a slot, and no items. In a replay of 20 s with one of six endpoints failing 45 of 100
- * requests within 20 ms, 1.1 of 100 requests fail in place of 12.6 (mean of five seeds).
+ * other has a slot, and no items.
  */
 final class Outliers {
 
-  /** Time in which an end loses half of its weight; an endpoint has some 10 ends a second. */
+  /** Time in which an end loses half of its weight; an endpoint has many ends in it. */
   private static final Duration HALF_LIFE = Duration.ofSeconds(2);
 
   /** Weight of ends from which on a share says something; one failure alone is often a cut. */
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/OverloadSpell.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/OverloadSpell.java
@@ -8,15 +8,13 @@
  * Learns how long spells last in which requests are refused, to tell callers when one is over.
  *
  * <p>Load pattern: crests of waves last seconds, and those that wait for a slot at a moment say
- * little about when the crest ends. A caller told to come back after their wait alone, some 100 ms,
- * meets the same crest. What remains is the usual length less what has passed; a spell that lasts
- * longer than usual is taken to last half as long again.
+ * little about when the crest ends. A caller told to come back after their wait alone meets the
+ * same crest. What remains is the usual length less what has passed; a spell that lasts longer than
+ * usual is taken to last half as long again.
  */
 final class OverloadSpell {
 
-  /**
-   * Length assumed before the first spell has ended; crests last 2.4 s, and overload most of it.
-   */
+  /** Length assumed before the first spell has ended. */
   private static final Duration FIRST_LENGTH = Duration.ofMillis(1_500);
 
   /** Weight of the newest spell; about the last three count. */
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/RefusedCallers.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/RefusedCallers.java
@@ -11,10 +11,8 @@
  * <p>Load pattern: on a crest more requests come than slots free up, for seconds. Callers that were
  * refused come back into the same crest, and many are refused a second time, for good. So one that
  * comes back may wait as long as a late answer is of use. It stands behind newcomers all the same:
- * were it served first, each newcomer would be refused in its place and all be late. Together with
- * {@link OverloadSpell}, in replays of waves 1.1 to 1.5 times as high as the slots allow, none of
- * 7,235 requests is refused twice in place of 820, and 86 of 100 are served at once in place of 78
- * (six seeds).
+ * were it served first, each newcomer would be refused in its place and all be late. {@link
+ * OverloadSpell} tells when to come back.
  */
 final class RefusedCallers {
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Waiter.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Waiter.java
@@ -13,8 +13,7 @@
  * @param since when it came
  * @param until when it has waited long enough
  */
-record Waiter(
-    SlotRequest request, boolean returning, boolean late, Instant since, Instant until) {
+record Waiter(SlotRequest request, boolean returning, boolean late, Instant since, Instant until) {
 
   /**
    * Online requests before items, items that can be in time before others, then by rank, newcomers
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/KeyedFollower.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/KeyedFollower.java
@@ -27,22 +27,20 @@
 
   /**
    * Wait of a read for changes that are to be in force soon; bounds how long a connection that went
-   * silent hides changes. With the 0.9 s of a call it stays under 2 s, the time within which a
-   * change is to be in force everywhere and an endpoint that leaves is to get nothing more. At 3 s
-   * a change was seen 2.8 s late in a trial run.
+   * silent hides changes. With the time of a call it stays under that within which a change is to
+   * be in force everywhere and an endpoint that leaves is to get nothing more.
    */
   public static final Duration PROMPT = Duration.ofSeconds(1);
 
   /**
    * Wait of a read for changes that may be seen late, such as the list of processes, whose silence
-   * is noticed by questions without an answer. At 89 processes it saves 80 calls a second.
+   * is noticed by questions without an answer.
    */
   public static final Duration UNHURRIED = Duration.ofSeconds(10);
 
   /**
    * Pause after a read that brought records. When many processes or endpoints register at once,
-   * each record would cost each process a call: 25,500 calls of 89 processes in a minute without
-   * it, 19,500 with a pause of 80 ms. An endpoint that leaves is to get nothing more 2 s later.
+   * each record would cost each process a call.
    */
   private static final Duration GATHER = Duration.ofMillis(200);
 
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
@@ -190,8 +190,9 @@
   }
 
   /**
-   * First events come late after a coordinator was killed, though slots are free elsewhere. The next
-   * one hands out slots that are in use, for as long as it takes until their holders renew them.
+   * First events come late after a coordinator was killed, though slots are free elsewhere. The
+   * next one hands out slots that are in use, for as long as it takes until their holders renew
+   * them.
    */
   @Test
   void tellsItsUsesWithTheFirstQuestionToANewCoordinator() {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
@@ -50,8 +50,7 @@
             "engine",
             "holder~1",
             List.of(
-                new SlotUse(
-                    1, EndpointLife.ofUnknownStart("e1"), true, 9, Duration.ofMillis(700)),
+                new SlotUse(1, EndpointLife.ofUnknownStart("e1"), true, 9, Duration.ofMillis(700)),
                 new SlotUse(2, "e2", false, 0))));
   }
 
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/BacklogReplayTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/BacklogReplayTest.java
@@ -6,12 +6,14 @@
 
 /**
  * After all gateways lost power, callers get their campaign letters a few seconds late, nearly all
- * of them. More items wait than the slots between the crests can do. Those that became late
- * while they waited keep their place in the order, and make those behind them late as well.
+ * of them. More items wait than the slots between the crests can do. Those that became late while
+ * they waited keep their place in the order, and make those behind them late as well.
  */
 class BacklogReplayTest {
 
-  /** Each item's holder tells with its question whether it can be in time, and nobody looks again. */
+  /**
+   * Each item's holder tells with its question whether it can be in time, and nobody looks again.
+   */
   private static final SlotSettings ONCE = SlotSettings.builder().lateItemsLast(false).build();
 
   @Test
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/CoordinatorFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/CoordinatorFixture.java
@@ -93,8 +93,7 @@
     EndpointLife life = EndpointLife.ofUnknownStart(endpoint);
     uses.put(
         request.key(),
-        new SlotUse(
-            request.key().number(), life, request.batch(), request.rank(), request.work()));
+        new SlotUse(request.key().number(), life, request.batch(), request.rank(), request.work()));
   }
 
   void ended(SlotKey key) {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinatorTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinatorTest.java
@@ -16,7 +16,6 @@
 import io.hawthornlb.gateway.wire.ToldLoad;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -27,8 +26,8 @@
   private final CoordinatorFixture fixture = new CoordinatorFixture();
 
   /**
-   * Streams end in the middle when a data centre is cut off, though slots were free on their side of
-   * the border. They were placed by free slots alone.
+   * Streams end in the middle when a data centre is cut off, though slots were free on their side
+   * of the border. They were placed by free slots alone.
    */
   @Test
   void placesNearbyWhileASlotIsFreeThere() {
