--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/command/CommandTree.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/command/CommandTree.java
@@ -37,6 +37,7 @@
     add(root, new ExplainCommand());
     add(root, new StandinCommand(launchers.standin()));
     add(root, new LoadCommand(launchers.load()));
+    add(root, new BoundCommand());
     return root;
   }
 
