--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/BacklogReplay.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/BacklogReplay.java
@@ -9,7 +9,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
 
 /**
@@ -40,13 +39,11 @@
   private final boolean looksAgain;
   private final CoordinatorFixture fixture;
   private final Instant start;
-  private final PriorityQueue<Due> due = new PriorityQueue<>();
+  private final VirtualTime time = new VirtualTime();
   private final Map<SlotKey, SlotRequest> asked = new HashMap<>();
   private final Map<SlotKey, Runnable> onGrant = new HashMap<>();
   private final Map<SlotKey, Runnable> onRefusal = new HashMap<>();
   private final Map<SlotKey, Runnable> onRevoke = new HashMap<>();
-  private long order;
-  private int now;
   private int items;
   private int inTime;
   private int requests;
@@ -60,14 +57,6 @@
    */
   record Result(int items, int inTime, int requests, int soon, int gaveWay, long waited) {}
 
-  private record Due(int at, long order, Runnable action) implements Comparable<Due> {
-
-    @Override
-    public int compareTo(Due other) {
-      return at != other.at ? Integer.compare(at, other.at) : Long.compare(order, other.order);
-    }
-  }
-
   BacklogReplay(long seed, SlotSettings settings) {
     random = new Random(seed);
     looksAgain = settings.lateItemsLast();
@@ -90,20 +79,11 @@
     while (at < ARRIVALS_MILLIS) {
       double factor = at % 6_000 < 3_600 ? 0.39 : 1.91;
       at += -Math.log(1 - random.nextDouble()) * 1_000 / (REQUESTS_PER_SECOND * factor);
-      at((int) at, this::online);
-    }
-    for (int millis = 0; millis < RUN_MILLIS; millis += TICK_MILLIS) {
-      at(millis, () -> take(fixture.tick()));
-    }
-    for (int millis = 0; millis < RUN_MILLIS; millis += RENEW_MILLIS) {
-      at(millis, fixture::renew);
-    }
-    while (!due.isEmpty() && due.peek().at() < RUN_MILLIS) {
-      Due next = due.poll();
-      now = next.at();
-      fixture.now = start.plusMillis(now);
-      next.action().run();
+      time.at((int) at, this::online);
     }
+    time.every(TICK_MILLIS, RUN_MILLIS, () -> take(fixture.tick()));
+    time.every(RENEW_MILLIS, RUN_MILLIS, fixture::renew);
+    time.runUntil(RUN_MILLIS, millis -> fixture.now = start.plusMillis(millis));
     return new Result(items, inTime, requests, soon, gaveWay, waited);
   }
 
@@ -117,7 +97,7 @@
     if (dueMillis < RUN_MILLIS) {
       items++;
       int work = ITEM_MILLIS / 2 + random.nextInt(ITEM_MILLIS);
-      at(arrives, () -> askForItem(dueMillis, work, work));
+      time.at(arrives, () -> askForItem(dueMillis, work, work));
     }
   }
 
@@ -133,18 +113,18 @@
 
   /** Returns the due time; an hour later if its holder alone tells that it cannot be in time. */
   private Instant ranked(int dueMillis, int left) {
-    boolean behind = !looksAgain && now + left > dueMillis;
+    boolean behind = !looksAgain && time.now() + left > dueMillis;
     return start.plusMillis(dueMillis).plus(behind ? Duration.ofHours(1) : Duration.ZERO);
   }
 
   private void runItem(SlotRequest request, int dueMillis, int work, int left) {
-    int began = now;
-    onRevoke.put(request.key(), () -> askForItem(dueMillis, work, left - (now - began)));
-    at(
-        now + left,
+    int began = time.now();
+    onRevoke.put(request.key(), () -> askForItem(dueMillis, work, left - (time.now() - began)));
+    time.at(
+        time.now() + left,
         () -> {
           if (onRevoke.remove(request.key()) != null) {
-            inTime += now <= dueMillis ? 1 : 0;
+            inTime += time.now() <= dueMillis ? 1 : 0;
             release(request);
           }
         });
@@ -154,13 +134,13 @@
     requests++;
     SlotRequest request = fixture.online("a");
     int use = USE_MILLIS / 2 + random.nextInt(USE_MILLIS);
-    int arrived = now;
+    int arrived = time.now();
     onGrant.put(
         request.key(),
         () -> {
-          soon += now - arrived <= 100 ? 1 : 0;
-          waited += now - arrived;
-          at(now + use, () -> release(request));
+          soon += time.now() - arrived <= 100 ? 1 : 0;
+          waited += time.now() - arrived;
+          time.at(time.now() + use, () -> release(request));
         });
     asked.put(request.key(), request);
     take(fixture.ask(request));
@@ -174,7 +154,7 @@
         if (giveWay != null) {
           gaveWay++;
           // Datagrams take their time; the item asks after the request that needs its slot.
-          at(now + 1, giveWay);
+          time.at(time.now() + 1, giveWay);
         }
       } else if (answer instanceof SlotAnswer.Granted granted) {
         onRefusal.remove(answer.key());
@@ -185,7 +165,7 @@
         onGrant.remove(answer.key());
         Runnable askAgain = onRefusal.remove(answer.key());
         if (askAgain != null) {
-          at(now + 100, askAgain);
+          time.at(time.now() + 100, askAgain);
         }
       }
     }
@@ -195,9 +175,4 @@
     fixture.ended(request.key());
     take(fixture.release(request, SlotOutcome.ANSWERED));
   }
-
-  private void at(int millis, Runnable action) {
-    order++;
-    due.add(new Due(millis, order, action));
-  }
 }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/WaveReplay.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/WaveReplay.java
@@ -9,7 +9,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
 
 /**
@@ -37,15 +36,13 @@
   private final boolean coordinated;
   private final CoordinatorFixture fixture = new CoordinatorFixture();
   private final Instant start = fixture.now;
-  private final PriorityQueue<Due> due = new PriorityQueue<>();
+  private final VirtualTime time = new VirtualTime();
   private final List<Engine> engines = new ArrayList<>();
   private final Map<SlotKey, Runnable> onGrant = new HashMap<>();
   private final Map<SlotKey, Runnable> onRefusal = new HashMap<>();
   private final Map<SlotKey, Runnable> onRevoke = new HashMap<>();
   private final Map<SlotKey, String> grantedAt = new HashMap<>();
   private final int[][] ownCounts = new int[GATEWAYS][ENDPOINTS];
-  private long order;
-  private int now;
   private int asked;
   private int onTime;
   private long itemMillis;
@@ -58,14 +55,6 @@
     }
   }
 
-  private record Due(int at, long order, Runnable action) implements Comparable<Due> {
-
-    @Override
-    public int compareTo(Due other) {
-      return at != other.at ? Integer.compare(at, other.at) : Long.compare(order, other.order);
-    }
-  }
-
   /** Admits in order of arrival. */
   private final class Engine {
 
@@ -111,20 +100,13 @@
     scheduleArrivals();
     for (int i = 0; i < ITEMS_WAITING; i++) {
       int item = i;
-      at(0, () -> startItem(item));
+      time.at(0, () -> startItem(item));
     }
-    for (int millis = 0; coordinated && millis < RUN_MILLIS; millis += TICK_MILLIS) {
-      at(millis, () -> take(fixture.tick()));
-    }
-    for (int millis = 0; coordinated && millis < RUN_MILLIS; millis += RENEW_MILLIS) {
-      at(millis, fixture::renew);
-    }
-    while (!due.isEmpty() && due.peek().at() < RUN_MILLIS) {
-      Due next = due.poll();
-      now = next.at();
-      fixture.now = start.plusMillis(now);
-      next.action().run();
+    if (coordinated) {
+      time.every(TICK_MILLIS, RUN_MILLIS, () -> take(fixture.tick()));
+      time.every(RENEW_MILLIS, RUN_MILLIS, fixture::renew);
     }
+    time.runUntil(RUN_MILLIS, millis -> fixture.now = start.plusMillis(millis));
     return new Result(asked, onTime, itemMillis);
   }
 
@@ -134,13 +116,13 @@
       double factor = at % 6_000 < 3_600 ? 0.39 : 1.91;
       at += -Math.log(1 - random.nextDouble()) * 1_000 / (REQUESTS_PER_SECOND * factor);
       int arrival = (int) at;
-      at(arrival, () -> arrive(random.nextInt(GATEWAYS)));
+      time.at(arrival, () -> arrive(random.nextInt(GATEWAYS)));
     }
   }
 
   private void arrive(int gateway) {
     asked++;
-    int arrived = now;
+    int arrived = time.now();
     if (!coordinated) {
       int endpoint = leastOwn(gateway);
       ownCounts[gateway][endpoint]++;
@@ -166,12 +148,12 @@
   }
 
   private void use(int arrived, int endpoint, Runnable release) {
-    if (now + FIRST_EVENT_MILLIS - arrived <= OBJECTIVE_MILLIS) {
+    if (time.now() + FIRST_EVENT_MILLIS - arrived <= OBJECTIVE_MILLIS) {
       onTime++;
     }
     int length = USE_MILLIS / 2 + random.nextInt(USE_MILLIS);
-    at(
-        now + length,
+    time.at(
+        time.now() + length,
         () -> {
           engines.get(endpoint).left();
           release.run();
@@ -211,8 +193,8 @@
   }
 
   private void runAlone(int item, int endpoint) {
-    at(
-        now + ITEM_MILLIS,
+    time.at(
+        time.now() + ITEM_MILLIS,
         () -> {
           itemMillis += ITEM_MILLIS;
           engines.get(endpoint).left();
@@ -221,20 +203,20 @@
   }
 
   private void runItem(int item, SlotRequest request, int endpoint, boolean[] over) {
-    int began = now;
+    int began = time.now();
     Runnable end =
         () -> {
           if (!over[0]) {
             over[0] = true;
-            itemMillis += now - began;
+            itemMillis += time.now() - began;
             fixture.ended(request.key());
             engines.get(endpoint).left();
-            at(now, () -> startItem(item));
+            time.at(time.now(), () -> startItem(item));
           }
         };
     onRevoke.put(request.key(), end);
-    at(
-        now + ITEM_MILLIS,
+    time.at(
+        time.now() + ITEM_MILLIS,
         () -> {
           if (!over[0]) {
             end.run();
@@ -258,14 +240,9 @@
         onGrant.remove(answer.key());
         Runnable askAgain = onRefusal.remove(answer.key());
         if (askAgain != null) {
-          at(now, askAgain);
+          time.at(time.now(), askAgain);
         }
       }
     }
   }
-
-  private void at(int millis, Runnable action) {
-    order++;
-    due.add(new Due(millis, order, action));
-  }
 }
