--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSettings.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSettings.java
@@ -36,25 +36,8 @@
     double itemReserve,
     Placement placement) {
 
-  /**
-   * Defaults. A lease bears two lost renewals. The first penalty is short, since a first failure is
-   * often one cut connection; the longest is as long as a crashed endpoint takes to be back.
-   */
-  public static final SlotSettings DEFAULT =
-      new SlotSettings(
-          Duration.ofSeconds(3),
-          Duration.ofMillis(200),
-          Duration.ofSeconds(3),
-          Duration.ofMillis(100),
-          Duration.ofMillis(700),
-          Duration.ofMillis(200),
-          0.25,
-          Duration.ofSeconds(2),
-          Duration.ofSeconds(8),
-          Duration.ofMillis(500),
-          true,
-          1,
-          new NearestPlacement());
+  /** The defaults, which the builder names. */
+  public static final SlotSettings DEFAULT = builder().build();
 
   /** Returns a builder that starts from the defaults. */
   public static Builder builder() {
@@ -64,11 +47,30 @@
   /** Builds settings that differ from the defaults. */
   public static final class Builder {
 
-    private double outlierShare = DEFAULT.outlierShare();
-    private Duration returnTime = DEFAULT.returnTime();
-    private boolean lateItemsLast = DEFAULT.lateItemsLast();
-    private double itemReserve = DEFAULT.itemReserve();
-    private Placement placement = DEFAULT.placement();
+    /** Bears two lost renewals. */
+    private static final Duration LEASE_TIME = Duration.ofSeconds(3);
+
+    /** Short, since a first failure is often one cut connection. */
+    private static final Duration FIRST_PENALTY = Duration.ofMillis(200);
+
+    /** About as long as a crashed endpoint takes to be back. */
+    private static final Duration MAX_PENALTY = Duration.ofSeconds(3);
+
+    private static final Duration SHED_PENALTY = Duration.ofMillis(100);
+
+    private static final Duration CUT_PENALTY = Duration.ofMillis(700);
+
+    private static final Duration TRY_TIME = Duration.ofMillis(200);
+
+    private static final Duration OUTLIER_TIME = Duration.ofSeconds(2);
+
+    private static final Duration MAX_OUTLIER_TIME = Duration.ofSeconds(8);
+
+    private double outlierShare = 0.25;
+    private Duration returnTime = Duration.ofMillis(500);
+    private boolean lateItemsLast = true;
+    private double itemReserve = 1;
+    private Placement placement = new NearestPlacement();
 
     private Builder() {}
 
@@ -105,15 +107,15 @@
     /** Returns the settings. */
     public SlotSettings build() {
       return new SlotSettings(
-          DEFAULT.leaseTime(),
-          DEFAULT.firstPenalty(),
-          DEFAULT.maxPenalty(),
-          DEFAULT.shedPenalty(),
-          DEFAULT.cutPenalty(),
-          DEFAULT.tryTime(),
+          LEASE_TIME,
+          FIRST_PENALTY,
+          MAX_PENALTY,
+          SHED_PENALTY,
+          CUT_PENALTY,
+          TRY_TIME,
           outlierShare,
-          DEFAULT.outlierTime(),
-          DEFAULT.maxOutlierTime(),
+          OUTLIER_TIME,
+          MAX_OUTLIER_TIME,
           returnTime,
           lateItemsLast,
           itemReserve,
