Read on in one way while a partition is held

PartitionRunner had the same read twice, once waiting for records and once without waiting after a failure; refresh() is a read that does not wait. Nothing else changes; its tests and those of the runners pass.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -157,37 +157,23 @@
   }
 
   private void follow() {
-    if (stopped) {
-      return;
-    }
-    replica
-        .read(replica.awaited() ? AWAITED_READ_WAIT : READ_WAIT)
-        .whenCompleteAsync(
-            (done, failure) -> {
-              if (failure == null) {
-                begin();
-                follow();
-              } else {
-                // Without waiting, so that it shows at once when the store answers again.
-                storeFailed("read", failure, this::readOnce);
-              }
-            },
-            parts.executor());
+    readOn(replica.awaited() ? AWAITED_READ_WAIT : READ_WAIT);
   }
 
-  private void readOnce() {
+  private void readOn(Duration wait) {
     if (stopped) {
       return;
     }
     replica
-        .refresh()
+        .read(wait)
         .whenCompleteAsync(
             (done, failure) -> {
               if (failure == null) {
                 begin();
                 follow();
               } else {
-                storeFailed("read", failure, this::readOnce);
+                // Without waiting, so that it shows at once when the store answers again.
+                storeFailed("read", failure, () -> readOn(Duration.ZERO));
               }
             },
             parts.executor());
