Link less at run time, and record more classes in the archive

Now texts are joined by code that the compiler writes, keys and entries that are compared write equals and hashCode out, channels are made without reflection, and the trial runs two gateways that ask each other, run items for longer than a renewal, end a job, refuse a request and make each call of the store. Place stood twice, in Penalties and Outliers; it is one type now.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/endpoint/EndpointLife.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/endpoint/EndpointLife.java
@@ -28,4 +28,15 @@
   public boolean follows(EndpointLife other) {
     return id.equals(other.id) && born > other.born;
   }
+
+  // Written out, as in other keys: the generated ones are linked at run time, in some milliseconds.
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof EndpointLife life && born == life.born && id.equals(life.id);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * id.hashCode() + Long.hashCode(born);
+  }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/endpoint/EndpointRecord.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/endpoint/EndpointRecord.java
@@ -45,4 +45,22 @@
   public EndpointLife life() {
     return new EndpointLife(id, born);
   }
+
+  // Written out: the generated ones are linked at run time, in some milliseconds.
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof EndpointRecord entry
+        && id.equals(entry.id)
+        && service.equals(entry.service)
+        && address.equals(entry.address)
+        && dataCentre.equals(entry.dataCentre)
+        && slots == entry.slots
+        && leaving == entry.leaving
+        && born == entry.born;
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * id.hashCode() + Long.hashCode(born);
+  }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontServer.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontServer.java
@@ -46,7 +46,7 @@
     listening =
         new ServerBootstrap()
             .group(loop)
-            .channel(NioServerSocketChannel.class)
+            .channelFactory(NioServerSocketChannel::new)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Responder.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Responder.java
@@ -4,8 +4,9 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.math.BigDecimal;
+import java.math.RoundingMode;
 import java.time.Duration;
-import java.util.Locale;
 import org.jspecify.annotations.Nullable;
 
 /** The caller's side of one request; takes either one whole answer or a head, parts and an end. */
@@ -18,8 +19,9 @@
   default void own(int status, @Nullable Duration retryAfter) {
     HttpHeaders headers = new DefaultHttpHeaders();
     if (retryAfter != null) {
-      String seconds = String.format(Locale.ROOT, "%.2f", retryAfter.toMillis() / 1000.0);
-      headers.set(HttpHeaderNames.RETRY_AFTER, seconds);
+      BigDecimal seconds = BigDecimal.valueOf(retryAfter.toMillis(), 3);
+      headers.set(
+          HttpHeaderNames.RETRY_AFTER, seconds.setScale(2, RoundingMode.HALF_UP).toPlainString());
     }
     whole(status, headers, new byte[0]);
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/NettyHttpCaller.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/NettyHttpCaller.java
@@ -54,7 +54,7 @@
     this.bootstrap =
         new Bootstrap()
             .group(loop)
-            .channel(NioSocketChannel.class)
+            .channelFactory(NioSocketChannel::new)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
             .handler(new Pipeline());
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRecords.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRecords.java
@@ -10,7 +10,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import org.msgpack.core.MessageBufferPacker;
@@ -26,6 +25,9 @@
   /** Bytes of a part of an accepted job; records of the log hold 256 KiB. */
   static final int PART_BYTES = 200 * 1024;
 
+  /** Digits to which the number in the key of what an item has gained is padded. */
+  private static final int PLACE_DIGITS = 8;
+
   private static final char SEPARATOR = '/';
   private static final String PART = "a";
   private static final String RESULT = "r";
@@ -185,7 +187,8 @@
 
   static KeyedRecord gained(String jobId, Gained gained) {
     // Padded, so that the records of an item come in their order when they are listed by key.
-    String place = String.format(Locale.ROOT, "%08d", gained.after() + 1);
+    String number = String.valueOf(gained.after() + 1);
+    String place = "0".repeat(Math.max(0, PLACE_DIGITS - number.length())) + number;
     String key = String.join(String.valueOf(SEPARATOR), PROGRESS, jobId, gained.itemId(), place);
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       packer.packString(gained.itemId()).packLong(gained.after()).packLong(gained.upTo());
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/metric/GatewayMetrics.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/metric/GatewayMetrics.java
@@ -27,7 +27,21 @@
    * @param name what is counted
    * @param label what it is counted by: a route, a cause or a kind
    */
-  public record Series(String name, String label) {}
+  public record Series(String name, String label) {
+
+    // Written out: the generated ones are linked at run time, in some milliseconds.
+    @Override
+    public boolean equals(Object other) {
+      return other instanceof Series series
+          && name.equals(series.name)
+          && label.equals(series.label);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * name.hashCode() + label.hashCode();
+    }
+  }
 
   /** Counts one more. */
   public void count(String name, String label) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/GatewayInstance.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/GatewayInstance.java
@@ -25,4 +25,20 @@
     Checks.hasText(name, "name");
     Checks.hasText(boot, "boot");
   }
+
+  // Written out: the generated ones are linked at run time, in some milliseconds.
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof GatewayInstance instance
+        && name.equals(instance.name)
+        && boot.equals(instance.boot)
+        && address.equals(instance.address)
+        && dataCentre.equals(instance.dataCentre)
+        && Double.compare(cores, instance.cores) == 0;
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * name.hashCode() + boot.hashCode();
+  }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/UdpPeerTransport.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/UdpPeerTransport.java
@@ -40,7 +40,7 @@
     this.channel =
         new Bootstrap()
             .group(loop)
-            .channel(NioDatagramChannel.class)
+            .channelFactory(NioDatagramChannel::new)
             .handler(new Receiver())
             .bind(address)
             .syncUninterruptibly()
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/LoopbackEndpoint.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/LoopbackEndpoint.java
@@ -22,6 +22,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
 
 /** Endpoint on loopback that answers each request with a short stream. */
 final class LoopbackEndpoint {
@@ -29,6 +30,9 @@
   private static final int MAX_BODY_BYTES = 1 << 20;
   private static final int EVENTS = 3;
 
+  /** Pause between events; an answer takes longer than gateways take to renew their uses. */
+  private static final int PAUSE_MILLIS = 400;
+
   private final HeaderNames names;
   private final InetSocketAddress address;
 
@@ -37,7 +41,7 @@
     Channel channel =
         new ServerBootstrap()
             .group(loop)
-            .channel(NioServerSocketChannel.class)
+            .channelFactory(NioServerSocketChannel::new)
             .childHandler(new Pipeline())
             .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
             .syncUninterruptibly()
@@ -70,11 +74,17 @@
       head.headers().set(names.requestId(), request.headers().get(names.requestId(), ""));
       head.headers().set(names.signature(), "loopback");
       ctx.write(head);
-      for (int id = 1; id <= EVENTS; id++) {
-        byte[] event = ("id: " + id + "\ndata: text\n\n").getBytes(StandardCharsets.UTF_8);
-        ctx.write(new DefaultHttpContent(Unpooled.wrappedBuffer(event)));
+      writeFrom(ctx, 1);
+    }
+
+    private void writeFrom(ChannelHandlerContext ctx, int id) {
+      if (id > EVENTS) {
+        ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        return;
       }
-      ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+      byte[] event = ("id: " + id + "\ndata: text\n\n").getBytes(StandardCharsets.UTF_8);
+      ctx.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(event)));
+      ctx.executor().schedule(() -> writeFrom(ctx, id + 1), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
     }
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/ReadyServer.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/ReadyServer.java
@@ -42,7 +42,7 @@
   void bind(EventLoopGroup loop, InetSocketAddress address) {
     new ServerBootstrap()
         .group(loop)
-        .channel(NioServerSocketChannel.class)
+        .channelFactory(NioServerSocketChannel::new)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childHandler(new Pipeline())
         .bind(address)
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/TrialRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/TrialRun.java
@@ -28,9 +28,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletionException;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
 
 /**
- * Runs one gateway on loopback, with a log in memory and an endpoint that answers, and sends it
+ * Runs two gateways on loopback, with a log in memory and an endpoint that answers, and sends them
  * requests of each kind.
  *
  * <p>Purpose: the build runs it to record the classes of a start and of the first requests in an
@@ -64,13 +66,13 @@
   }
 
   /**
-   * Runs a gateway and returns the status of each call.
+   * Runs two gateways, of which the first coordinates, and returns the status of each call.
    *
    * @param config a configuration
    * @param endpoint an endpoint's entry, in which {@code %s} stands for its address
-   * @param calls calls to make, one after the other
+   * @param calls calls to make at the gateway of a name, one after the other
    */
-  public List<Integer> run(byte[] config, String endpoint, List<Call> calls) {
+  public List<Integer> run(byte[] config, String endpoint, Function<String, List<Call>> calls) {
     EventLoop loop =
         (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     InMemoryLogStore store = new InMemoryLogStore(loop, PARTITIONS);
@@ -80,20 +82,35 @@
     put(store, formats.endpointTopic(), "trial", endpoint.formatted(address).getBytes());
     InstantSource clock = new SteadyClock(InstantSource.system());
     EventLog log = new JsonEventLog(clock, OutputStream.nullOutputStream());
-    GatewaySettings settings = settings();
-    GatewayProcess process =
-        new GatewayProcess(
-            settings, loop, StoreAccess.local(store), formats, jobFormat, names, clock, log);
     HttpCaller caller = new NettyHttpCaller(loop);
-    awaitReady(caller, settings.ready());
+    List<GatewayProcess> processes = new ArrayList<>();
+    List<GatewaySettings> all = List.of(settings("coordinator", 2), settings("other", 1));
+    for (GatewaySettings settings : all) {
+      processes.add(
+          new GatewayProcess(
+              settings, loop, StoreAccess.local(store), formats, jobFormat, names, clock, log));
+      awaitReady(caller, settings.ready());
+    }
+    changeEndpoints(store, endpoint.formatted(address));
     List<Integer> statuses = new ArrayList<>();
-    calls.forEach(call -> statuses.add(status(caller, settings.front(), call)));
-    process.stop();
+    for (GatewaySettings settings : all) {
+      calls
+          .apply(settings.self().name())
+          .forEach(call -> statuses.add(status(caller, settings.front(), call)));
+    }
+    processes.forEach(GatewayProcess::stop);
     loop.shutdownGracefully();
     return statuses;
   }
 
-  private static void put(InMemoryLogStore store, String topic, String key, byte[] value) {
+  /** Lists another endpoint, and takes it off the list at once. */
+  private void changeEndpoints(InMemoryLogStore store, String entry) {
+    put(store, formats.endpointTopic(), "second", entry.getBytes());
+    put(store, formats.endpointTopic(), "second", null);
+  }
+
+  private static void put(
+      InMemoryLogStore store, String topic, String key, byte @Nullable [] value) {
     store.append(new AppendCall(topic, 0, List.of(new KeyedRecord(key, value)), null));
   }
 
@@ -115,7 +132,7 @@
     }
   }
 
-  private static GatewaySettings settings() {
+  private static GatewaySettings settings(String name, double cores) {
     InetAddress loopback = InetAddress.getLoopbackAddress();
     try (ServerSocket front = new ServerSocket(0, 1, loopback);
         ServerSocket ready = new ServerSocket(0, 1, loopback);
@@ -124,7 +141,7 @@
         DatagramSocket peer = new DatagramSocket(relay.getLocalPort(), loopback)) {
       InetSocketAddress peerAddress = new InetSocketAddress(loopback, peer.getLocalPort());
       return new GatewaySettings(
-          new GatewayInstance("trial", "trial~1", peerAddress, "trial"),
+          new GatewayInstance(name, name + "~1", peerAddress, "trial", cores),
           new InetSocketAddress(loopback, front.getLocalPort()),
           new InetSocketAddress(loopback, ready.getLocalPort()),
           new InetSocketAddress(loopback, metrics.getLocalPort()),
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayServer.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayServer.java
@@ -76,7 +76,7 @@
   public void bind(EventLoopGroup loop, InetSocketAddress at, HttpCaller jobs) {
     new ServerBootstrap()
         .group(loop)
-        .channel(NioServerSocketChannel.class)
+        .channelFactory(NioServerSocketChannel::new)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childHandler(
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/TcpRelayTransport.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/TcpRelayTransport.java
@@ -66,7 +66,7 @@
       this.opened =
           new Bootstrap()
               .group(loop)
-              .channel(NioSocketChannel.class)
+              .channelFactory(NioSocketChannel::new)
               .option(ChannelOption.TCP_NODELAY, true)
               .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
               .handler(
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -278,7 +278,21 @@
   }
 
   /** Where a slot is looked for; those with an equal one find the same, less what they exclude. */
-  private record Search(String dataCentre, boolean batch) {}
+  private record Search(String dataCentre, boolean batch) {
+
+    // Written out: the generated ones are linked at run time, in some milliseconds.
+    @Override
+    public boolean equals(Object other) {
+      return other instanceof Search search
+          && batch == search.batch
+          && dataCentre.equals(search.dataCentre);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * dataCentre.hashCode() + Boolean.hashCode(batch);
+    }
+  }
 
   private boolean anyFree(Instant now) {
     for (EndpointRecord endpoint : directory.usable(service)) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Outliers.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Outliers.java
@@ -28,8 +28,6 @@
   /** Weight of a hint: full endpoints are silent or shed for a moment as well. */
   private static final double HINT = 0.5;
 
-  private record Place(String endpoint, String dataCentre) {}
-
   /** Ends by weight, as of a moment. */
   private record Ends(double all, double failed, Instant at) {
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Penalties.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Penalties.java
@@ -20,11 +20,22 @@
  */
 final class Penalties {
 
-  private record Place(String endpoint, String dataCentre) {}
-
   private record Penalty(int failures, Instant until) {}
 
-  private record Path(String from, String to) {}
+  /** A way between data centres. */
+  private record Path(String from, String to) {
+
+    // Written out: the generated ones are linked at run time, in some milliseconds.
+    @Override
+    public boolean equals(Object other) {
+      return other instanceof Path path && from.equals(path.from) && to.equals(path.to);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * from.hashCode() + to.hashCode();
+    }
+  }
 
   /** Endpoints that must have failed before their data centre counts as cut off. */
   private static final int FAILED_FOR_CUT = 2;
