Read the answers of items ten times a second

Once an item's first event is there its connection is read every 0.1 s, several events at a time. Nothing changes for streams of callers. The end of an item is seen up to 0.1 s later, and an item that gives way loses up to 0.1 s of work, of some 6 s.

Ruled out for streams: two events at a time would put 40 ms between tokens, where the aim is 29 ms for 95 in 100.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointPool.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointPool.java
@@ -36,6 +36,7 @@
   private static final int CONNECT_MILLIS = 120;
 
   private final RestLimits rests;
+  private final PacedReads pacedReads;
   private final EventLoop loop;
   private final HeaderNames names;
   private final InstantSource clock;
@@ -46,13 +47,14 @@
   /** Creates a pool on an event loop. */
   public EndpointPool(EventLoop loop, HeaderNames names, InstantSource clock) {
     this.rests = new RestLimits(loop);
+    this.pacedReads = new PacedReads(loop);
     this.loop = loop;
     this.clock = clock;
     this.names = names;
     this.bootstrap =
         new Bootstrap()
             .group(loop)
-            .channel(NioSocketChannel.class)
+            .channelFactory(NioSocketChannel::new)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
             .handler(new Pipeline());
@@ -138,6 +140,10 @@
     return rests;
   }
 
+  PacedReads pacedReads() {
+    return pacedReads;
+  }
+
   EventLoop loop() {
     return loop;
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/PooledCall.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/PooledCall.java
@@ -73,6 +73,13 @@
     }
   }
 
+  @Override
+  public void pace() {
+    if (channel != null && !done) {
+      pool.pacedReads().add(channel);
+    }
+  }
+
   EndpointPool pool() {
     return pool;
   }
@@ -121,6 +128,9 @@
 
   private void end() {
     done = true;
+    if (channel != null) {
+      pool.pacedReads().remove(channel);
+    }
     pool.ended(this);
   }
 
