Let reads of changes wait by the time that a change may take

Reads of the configuration and of the endpoint list waited a second on every deployment, since a connection that goes silent hides a change for a wait and a call, and changes are to be in force within two seconds on the smallest. At rest these two reads are most of what a process does.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -115,8 +115,9 @@
                 metrics));
     front = new FrontServer(handler, config, clock, log);
     ConfigSource configs = new ConfigSource(formats, config, clock, log);
-    follow(store, formats.configTopic(), KeyedFollower.PROMPT, configs);
-    follow(store, formats.endpointTopic(), KeyedFollower.PROMPT, endpoints);
+    Duration wait = KeyedFollower.waitWithin(settings.changeTime());
+    follow(store, formats.configTopic(), wait, configs);
+    follow(store, formats.endpointTopic(), wait, endpoints);
     follow(store, InstanceSource.TOPIC, KeyedFollower.UNHURRIED, instances);
     instances.announce();
     loop.execute(jobs::start);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewaySettings.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewaySettings.java
@@ -12,6 +12,7 @@
  * @param ready where the balancer asks whether this process takes connections
  * @param metrics where figures are scraped
  * @param stopTime time from the signal to stop until the process is killed
+ * @param changeTime time within which a change is to be in force everywhere
  * @param resultRetention time for which results of jobs stay readable
  * @param jobPartitions partitions of the jobs' topic
  */
@@ -21,5 +22,6 @@
     InetSocketAddress ready,
     InetSocketAddress metrics,
     Duration stopTime,
+    Duration changeTime,
     Duration resultRetention,
     int jobPartitions) {}
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/TrialRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/TrialRun.java
@@ -147,6 +147,7 @@
           new InetSocketAddress(loopback, metrics.getLocalPort()),
           STOP_TIME,
           STOP_TIME,
+          STOP_TIME,
           PARTITIONS);
     } catch (IOException e) {
       throw new UncheckedIOException("No free port on loopback", e);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/KeyedFollower.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/KeyedFollower.java
@@ -25,13 +25,6 @@
  */
 public final class KeyedFollower {
 
-  /**
-   * Wait of a read for changes that are to be in force soon; bounds how long a connection that went
-   * silent hides changes. With the time of a call it stays under that within which a change is to
-   * be in force everywhere and an endpoint that leaves is to get nothing more.
-   */
-  public static final Duration PROMPT = Duration.ofSeconds(1);
-
   /**
    * Wait of a read for changes that may be seen late, such as the list of processes, whose silence
    * is noticed by questions without an answer.
@@ -49,6 +42,9 @@
   /** Longest pause between tries; entries are to be back within 2 s of an outage's end. */
   private static final Duration MAX_PAUSE = Duration.ofMillis(800);
 
+  /** Part of the time for a change that a read may wait; the rest is for a call and its effect. */
+  private static final int WAITS_IN_CHANGE_TIME = 2;
+
   private final LogStore store;
   private final String topic;
   private final int partition;
@@ -78,7 +74,7 @@
   /**
    * Creates a follower; all its work happens on the executor.
    *
-   * @param wait how long reads wait for records, {@link #PROMPT} or {@link #UNHURRIED}
+   * @param wait how long reads wait for records
    */
   public KeyedFollower(
       LogStore store,
@@ -99,6 +95,17 @@
     this.listener = listener;
   }
 
+  /**
+   * Returns how long reads may wait for changes that are to be in force within a time.
+   *
+   * <p>Failure: a connection goes silent without an end. It shows as a change that a process does
+   * not learn of until its read has waited in vain. Guard: the wait and a call after it stay within
+   * the time.
+   */
+  public static Duration waitWithin(Duration changeTime) {
+    return changeTime.dividedBy(WAITS_IN_CHANGE_TIME);
+  }
+
   /** Starts to follow. */
   public void start() {
     loadAll(new ArrayList<>(), null, -1);
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
@@ -333,6 +333,7 @@
         new InetSocketAddress(loopback, ports.get(1)),
         new InetSocketAddress(loopback, ports.get(2)),
         stopTime,
+        Duration.ofSeconds(2),
         Duration.ofSeconds(120),
         2);
   }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/CutReadsTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/CutReadsTest.java
@@ -38,6 +38,8 @@
  */
 class CutReadsTest {
 
+  private static final Duration PROMPT = KeyedFollower.waitWithin(Duration.ofSeconds(2));
+
   /** Instances; as many as a middle-sized site has. */
   private static final int INSTANCES = 13;
 
@@ -163,8 +165,8 @@
           new RelayingHttpCaller(
               direct, this::asPeer, () -> others(name), time, new SilentEventLog());
       callers.put(name, caller);
-      follow(caller, URGENT, KeyedFollower.PROMPT);
-      follow(caller, ENDPOINTS, KeyedFollower.PROMPT);
+      follow(caller, URGENT, PROMPT);
+      follow(caller, ENDPOINTS, PROMPT);
       follow(caller, UNHURRIED, KeyedFollower.UNHURRIED);
       hold(store.through(caller));
     }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/store/KeyedFollowerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/store/KeyedFollowerTest.java
@@ -19,6 +19,8 @@
 
 class KeyedFollowerTest {
 
+  private static final Duration PROMPT = KeyedFollower.waitWithin(Duration.ofSeconds(2));
+
   private static final String TOPIC = "t";
 
   private final VirtualLoop time = new VirtualLoop();
@@ -91,7 +93,7 @@
   @Test
   void tellsWhatWasThereAndWhatComes() {
     put("a");
-    follow(KeyedFollower.PROMPT);
+    follow(PROMPT);
     put("b");
     time.advance(Duration.ofMillis(5));
     assertEquals(List.of("a", "b"), heard.keys);
@@ -101,7 +103,7 @@
   @Test
   void tellsTheWholeContentAnewWhenHistoryIsGone() {
     put("a");
-    follow(KeyedFollower.PROMPT);
+    follow(PROMPT);
     drop("a");
     put("b");
     store.forgotten = true;
@@ -112,7 +114,7 @@
 
   @Test
   void goesOnAfterAnOutageAndTellsHowLongItWas() {
-    follow(KeyedFollower.PROMPT);
+    follow(PROMPT);
     store.away = true;
     time.advance(Duration.ofSeconds(4));
     put("a");
@@ -144,7 +146,7 @@
   @Test
   void tellsWhatWasMadeWhileItsReadWasCut() {
     put("a");
-    follow(KeyedFollower.PROMPT);
+    follow(PROMPT);
     store.silence();
     put("b");
     time.advance(Duration.ofMillis(700));
@@ -158,7 +160,7 @@
   @Test
   void tellsTheWholeContentWhenTheCutReadsHistoryIsGone() {
     put("a");
-    follow(KeyedFollower.PROMPT);
+    follow(PROMPT);
     store.silence();
     drop("a");
     put("b");
@@ -182,7 +184,7 @@
   /** Each of a hundred records that come within a second costs each process of a fleet a call. */
   @Test
   void gathersRecordsThatComeTogether() {
-    follow(KeyedFollower.PROMPT);
+    follow(PROMPT);
     store.reads = 0;
     for (int i = 0; i < 100; i++) {
       put("k" + i);
