Notice endpoints that answer with errors at once, over all data centres

Cause: (1) evidence was kept by data centre alone, so that six of them had to find out one after the other; (2) only the share among recent ends counted, and some 25 answers of a crest had to be outweighed; (3) an endpoint that was avoided still got every request that found no other slot, and on a crest that is nearly each: it was free again after 2 ms; (4) when the avoidance was over it got as many at once as it has slots, and had to fail three again.

Now errors that an endpoint answers itself count for all once two data centres saw some (what fails on the way still counts for one); two failures in a row count, where answers to uses that began before the first of them tell nothing; an endpoint that fails most gets nothing but one try at a time, unless half of the endpoints do, since then it is no endpoint's fault; and one that was found before is found by its first failure.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -107,7 +107,7 @@
     if (leases.counts(lease)) {
       penalties.record(
           lease.endpoint(), lease.endpointDataCentre(), lease.dataCentre(), outcome, now);
-      outliers.ended(lease.endpoint(), lease.dataCentre(), outcome, now);
+      outliers.ended(lease.endpoint(), lease.dataCentre(), outcome, lease.since(), now);
     }
     if (outcome == SlotOutcome.FAILED && lease.fingerprint() != 0) {
       crashed(lease.fingerprint(), now);
@@ -296,7 +296,7 @@
 
   private boolean anyFree(Instant now) {
     for (EndpointRecord endpoint : directory.usable(service)) {
-      if (inUse(endpoint, now) < endpoint.slots()) {
+      if (inUse(endpoint, now) < endpoint.slots() && !outliers.failsMost(endpoint.id(), now)) {
         return true;
       }
     }
@@ -313,8 +313,8 @@
   }
 
   private boolean tryGrant(SlotRequest request, Instant now, List<SlotAnswer> answers) {
-    List<EndpointRecord> candidates = candidates(request, now);
     String from = request.dataCentre();
+    List<EndpointRecord> candidates = withoutFailing(candidates(request, now), from, now);
     List<EndpointRecord> sound =
         candidates.stream().filter(each -> !outliers.avoided(each.id(), from, now)).toList();
     if (request.batch() && !roomForItem(sound, now)) {
@@ -332,6 +332,7 @@
     }
     EndpointRecord endpoint = found.get();
     penalties.granted(endpoint, request.dataCentre(), now);
+    outliers.granted(endpoint.id(), request.dataCentre(), now);
     leases.hold(
         new SlotLease(
             request.key(),
@@ -376,6 +377,19 @@
         .toList();
   }
 
+  /**
+   * Returns the endpoints but those that fail most of their requests, unless these are half of
+   * them: what fails everywhere is no endpoint's fault, and nothing else would be left.
+   */
+  private List<EndpointRecord> withoutFailing(
+      List<EndpointRecord> candidates, String dataCentre, Instant now) {
+    List<EndpointRecord> rest =
+        candidates.stream()
+            .filter(each -> !outliers.failsMost(each.id(), dataCentre, now))
+            .toList();
+    return 2 * rest.size() > candidates.size() ? rest : candidates;
+  }
+
   /** Returns whether a request excludes a life of an endpoint, or one that came after it. */
   private static boolean excluded(SlotRequest request, EndpointRecord endpoint) {
     // Asked for each endpoint and decision, mostly with nothing excluded.
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Outliers.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Outliers.java
@@ -4,61 +4,82 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 /**
- * Endpoints that fail a good part of their requests while they serve the others, seen from one data
- * centre each.
+ * Endpoints that fail a good part of their requests while their health says that they are well.
  *
- * <p>Failure: an endpoint answers some requests with an error, sheds them, breaks off or is silent,
- * and its health says that it is well. Errors come faster than answers, so that its slots are free
- * more often than others and placing by free slots sends it more than its share. It shows as
- * failures between successes, which end each penalty for a failure. Guard: the share of failures
- * among the recent ends of uses is kept; above a limit the endpoint gets requests only when no
- * other has a slot, and no items.
+ * <p>Failure: an endpoint answers with errors, sheds, breaks off or is silent. Errors come faster
+ * than answers, so that its slots are free more often than others and placing by free slots sends
+ * it more than its share; on a crest it is the only one with free slots and gets nearly all. It
+ * shows as failures between successes, which end each penalty for a failure. Guard: the share of
+ * failures among the recent ends of uses is kept, and how many failed in a row. Above a limit the
+ * endpoint gets requests only when no other has a slot, and no items; if most fail it gets nothing
+ * but one try at a time.
+ *
+ * <p>What fails on the way fails for one data centre, which alone avoids the endpoint then. Errors
+ * that the endpoint itself answers to several of them count for all.
  */
 final class Outliers {
 
-  /** Time in which an end loses half of its weight; an endpoint has many ends in it. */
-  private static final Duration HALF_LIFE = Duration.ofSeconds(2);
-
-  /** Weight of ends from which on a share says something; one failure alone is often a cut. */
-  private static final double LEAST_ENDS = 2.5;
+  /** Stands for all data centres. */
+  private static final String EVERYWHERE = "";
 
   /** Weight of a hint: full endpoints are silent or shed for a moment as well. */
   private static final double HINT = 0.5;
 
-  /** Ends by weight, as of a moment. */
-  private record Ends(double all, double failed, Instant at) {
+  /** Failures in a row after which an endpoint gets nothing; chance errors are one in a hundred. */
+  private static final int ROW = 2;
 
-    private Ends plus(double end, double failure, Instant now) {
-      double left = weightLeft(now);
-      return new Ends(all * left + end, failed * left + failure, now);
-    }
+  /** Share of failures from which on a caller does better to wait or to come back. */
+  private static final double MOST = 0.5;
 
-    private double weightLeft(Instant now) {
-      double passed = Duration.between(at, now).toMillis();
-      return Math.pow(0.5, passed / HALF_LIFE.toMillis());
-    }
-  }
+  /** Data centres that must have seen errors for these to count for all. */
+  private static final int DATA_CENTRES = 2;
 
-  /** Times that an endpoint was found to fail, and until when it is avoided. */
-  private record Avoided(int times, Instant until) {}
+  /**
+   * How an endpoint is avoided.
+   *
+   * @param times times that it was found to fail
+   * @param until until when it is avoided
+   * @param failsMost whether it gets nothing, also when no other has a slot
+   * @param triedAt when it was first tried again; {@link Instant#MAX} if it was not
+   * @param proven whether it has answered since
+   */
+  private record Avoided(
+      int times, Instant until, boolean failsMost, Instant triedAt, boolean proven) {}
 
   private final SlotSettings settings;
-  private final Map<Place, Ends> ends = new HashMap<>();
+  private final Map<Place, RecentEnds> ends = new HashMap<>();
   private final Map<Place, Avoided> avoided = new HashMap<>();
+  private final Map<String, Set<String>> sawErrors = new HashMap<>();
 
   Outliers(SlotSettings settings) {
     this.settings = settings;
   }
 
-  /** Takes the end of a use. */
-  void ended(String endpoint, String dataCentre, SlotOutcome outcome, Instant now) {
+  /**
+   * Takes the end of a use.
+   *
+   * @param since when the use began
+   */
+  void ended(String endpoint, String dataCentre, SlotOutcome outcome, Instant since, Instant now) {
+    Place here = new Place(endpoint, dataCentre);
+    Place everywhere = new Place(endpoint, EVERYWHERE);
     switch (outcome) {
-      case ANSWERED -> add(endpoint, dataCentre, 1, 0, now);
-      case ERROR, FAILED -> add(endpoint, dataCentre, 1, 1, now);
-      case SHED -> add(endpoint, dataCentre, HINT, HINT, now);
+      case ANSWERED -> {
+        succeeded(here, since, now);
+        succeeded(everywhere, since, now);
+      }
+      case ERROR -> {
+        failed(here, now);
+        sawErrors.computeIfAbsent(endpoint, any -> new HashSet<>()).add(dataCentre);
+        failed(everywhere, now);
+      }
+      case FAILED -> failed(here, now);
+      case SHED -> suspected(endpoint, dataCentre, now);
       case ABANDONED, REPLACED, UNREACHED -> {}
       default -> throw new IllegalArgumentException("unknown outcome " + outcome);
     }
@@ -66,42 +87,121 @@
 
   /** Takes a hint that the endpoint of a use is silent. */
   void suspected(String endpoint, String dataCentre, Instant now) {
-    add(endpoint, dataCentre, HINT, HINT, now);
+    Place here = new Place(endpoint, dataCentre);
+    judge(here, recent(here, now).hinted(HINT, now), now);
   }
 
+  /** Takes that an endpoint got a request, perhaps as a try after it was avoided. */
+  void granted(String endpoint, String dataCentre, Instant now) {
+    tried(new Place(endpoint, dataCentre), now);
+    tried(new Place(endpoint, EVERYWHERE), now);
+  }
+
+  /** Returns whether an endpoint gets requests only when no other has a slot. */
   boolean avoided(String endpoint, String dataCentre, Instant now) {
-    Avoided known = avoided.get(new Place(endpoint, dataCentre));
-    return known != null && now.isBefore(known.until());
+    // Asked for each endpoint and decision, mostly while all are sound.
+    return !avoided.isEmpty()
+        && (avoided(new Place(endpoint, dataCentre), now)
+            || avoided(new Place(endpoint, EVERYWHERE), now));
+  }
+
+  /** Returns whether an endpoint gets nothing from a data centre. */
+  boolean failsMost(String endpoint, String dataCentre, Instant now) {
+    return !avoided.isEmpty()
+        && (failsMost(new Place(endpoint, dataCentre), now) || failsMost(endpoint, now));
+  }
+
+  /** Returns whether an endpoint gets nothing from anywhere. */
+  boolean failsMost(String endpoint, Instant now) {
+    return !avoided.isEmpty() && failsMost(new Place(endpoint, EVERYWHERE), now);
   }
 
   /** Forgets what a former life of an endpoint did. */
   void forget(String endpoint) {
     ends.keySet().removeIf(place -> place.endpoint().equals(endpoint));
     avoided.keySet().removeIf(place -> place.endpoint().equals(endpoint));
+    sawErrors.remove(endpoint);
+  }
+
+  private boolean avoided(Place place, Instant now) {
+    Avoided known = avoided.get(place);
+    return known != null && now.isBefore(known.until());
+  }
+
+  private boolean failsMost(Place place, Instant now) {
+    Avoided known = avoided.get(place);
+    return known != null && known.failsMost() && now.isBefore(known.until());
   }
 
-  private void add(String endpoint, String dataCentre, double end, double failure, Instant now) {
-    Place place = new Place(endpoint, dataCentre);
-    Ends before = ends.getOrDefault(place, new Ends(0, 0, now));
-    Ends next = before.plus(end, failure, now);
-    boolean failing = next.failed() >= settings.outlierShare() * next.all();
-    if (failure > 0 && failing && next.all() >= LEAST_ENDS) {
-      avoid(place, now);
+  private RecentEnds recent(Place place, Instant now) {
+    return ends.getOrDefault(place, RecentEnds.none(now));
+  }
+
+  private void succeeded(Place place, Instant since, Instant now) {
+    ends.put(place, recent(place, now).succeeded(since, now));
+    Avoided known = avoided.get(place);
+    if (known != null && !since.isBefore(known.triedAt())) {
+      avoided.put(place, new Avoided(known.times(), now, known.failsMost(), known.triedAt(), true));
+    }
+  }
+
+  private void failed(Place place, Instant now) {
+    judge(place, recent(place, now).failed(now), now);
+  }
+
+  /** Keeps the ends of uses, or avoids the endpoint if they tell that it fails. */
+  private void judge(Place place, RecentEnds recent, Instant now) {
+    ends.put(place, recent);
+    boolean told = !place.dataCentre().equals(EVERYWHERE) || sawErrors(place.endpoint());
+    boolean most = recent.row() >= ROW || recent.failedShare(MOST);
+    boolean again = foundLately(place, now) && recent.row() > 0;
+    boolean failing = again || most || recent.failedShare(settings.outlierShare());
+    if (told && failing && settings.outlierShare() <= 1) {
+      avoid(place, most, now);
       // What it does when it is tried again counts alone.
-      ends.remove(place);
-    } else {
-      ends.put(place, next);
+      ends.put(place, recent.rowAlone());
     }
   }
 
+  private boolean sawErrors(String endpoint) {
+    return sawErrors.getOrDefault(endpoint, Set.of()).size() >= DATA_CENTRES;
+  }
+
+  private boolean foundLately(Place place, Instant now) {
+    Avoided known = avoided.get(place);
+    return known != null && now.isBefore(known.until().plus(settings.maxOutlierTime()));
+  }
+
   /** Avoids an endpoint for a time that doubles while it is found to fail again and again. */
-  private void avoid(Place place, Instant now) {
-    Avoided former = avoided.get(place);
-    boolean again = former != null && now.isBefore(former.until().plus(settings.maxOutlierTime()));
-    int times = again ? Math.min(former.times() + 1, 10) : 1;
+  private void avoid(Place place, boolean most, Instant now) {
+    Avoided former = foundLately(place, now) ? avoided.get(place) : null;
+    if (former != null && !former.proven() && now.isBefore(former.until()) && !tried(former)) {
+      // Uses that began before it was avoided tell nothing new, but that most fail.
+      boolean either = most || former.failsMost();
+      avoided.put(
+          place, new Avoided(former.times(), former.until(), either, former.triedAt(), false));
+      return;
+    }
+    int times = former == null ? 1 : Math.min(former.times() + 1, 10);
+    boolean failsMost = most || (former != null && former.failsMost());
     Duration doubled = settings.outlierTime().multipliedBy(1L << (times - 1));
     Duration longest = settings.maxOutlierTime();
     Duration time = doubled.compareTo(longest) > 0 ? longest : doubled;
-    avoided.put(place, new Avoided(times, now.plus(time)));
+    avoided.put(place, new Avoided(times, now.plus(time), failsMost, Instant.MAX, false));
+  }
+
+  private static boolean tried(Avoided known) {
+    return !known.triedAt().equals(Instant.MAX);
+  }
+
+  /** Lets one request alone try an endpoint, until it answers or the time of a try is over. */
+  private void tried(Place place, Instant now) {
+    Avoided known = avoided.get(place);
+    if (known == null || known.proven() || now.isBefore(known.until())) {
+      return;
+    }
+    Instant first = tried(known) ? known.triedAt() : now;
+    Instant until = now.plus(settings.tryTime());
+    avoided.put(place, new Avoided(known.times(), until, known.failsMost(), first, false));
   }
 }
