--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -37,7 +37,6 @@
   private static final Comparator<SlotLease> ITEM_ORDER =
       Comparator.comparing(SlotLease::late).thenComparing(SlotLease::rank);
 
-  private final String service;
   private final EndpointDirectory directory;
   private final SlotSettings settings;
   private final LongConsumer barred;
@@ -51,6 +50,7 @@
   private final SlotLeases leases;
   private final WaitingRequests waiting = new WaitingRequests();
   private final LateItems lateItems;
+  private final SlotSearch search;
 
   /**
    * Creates a coordinator of a service.
@@ -59,7 +59,6 @@
    */
   public DefaultSlotCoordinator(
       String service, EndpointDirectory directory, SlotSettings settings, LongConsumer barred) {
-    this.service = service;
     this.barred = barred;
     this.directory = directory;
     this.settings = settings;
@@ -68,6 +67,8 @@
     this.refusedCallers = new RefusedCallers(settings);
     this.leases = new SlotLeases(directory);
     this.lateItems = new LateItems(leases, waiting);
+    this.search =
+        new SlotSearch(service, directory, settings, leases, penalties, outliers, foreign);
     directory.onNewLife(this::begun);
   }
 
@@ -202,7 +203,7 @@
   }
 
   private Duration expectedWait(Waiter waiter, Instant now) {
-    Duration queue = estimate.of(waiting.before(waiter), slots());
+    Duration queue = estimate.of(waiting.before(waiter), search.slots());
     // Newcomers go first, so that one that comes back is served once the overload ends.
     Duration overload = waiter.returning() ? spell.remaining(now) : Duration.ZERO;
     return queue.compareTo(overload) > 0 ? queue : overload;
@@ -219,7 +220,7 @@
       return refused(request, Duration.ZERO);
     }
     int before = waiting.online() + refusedCallers.count(now);
-    Duration queue = estimate.retryAfter(before, slots());
+    Duration queue = estimate.retryAfter(before, search.slots());
     Duration overload = overload(now);
     Duration retryAfter = queue.compareTo(overload) > 0 ? queue : overload;
     if (!waiter.returning()) {
@@ -229,7 +230,7 @@
   }
 
   private SlotAnswer refused(SlotRequest request, Duration retryAfter) {
-    SlotAnswer.Load seen = new SlotAnswer.Load(slots(), leases.counted(), waiting.online());
+    SlotAnswer.Load seen = new SlotAnswer.Load(search.slots(), leases.counted(), waiting.online());
     return new SlotAnswer.Refused(request.key(), retryAfter, seen);
   }
 
@@ -243,10 +244,6 @@
     return spell.remaining(now);
   }
 
-  private int slots() {
-    return directory.usable(service).stream().mapToInt(EndpointRecord::slots).sum();
-  }
-
   /**
    * Hands free slots to those that wait, in their order.
    *
@@ -260,7 +257,7 @@
     Iterator<Waiter> next = waiting.inOrder();
     while (next.hasNext() && !exhausted(now)) {
       SlotRequest request = next.next().request();
-      if (request.batch() && !anyFree(now)) {
+      if (request.batch() && !search.anyFree(now)) {
         // Items come last, and there is a slot for none of those behind it either.
         break;
       }
@@ -294,38 +291,28 @@
     }
   }
 
-  private boolean anyFree(Instant now) {
-    for (EndpointRecord endpoint : directory.usable(service)) {
-      if (inUse(endpoint, now) < endpoint.slots() && !outliers.failsMost(endpoint.id(), now)) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   private boolean late(SlotRequest request, Instant now) {
     return settings.lateItemsLast() && lateItems.late(request, now);
   }
 
   /** Returns whether no endpoint has a slot that is free or can be taken back. */
   private boolean exhausted(Instant now) {
-    return !leases.anyItem() && !anyFree(now);
+    return !leases.anyItem() && !search.anyFree(now);
   }
 
   private boolean tryGrant(SlotRequest request, Instant now, List<SlotAnswer> answers) {
     String from = request.dataCentre();
-    List<EndpointRecord> candidates = withoutFailing(candidates(request, now), from, now);
-    List<EndpointRecord> sound =
-        candidates.stream().filter(each -> !outliers.avoided(each.id(), from, now)).toList();
-    if (request.batch() && !roomForItem(sound, now)) {
+    List<EndpointRecord> candidates = search.candidates(request, now);
+    List<EndpointRecord> sound = search.sound(candidates, from, now);
+    if (request.batch() && !search.roomForItem(sound, now)) {
       return false;
     }
-    Optional<EndpointRecord> found = withFreeSlot(sound, from, now);
+    Optional<EndpointRecord> found = search.withFreeSlot(sound, from, now);
     if (found.isEmpty() && !request.batch()) {
       found =
-          revokeOne(preferred(sound, from), answers)
+          revokeOne(search.preferred(sound, from), answers)
               .or(() -> revokeOne(sound, answers))
-              .or(() -> withFreeSlot(candidates, from, now));
+              .or(() -> search.withFreeSlot(candidates, from, now));
     }
     if (found.isEmpty()) {
       return false;
@@ -350,78 +337,6 @@
     return true;
   }
 
-  /**
-   * Returns whether a batch item may take a slot and leave enough for online requests.
-   *
-   * <p>Load pattern: on a crest the number of online requests goes up and down around its mean by
-   * about its square root. An item that takes a slot in each dip is revoked a moment later and has
-   * cost the endpoint a prompt. So that many slots stay free.
-   *
-   * <p>Failure: endpoints that do not answer stay in the list for seconds, and those behind a cut
-   * for as long as it lasts. It shows as items that are revoked as soon as they have begun, again
-   * and again, since an online request finds no slot where an item saw some. Guard: a slot counts
-   * as free only at an endpoint that would get the item.
-   */
-  private boolean roomForItem(List<EndpointRecord> endpoints, Instant now) {
-    int free = 0;
-    for (EndpointRecord endpoint : endpoints) {
-      free += Math.max(0, endpoint.slots() - inUse(endpoint, now));
-    }
-    return free > settings.itemReserve() * Math.sqrt(leases.online());
-  }
-
-  private List<EndpointRecord> candidates(SlotRequest request, Instant now) {
-    return directory.usable(service).stream()
-        .filter(endpoint -> !excluded(request, endpoint))
-        .filter(endpoint -> penalties.free(endpoint, request.dataCentre(), now))
-        .toList();
-  }
-
-  /**
-   * Returns the endpoints but those that fail most of their requests, unless these are half of
-   * them: what fails everywhere is no endpoint's fault, and nothing else would be left.
-   */
-  private List<EndpointRecord> withoutFailing(
-      List<EndpointRecord> candidates, String dataCentre, Instant now) {
-    List<EndpointRecord> rest =
-        candidates.stream()
-            .filter(each -> !outliers.failsMost(each.id(), dataCentre, now))
-            .toList();
-    return 2 * rest.size() > candidates.size() ? rest : candidates;
-  }
-
-  /** Returns whether a request excludes a life of an endpoint, or one that came after it. */
-  private static boolean excluded(SlotRequest request, EndpointRecord endpoint) {
-    // Asked for each endpoint and decision, mostly with nothing excluded.
-    if (request.excluded().isEmpty()) {
-      return false;
-    }
-    EndpointLife life = endpoint.life();
-    for (EndpointLife each : request.excluded()) {
-      if (each.equals(life) || each.follows(life)) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  private Optional<EndpointRecord> withFreeSlot(
-      List<EndpointRecord> candidates, String dataCentre, Instant now) {
-    return candidates.stream()
-        .filter(endpoint -> inUse(endpoint, now) < endpoint.slots())
-        .min(settings.placement().order(dataCentre, endpoint -> inUse(endpoint, now)));
-  }
-
-  private List<EndpointRecord> preferred(List<EndpointRecord> endpoints, String dataCentre) {
-    return endpoints.stream()
-        .filter(endpoint -> settings.placement().prefers(endpoint, dataCentre))
-        .toList();
-  }
-
-  private int inUse(EndpointRecord endpoint, Instant now) {
-    return leases.used(endpoint.id()) + foreign.at(endpoint.id(), now);
-  }
-
   /** Forgets what a former life of an endpoint has made untrue. */
   private void begun(EndpointLife life) {
     penalties.forget(life.id());
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Outliers.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Outliers.java
@@ -101,19 +101,19 @@
   boolean avoided(String endpoint, String dataCentre, Instant now) {
     // Asked for each endpoint and decision, mostly while all are sound.
     return !avoided.isEmpty()
-        && (avoided(new Place(endpoint, dataCentre), now)
-            || avoided(new Place(endpoint, EVERYWHERE), now));
+        && (avoidedFrom(new Place(endpoint, dataCentre), now)
+            || avoidedFrom(new Place(endpoint, EVERYWHERE), now));
   }
 
   /** Returns whether an endpoint gets nothing from a data centre. */
   boolean failsMost(String endpoint, String dataCentre, Instant now) {
     return !avoided.isEmpty()
-        && (failsMost(new Place(endpoint, dataCentre), now) || failsMost(endpoint, now));
+        && (failsMostFrom(new Place(endpoint, dataCentre), now) || failsMost(endpoint, now));
   }
 
   /** Returns whether an endpoint gets nothing from anywhere. */
   boolean failsMost(String endpoint, Instant now) {
-    return !avoided.isEmpty() && failsMost(new Place(endpoint, EVERYWHERE), now);
+    return !avoided.isEmpty() && failsMostFrom(new Place(endpoint, EVERYWHERE), now);
   }
 
   /** Forgets what a former life of an endpoint did. */
@@ -123,12 +123,12 @@
     sawErrors.remove(endpoint);
   }
 
-  private boolean avoided(Place place, Instant now) {
+  private boolean avoidedFrom(Place place, Instant now) {
     Avoided known = avoided.get(place);
     return known != null && now.isBefore(known.until());
   }
 
-  private boolean failsMost(Place place, Instant now) {
+  private boolean failsMostFrom(Place place, Instant now) {
     Avoided known = avoided.get(place);
     return known != null && known.failsMost() && now.isBefore(known.until());
   }
