Notice endpoints that take requests and stay silent

Cause: a request that may not be moved told of its silent endpoint once, as a hint of half an end, and waited for its caller's deadline; each data centre had to lose requests of its own to each endpoint, since silence may be a cut.

Now such a request tells again each two objectives, and the second time counts as a failure of the endpoint (not of the way there: an overloaded one is silent as well). A failure that the endpoint's own data centre sees counts for all, since nothing between data centres can be at fault.

Tests: a cut keeps endpoints for their own side; a failure at home counts for all.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -307,7 +307,8 @@
 
   /**
    * Leaves a silent endpoint where the request may be repeated or resumed; the closed connection
-   * ends the work there, if the endpoint lives.
+   * ends the work there, if the endpoint lives. Another request waits on, but those behind it are
+   * placed elsewhere.
    */
   @Override
   public boolean stalled(Duration silence) {
@@ -315,6 +316,7 @@
         new AttemptRules.State(runs + 1, turnedAway, relay.headSent(), hasTime());
     NextStep next = AttemptRules.afterBreak(route, after);
     if (next != NextStep.SEND_AGAIN && next != NextStep.RESUME) {
+      suspicious(silence);
       return true;
     }
     EndpointCall silent = call;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotClient.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotClient.java
@@ -16,7 +16,10 @@
   /** Ends a use, or the wait for it. */
   void release(SlotKey key, SlotOutcome outcome);
 
-  /** Tells that the endpoint of a use is silent, so that others are placed elsewhere meanwhile. */
+  /**
+   * Tells that the endpoint of a use is silent, so that others are placed elsewhere meanwhile; told
+   * again while it stays so.
+   */
   void suspect(SlotKey key);
 
   /** Tells the load that the endpoint of a use told. */
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotCoordinator.java
@@ -23,7 +23,9 @@
   /** Takes the end of a use, or the end of waiting. */
   List<SlotAnswer> release(SlotKey key, SlotOutcome outcome, Instant now);
 
-  /** Takes a hint that the endpoint of a use is silent; the use goes on. */
+  /**
+   * Takes that the endpoint of a use is silent: at first a hint, then a failure; the use goes on.
+   */
   void suspect(SlotKey key, Instant now);
 
   /** Takes the load that the endpoint of a use told. */
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -108,7 +108,7 @@
     if (leases.counts(lease)) {
       penalties.record(
           lease.endpoint(), lease.endpointDataCentre(), lease.dataCentre(), outcome, now);
-      outliers.ended(lease.endpoint(), lease.dataCentre(), outcome, lease.since(), now);
+      outliers.ended(lease, outcome, now);
     }
     if (outcome == SlotOutcome.FAILED && lease.fingerprint() != 0) {
       crashed(lease.fingerprint(), now);
@@ -122,12 +122,16 @@
   @Override
   public void suspect(SlotKey key, Instant now) {
     SlotLease lease = leases.find(key);
-    if (lease != null && leases.counts(lease)) {
-      // No failure yet: a full endpoint is silent as well, and must not count as cut off.
-      penalties.record(
-          lease.endpoint(), lease.endpointDataCentre(), lease.dataCentre(), SlotOutcome.SHED, now);
-      outliers.suspected(lease.endpoint(), lease.dataCentre(), now);
+    if (lease == null || !leases.counts(lease)) {
+      return;
     }
+    // No failure of the way there: a full endpoint is silent as well, and must not count as cut
+    // off.
+    penalties.record(
+        lease.endpoint(), lease.endpointDataCentre(), lease.dataCentre(), SlotOutcome.SHED, now);
+    SlotOutcome taken = lease.suspected() ? SlotOutcome.FAILED : SlotOutcome.SHED;
+    outliers.ended(lease, taken, now);
+    leases.hold(lease.withSuspicion());
   }
 
   @Override
@@ -332,7 +336,8 @@
             late(request, now),
             request.fingerprint(),
             now,
-            now));
+            now,
+            false));
     answers.add(new SlotAnswer.Granted(request.key(), endpoint.life()));
     return true;
   }
@@ -348,7 +353,18 @@
   private SlotLease adopted(SlotKey key, SlotUse use, Instant now) {
     String where = directory.find(use.endpoint()).map(EndpointRecord::dataCentre).orElse("");
     return new SlotLease(
-        key, use.life(), where, where, use.batch(), use.rank(), use.work(), false, 0, now, now);
+        key,
+        use.life(),
+        where,
+        where,
+        use.batch(),
+        use.rank(),
+        use.work(),
+        false,
+        0,
+        now,
+        now,
+        false);
   }
 
   private Optional<EndpointRecord> revokeOne(
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Outliers.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Outliers.java
@@ -19,8 +19,9 @@
  * endpoint gets requests only when no other has a slot, and no items; if most fail it gets nothing
  * but one try at a time.
  *
- * <p>What fails on the way fails for one data centre, which alone avoids the endpoint then. Errors
- * that the endpoint itself answers to several of them count for all.
+ * <p>What fails on the way between data centres fails for one of them, which alone avoids the
+ * endpoint then. Errors that the endpoint itself answers to several of them count for all, and so
+ * does what fails within its own.
  */
 final class Outliers {
 
@@ -56,16 +57,18 @@
   private final Map<Place, Avoided> avoided = new HashMap<>();
   private final Map<String, Set<String>> sawErrors = new HashMap<>();
 
+  /** Endpoints whose failures count for all. */
+  private final Set<String> told = new HashSet<>();
+
   Outliers(SlotSettings settings) {
     this.settings = settings;
   }
 
-  /**
-   * Takes the end of a use.
-   *
-   * @param since when the use began
-   */
-  void ended(String endpoint, String dataCentre, SlotOutcome outcome, Instant since, Instant now) {
+  /** Takes the end of a use. */
+  void ended(SlotLease lease, SlotOutcome outcome, Instant now) {
+    String endpoint = lease.endpoint();
+    String dataCentre = lease.dataCentre();
+    Instant since = lease.since();
     Place here = new Place(endpoint, dataCentre);
     Place everywhere = new Place(endpoint, EVERYWHERE);
     switch (outcome) {
@@ -75,10 +78,17 @@
       }
       case ERROR -> {
         failed(here, now);
-        sawErrors.computeIfAbsent(endpoint, any -> new HashSet<>()).add(dataCentre);
+        sawError(endpoint, dataCentre);
         failed(everywhere, now);
       }
-      case FAILED -> failed(here, now);
+      case FAILED -> {
+        failed(here, now);
+        if (dataCentre.equals(lease.endpointDataCentre())) {
+          // Nothing between data centres can be at fault.
+          told.add(endpoint);
+          failed(everywhere, now);
+        }
+      }
       case SHED -> suspected(endpoint, dataCentre, now);
       case ABANDONED, REPLACED, UNREACHED -> {}
       default -> throw new IllegalArgumentException("unknown outcome " + outcome);
@@ -121,6 +131,7 @@
     ends.keySet().removeIf(place -> place.endpoint().equals(endpoint));
     avoided.keySet().removeIf(place -> place.endpoint().equals(endpoint));
     sawErrors.remove(endpoint);
+    told.remove(endpoint);
   }
 
   private boolean avoidedFrom(Place place, Instant now) {
@@ -152,19 +163,23 @@
   /** Keeps the ends of uses, or avoids the endpoint if they tell that it fails. */
   private void judge(Place place, RecentEnds recent, Instant now) {
     ends.put(place, recent);
-    boolean told = !place.dataCentre().equals(EVERYWHERE) || sawErrors(place.endpoint());
+    boolean counts = !place.dataCentre().equals(EVERYWHERE) || told.contains(place.endpoint());
     boolean most = recent.row() >= ROW || recent.failedShare(MOST);
     boolean again = foundLately(place, now) && recent.row() > 0;
     boolean failing = again || most || recent.failedShare(settings.outlierShare());
-    if (told && failing && settings.outlierShare() <= 1) {
+    if (counts && failing && settings.outlierShare() <= 1) {
       avoid(place, most, now);
       // What it does when it is tried again counts alone.
       ends.put(place, recent.rowAlone());
     }
   }
 
-  private boolean sawErrors(String endpoint) {
-    return sawErrors.getOrDefault(endpoint, Set.of()).size() >= DATA_CENTRES;
+  private void sawError(String endpoint, String dataCentre) {
+    Set<String> saw = sawErrors.computeIfAbsent(endpoint, any -> new HashSet<>());
+    saw.add(dataCentre);
+    if (saw.size() >= DATA_CENTRES) {
+      told.add(endpoint);
+    }
   }
 
   private boolean foundLately(Place place, Instant now) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotLease.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotLease.java
@@ -10,6 +10,7 @@
  *
  * @param work time for which it had to run when it became known
  * @param late whether it is a batch item that goes behind those which can be in time
+ * @param suspected whether its holder has told that the endpoint is silent
  */
 record SlotLease(
     SlotKey key,
@@ -22,7 +23,8 @@
     boolean late,
     long fingerprint,
     Instant since,
-    Instant renewed) {
+    Instant renewed,
+    boolean suspected) {
 
   /** Returns the id of the endpoint. */
   String endpoint() {
@@ -42,7 +44,8 @@
         late,
         fingerprint,
         since,
-        now);
+        now,
+        suspected);
   }
 
   /** Returns the use with another place among the batch items. */
@@ -58,7 +61,25 @@
         nowLate,
         fingerprint,
         since,
-        renewed);
+        renewed,
+        suspected);
+  }
+
+  /** Returns the use as one whose endpoint is silent. */
+  SlotLease withSuspicion() {
+    return new SlotLease(
+        key,
+        life,
+        endpointDataCentre,
+        dataCentre,
+        batch,
+        rank,
+        work,
+        late,
+        fingerprint,
+        since,
+        renewed,
+        true);
   }
 
   /** Returns for how long it still has to run. */
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/OutlierReplayTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/OutlierReplayTest.java
@@ -95,6 +95,27 @@
     assertEquals("good", fixture.granted(fixture.online("c")));
   }
 
+  /** Guards against a cut that takes endpoints from those who stand beside them. */
+  @Test
+  void keepsItForItsOwnSideOfACut() {
+    fixture.endpoint("bad", "b", 8).endpoint("good", "a", 8).endpoint("other", "a", 8);
+    endAt("bad", "a", SlotOutcome.FAILED);
+    fixture.advance(SlotSettings.DEFAULT.firstPenalty());
+    endAt("bad", "a", SlotOutcome.FAILED);
+    assertEquals("bad", fixture.granted(fixture.online("b")));
+  }
+
+  /** Guards against each data centre that has to find out for itself what is silent at home. */
+  @Test
+  void avoidsItForAllOnceItFailsWithinItsOwnDataCentre() {
+    fixture.endpoint("bad", "b", 8).endpoint("good", "a", 1).endpoint("other", "a", 8);
+    endAt("bad", "b", SlotOutcome.FAILED);
+    fixture.advance(SlotSettings.DEFAULT.firstPenalty());
+    endAt("bad", "b", SlotOutcome.FAILED);
+    assertNotEquals("bad", fixture.granted(fixture.online("c")));
+    assertNotEquals("bad", fixture.granted(fixture.online("c")));
+  }
+
   /** Guards against seven errors at once when an endpoint that still fails is tried again. */
   @Test
   void triesItWithOneRequestAtATime() {
