--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -34,18 +34,6 @@
 /** One request on its way: gets a slot, is sent, and is sent again where the rules allow it. */
 final class Forwarding implements RequestHandler.Handling, SilenceWatch.Listener {
 
-  /** Part of the objective that a request may wait for a slot. The rest is for the answer. */
-  private static final double WAIT_SHARE = 0.5;
-
-  /**
-   * Longest wait of a request that was turned away by endpoints before. A new attempt of its caller
-   * would be late as well, so a late answer from here is worth more than a refusal.
-   */
-  private static final Duration LATE_WAIT = Duration.ofMillis(600);
-
-  /** Least time left for which another endpoint is tried. */
-  private static final Duration MIN_ATTEMPT = Duration.ofMillis(20);
-
   /**
    * Silence after which another endpoint is tried where the route allows it, as a multiple of the
    * objective; a first event takes less than one, also on a crest.
@@ -67,7 +55,7 @@
   private final Responder responder;
   private final String id;
   private final String service;
-  private final Instant deadline;
+  private final RequestTime time;
   private final Set<EndpointLife> excluded = new HashSet<>();
   private final AnswerRelay relay;
   private final SilenceWatch watch;
@@ -88,7 +76,7 @@
     this.responder = responder;
     this.id = request.headers().get(parts.names().requestId(), "");
     this.service = route.service(ThreadLocalRandom.current().nextDouble());
-    this.deadline = request.arrived().plus(timeAllowed());
+    this.time = new RequestTime(route, request.arrived(), timeAllowed(), parts.clock());
     boolean streaming = route.kind() == RouteKind.STREAM;
     this.relay = new AnswerRelay(this, parts, responder, streaming);
     SilenceWatch.Limits limits =
@@ -98,7 +86,7 @@
   }
 
   void start() {
-    long millis = Math.max(0, timeLeft().toMillis());
+    long millis = Math.max(0, time.left().toMillis());
     timer = parts.executor().schedule(this::outOfTime, millis, TimeUnit.MILLISECONDS);
     acquire();
   }
@@ -168,7 +156,8 @@
 
   /** Returns whether a failure that an endpoint answered may be hidden by another try. */
   boolean mayRetryFailure() {
-    AttemptRules.State after = new AttemptRules.State(runs + 1, turnedAway, false, hasTime());
+    AttemptRules.State after =
+        new AttemptRules.State(runs + 1, turnedAway, false, time.allowsAttempt());
     return AttemptRules.afterBreak(route, after) == NextStep.SEND_AGAIN;
   }
 
@@ -177,7 +166,7 @@
     Duration first = Duration.between(request.arrived(), relay.firstPassed());
     parts.metrics().count("requests.answered", route.name());
     parts.metrics().time("requests.first", route.name(), first);
-    parts.metrics().time("requests.whole", route.name(), Duration.ofMillis(sinceArrival()));
+    parts.metrics().time("requests.whole", route.name(), Duration.ofMillis(time.sinceArrival()));
     parts
         .log()
         .routine("front", "request.answered")
@@ -185,12 +174,13 @@
         .with("status", status)
         .with("endpoint", endpointId())
         .with("firstMillis", first.toMillis())
-        .with("millis", sinceArrival())
+        .with("millis", time.sinceArrival())
         .write();
     finish(status >= 500 ? SlotOutcome.ERROR : SlotOutcome.ANSWERED);
   }
 
   private void acquire() {
+    Duration maxWait = time.maxWait(relay.headSent() || runs > 0, turnedAway > 0);
     SlotKey key = parts.slots().nextKey();
     slot = key;
     asked = parts.clock().instant();
@@ -202,8 +192,8 @@
             route.priority(),
             Duration.ZERO,
             parts.dataCentre(),
-            maxWait(),
-            patience(),
+            maxWait,
+            time.patience(maxWait),
             fingerprint(),
             Set.copyOf(excluded));
     parts.slots().acquire(wanted, this::onSlot);
@@ -222,33 +212,12 @@
     return Duration.ofMillis((long) (route.objective().toMillis() * count));
   }
 
-  private Duration maxWait() {
-    if (relay.headSent() || runs > 0) {
-      // The caller has part of the answer, or may not be told that nothing ran: a late end beats
-      // none.
-      return timeLeft();
-    }
-    if (turnedAway > 0) {
-      return LATE_WAIT.compareTo(timeLeft()) < 0 ? LATE_WAIT : timeLeft();
-    }
-    long millis = (long) (route.objective().toMillis() * WAIT_SHARE) - sinceArrival();
-    return Duration.ofMillis(Math.max(0, millis));
-  }
-
-  /**
-   * Returns how long a caller that comes back for the last time may wait: a late answer beats none.
-   */
-  private Duration patience() {
-    Duration latest = timeLeft().minus(route.objective());
-    return latest.compareTo(maxWait()) > 0 ? latest : maxWait();
-  }
-
   private void onSlot(SlotAnswer answer) {
     if (done) {
       return;
     }
     if (answer instanceof SlotAnswer.Granted granted) {
-      parts.metrics().time("requests.slot", route.name(), Duration.ofMillis(sinceArrival()));
+      parts.metrics().time("requests.slot", route.name(), Duration.ofMillis(time.sinceArrival()));
       send(granted.life());
     } else if (answer instanceof SlotAnswer.Refused refused) {
       slot = null;
@@ -286,7 +255,7 @@
         .with("route", route.name())
         .with("endpoint", life.id())
         .with("runs", runs)
-        .with("millis", sinceArrival())
+        .with("millis", time.sinceArrival())
         .write();
     call = parts.pool().send(life, target.get().address(), outgoing(life.id()), relay);
     watch.start();
@@ -313,7 +282,7 @@
   @Override
   public boolean stalled(Duration silence) {
     AttemptRules.State after =
-        new AttemptRules.State(runs + 1, turnedAway, relay.headSent(), hasTime());
+        new AttemptRules.State(runs + 1, turnedAway, relay.headSent(), time.allowsAttempt());
     NextStep next = AttemptRules.afterBreak(route, after);
     if (next != NextStep.SEND_AGAIN && next != NextStep.RESUME) {
       suspicious(silence);
@@ -333,7 +302,7 @@
 
   private FullHttpRequest outgoing(String endpointId) {
     HttpHeaders headers = ForwardedHeaders.toEndpoint(request.headers(), parts.names());
-    headers.set(parts.names().remainingMillis(), Math.max(1, timeLeft().toMillis()));
+    headers.set(parts.names().remainingMillis(), Math.max(1, time.left().toMillis()));
     headers.set(parts.names().expectedEndpoint(), endpointId);
     if (relay.lastEventId() >= 0) {
       headers.set(parts.names().lastEventId(), relay.lastEventId());
@@ -434,15 +403,7 @@
   }
 
   private AttemptRules.State state() {
-    return new AttemptRules.State(runs, turnedAway, relay.headSent(), hasTime());
-  }
-
-  private boolean hasTime() {
-    return timeLeft().compareTo(MIN_ATTEMPT) > 0;
-  }
-
-  private Duration timeLeft() {
-    return Duration.between(parts.clock().instant(), deadline);
+    return new AttemptRules.State(runs, turnedAway, relay.headSent(), time.allowsAttempt());
   }
 
   private Duration timeAllowed() {
@@ -459,16 +420,12 @@
     }
   }
 
-  private long sinceArrival() {
-    return Duration.between(request.arrived(), parts.clock().instant()).toMillis();
-  }
-
   private EventLine line(String event) {
     return parts
         .log()
         .important("front", event)
         .with("id", id)
         .with("route", route.name())
-        .with("millis", sinceArrival());
+        .with("millis", time.sinceArrival());
   }
 }
