Test that a request tells again of an endpoint that hangs, and tell it once each time

The test counted three reports in 2.5 s where two are due: the timer of the watch was cut down to whole milliseconds, so that a look came just before the second silence was reached, told the first again and was back a millisecond later. With the second report a failure, one silent request would have counted as two in a row. Times are rounded up now. The test fails with three before; without the second report it would see one (by the code, not run).

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/SilenceWatch.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/SilenceWatch.java
@@ -138,7 +138,8 @@
   }
 
   private void schedule(Duration time) {
-    long millis = Math.max(1, time.toMillis());
+    // Rounded up: a look that comes too early would tell of the same silence twice.
+    long millis = Math.max(1, time.plusNanos(999_999).toMillis());
     due = clock.instant().plusMillis(millis);
     timer = executor.schedule(this::look, millis, TimeUnit.MILLISECONDS);
   }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ForwardingFailureTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ForwardingFailureTest.java
@@ -273,6 +273,16 @@
     assertTrue(gateway.log().events().contains("front.endpoint.silent"));
   }
 
+  /** Guards against an endpoint that hangs with requests that may not leave it, told of once. */
+  @Test
+  void tellsAgainOfASilentEndpointThatARequestMayNotLeave() throws IOException {
+    first.then("", WAIT);
+    gateway.timeout(Duration.ofMillis(2_500)).route(RouteKind.ONCE, 1, false, first);
+    assertEquals(504, gateway.call("/a/", "x").status());
+    long told = gateway.log().events().stream().filter("front.endpoint.silent"::equals).count();
+    assertEquals(2, told);
+  }
+
   @Test
   void refusesWhatHasNoRouteOnlyOnceItKnowsTheRoutes() throws IOException {
     Answer early = gateway.call("/nowhere/", "x");
