--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -290,7 +290,6 @@
     private boolean notRun;
     private boolean missing;
     private boolean proven;
-    private boolean paced;
 
     private Answer(EndpointLife life) {
       this.life = life;
@@ -318,15 +317,6 @@
     public void onContent(ByteBuf content) {
       if (status == 200 && proven) {
         splitter.feed(content).forEach(this::take);
-        paceOnce();
-      }
-    }
-
-    private void paceOnce() {
-      EndpointCall current = call;
-      if (!paced && current != null) {
-        paced = true;
-        current.pace();
       }
     }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointCall.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointCall.java
@@ -8,7 +8,4 @@
 
   /** Stops or goes on reading the answer. */
   void reading(boolean on);
-
-  /** Reads the rest of the answer at a pace, for answers that nobody waits for event by event. */
-  void pace();
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointPool.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointPool.java
@@ -36,7 +36,6 @@
   private static final int CONNECT_MILLIS = 120;
 
   private final RestLimits rests;
-  private final PacedReads pacedReads;
   private final EventLoop loop;
   private final HeaderNames names;
   private final InstantSource clock;
@@ -47,7 +46,6 @@
   /** Creates a pool on an event loop. */
   public EndpointPool(EventLoop loop, HeaderNames names, InstantSource clock) {
     this.rests = new RestLimits(loop);
-    this.pacedReads = new PacedReads(loop);
     this.loop = loop;
     this.clock = clock;
     this.names = names;
@@ -140,10 +138,6 @@
     return rests;
   }
 
-  PacedReads pacedReads() {
-    return pacedReads;
-  }
-
   EventLoop loop() {
     return loop;
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/PooledCall.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/PooledCall.java
@@ -73,13 +73,6 @@
     }
   }
 
-  @Override
-  public void pace() {
-    if (channel != null && !done) {
-      pool.pacedReads().add(channel);
-    }
-  }
-
   EndpointPool pool() {
     return pool;
   }
@@ -128,9 +121,6 @@
 
   private void end() {
     done = true;
-    if (channel != null) {
-      pool.pacedReads().remove(channel);
-    }
     pool.ended(this);
   }
 
