--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Outliers.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Outliers.java
@@ -57,8 +57,8 @@
   private final Map<Place, Avoided> avoided = new HashMap<>();
   private final Map<String, Set<String>> sawErrors = new HashMap<>();
 
-  /** Endpoints whose failures count for all. */
-  private final Set<String> told = new HashSet<>();
+  /** Endpoints that fail whoever asks, so that their failures count for all. */
+  private final Set<String> failAll = new HashSet<>();
 
   Outliers(SlotSettings settings) {
     this.settings = settings;
@@ -85,7 +85,7 @@
         failed(here, now);
         if (dataCentre.equals(lease.endpointDataCentre())) {
           // Nothing between data centres can be at fault.
-          told.add(endpoint);
+          failAll.add(endpoint);
           failed(everywhere, now);
         }
       }
@@ -103,8 +103,8 @@
 
   /** Takes that an endpoint got a request, perhaps as a try after it was avoided. */
   void granted(String endpoint, String dataCentre, Instant now) {
-    tried(new Place(endpoint, dataCentre), now);
-    tried(new Place(endpoint, EVERYWHERE), now);
+    beginTry(new Place(endpoint, dataCentre), now);
+    beginTry(new Place(endpoint, EVERYWHERE), now);
   }
 
   /** Returns whether an endpoint gets requests only when no other has a slot. */
@@ -131,7 +131,7 @@
     ends.keySet().removeIf(place -> place.endpoint().equals(endpoint));
     avoided.keySet().removeIf(place -> place.endpoint().equals(endpoint));
     sawErrors.remove(endpoint);
-    told.remove(endpoint);
+    failAll.remove(endpoint);
   }
 
   private boolean avoidedFrom(Place place, Instant now) {
@@ -163,7 +163,7 @@
   /** Keeps the ends of uses, or avoids the endpoint if they tell that it fails. */
   private void judge(Place place, RecentEnds recent, Instant now) {
     ends.put(place, recent);
-    boolean counts = !place.dataCentre().equals(EVERYWHERE) || told.contains(place.endpoint());
+    boolean counts = !place.dataCentre().equals(EVERYWHERE) || failAll.contains(place.endpoint());
     boolean most = recent.row() >= ROW || recent.failedShare(MOST);
     boolean again = foundLately(place, now) && recent.row() > 0;
     boolean failing = again || most || recent.failedShare(settings.outlierShare());
@@ -178,7 +178,7 @@
     Set<String> saw = sawErrors.computeIfAbsent(endpoint, any -> new HashSet<>());
     saw.add(dataCentre);
     if (saw.size() >= DATA_CENTRES) {
-      told.add(endpoint);
+      failAll.add(endpoint);
     }
   }
 
@@ -210,7 +210,7 @@
   }
 
   /** Lets one request alone try an endpoint, until it answers or the time of a try is over. */
-  private void tried(Place place, Instant now) {
+  private void beginTry(Place place, Instant now) {
     Avoided known = avoided.get(place);
     if (known == null || known.proven() || now.isBefore(known.until())) {
       return;
