--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/OutlierReplayTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/OutlierReplayTest.java
@@ -85,6 +85,27 @@
         List.of(new SlotAnswer.Waiting(second.key(), second.maxWait())), fixture.ask(second));
   }
 
+  /** Guards against requests that wait in vain while newcomers get the slots that come free. */
+  @Test
+  void servesThoseThatWaitIfAllFail() {
+    fixture.endpoint("one", "a", SLOTS).endpoint("other", "b", SLOTS);
+    for (String endpoint : List.of("one", "other")) {
+      endAt(endpoint, "a", SlotOutcome.ERROR);
+      endAt(endpoint, "b", SlotOutcome.ERROR);
+      endAt(endpoint, "a", SlotOutcome.ERROR);
+    }
+    SlotRequest first = fixture.online("c");
+    String granted = fixture.granted(first);
+    for (int i = 1; i < 2 * SLOTS; i++) {
+      fixture.granted(fixture.online("c"));
+    }
+    SlotRequest waits = fixture.online("c");
+    assertEquals(List.of(new SlotAnswer.Waiting(waits.key(), waits.maxWait())), fixture.ask(waits));
+    assertEquals(
+        List.of(new SlotAnswer.Granted(waits.key(), EndpointLife.ofUnknownStart(granted))),
+        fixture.release(first, SlotOutcome.ANSWERED));
+  }
+
   /** Guards against each data centre that has to find out for itself what all were told. */
   @Test
   void avoidsItForAllOnceTwoDataCentresGotErrors() {
