Hand free slots to those who wait also where all endpoints fail

Callers that waited were refused while newcomers were served: the look whether any slot is free left out endpoints that fail most also where they are half of all or more, which the search itself does not. Both ask the same now. The rule on half looks at all endpoints that are usable, not at those that one data centre reaches; a data centre whose few reachable endpoints all fail while most others are sound still waits for the next look at the clock.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSearch.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSearch.java
@@ -43,12 +43,26 @@
 
   /** Returns whether any endpoint that gets requests has a free slot. */
   boolean anyFree(Instant now) {
-    for (EndpointRecord endpoint : directory.usable(service)) {
-      if (inUse(endpoint, now) < endpoint.slots() && !outliers.failsMost(endpoint.id(), now)) {
-        return true;
+    List<EndpointRecord> usable = directory.usable(service);
+    boolean freeAtFailing = false;
+    for (EndpointRecord endpoint : usable) {
+      if (inUse(endpoint, now) < endpoint.slots()) {
+        if (!outliers.failsMost(endpoint.id(), now)) {
+          return true;
+        }
+        freeAtFailing = true;
       }
     }
-    return false;
+    return freeAtFailing && failingAreHalf(usable, now);
+  }
+
+  private boolean failingAreHalf(List<EndpointRecord> endpoints, Instant now) {
+    long failing = endpoints.stream().filter(each -> outliers.failsMost(each.id(), now)).count();
+    return atLeastHalf(failing, endpoints.size());
+  }
+
+  private static boolean atLeastHalf(long part, long whole) {
+    return 2 * part >= whole;
   }
 
   /**
@@ -100,7 +114,8 @@
         candidates.stream()
             .filter(each -> !outliers.failsMost(each.id(), dataCentre, now))
             .toList();
-    return 2 * rest.size() > candidates.size() ? rest : candidates;
+    int failing = candidates.size() - rest.size();
+    return atLeastHalf(failing, candidates.size()) ? candidates : rest;
   }
 
   /** Returns whether a request excludes a life of an endpoint, or one that came after it. */
