Show a store that counts as away by a call from before its last answer

What callers see: for half a second and more after an outage's end, jobs are refused and changes are seen late at instances whose store is back.

Both tests fail on: away() is true after an answer. takesARefusalForWhatHoldsNow passes, and guards the mend.

--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/RelayingHttpCallerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/RelayingHttpCallerTest.java
@@ -141,6 +141,53 @@
     assertFalse(caller.away());
   }
 
+  /**
+   * All calls go to peers that refuse, though the store is back: a call of the outage failed late.
+   */
+  @Test
+  void staysWithAStoreThatAnsweredAfterTheCallThatFails() {
+    CompletableFuture<HttpReply> silent = new CompletableFuture<>();
+    store = () -> silent;
+    CompletionStage<HttpReply> early = caller.call(read());
+    store = () -> replied(DONE);
+    caller.call(read());
+    silent.completeExceptionally(new HttpCallException("No reply in time", false));
+    assertEquals(200, status(early));
+    assertFalse(caller.away());
+    ways.clear();
+    caller.call(read());
+    assertEquals(List.of("direct"), ways);
+  }
+
+  /** The same where the call of the outage is the one that was to find the store answering. */
+  @Test
+  void staysWithAStoreThatAnsweredAfterTheProbeThatFails() {
+    CompletableFuture<HttpReply> silent = new CompletableFuture<>();
+    store = () -> replied(BUSY);
+    caller.call(read());
+    time.advance(StoreReach.FIRST_PROBE);
+    store = () -> silent;
+    caller.call(read());
+    time.advance(StoreReach.MAX_PROBE);
+    store = () -> replied(DONE);
+    caller.call(read());
+    assertFalse(caller.away());
+    silent.completeExceptionally(new HttpCallException("No reply in time", false));
+    assertFalse(caller.away());
+  }
+
+  /** A store that has answered just before and refuses now is called on and on. */
+  @Test
+  void takesARefusalForWhatHoldsNow() {
+    CompletableFuture<HttpReply> waiting = new CompletableFuture<>();
+    store = () -> waiting;
+    caller.call(waitingRead());
+    store = () -> replied(DONE);
+    caller.call(read());
+    waiting.complete(BUSY);
+    assertTrue(caller.away());
+  }
+
   /**
    * A gateway asks its peers for good after one outage, which costs each call a hop: nothing found
    * out that the store answers again.
