Count a missing reply only if its call began after the last answer

What callers see: after an outage's end, jobs refused with 503 and changes seen late at instances that reach the store again.

Cause: StoreReach took each failure for news. A call without a reply tells of the store when it began, up to 0.9 s (a read that waits: up to 2.9 s) before it fails. One that began in the outage and failed after the first answer set the store to away again, for 0.2 to 0.4 s more, in which all calls went to peers in the same state, which refuse.

Why this works: direct calls are numbered as they begin, and an answer notes the last number. A missing reply counts only for a number above it. Numbers don't tie as clock readings do. A reply that refuses (429, 503) says what holds now and counts whenever its call began, and a read that was cut is a new call when it is made again.

Evidence: RelayingHttpCallerTest#staysWithAStoreThatAnsweredAfterTheCallThatFails and ...AfterTheProbeThatFails failed before (away() true, expected false) and pass; RelayingHttpCallerTest, CutReadsTest, KeyedFollowerTest and TcpRelayTransportTest pass.

What gets slower: where the store falls silent right after an answer, calls that were on their way don't show it; the first call that began after it does, 0.9 s later. Calls on their way are handed to peers one by one as before.

A store.lost in the log now says that the store fell silent after its last answer.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayingHttpCaller.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayingHttpCaller.java
@@ -88,16 +88,21 @@
   }
 
   /** Notes how a direct call ended; returns whether the store answered it. */
-  private boolean note(@Nullable HttpReply reply, @Nullable Throwable failure) {
+  private boolean note(long number, @Nullable HttpReply reply, @Nullable Throwable failure) {
     boolean answered = reply != null && !refused(reply);
     if (answered && reach.answered()) {
       log.important("relay", "store.regained").write();
-    } else if (!answered && reach.failed(clock.instant())) {
+    } else if (!answered && lost(number, reply)) {
       log.important("relay", "store.lost").with("cause", cause(reply, failure)).write();
     }
     return answered;
   }
 
+  private boolean lost(long number, @Nullable HttpReply reply) {
+    Instant now = clock.instant();
+    return reply == null ? reach.unanswered(number, now) : reach.refused(now);
+  }
+
   private static boolean refused(HttpReply reply) {
     return reply.status() == 503 || reply.status() == 429;
   }
@@ -130,21 +135,28 @@
     }
 
     private void callDirectly() {
+      long number = reach.begin();
       direct
           .call(call)
           .whenComplete(
               (reply, failure) -> {
                 if (cut(failure) && repeatable(call)) {
                   log.routine("relay", "read.cut").with("path", call.path()).write();
-                  direct.call(call).whenComplete(this::answeredDirectly);
+                  callDirectlyAgain();
                 } else {
-                  answeredDirectly(reply, failure);
+                  answeredDirectly(number, reply, failure);
                 }
               });
     }
 
-    private void answeredDirectly(@Nullable HttpReply reply, @Nullable Throwable failure) {
-      if (note(reply, failure)) {
+    private void callDirectlyAgain() {
+      long number = reach.begin();
+      direct.call(call).whenComplete((reply, failure) -> answeredDirectly(number, reply, failure));
+    }
+
+    private void answeredDirectly(
+        long number, @Nullable HttpReply reply, @Nullable Throwable failure) {
+      if (note(number, reply, failure)) {
         result.complete(reply);
       } else {
         passOn(reply, failure);
@@ -153,11 +165,12 @@
 
     /** Finds out whether the store answers again; its answer counts if it is the first. */
     private void probe() {
+      long number = reach.begin();
       direct
           .call(call)
           .whenComplete(
               (reply, failure) -> {
-                if (note(reply, failure)) {
+                if (note(number, reply, failure)) {
                   result.complete(reply);
                 }
               });
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/StoreReach.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/StoreReach.java
@@ -7,6 +7,10 @@
  * Decides whether a call to the store goes there directly, by a peer, or not at all. No I/O; time
  * is passed in.
  *
+ * <p>Failure: a call that began in an outage ends without a reply after its end. It would show as a
+ * store that counts as away though it has answered meanwhile. Guard: calls are numbered as they
+ * begin, and a missing reply counts only if no call has been answered since its call began.
+ *
  * <p>Load pattern: the store turns away or is cut off from some gateways for seconds and serves the
  * others. Each call that first waits for the store itself loses more time than callers wait for a
  * job to be taken. So once a call got no answer, calls go to peers, and one now and then finds out
@@ -40,15 +44,24 @@
   private final Turn waiting = new Turn();
   private final Turn atOnce = new Turn();
   private boolean away;
+  private long begun;
+  private long begunAtAnswer;
   private Instant peersAgain = Instant.MIN;
 
-  /** Returns whether the last direct call got no answer. */
+  /** Returns whether the store does not answer direct calls. */
   boolean away() {
     return away;
   }
 
+  /** Takes that a direct call begins; returns its number. */
+  long begin() {
+    begun++;
+    return begun;
+  }
+
   /** Takes that the store answered a direct call; returns whether it was away before. */
   boolean answered() {
+    begunAtAnswer = begun;
     boolean regained = away;
     away = false;
     waiting.reset();
@@ -56,8 +69,17 @@
     return regained;
   }
 
-  /** Takes that a direct call got no answer; returns whether the store was there before. */
-  boolean failed(Instant now) {
+  /**
+   * Takes that a direct call got no reply; returns whether the store counts as away only from now.
+   *
+   * @param number number of the call
+   */
+  boolean unanswered(long number, Instant now) {
+    return number > begunAtAnswer && refused(now);
+  }
+
+  /** Takes that the store turned a direct call away; returns whether it was there before. */
+  boolean refused(Instant now) {
     boolean lost = !away;
     if (lost) {
       away = true;
