Show a change that silent reads hide for longer than its time

CutReadsTest: 13 instances, an outage of 5.3 s, a change 0 to 2 s after its end, reads that wait silent from then on. KeyedFollowerTest: the same for one follower, by a silent read, a silent list, and the pause before the first repeat.

--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/CutReadsTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/CutReadsTest.java
@@ -26,6 +26,8 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * A fleet whose readers all lose their connections to the store at the same moment.
@@ -140,6 +142,26 @@
     assertEquals(INSTANCES, knowing(ENDPOINTS, "came"));
   }
 
+  /** The same for a change made some time after an outage, while reads that wait go silent. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 200, 400, 600, 800, 1_000, 1_200, 1_400, 1_600, 1_800, 2_000})
+  void aChangeMadeAfterAnOutageIsInForceInTimeThoughReadsAreSilent(int millisAfter) {
+    put(URGENT, "v3");
+    startFleet();
+    time.advance(Duration.ofMillis(700));
+    store.away(true);
+    time.advance(Duration.ofMillis(5_300));
+    store.away(false);
+    time.advance(Duration.ofMillis(millisAfter));
+    log.silence();
+    put(URGENT, "v5");
+    put(ENDPOINTS, "came");
+    time.advance(IN_FORCE);
+
+    assertEquals(INSTANCES, knowing(URGENT, "v3", "v5"));
+    assertEquals(INSTANCES, knowing(ENDPOINTS, "came"));
+  }
+
   /** Calls are paid for, and bounded a second for all instances together. */
   @Test
   void aCutCostsEachReaderFewCalls() {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/store/KeyedFollowerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/store/KeyedFollowerTest.java
@@ -19,7 +19,12 @@
 
 class KeyedFollowerTest {
 
-  private static final Duration PROMPT = KeyedFollower.waitWithin(Duration.ofSeconds(2));
+  private static final Duration CHANGE_TIME = Duration.ofSeconds(2);
+
+  private static final Duration PROMPT = KeyedFollower.waitWithin(CHANGE_TIME);
+
+  /** Pause behind records, in which more of them may come. */
+  private static final Duration GATHER = Duration.ofMillis(200);
 
   private static final String TOPIC = "t";
 
@@ -33,6 +38,8 @@
 
     private boolean away;
     private boolean forgotten;
+    private int silentLists;
+    private int failures;
     private int reads;
     private final List<Duration> waits = new ArrayList<>();
 
@@ -44,7 +51,8 @@
     public CompletionStage<LogPage> read(String topic, int partition, long from, Duration wait) {
       reads++;
       waits.add(wait);
-      if (away) {
+      if (away || failures > 0) {
+        failures--;
         return failure();
       }
       if (forgotten) {
@@ -56,6 +64,10 @@
 
     @Override
     public CompletionStage<KeyedPage> newest(String topic, int partition, @Nullable String after) {
+      if (silentLists > 0) {
+        silentLists--;
+        return new CompletableFuture<>();
+      }
       return away ? failure() : super.newest(topic, partition, after);
     }
 
@@ -172,6 +184,42 @@
     assertEquals(2, heard.wholes);
   }
 
+  /** A change is in force seconds late: the read that would have found it had gone silent. */
+  @Test
+  void tellsOfAChangeInTimeThoughItsReadIsSilent() {
+    follow(PROMPT);
+    store.silence();
+    put("a");
+    time.advance(CHANGE_TIME.dividedBy(4).multipliedBy(3));
+    assertEquals(List.of("a"), heard.keys);
+  }
+
+  /** The same where the history is gone, and the call that loads the list anew is silent. */
+  @Test
+  void tellsOfAChangeInTimeThoughItsListIsSilent() {
+    follow(PROMPT);
+    store.forgotten = true;
+    store.silentLists = 1;
+    time.advance(PROMPT);
+    assertEquals(0, store.silentLists);
+    put("a");
+    time.advance(CHANGE_TIME);
+    assertEquals(List.of("a"), heard.keys);
+  }
+
+  /** A change is seen late though the store is back: the first repeat came after a pause. */
+  @Test
+  void readsAgainAtOnceAfterAFirstFailure() {
+    follow(PROMPT);
+    store.failures = 1;
+    put("a");
+    time.advance(GATHER.minusMillis(1));
+    put("b");
+    time.advance(Duration.ofMillis(5));
+    assertEquals(0, store.failures);
+    assertEquals(List.of("a", "b"), heard.keys);
+  }
+
   /** Idle processes of a large fleet use up what the store can answer, and pay for each call. */
   @Test
   void asksSeldomForWhatMayBeSeenLate() {
