Make a second call beside a read whose answer is overdue, and read as soon as the store is back

Cause: the configuration and the endpoints are followed by reads that wait 1 s. One that falls silent ended after 1 s + 0.9 s (PlatformStore.CALL_TIME), then came a pause of 0.1 s, then the next call: over 2 s before anything was known. A list of newest records that fell silent took 2.5 s.

Ruled out: a shorter wait, which costs each process calls at rest; a shorter CALL_TIME, which gives up answers of a slow store.

Mend: HedgedCall makes a second call, without a wait, beside the first when that is 0.3 to 0.4 s overdue (a list: 0.7 to 0.8 s, not while the process loads for the first time); the first answer of either counts, there is no third call, and the first is not given up. The first repeat after a failure comes at once. RelayingHttpCaller tells when the store answers again, and the followers read then, in place of a pause or beside a read that may be silent; the follower whose own answer it was does not.

Why this holds the time: a change right after the begin of a read that falls silent is read 1.3 to 1.4 s later. After an outage some call finds the store within 0.8 s and the time to the process's next read, and all followers read at that moment.

A store whose answers take 240 ms gets no more calls (KeyedFollowerTest#makesNoSecondReadWhileTheStoreIsSlow, 50 reads in 62 s).

At rest there is no further call; a return of the store costs a process one call a follower.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -116,9 +116,10 @@
     front = new FrontServer(handler, config, clock, log);
     ConfigSource configs = new ConfigSource(formats, config, clock, log);
     Duration wait = KeyedFollower.waitWithin(settings.changeTime());
-    follow(store, formats.configTopic(), wait, configs);
-    follow(store, formats.endpointTopic(), wait, endpoints);
-    follow(store, InstanceSource.TOPIC, KeyedFollower.UNHURRIED, instances);
+    caller.onRegained(follow(store, formats.configTopic(), wait, configs)::readNow);
+    caller.onRegained(follow(store, formats.endpointTopic(), wait, endpoints)::readNow);
+    caller.onRegained(
+        follow(store, InstanceSource.TOPIC, KeyedFollower.UNHURRIED, instances)::readNow);
     instances.announce();
     loop.execute(jobs::start);
     front.bind(loop, settings.front());
@@ -227,8 +228,10 @@
     return !stopping && config.current().isPresent() && endpoints.loaded();
   }
 
-  private void follow(
+  private KeyedFollower follow(
       LogStore store, String topic, Duration wait, KeyedFollower.Listener listener) {
-    loop.execute(new KeyedFollower(store, topic, 0, wait, loop, clock, log, listener)::start);
+    KeyedFollower follower = new KeyedFollower(store, topic, 0, wait, loop, clock, log, listener);
+    loop.execute(follower::start);
+    return follower;
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayingHttpCaller.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayingHttpCaller.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
@@ -40,6 +41,7 @@
   private final InstantSource clock;
   private final EventLog log;
   private final StoreReach reach = new StoreReach();
+  private final List<Runnable> regained = new CopyOnWriteArrayList<>();
   private @Nullable String lastHelper;
 
   /**
@@ -69,6 +71,11 @@
     return reach.away();
   }
 
+  /** Calls a listener each time the store answers this process again. */
+  public void onRegained(Runnable listener) {
+    regained.add(listener);
+  }
+
   @Override
   public CompletionStage<HttpReply> call(HttpCall call) {
     Attempt attempt = new Attempt(call);
@@ -87,20 +94,17 @@
     return call.method().equals(READ);
   }
 
-  /** Notes how a direct call ended; returns whether the store answered it. */
-  private boolean note(long number, @Nullable HttpReply reply, @Nullable Throwable failure) {
-    boolean answered = reply != null && !refused(reply);
-    if (answered && reach.answered()) {
-      log.important("relay", "store.regained").write();
-    } else if (!answered && lost(number, reply)) {
-      log.important("relay", "store.lost").with("cause", cause(reply, failure)).write();
-    }
-    return answered;
+  private static boolean answered(@Nullable HttpReply reply) {
+    return reply != null && !refused(reply);
   }
 
-  private boolean lost(long number, @Nullable HttpReply reply) {
+  /** Notes that the store did not answer a direct call. */
+  private void noteFailure(long number, @Nullable HttpReply reply, @Nullable Throwable failure) {
     Instant now = clock.instant();
-    return reply == null ? reach.unanswered(number, now) : reach.refused(now);
+    boolean lost = reply == null ? reach.unanswered(number, now) : reach.refused(now);
+    if (lost) {
+      log.important("relay", "store.lost").with("cause", cause(reply, failure)).write();
+    }
   }
 
   private static boolean refused(HttpReply reply) {
@@ -156,13 +160,26 @@
 
     private void answeredDirectly(
         long number, @Nullable HttpReply reply, @Nullable Throwable failure) {
-      if (note(number, reply, failure)) {
-        result.complete(reply);
+      if (answered(reply)) {
+        take(reply);
       } else {
+        noteFailure(number, reply, failure);
         passOn(reply, failure);
       }
     }
 
+    /** Takes the store's own reply, and tells others if they may be waiting for one. */
+    private void take(HttpReply reply) {
+      boolean back = reach.answered();
+      if (back) {
+        log.important("relay", "store.regained").write();
+      }
+      result.complete(reply);
+      if (back) {
+        regained.forEach(Runnable::run);
+      }
+    }
+
     /** Finds out whether the store answers again; its answer counts if it is the first. */
     private void probe() {
       long number = reach.begin();
@@ -170,8 +187,10 @@
           .call(call)
           .whenComplete(
               (reply, failure) -> {
-                if (note(number, reply, failure)) {
-                  result.complete(reply);
+                if (answered(reply)) {
+                  take(reply);
+                } else {
+                  noteFailure(number, reply, failure);
                 }
               });
     }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/KeyedFollower.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/KeyedFollower.java
@@ -9,14 +9,22 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Follows one partition of a keyed topic by waiting reads, and starts over from the newest records
  * when the history it needs is gone.
  *
+ * <p>Failure: a connection goes silent without an end. It shows as a change that a process does not
+ * learn of until its read is given up. Guard: a second call is made beside one whose answer is
+ * overdue.
+ *
  * <p>Failure: the store is away, slow or forgets its history. It shows as failed reads, or as a
  * page that says that records are gone. Guard: failed reads are repeated after a pause that grows,
  * and without waiting, so that the answer tells at once that the store is back and what changed
@@ -37,6 +45,16 @@
    */
   private static final Duration GATHER = Duration.ofMillis(200);
 
+  /** Time within which answers come; a store that is slow takes up to 240 ms. */
+  private static final Duration ANSWER_TIME = Duration.ofMillis(300);
+
+  /** The same for a page of newest records, 1 MB in base64 over a link of 21 Mbit/s. */
+  private static final Duration LIST_TIME = Duration.ofMillis(700);
+
+  /** Most by which processes differ in when they make a second call. */
+  private static final Duration SPREAD = Duration.ofMillis(100);
+
+  /** Pause before the second repeat; the first one comes at once. */
   private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
 
   /** Longest pause between tries; entries are to be back within 2 s of an outage's end. */
@@ -54,10 +72,22 @@
   private final EventLog log;
   private final Listener listener;
   private Duration pause = FIRST_PAUSE;
+  private @Nullable HedgedCall<?> call;
+  private @Nullable Pause paused;
+  private long steps;
+  private boolean loaded;
   private boolean lost;
   private Instant lostAt = Instant.MIN;
   private boolean stopped;
 
+  /**
+   * A pause before the next call.
+   *
+   * @param timer ends the pause
+   * @param next makes the call
+   */
+  private record Pause(Future<?> timer, Runnable next) {}
+
   /** Receives what a partition holds. */
   public interface Listener {
 
@@ -98,9 +128,8 @@
   /**
    * Returns how long reads may wait for changes that are to be in force within a time.
    *
-   * <p>Failure: a connection goes silent without an end. It shows as a change that a process does
-   * not learn of until its read has waited in vain. Guard: the wait and a call after it stay within
-   * the time.
+   * <p>A read that falls silent is noticed when its wait is over; the wait, a call after it and
+   * what the change takes to have an effect stay within the time.
    */
   public static Duration waitWithin(Duration changeTime) {
     return changeTime.dividedBy(WAITS_IN_CHANGE_TIME);
@@ -116,21 +145,52 @@
     stopped = true;
   }
 
+  /**
+   * Reads at once, beside a read that is on its way or in place of a pause.
+   *
+   * <p>Failure: the store is away for some time. It shows as reads of that time that stay silent,
+   * and as pauses, which hide changes made after its end. Guard: whoever learns that the store
+   * answers again calls this.
+   */
+  public void readNow() {
+    long step = steps;
+    // The answer by which that was learned may be this follower's own.
+    executor.execute(() -> hurryAt(step));
+  }
+
+  private void hurryAt(long step) {
+    HedgedCall<?> current = call;
+    Pause pausing = paused;
+    if (steps != step) {
+      return;
+    }
+    if (pausing != null && pausing.timer().cancel(false)) {
+      pausing.next().run();
+    } else if (current != null) {
+      current.hurry();
+    }
+  }
+
   private void loadAll(List<KeyedRecord> records, @Nullable String after, long firstEnd) {
     if (stopped) {
       return;
     }
-    store
-        .newest(topic, partition, after)
-        .whenCompleteAsync(
+    Supplier<CompletionStage<KeyedPage>> list = () -> store.newest(topic, partition, after);
+    HedgedCall<KeyedPage> listing = begin(new HedgedCall<>(list, executor));
+    listing
+        .start(list)
+        .whenComplete(
             (page, failure) -> {
               if (failure != null) {
                 failed("newest", -1, failure, this::start);
                 return;
               }
               loadedPage(records, page, firstEnd);
-            },
-            executor);
+            });
+    // A process that starts takes no requests yet, and may be one of many.
+    if (loaded) {
+      listing.hurryAfter(spread(LIST_TIME));
+    }
   }
 
   private void loadedPage(List<KeyedRecord> records, KeyedPage page, long firstEnd) {
@@ -149,6 +209,7 @@
         .with("records", records.size())
         .with("end", from)
         .write();
+    loaded = true;
     listener.onAll(records);
     readFrom(from);
   }
@@ -157,17 +218,41 @@
     if (stopped) {
       return;
     }
-    store
-        .read(topic, partition, offset, lost ? Duration.ZERO : wait)
-        .whenCompleteAsync(
+    Duration longest = lost ? Duration.ZERO : wait;
+    HedgedCall<LogPage> reading =
+        begin(new HedgedCall<>(() -> read(offset, Duration.ZERO), executor));
+    reading
+        .start(() -> read(offset, longest))
+        .whenComplete(
             (page, failure) -> {
               if (failure != null) {
                 failed("read", offset, failure, () -> readFrom(offset));
                 return;
               }
               readPage(page);
-            },
-            executor);
+            });
+    reading.hurryAfter(longest.plus(spread(ANSWER_TIME)));
+  }
+
+  private CompletionStage<LogPage> read(long offset, Duration longest) {
+    return store.read(topic, partition, offset, longest);
+  }
+
+  private <T> HedgedCall<T> begin(HedgedCall<T> begun) {
+    steps++;
+    paused = null;
+    call = begun;
+    return begun;
+  }
+
+  private void pause(Duration time, Runnable next) {
+    steps++;
+    call = null;
+    paused = new Pause(executor.schedule(next, time.toMillis(), TimeUnit.MILLISECONDS), next);
+  }
+
+  private static Duration spread(Duration time) {
+    return time.plusMillis(ThreadLocalRandom.current().nextLong(SPREAD.toMillis()));
   }
 
   private void readPage(LogPage page) {
@@ -182,7 +267,7 @@
       return;
     }
     listener.onRecords(page.records());
-    executor.schedule(() -> readFrom(page.next()), GATHER.toMillis(), TimeUnit.MILLISECONDS);
+    pause(GATHER, () -> readFrom(page.next()));
   }
 
   private void answered() {
@@ -207,8 +292,10 @@
           .with("from", offset)
           .with("cause", String.valueOf(failure.getMessage()))
           .write();
+      again.run();
+      return;
     }
-    executor.schedule(again, pause.toMillis(), TimeUnit.MILLISECONDS);
+    pause(pause, again);
     Duration doubled = pause.multipliedBy(2);
     pause = doubled.compareTo(MAX_PAUSE) > 0 ? MAX_PAUSE : doubled;
   }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/CutReadsTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/CutReadsTest.java
@@ -195,10 +195,11 @@
     time.advance(Duration.ofMillis(100));
   }
 
-  private void follow(HttpCaller caller, String topic, Duration wait) {
+  private void follow(RelayingHttpCaller caller, String topic, Duration wait) {
     Heard listener = new Heard(topic);
     heard.add(listener);
-    new KeyedFollower(
+    KeyedFollower follower =
+        new KeyedFollower(
             store.through(caller),
             topic,
             0,
@@ -206,8 +207,9 @@
             time.loop(),
             time,
             new SilentEventLog(),
-            listener)
-        .start();
+            listener);
+    caller.onRegained(follower::readNow);
+    follower.start();
   }
 
   /** Reads on and on as the holder of a partition of jobs does. */
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/RelayingHttpCallerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/RelayingHttpCallerTest.java
@@ -205,6 +205,21 @@
     assertEquals(List.of("direct"), ways);
   }
 
+  /** Followers pause on after an outage whose end another call of their process has found. */
+  @Test
+  void tellsOnceThatTheStoreAnswersAgain() {
+    caller.onRegained(() -> ways.add("told"));
+    caller.call(read());
+    store = () -> replied(BUSY);
+    caller.call(read());
+    store = () -> replied(DONE);
+    time.advance(StoreReach.FIRST_PROBE);
+    ways.clear();
+    caller.call(read());
+    caller.call(read());
+    assertEquals(List.of("direct", "told", "direct"), ways);
+  }
+
   /**
    * While the store is away for all, gateways drown each other in calls that none of them can make.
    */
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/store/KeyedFollowerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/store/KeyedFollowerTest.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 
@@ -40,17 +41,24 @@
     private boolean forgotten;
     private int silentLists;
     private int failures;
+    private Duration slowness = Duration.ZERO;
     private int reads;
     private final List<Duration> waits = new ArrayList<>();
 
+    private final VirtualLoop time;
+
     private TroubledStore(VirtualLoop time) {
       super(time.loop(), 1);
+      this.time = time;
     }
 
     @Override
     public CompletionStage<LogPage> read(String topic, int partition, long from, Duration wait) {
       reads++;
       waits.add(wait);
+      if (!slowness.isZero()) {
+        return late(super.read(topic, partition, from, wait));
+      }
       if (away || failures > 0) {
         failures--;
         return failure();
@@ -71,6 +79,15 @@
       return away ? failure() : super.newest(topic, partition, after);
     }
 
+    private CompletionStage<LogPage> late(CompletionStage<LogPage> answer) {
+      CompletableFuture<LogPage> late = new CompletableFuture<>();
+      answer.thenAccept(
+          page ->
+              time.loop()
+                  .schedule(() -> late.complete(page), slowness.toMillis(), TimeUnit.MILLISECONDS));
+      return late;
+    }
+
     private static <T> CompletionStage<T> failure() {
       return CompletableFuture.failedFuture(
           new StoreException(StoreException.Kind.NOT_DONE, "away"));
@@ -220,6 +237,65 @@
     assertEquals(List.of("a", "b"), heard.keys);
   }
 
+  /** A change is seen late though others of the process have found the store answering. */
+  @Test
+  void readsAtOnceInPlaceOfAPauseWhenTold() {
+    KeyedFollower follower = follow(PROMPT);
+    store.away = true;
+    time.advance(Duration.ofSeconds(4));
+    put("a");
+    store.away = false;
+    store.reads = 0;
+    follower.readNow();
+    time.advance(Duration.ofMillis(2));
+    assertEquals(List.of("a"), heard.keys);
+    // The one that found the change; the next one waits until more may have come.
+    assertEquals(1, store.reads);
+  }
+
+  /** The same where its read was made in the outage and is silent. */
+  @Test
+  void readsAtOnceBesideASilentReadWhenTold() {
+    KeyedFollower follower = follow(PROMPT);
+    store.silence();
+    put("a");
+    time.advance(Duration.ofMillis(2));
+    follower.readNow();
+    time.advance(Duration.ofMillis(2));
+    assertEquals(List.of("a"), heard.keys);
+  }
+
+  /** A follower that finds the store itself reads twice: it is told of its own answer. */
+  @Test
+  void makesNoSecondReadWhenToldOfItsOwnAnswer() {
+    KeyedFollower follower = follow(PROMPT);
+    store.reads = 0;
+    put("a");
+    follower.readNow();
+    time.advance(GATHER.minusMillis(5));
+    assertEquals(0, store.reads);
+    assertEquals(List.of("a"), heard.keys);
+  }
+
+  /** A store that is slow is called twice as often, and becomes slower still. */
+  @Test
+  void makesNoSecondReadWhileTheStoreIsSlow() {
+    store.slowness = Duration.ofMillis(240);
+    follow(PROMPT);
+    store.reads = 0;
+    time.advance(Duration.ofSeconds(62));
+    assertEquals(50, store.reads);
+  }
+
+  /** Waiting reads are paid for: at rest there is one a wait. */
+  @Test
+  void makesOneReadAWaitAtRest() {
+    follow(PROMPT);
+    store.reads = 0;
+    time.advance(Duration.ofSeconds(60));
+    assertEquals(60, store.reads);
+  }
+
   /** Idle processes of a large fleet use up what the store can answer, and pay for each call. */
   @Test
   void asksSeldomForWhatMayBeSeenLate() {
@@ -243,9 +319,12 @@
     assertTrue(store.reads <= 7, store.reads + " reads");
   }
 
-  private void follow(Duration wait) {
-    new KeyedFollower(store, TOPIC, 0, wait, time.loop(), time, log, heard).start();
+  private KeyedFollower follow(Duration wait) {
+    KeyedFollower follower =
+        new KeyedFollower(store, TOPIC, 0, wait, time.loop(), time, log, heard);
+    follower.start();
     time.advance(Duration.ofMillis(5));
+    return follower;
   }
 
   private void put(String key) {
