Show a 404 by a configuration that may be old

A process that has heard nothing of the store for seconds refuses for good by what it knew then.

The test lets all reads of a whole gateway on loopback be silent, and asks after twice the time for a change for a path without a route: 404 on the former commit, expected 503 with when to come back, soon, while known routes are served and 404 comes again once the store answers.

--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ForwardingFailureTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ForwardingFailureTest.java
@@ -292,6 +292,29 @@
     assertEquals(404, gateway.call("/nowhere/", "x").status());
   }
 
+  /**
+   * A caller gives a request of a new route up by a 404. The process had not heard of the store for
+   * seconds, and knew the routes of that time only.
+   */
+  @Test
+  void refusesNothingForGoodByRoutesThatMayBeOld() throws Exception {
+    first.then(OK, KEEP);
+    gateway.route(RouteKind.ONCE, 1, false, first).storeAway(true);
+    // The read that was on its way is answered once more.
+    Thread.sleep(GatewayFixture.CHANGE_TIME.multipliedBy(2).toMillis());
+    long before = System.nanoTime();
+    Answer unsure = gateway.call("/nowhere/", "x");
+    long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - before);
+    assertEquals(503, unsure.status());
+    assertTrue(unsure.head().toLowerCase().contains("retry-after"), unsure.head());
+    assertTrue(millis < 900, millis + " ms");
+    assertEquals(200, gateway.call("/a/", "x").status());
+    gateway.storeAway(false);
+    Awaitility.await()
+        .atMost(GatewayFixture.CHANGE_TIME)
+        .until(() -> gateway.call("/nowhere/", "x").status() == 404);
+  }
+
   @Test
   void answersBadInputWithOneClearError() throws IOException {
     gateway.route(RouteKind.ONCE, 1, false, first);
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
@@ -18,6 +18,7 @@
 import io.hawthornlb.gateway.route.ServiceShare;
 import io.hawthornlb.gateway.store.LogStore.AppendCall;
 import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
+import io.hawthornlb.gateway.store.StoreException;
 import io.hawthornlb.gateway.store.support.InMemoryLogStore;
 import io.hawthornlb.gateway.wire.HeaderNames;
 import io.netty.channel.EventLoop;
@@ -40,8 +41,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.awaitility.Awaitility;
+import org.jspecify.annotations.Nullable;
 
 /** A whole gateway on loopback, with a log in memory and endpoints of the test. */
 final class GatewayFixture implements AutoCloseable {
@@ -56,17 +61,55 @@
           "Last-Event-Id",
           headers -> Optional.empty());
 
+  /** Time within which a change is to be in force. */
+  static final Duration CHANGE_TIME = Duration.ofSeconds(2);
+
   private static final String SERVICE = "engine";
 
   private final EventLoop loop =
       (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-  private final InMemoryLogStore store = new InMemoryLogStore(loop, 2);
+  private final FadingStore store = new FadingStore(loop);
   private final Formats formats = new Formats();
   private final SilentEventLog log = new SilentEventLog();
   private final GatewaySettings settings;
   private final GatewayProcess process;
   private Duration timeout = Duration.ofMillis(1_500);
 
+  /** Log whose reads get no answer, as the test says. */
+  private static final class FadingStore extends InMemoryLogStore {
+
+    /** Time beyond its wait after which a read is given up. */
+    private static final Duration CALL_TIME = Duration.ofMillis(900);
+
+    private final EventLoop loop;
+    private final AtomicInteger unheard = new AtomicInteger();
+    private volatile boolean away;
+
+    private FadingStore(EventLoop loop) {
+      super(loop, 2);
+      this.loop = loop;
+    }
+
+    @Override
+    public CompletionStage<LogPage> read(String topic, int partition, long from, Duration wait) {
+      return away ? noAnswer(wait) : super.read(topic, partition, from, wait);
+    }
+
+    @Override
+    public CompletionStage<KeyedPage> newest(String topic, int partition, @Nullable String after) {
+      return away ? noAnswer(Duration.ZERO) : super.newest(topic, partition, after);
+    }
+
+    private <T> CompletionStage<T> noAnswer(Duration wait) {
+      unheard.incrementAndGet();
+      CompletableFuture<T> given = new CompletableFuture<>();
+      StoreException up = new StoreException(StoreException.Kind.UNKNOWN, "No reply in time");
+      long millis = wait.plus(CALL_TIME).toMillis();
+      loop.schedule(() -> given.completeExceptionally(up), millis, TimeUnit.MILLISECONDS);
+      return given;
+    }
+  }
+
   /** Formats that look objects up by a name. */
   private static final class Formats implements SourceFormats, JobFormat {
 
@@ -176,6 +219,17 @@
     return this;
   }
 
+  /** Sets whether the store answers no reads from now on. */
+  GatewayFixture storeAway(boolean away) {
+    store.away = away;
+    return this;
+  }
+
+  /** Returns the number of reads that got no answer so far. */
+  int unheardReads() {
+    return store.unheard.get();
+  }
+
   /** Lets an endpoint start again under its id, at the address of another one. */
   void restart(String id, ScriptedEndpoint to) {
     restart(id, to, InstantSource.system().millis());
@@ -333,7 +387,7 @@
         new InetSocketAddress(loopback, ports.get(1)),
         new InetSocketAddress(loopback, ports.get(2)),
         stopTime,
-        Duration.ofSeconds(2),
+        CHANGE_TIME,
         Duration.ofSeconds(120),
         2);
   }
