Join what an item has gained only along records that name each other

Cause: records of progress were keyed by the item and the event that they follow, and joined by number alone.

Now a record names its writer's epoch and the place that it extends: event and epoch of the record before it. The key holds the writer's epoch, so that records of two holders never replace each other. ProgressChain keeps all of an item and joins only what names each other; of all chains the furthest counts, of two the one with the higher epoch, so that the order of the records has no influence. The text is made when it is asked for: a hundred thousand records of one item are folded and joined in a test well within its bound of 5 s.

Why one (epoch, event) is one text: a holder's appends follow each other, and an item's output names each event as an end once. A run made anew inside one holding begins behind the furthest chain, or after the result's append has dropped all its records.

Former versions: their records (kind p) are passed over, counted and dropped with the item's result; an item loses at most what it had gained. The new records have a kind of their own (g), which a former version reports as unreadable and passes over; it does not drop them, so that some stay if it drops the job. A dropped key now drops its record in memory, too. Keys take 241 bytes at most (tested at the longest ids and numbers).

JobTableTest and ForeignJobRecordsTest make their records with the places that they name now; the assertions are as strict as before. All tests of the package job pass.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemOutput.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemOutput.java
@@ -8,17 +8,23 @@
 final class ItemOutput {
 
   private final String itemId;
+  private final long epoch;
   private final StringBuilder text = new StringBuilder();
   private long lastEventId;
-  private long recordedEventId;
+  private ProgressLink recorded;
   private int recordedLength;
 
-  /** Creates the output of an item that goes on behind what is kept. */
-  ItemOutput(String itemId, ItemProgress kept) {
+  /**
+   * Creates the output of an item that goes on behind what is kept.
+   *
+   * @param epoch epoch of the holder that records it
+   */
+  ItemOutput(String itemId, ItemProgress kept, long epoch) {
     this.itemId = itemId;
+    this.epoch = epoch;
     this.text.append(kept.text());
     this.lastEventId = kept.lastEventId();
-    this.recordedEventId = lastEventId;
+    this.recorded = kept.end();
     this.recordedLength = text.length();
   }
 
@@ -61,12 +67,13 @@
 
   /** Returns what came since the last call that returned something, if it is at least so much. */
   Optional<JobRecords.Gained> gained(long leastEvents) {
-    if (lastEventId - recordedEventId < leastEvents) {
+    if (lastEventId - recorded.eventId() < leastEvents) {
       return Optional.empty();
     }
+    ProgressLink upTo = new ProgressLink(lastEventId, epoch);
     String added = text.substring(recordedLength);
-    JobRecords.Gained gained = new JobRecords.Gained(itemId, recordedEventId, lastEventId, added);
-    recordedEventId = lastEventId;
+    JobRecords.Gained gained = new JobRecords.Gained(itemId, recorded, upTo, added);
+    recorded = upTo;
     recordedLength = text.length();
     return Optional.of(gained);
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -70,11 +70,12 @@
       JobParts parts,
       Job job,
       JobItem item,
+      long epoch,
       Instant due,
       RunEstimate estimate,
       AskWindow window,
       ItemOutcome outcome) {
-    this.output = new ItemOutput(item.id(), job.progress(item.id()));
+    this.output = new ItemOutput(item.id(), job.progress(item.id()), epoch);
     this.estimate = estimate;
     this.failures = job.failures(item.id());
     this.parts = parts;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/Job.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/Job.java
@@ -20,7 +20,7 @@
   private final Map<String, JobItem> itemsById = new HashMap<>();
   private final TreeMap<Integer, JobResult> results = new TreeMap<>();
   private final Set<String> listed = new HashSet<>();
-  private final Map<String, ItemProgress> progress = new HashMap<>();
+  private final Map<String, ProgressChain> progress = new HashMap<>();
   private final Map<String, Integer> failures = new HashMap<>();
   private final Map<String, JobResult> offers = new HashMap<>();
   private boolean ended;
@@ -112,7 +112,8 @@
 
   /** Returns what is kept of an item that is not done. */
   ItemProgress progress(String itemId) {
-    return progress.getOrDefault(itemId, ItemProgress.NONE);
+    ProgressChain chain = progress.get(itemId);
+    return chain == null ? ItemProgress.NONE : chain.progress();
   }
 
   /** Returns how many runs of an item endpoints have ended with a failure of their own. */
@@ -137,12 +138,18 @@
     failures.merge(failed.itemId(), failed.count(), Math::max);
   }
 
-  /** Takes text that follows what is kept of an item; passes over any other. */
+  /** Takes a record of what an item has gained; passes over one of an item with its result. */
   void gain(JobRecords.Gained gained) {
-    ItemProgress kept = progress(gained.itemId());
-    if (!listed.contains(gained.itemId()) && kept.lastEventId() == gained.after()) {
-      String text = kept.text() + gained.text();
-      progress.put(gained.itemId(), new ItemProgress(gained.upTo(), text));
+    if (!listed.contains(gained.itemId())) {
+      progress.computeIfAbsent(gained.itemId(), any -> new ProgressChain()).put(gained);
+    }
+  }
+
+  /** Forgets the record of what an item has gained that begins at a place. */
+  void forget(String itemId, ProgressLink start) {
+    ProgressChain chain = progress.get(itemId);
+    if (chain != null) {
+      chain.drop(start);
     }
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRecords.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRecords.java
@@ -25,22 +25,26 @@
   /** Bytes of a part of an accepted job; records of the log hold 256 KiB. */
   static final int PART_BYTES = 200 * 1024;
 
-  /** Digits to which the number in the key of what an item has gained is padded. */
-  private static final int PLACE_DIGITS = 8;
+  /** Digits to which the event in the key of what an item has gained is padded. */
+  private static final int EVENT_DIGITS = 8;
 
   private static final char SEPARATOR = '/';
   private static final String PART = "a";
   private static final String RESULT = "r";
   private static final String END = "e";
-  private static final String PROGRESS = "p";
+  private static final String PROGRESS = "g";
+
+  /** Progress as former versions wrote it: it does not say what it extends, so nothing joins it. */
+  private static final String FORMER_PROGRESS = "p";
+
   private static final String FAILURES = "f";
   private static final String OFFER = "o";
 
   /** Fields of a key of each kind. */
   private static final Map<String, Integer> FIELDS =
-      Map.of(PART, 3, RESULT, 3, END, 2, PROGRESS, 4, FAILURES, 3, OFFER, 3);
+      Map.of(PART, 3, RESULT, 3, END, 2, PROGRESS, 5, FORMER_PROGRESS, 4, FAILURES, 3, OFFER, 3);
 
-  /** Longest id of a job or an item; keys of the log hold 255 bytes, with two ids and a number. */
+  /** Longest id of a job or an item; keys of the log hold 255 bytes, with two ids and a place. */
   static final int MAX_ID = 100;
 
   /** Digits of a part's number or a result's position. */
@@ -52,6 +56,12 @@
   /** Failed runs of an item at most; it is given up after a few. */
   private static final int MAX_FAILURES = 10_000;
 
+  /** Digits of an event's number or an epoch. */
+  private static final int MAX_LONG_DIGITS = 18;
+
+  /** Highest number of an event, and highest epoch. */
+  private static final long MAX_LONG = 999_999_999_999_999_999L;
+
   private static final byte ENDED = 1;
 
   /** Latest time at which a job may have been accepted: the end of the year 9999. */
@@ -64,8 +74,9 @@
    *
    * @param itemId item that it is about; empty if it is about the job
    * @param number number of a part, or position of a result; 0 for all others
+   * @param start place at which what an item has gained begins; the start of all for all others
    */
-  record Key(String kind, String jobId, String itemId, int number) {
+  record Key(String kind, String jobId, String itemId, int number, ProgressLink start) {
 
     boolean part() {
       return kind.equals(PART);
@@ -92,8 +103,19 @@
     }
   }
 
-  /** Text that an item has gained: from the event after one, up to another. */
-  record Gained(String itemId, long after, long upTo, String text) {}
+  /**
+   * Text that an item has gained.
+   *
+   * @param after place at which the text that it extends ends
+   * @param upTo place at which it ends, with the epoch of its writer
+   */
+  record Gained(String itemId, ProgressLink after, ProgressLink upTo, String text) {
+
+    /** Returns the place at which it begins, with the epoch of its writer. */
+    ProgressLink start() {
+      return new ProgressLink(after.eventId(), upTo.epoch());
+    }
+  }
 
   /** Number of runs of an item that an endpoint ended with a failure of its own. */
   record Failures(String itemId, int count) {}
@@ -114,10 +136,20 @@
     }
     String jobId = HttpText.id("key", fields[1], MAX_ID);
     boolean numbered = fields[0].equals(PART) || fields[0].equals(RESULT);
-    int number = numbered ? number(fields[2]) : 0;
+    int number = numbered ? (int) number(fields[2], MAX_DIGITS) : 0;
     boolean ofItem = !numbered && expected > 2;
     String itemId = ofItem ? HttpText.id("key", fields[2], MAX_ID) : "";
-    return new Key(fields[0], jobId, itemId, number);
+    ProgressLink start = fields[0].equals(PROGRESS) ? start(fields) : ProgressLink.START;
+    return new Key(fields[0], jobId, itemId, number, start);
+  }
+
+  private static ProgressLink start(String[] fields) {
+    long event = number(fields[3], MAX_LONG_DIGITS);
+    long epoch = number(fields[4], MAX_LONG_DIGITS);
+    if (!fields[3].equals(padded(event)) || !fields[4].equals(String.valueOf(epoch))) {
+      throw new UnreadableException("key", "a number in another form");
+    }
+    return new ProgressLink(event - 1, epoch);
   }
 
   /** Returns the job that a key is about; empty if it is none of ours, which its reader tells. */
@@ -127,18 +159,18 @@
     return ours ? Optional.of(fields[1]) : Optional.empty();
   }
 
-  private static int number(String text) {
+  private static long number(String text, int mostDigits) {
     boolean digits = text.chars().allMatch(each -> each >= '0' && each <= '9');
-    if (text.isEmpty() || !digits || text.length() > MAX_DIGITS) {
+    if (text.isEmpty() || !digits || text.length() > mostDigits) {
       throw new UnreadableException("key", "no number");
     }
-    return Integer.parseInt(text);
+    return Long.parseLong(text);
   }
 
   /** Returns whether a key is that of a record which the result of an item makes needless. */
   static boolean neededUntilResult(String key, String itemId) {
     String[] fields = key.split(String.valueOf(SEPARATOR));
-    boolean ofUnfinished = fields[0].equals(PROGRESS) || fields[0].equals(OFFER);
+    boolean ofUnfinished = List.of(PROGRESS, FORMER_PROGRESS, OFFER).contains(fields[0]);
     return ofUnfinished && fields.length > 2 && fields[2].equals(itemId);
   }
 
@@ -185,15 +217,21 @@
     }
   }
 
+  /** Checks that a value is about the item, and begins at the place, that its key names. */
+  static void checkStart(Key key, Gained gained) {
+    checkItem(key, gained.itemId());
+    if (!key.start().equals(gained.start())) {
+      throw new UnreadableException("progress", "of another place than in the key");
+    }
+  }
+
   static KeyedRecord gained(String jobId, Gained gained) {
-    // Padded, so that the records of an item come in their order when they are listed by key.
-    String number = String.valueOf(gained.after() + 1);
-    String place = "0".repeat(Math.max(0, PLACE_DIGITS - number.length())) + number;
-    String key = String.join(String.valueOf(SEPARATOR), PROGRESS, jobId, gained.itemId(), place);
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
-      packer.packString(gained.itemId()).packLong(gained.after()).packLong(gained.upTo());
+      packer.packString(gained.itemId());
+      packer.packLong(gained.after().eventId()).packLong(gained.after().epoch());
+      packer.packLong(gained.upTo().eventId()).packLong(gained.upTo().epoch());
       packer.packString(gained.text());
-      return new KeyedRecord(key, packer.toByteArray());
+      return new KeyedRecord(gainedKey(jobId, gained), packer.toByteArray());
     } catch (IOException e) {
       throw new UncheckedIOException("A buffer in memory failed", e);
     }
@@ -205,12 +243,34 @@
         value,
         reader -> {
           String itemId = reader.text();
-          long after = reader.number("after", -1L, Long.MAX_VALUE - 1);
-          long upTo = reader.number("upTo", after + 1, Long.MAX_VALUE);
-          return new Gained(itemId, after, upTo, reader.text());
+          ProgressLink after = after(reader);
+          long upTo = reader.number("upTo", after.eventId() + 1, MAX_LONG - 1);
+          long epoch = reader.number("epoch", 0L, MAX_LONG);
+          return new Gained(itemId, after, new ProgressLink(upTo, epoch), reader.text());
         });
   }
 
+  private static String gainedKey(String jobId, Gained gained) {
+    // Padded, so that the records of an item come in their order when they are listed by key.
+    String place = padded(gained.start().eventId() + 1);
+    String epoch = String.valueOf(gained.start().epoch());
+    return String.join(String.valueOf(SEPARATOR), PROGRESS, jobId, gained.itemId(), place, epoch);
+  }
+
+  private static String padded(long event) {
+    String number = String.valueOf(event);
+    return "0".repeat(Math.max(0, EVENT_DIGITS - number.length())) + number;
+  }
+
+  private static ProgressLink after(MessageReader reader) throws IOException {
+    long event = reader.number("after", -1L, MAX_LONG - 1);
+    long epoch = reader.number("extended epoch", -1L, MAX_LONG);
+    if (event < 0 != epoch < 0) {
+      throw new UnreadableException("after", "an event of no holder, or the reverse");
+    }
+    return new ProgressLink(event, epoch);
+  }
+
   static KeyedRecord failures(String jobId, Failures failures) {
     String key = String.join(String.valueOf(SEPARATOR), FAILURES, jobId, failures.itemId());
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobTable.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobTable.java
@@ -138,7 +138,7 @@
       takeResult(key, JobRecords.result(value));
     } else if (key.progress()) {
       JobRecords.Gained gained = JobRecords.gained(value);
-      JobRecords.checkItem(key, gained.itemId());
+      JobRecords.checkStart(key, gained);
       find(key.jobId()).ifPresent(job -> job.gain(gained));
     } else if (key.offer()) {
       JobResult offered = JobRecords.result(value);
@@ -254,6 +254,8 @@
       drop(key.jobId());
     } else if (key.end()) {
       ended.remove(key.jobId());
+    } else if (key.progress()) {
+      find(key.jobId()).ifPresent(job -> job.forget(key.itemId(), key.start()));
     }
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -193,7 +193,7 @@
           finish(job, job.offered(item.id()).get());
         } else if (!job.listed(item.id()) && !runs.containsKey(item.id())) {
           ItemRun run =
-              new ItemRun(parts, job, item, due(job), estimate, window, new Outcomes(job));
+              new ItemRun(parts, job, item, epoch, due(job), estimate, window, new Outcomes(job));
           runs.put(item.id(), run);
           run.start();
         }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/ForeignJobRecordsTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/ForeignJobRecordsTest.java
@@ -24,10 +24,22 @@
  */
 class ForeignJobRecordsTest {
 
+  private static final ProgressLink END = new ProgressLink(2, 1);
   private static final byte[] NOISE = {(byte) 0xff, 0, 7};
-  private static final List<String> KINDS = List.of("a", "r", "e", "p", "f", "o", "x", "");
+  private static final List<String> KINDS = List.of("a", "r", "e", "g", "p", "f", "o", "x", "");
   private static final List<String> TAILS =
-      List.of("", "/", "/0", "/1", "/-1", "/x", "/99999999999", "/i1", "/i1/00000000", "/0/0/0/0");
+      List.of(
+          "",
+          "/",
+          "/0",
+          "/1",
+          "/-1",
+          "/x",
+          "/99999999999",
+          "/i1",
+          "/i1/00000000",
+          "/i1/00000000/1",
+          "/0/0/0/0");
 
   private final JobTable table = new JobTable();
 
@@ -56,7 +68,7 @@
         });
     Job job = read.find("good").orElseThrow();
     assertEquals(List.of(new JobResult("i1", true, "one")), job.page(0, 1_000));
-    assertEquals(new ItemProgress(2, "two"), job.progress("i2"));
+    assertEquals(new ItemProgress(END, "two"), job.progress("i2"));
     assertEquals(3, job.failures("i2"));
     assertTrue(job.ended());
   }
@@ -129,7 +141,8 @@
   @Test
   void restoresNoRecordUnderAKeyThatItNeverWrites() {
     records("j").forEach(table::take);
-    for (String key : List.of("a/j/7", "r/j/00", "r/j/1", "p/j/i1/x", "e/k", "a/k/0")) {
+    for (String key :
+        List.of("a/j/7", "r/j/00", "r/j/1", "p/j/i1/x", "g/j/i1/x/1", "e/k", "a/k/0")) {
       table.take(new KeyedRecord(key, NOISE));
     }
     assertEquals(List.of(), table.restorations());
@@ -150,10 +163,22 @@
     assertEquals(0, table.find("j").orElseThrow().failures("i1"));
   }
 
+  /** A text goes on with a run that was not asked to: a record stands under another one's key. */
+  @ParameterizedTest
+  @ValueSource(strings = {"g/j/i2/00000001/1", "g/j/i2/00000000/2", "g/j/i2/0/1", "g/j/i1/0/1"})
+  void progressUnderAKeyOfAnotherPlaceIsNone(String key) {
+    JobRecords.accepted(job("j")).forEach(table::take);
+    JobRecords.Gained gained = new JobRecords.Gained("i2", ProgressLink.START, END, "two");
+    table.take(new KeyedRecord(key, JobRecords.gained("j", gained).value()));
+    assertEquals(ItemProgress.NONE, table.find("j").orElseThrow().progress("i2"));
+    assertEquals(ItemProgress.NONE, table.find("j").orElseThrow().progress("i1"));
+  }
+
   private static List<KeyedRecord> records(String jobId) {
     List<KeyedRecord> records = new ArrayList<>(JobRecords.accepted(job(jobId)));
     records.add(JobRecords.result(jobId, 0, new JobResult("i1", true, "one")));
-    records.add(JobRecords.gained(jobId, new JobRecords.Gained("i2", -1, 2, "two")));
+    records.add(
+        JobRecords.gained(jobId, new JobRecords.Gained("i2", ProgressLink.START, END, "two")));
     records.add(JobRecords.failures(jobId, new JobRecords.Failures("i2", 3)));
     records.add(JobRecords.end(jobId));
     return records;
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/ItemRecorder.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/ItemRecorder.java
@@ -12,7 +12,7 @@
 
   /** Creates an item that goes on behind what its holder has loaded. */
   ItemRecorder(String itemId, ItemProgress loaded, long epoch) {
-    this.output = new ItemOutput(itemId, loaded);
+    this.output = new ItemOutput(itemId, loaded, epoch);
   }
 
   long lastEventId() {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobTableTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobTableTest.java
@@ -3,9 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTimeout;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
+import java.io.IOException;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -17,6 +20,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
 
 class JobTableTest {
 
@@ -89,14 +94,17 @@
   void keepsWhatItemsHadGained() {
     JobTable table = new JobTable();
     JobRecords.accepted(job(10)).forEach(table::take);
-    KeyedRecord first = JobRecords.gained("j", new JobRecords.Gained("i1", -1, 3, "a\nb"));
-    KeyedRecord second = JobRecords.gained("j", new JobRecords.Gained("i1", 3, 5, "\nc"));
+    ProgressLink third = new ProgressLink(3, 1);
+    ProgressLink fifth = new ProgressLink(5, 1);
+    KeyedRecord first =
+        JobRecords.gained("j", new JobRecords.Gained("i1", ProgressLink.START, third, "a\nb"));
+    KeyedRecord second = JobRecords.gained("j", new JobRecords.Gained("i1", third, fifth, "\nc"));
     assertTrue(first.key().compareTo(second.key()) < 0);
     table.take(first);
     table.take(second);
     table.take(second);
     Job job = table.find("j").orElseThrow();
-    assertEquals(new ItemProgress(5, "a\nb\nc"), job.progress("i1"));
+    assertEquals(new ItemProgress(fifth, "a\nb\nc"), job.progress("i1"));
     assertEquals(ItemProgress.NONE, job.progress("i2"));
     table.take(JobRecords.result("j", 0, new JobResult("i1", true, "a\nb\nc")));
     assertEquals(ItemProgress.NONE, job.progress("i1"));
@@ -106,10 +114,82 @@
   void passesOverProgressBehindAGap() {
     JobTable table = new JobTable();
     JobRecords.accepted(job(10)).forEach(table::take);
-    table.take(JobRecords.gained("j", new JobRecords.Gained("i1", 3, 5, "\nc")));
+    ProgressLink third = new ProgressLink(3, 1);
+    ProgressLink fifth = new ProgressLink(5, 1);
+    table.take(JobRecords.gained("j", new JobRecords.Gained("i1", third, fifth, "\nc")));
     assertEquals(ItemProgress.NONE, table.find("j").orElseThrow().progress("i1"));
   }
 
+  /** A text joins two runs: a record of a former version follows a number, whoever brought it. */
+  @Test
+  void joinsNoProgressOfAFormerVersionAndDropsItWithTheRest() throws IOException {
+    JobTable table = new JobTable();
+    JobRecords.accepted(job(10)).forEach(table::take);
+    ProgressLink third = new ProgressLink(3, 1);
+    table.take(
+        JobRecords.gained("j", new JobRecords.Gained("i1", ProgressLink.START, third, "a\nb")));
+    List<String> unreadable = new ArrayList<>();
+    table.onUnreadable((key, cause) -> unreadable.add(key));
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packer.packString("i1").packLong(3).packLong(5).packString("\nc");
+      table.take(new KeyedRecord("p/j/i1/00000004", packer.toByteArray()));
+    }
+    assertEquals(new ItemProgress(third, "a\nb"), table.find("j").orElseThrow().progress("i1"));
+    assertEquals(List.of(), unreadable);
+    assertTrue(table.keys("j").contains("p/j/i1/00000004"));
+    assertTrue(JobRecords.neededUntilResult("p/j/i1/00000004", "i1"));
+  }
+
+  /** An item goes on behind text that whoever loads the log next does not find there. */
+  @Test
+  void dropsTheProgressWhoseRecordIsDropped() {
+    JobTable table = new JobTable();
+    JobRecords.accepted(job(10)).forEach(table::take);
+    ItemRecorder item = new ItemRecorder("i1", ItemProgress.NONE, 1);
+    item.take(1, 3, "a");
+    table.take(item.record("j"));
+    item.take(4, 5, "a");
+    KeyedRecord second = item.record("j");
+    table.take(second);
+    assertEquals(5, table.find("j").orElseThrow().progress("i1").lastEventId());
+    assertTrue(JobRecords.neededUntilResult(second.key(), "i1"));
+    table.take(new KeyedRecord(second.key(), null));
+    assertEquals(3, table.find("j").orElseThrow().progress("i1").lastEventId());
+  }
+
+  /** No progress of an item with a long id is ever recorded: the store refuses its key. */
+  @Test
+  void keepsKeysWithinWhatTheLogTakes() {
+    String id = "i".repeat(JobRecords.MAX_ID);
+    ProgressLink after = new ProgressLink(999_999_999_999_999_997L, 999_999_999_999_999_999L);
+    ProgressLink upTo = new ProgressLink(999_999_999_999_999_998L, 999_999_999_999_999_999L);
+    KeyedRecord record = JobRecords.gained(id, new JobRecords.Gained(id, after, upTo, ""));
+    assertTrue(record.key().length() <= 255, record.key());
+    assertEquals(after, JobRecords.key(record.key()).start());
+  }
+
+  /** A holder is busy for seconds with the records of an item that many holders have run. */
+  @Test
+  void joinsManyRecordsInNoTime() {
+    JobTable table = new JobTable();
+    JobRecords.accepted(job(10)).forEach(table::take);
+    Job job = table.find("j").orElseThrow();
+    int count = 100_000;
+    ItemRecorder item = new ItemRecorder("i1", ItemProgress.NONE, 1);
+    List<KeyedRecord> records = new ArrayList<>();
+    for (int number = 1; number <= count; number++) {
+      item.take(number, number, "a");
+      records.add(item.record("j"));
+    }
+    assertTimeout(
+        Duration.ofSeconds(5),
+        () -> {
+          records.forEach(table::take);
+          assertEquals(count, job.progress("i1").lastEventId());
+        });
+    assertEquals(2 * count - 1, job.progress("i1").text().length());
+  }
+
   @Test
   void dropsAJobWhoseRecordsAreDropped() {
     JobTable table = new JobTable();
@@ -135,7 +215,8 @@
   @Test
   void countsTheBytesOfNewestRecordsAlone() {
     JobTable table = new JobTable();
-    JobRecords.Gained gained = new JobRecords.Gained("i1", -1, 5, "text");
+    JobRecords.Gained gained =
+        new JobRecords.Gained("i1", ProgressLink.START, new ProgressLink(5, 1), "text");
     KeyedRecord progress = JobRecords.gained("j", gained);
     table.take(progress);
     table.take(progress);
