Tell each way by which a write of a job was tried

The log told of each failed append its last cause only: not by which ways it went (the store itself, peers), how long each took, whether each was surely not done, nor what the caller got in the end; relay's peer.failed names no job and is left out first under load. So the hypotheses (a status taken for a promise, a peer's answer, a standstill) could not be told apart. Now job append.failed carries, in its one line a try, every way with its time and 'not done' or 'perhaps done', how long the try took and how long after the request's arrival it ended; job.not.written tells the final answer.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/HttpReply.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/HttpReply.java
@@ -11,6 +11,9 @@
  */
 public record HttpReply(int status, Map<String, String> headers, byte[] body) {
 
+  /** Header under which a reply that does not help carries how the call went. */
+  private static final String ACCOUNT = "hawthornlb-account";
+
   /** Copies the headers. */
   public HttpReply {
     headers = Map.copyOf(headers);
@@ -20,4 +23,14 @@
   public HttpReply(int status, byte[] body) {
     this(status, Map.of(), body);
   }
+
+  /** Returns the same reply with how the call went, for whoever logs it. */
+  public HttpReply withAccount(String account) {
+    return new HttpReply(status, Map.of(ACCOUNT, account), body);
+  }
+
+  /** Returns how the call went; the status if nobody said more. */
+  public String account() {
+    return headers.getOrDefault(ACCOUNT, "status " + status);
+  }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobService.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobService.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Answers calls about jobs at any process: what was accepted or ended is in the log before the
@@ -110,6 +111,10 @@
       int status,
       boolean perhapsDone) {
 
+    private long millis(Instant now) {
+      return Duration.between(arrived, now).toMillis();
+    }
+
     private Write afterNoAnswer() {
       return new Write(jobId, records, arrived, responder, status, true);
     }
@@ -118,6 +123,7 @@
   /** Appends until the store has taken it, since taking it twice does no harm. */
   private void append(Write write) {
     int partition = replicas.partition(write.jobId());
+    Instant began = clock.instant();
     store
         .append(new AppendCall(JobReplicas.TOPIC, partition, write.records(), null))
         .whenCompleteAsync(
@@ -126,7 +132,7 @@
                 logged("job.written", write.jobId(), write.status());
                 write.responder().own(write.status(), null);
               } else {
-                appendFailed(failure, write);
+                appendFailed(failure, write, began);
               }
             },
             executor);
@@ -142,13 +148,15 @@
    * that refusal would say of a job that runs that it does not. Guard: only a write of which no try
    * may have happened is refused.
    */
-  private void appendFailed(Throwable failure, Write write) {
+  private void appendFailed(Throwable failure, Write write, Instant began) {
     boolean notDone = kind(failure) == StoreException.Kind.NOT_DONE;
     Write next = notDone ? write : write.afterNoAnswer();
     log.important("job", "append.failed")
         .with("id", write.jobId())
         .with("done", notDone ? "no" : "unknown")
         .with("earlierTries", write.perhapsDone() ? "unknown" : "no")
+        .with("tryMillis", Duration.between(began, clock.instant()).toMillis())
+        .with("millis", write.millis(clock.instant()))
         .with("cause", failure.getMessage())
         .write();
     if (clock.instant().isBefore(write.arrived().plus(APPEND_TIME))) {
@@ -156,12 +164,21 @@
       executor.schedule(() -> append(next), millis, TimeUnit.MILLISECONDS);
     } else if (next.perhapsDone()) {
       // It may have been written, or may still be: no promise.
-      write.responder().own(502, null);
+      notWritten(write, 502, null);
     } else {
-      write.responder().own(503, STORE_RETRY);
+      notWritten(write, 503, STORE_RETRY);
     }
   }
 
+  private void notWritten(Write write, int status, @Nullable Duration retryAfter) {
+    log.important("job", "job.not.written")
+        .with("id", write.jobId())
+        .with("status", status)
+        .with("millis", write.millis(clock.instant()))
+        .write();
+    write.responder().own(status, retryAfter);
+  }
+
   private void read(JobCall.Read read, Instant arrived, Responder responder) {
     withJob(read.jobId(), responder, job -> page(job, read, arrived, responder));
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayingHttpCaller.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayingHttpCaller.java
@@ -6,8 +6,10 @@
 import io.hawthornlb.gateway.http.HttpCaller;
 import io.hawthornlb.gateway.http.HttpReply;
 import io.hawthornlb.gateway.peer.GatewayInstance;
+import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -113,7 +115,13 @@
   }
 
   private static String cause(@Nullable HttpReply reply, @Nullable Throwable failure) {
-    return reply == null ? String.valueOf(failure) : "status " + reply.status();
+    if (reply != null) {
+      return "status " + reply.status();
+    }
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    return cause instanceof HttpCallException call
+        ? String.valueOf(call.getMessage())
+        : String.valueOf(failure);
   }
 
   /** One call, by whichever ways it takes. */
@@ -123,6 +131,7 @@
     private final CompletableFuture<HttpReply> result = new CompletableFuture<>();
     private @Nullable HttpReply lastReply;
     private Throwable lastFailure = new HttpCallException("No peer reaches the store", true);
+    private final List<String> account = new ArrayList<>();
     private int asked;
 
     private Attempt(HttpCall call) {
@@ -130,23 +139,28 @@
     }
 
     private void callDirectly() {
+      Instant began = clock.instant();
       direct
           .call(call)
           .whenComplete(
               (reply, failure) -> {
                 if (cut(failure) && repeatable(call)) {
                   log.routine("relay", "read.cut").with("path", call.path()).write();
-                  direct.call(call).whenComplete(this::answeredDirectly);
+                  direct
+                      .call(call)
+                      .whenComplete((again, end) -> answeredDirectly(again, end, began));
                 } else {
-                  answeredDirectly(reply, failure);
+                  answeredDirectly(reply, failure, began);
                 }
               });
     }
 
-    private void answeredDirectly(@Nullable HttpReply reply, @Nullable Throwable failure) {
+    private void answeredDirectly(
+        @Nullable HttpReply reply, @Nullable Throwable failure, Instant began) {
       if (note(reply, failure)) {
         result.complete(reply);
       } else {
+        tell("direct", reply, failure, began);
         passOn(reply, failure);
       }
     }
@@ -184,6 +198,7 @@
                 if (reply != null && !refused(reply)) {
                   helped(peer, reply);
                 } else {
+                  tell(peer.name(), reply, failure, now);
                   notHelped(peer, reply, failure);
                 }
               });
@@ -237,11 +252,22 @@
       end();
     }
 
+    /** Keeps how one way ended, so that whoever called can log all of them in one line. */
+    private void tell(
+        String way, @Nullable HttpReply reply, @Nullable Throwable failure, Instant began) {
+      long millis = Duration.between(began, clock.instant()).toMillis();
+      String done = reply != null || unsent(failure) ? "not done" : "perhaps done";
+      account.add(way + " in " + millis + " ms, " + done + ": " + cause(reply, failure));
+    }
+
     private void end() {
+      String told = String.join("; ", account);
       if (lastReply != null) {
-        result.complete(lastReply);
-      } else {
+        result.complete(lastReply.withAccount(told));
+      } else if (account.isEmpty()) {
         result.completeExceptionally(lastFailure);
+      } else {
+        result.completeExceptionally(new HttpCallException(told, unsent(lastFailure)));
       }
     }
   }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/RelayingHttpCallerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/RelayingHttpCallerTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.hawthornlb.gateway.SilentEventLog;
@@ -16,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
@@ -194,6 +196,24 @@
     assertEquals(List.of("direct", "a1"), ways);
   }
 
+  /** A job that was refused ran, and no line told by which ways it had been written. */
+  @Test
+  void tellsEachWayOfACallThatFailed() {
+    store = () -> replied(BUSY);
+    byPeer = () -> failed(false);
+    CompletionStage<HttpReply> result = caller.call(append());
+    Throwable failure =
+        assertThrows(CompletionException.class, () -> result.toCompletableFuture().join());
+    assertEquals(
+        "direct in 0 ms, not done: status 503; a1 in 0 ms, perhaps done: as told",
+        failure.getCause().getMessage());
+    byPeer = () -> replied(BUSY);
+    time.advance(StoreReach.PEERS_PAUSE);
+    assertEquals(
+        "a1 in 0 ms, not done: status 503; a2 in 0 ms, not done: status 503",
+        caller.call(append()).toCompletableFuture().join().account());
+  }
+
   private CompletionStage<HttpReply> way(String name, Supplier<CompletionStage<HttpReply>> how) {
     ways.add(name);
     return how.get();
