Take only 429 and 503 of the store for a promise that nothing was done

Cause: PlatformStore took each status but 200 (and 409) for 'not done'. Class: a claim that nothing was done, made by default instead of by whoever can prove it.

Ruled out by reading: a lost perhapsDone (JobService), the flags 'written' (NettyHttpCaller) and 'sent' (TcpRelayTransport), which are set before the bytes leave.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/HttpReply.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/HttpReply.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.gateway.http;
 
 import java.util.Map;
+import java.util.Set;
 
 /**
  * A whole reply.
@@ -11,6 +12,9 @@
  */
 public record HttpReply(int status, Map<String, String> headers, byte[] body) {
 
+  /** Statuses that promise that nothing was done; any other one leaves it open. */
+  private static final Set<Integer> REFUSALS = Set.of(429, 503);
+
   /** Header under which a reply that does not help carries how the call went. */
   private static final String ACCOUNT = "hawthornlb-account";
 
@@ -24,6 +28,11 @@
     this(status, Map.of(), body);
   }
 
+  /** Returns whether whoever was called promises that it did nothing. */
+  public boolean refused() {
+    return REFUSALS.contains(status);
+  }
+
   /** Returns the same reply with how the call went, for whoever logs it. */
   public HttpReply withAccount(String account) {
     return new HttpReply(status, Map.of(ACCOUNT, account), body);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayingHttpCaller.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayingHttpCaller.java
@@ -91,7 +91,7 @@
 
   /** Notes how a direct call ended; returns whether the store answered it. */
   private boolean note(@Nullable HttpReply reply, @Nullable Throwable failure) {
-    boolean answered = reply != null && !refused(reply);
+    boolean answered = reply != null && !reply.refused();
     if (answered && reach.answered()) {
       log.important("relay", "store.regained").write();
     } else if (!answered && reach.failed(clock.instant())) {
@@ -100,10 +100,6 @@
     return answered;
   }
 
-  private static boolean refused(HttpReply reply) {
-    return reply.status() == 503 || reply.status() == 429;
-  }
-
   private static boolean unsent(@Nullable Throwable failure) {
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
     return cause instanceof HttpCallException call && call.unsent();
@@ -195,7 +191,7 @@
           .call(peer, RelayTarget.STORE, call)
           .whenComplete(
               (reply, failure) -> {
-                if (reply != null && !refused(reply)) {
+                if (reply != null && !reply.refused()) {
                   helped(peer, reply);
                 } else {
                   tell(peer.name(), reply, failure, now);
