Join the statuses that promise that nothing was done

The way of each call is numbered (a missing reply counts only if its call began after the last answer) and told (each way by which a write was tried).

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayingHttpCaller.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayingHttpCaller.java
@@ -6,8 +6,10 @@
 import io.hawthornlb.gateway.http.HttpCaller;
 import io.hawthornlb.gateway.http.HttpReply;
 import io.hawthornlb.gateway.peer.GatewayInstance;
+import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -95,7 +97,7 @@
   }
 
   private static boolean answered(@Nullable HttpReply reply) {
-    return reply != null && !refused(reply);
+    return reply != null && !reply.refused();
   }
 
   /** Notes that the store did not answer a direct call. */
@@ -107,10 +109,6 @@
     }
   }
 
-  private static boolean refused(HttpReply reply) {
-    return reply.status() == 503 || reply.status() == 429;
-  }
-
   private static boolean unsent(@Nullable Throwable failure) {
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
     return cause instanceof HttpCallException call && call.unsent();
@@ -122,7 +120,13 @@
   }
 
   private static String cause(@Nullable HttpReply reply, @Nullable Throwable failure) {
-    return reply == null ? String.valueOf(failure) : "status " + reply.status();
+    if (reply != null) {
+      return "status " + reply.status();
+    }
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    return cause instanceof HttpCallException call
+        ? String.valueOf(call.getMessage())
+        : String.valueOf(failure);
   }
 
   /** One call, by whichever ways it takes. */
@@ -132,6 +136,7 @@
     private final CompletableFuture<HttpReply> result = new CompletableFuture<>();
     private @Nullable HttpReply lastReply;
     private Throwable lastFailure = new HttpCallException("No peer reaches the store", true);
+    private final List<String> account = new ArrayList<>();
     private int asked;
 
     private Attempt(HttpCall call) {
@@ -140,30 +145,34 @@
 
     private void callDirectly() {
       long number = reach.begin();
+      Instant began = clock.instant();
       direct
           .call(call)
           .whenComplete(
               (reply, failure) -> {
                 if (cut(failure) && repeatable(call)) {
                   log.routine("relay", "read.cut").with("path", call.path()).write();
-                  callDirectlyAgain();
+                  callDirectlyAgain(began);
                 } else {
-                  answeredDirectly(number, reply, failure);
+                  answeredDirectly(number, began, reply, failure);
                 }
               });
     }
 
-    private void callDirectlyAgain() {
+    private void callDirectlyAgain(Instant began) {
       long number = reach.begin();
-      direct.call(call).whenComplete((reply, failure) -> answeredDirectly(number, reply, failure));
+      direct
+          .call(call)
+          .whenComplete((reply, failure) -> answeredDirectly(number, began, reply, failure));
     }
 
     private void answeredDirectly(
-        long number, @Nullable HttpReply reply, @Nullable Throwable failure) {
+        long number, Instant began, @Nullable HttpReply reply, @Nullable Throwable failure) {
       if (answered(reply)) {
         take(reply);
       } else {
         noteFailure(number, reply, failure);
+        tell("direct", reply, failure, began);
         passOn(reply, failure);
       }
     }
@@ -213,9 +222,10 @@
           .call(peer, RelayTarget.STORE, call)
           .whenComplete(
               (reply, failure) -> {
-                if (reply != null && !refused(reply)) {
+                if (reply != null && !reply.refused()) {
                   helped(peer, reply);
                 } else {
+                  tell(peer.name(), reply, failure, now);
                   notHelped(peer, reply, failure);
                 }
               });
@@ -269,11 +279,22 @@
       end();
     }
 
+    /** Keeps how one way ended, so that whoever called can log all of them in one line. */
+    private void tell(
+        String way, @Nullable HttpReply reply, @Nullable Throwable failure, Instant began) {
+      long millis = Duration.between(began, clock.instant()).toMillis();
+      String done = reply != null || unsent(failure) ? "not done" : "perhaps done";
+      account.add(way + " in " + millis + " ms, " + done + ": " + cause(reply, failure));
+    }
+
     private void end() {
+      String told = String.join("; ", account);
       if (lastReply != null) {
-        result.complete(lastReply);
-      } else {
+        result.complete(lastReply.withAccount(told));
+      } else if (account.isEmpty()) {
         result.completeExceptionally(lastFailure);
+      } else {
+        result.completeExceptionally(new HttpCallException(told, unsent(lastFailure)));
       }
     }
   }
