Keep account of the event loop's work by kind

The loop counts and times each piece of work by what it is for: selecting, accepting, connecting, bytes of callers, answers to callers and to items, datagrams, replies of the store, links, tasks and timers. A piece costs two readings of the steady clock. Each 5 s and at stop one line `processor.time` tells the sums and the processor time of the threads, read from /proc, so that no management classes are loaded.

Evidence: WorkAccountTest, ThreadTimesTest, WorkReportTest and AccountedEventLoopTest.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.front;
 
+import io.hawthornlb.gateway.loop.WorkKind;
 import io.hawthornlb.gateway.wire.EndpointCallListener;
 import io.hawthornlb.gateway.wire.EventSplitter;
 import io.hawthornlb.gateway.wire.HeaderNames;
@@ -96,6 +97,11 @@
     return lastEventId;
   }
 
+  @Override
+  public WorkKind work() {
+    return WorkKind.ANSWER;
+  }
+
   @Override
   public void onResponse(HttpResponse answer) {
     response = answer;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FirstBytesHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FirstBytesHandler.java
@@ -1,5 +1,7 @@
 package io.hawthornlb.gateway.front;
 
+import io.hawthornlb.gateway.loop.WorkAccount;
+import io.hawthornlb.gateway.loop.WorkKind;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 
@@ -19,6 +21,7 @@
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
+    WorkAccount.noteKind(ctx.channel(), WorkKind.CALLER);
     connection.bytesCame();
     ctx.fireChannelRead(message);
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontConnection.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontConnection.java
@@ -1,9 +1,11 @@
 package io.hawthornlb.gateway.front;
 
+import io.hawthornlb.gateway.loop.WorkAccount;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -160,7 +162,7 @@
       HttpResponse goOn =
           new DefaultFullHttpResponse(
               HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER);
-      open().writeAndFlush(goOn);
+      send(goOn);
     }
   }
 
@@ -215,7 +217,7 @@
             HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.EMPTY_BUFFER);
     answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
     answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    open().writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+    send(answer).addListener(ChannelFutureListener.CLOSE);
   }
 
   private void finished(boolean keep) {
@@ -241,6 +243,11 @@
     return current;
   }
 
+  private ChannelFuture send(HttpObject message) {
+    WorkAccount.flushed(open());
+    return open().writeAndFlush(message);
+  }
+
   private void schedule(Duration time, int status) {
     stopTimer();
     timer =
@@ -337,7 +344,7 @@
       }
       setConnection(response.headers());
       headSent = true;
-      open().writeAndFlush(response);
+      send(response);
     }
 
     @Override
@@ -346,7 +353,7 @@
         content.release();
         return;
       }
-      open().writeAndFlush(new DefaultHttpContent(content));
+      send(new DefaultHttpContent(content));
     }
 
     @Override
@@ -396,7 +403,7 @@
       answered = true;
       closeAfter |= server.draining();
       unsent++;
-      var written = open().writeAndFlush(last);
+      var written = send(last);
       written.addListener(any -> unsent--);
       if (closeAfter) {
         written.addListener(ChannelFutureListener.CLOSE);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/NettyHttpCaller.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/NettyHttpCaller.java
@@ -1,5 +1,7 @@
 package io.hawthornlb.gateway.http;
 
+import io.hawthornlb.gateway.loop.WorkAccount;
+import io.hawthornlb.gateway.loop.WorkKind;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -187,6 +189,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+      WorkAccount.noteKind(ctx.channel(), WorkKind.STORE);
       Pending waiting = pending;
       pending = null;
       if (waiting == null || !response.decoderResult().isSuccess()) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -3,6 +3,7 @@
 import io.hawthornlb.gateway.endpoint.EndpointLife;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.event.EventLine;
+import io.hawthornlb.gateway.loop.WorkKind;
 import io.hawthornlb.gateway.route.Route;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotKey;
@@ -295,6 +296,11 @@
       this.life = life;
     }
 
+    @Override
+    public WorkKind work() {
+      return WorkKind.ITEM;
+    }
+
     @Override
     public void onResponse(HttpResponse response) {
       status = response.status().code();
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/loop/WorkReport.java
@@ -0,0 +1,54 @@
+package io.hawthornlb.gateway.loop;
+
+import io.hawthornlb.gateway.event.EventLine;
+import io.hawthornlb.gateway.event.EventLog;
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+/** Tells the log, every few seconds, what processor time went into since the start. */
+public final class WorkReport {
+
+  private static final Duration EVERY = Duration.ofSeconds(5);
+
+  private final EventLoop loop;
+  private final ThreadTimes threads;
+  private final EventLog log;
+
+  /** Creates a report about an event loop; one that keeps no account has its threads told only. */
+  public WorkReport(EventLoop loop, ThreadTimes threads, EventLog log) {
+    this.loop = loop;
+    this.threads = threads;
+    this.log = log;
+  }
+
+  /** Writes a line every few seconds from now on. */
+  public void start() {
+    loop.schedule(this::next, EVERY.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private void next() {
+    write();
+    start();
+  }
+
+  /** Writes a line; called by the thread of the loop. */
+  public void write() {
+    EventLine line = log.important("process", "processor.time");
+    threads.read().forEach((thread, micros) -> line.with(thread + "Thread", micros));
+    if (loop instanceof AccountedEventLoop accounted) {
+      write(line, accounted.account());
+    }
+    line.write();
+  }
+
+  private static void write(EventLine line, WorkAccount account) {
+    for (WorkKind kind : WorkKind.values()) {
+      if (account.count(kind) > 0) {
+        line.with(kind.label() + "Micros", account.nanos(kind) / 1_000);
+        line.with(kind.label() + "s", account.count(kind));
+      }
+    }
+    line.with("flushes", account.flushes());
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/loop/package-info.java
@@ -0,0 +1,5 @@
+/** Event loop of a gateway, and the account of its processor time. */
+@NullMarked
+package io.hawthornlb.gateway.loop;
+
+import org.jspecify.annotations.NullMarked;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -9,6 +9,8 @@
 import io.hawthornlb.gateway.job.JobFormat;
 import io.hawthornlb.gateway.job.JobParts;
 import io.hawthornlb.gateway.job.JobRunners;
+import io.hawthornlb.gateway.loop.ThreadTimes;
+import io.hawthornlb.gateway.loop.WorkReport;
 import io.hawthornlb.gateway.metric.GatewayMetrics;
 import io.hawthornlb.gateway.metric.MetricsText;
 import io.hawthornlb.gateway.peer.FleetSlotClient;
@@ -60,6 +62,7 @@
   private final ForwardingHandler handler;
   private final FrontServer front;
   private final JobRunners jobs;
+  private final WorkReport report;
   private boolean stopping;
 
   /** Starts a gateway on an event loop. */
@@ -121,6 +124,8 @@
     follow(store, InstanceSource.TOPIC, KeyedFollower.UNHURRIED, instances);
     instances.announce();
     loop.execute(jobs::start);
+    report = new WorkReport(loop, new ThreadTimes(), log);
+    report.start();
     front.bind(loop, settings.front());
     bindReadiness();
     log.important("process", "started").with("instance", settings.self().name()).write();
@@ -213,6 +218,7 @@
     boolean idle = front.active() == 0;
     if ((idle && now.isAfter(earliest)) || now.isAfter(latest)) {
       jobs.stop();
+      report.write();
       log.important("process", "stopped").with("active", front.active()).write();
       handler.stopTaking();
       front.end();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/TrialRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/TrialRun.java
@@ -7,14 +7,13 @@
 import io.hawthornlb.gateway.http.HttpReply;
 import io.hawthornlb.gateway.http.NettyHttpCaller;
 import io.hawthornlb.gateway.job.JobFormat;
+import io.hawthornlb.gateway.loop.AccountedEventLoop;
 import io.hawthornlb.gateway.peer.GatewayInstance;
 import io.hawthornlb.gateway.store.LogStore.AppendCall;
 import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
 import io.hawthornlb.gateway.store.support.InMemoryLogStore;
 import io.hawthornlb.gateway.wire.HeaderNames;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
@@ -73,8 +72,7 @@
    * @param calls calls to make at the gateway of a name, one after the other
    */
   public List<Integer> run(byte[] config, String endpoint, Function<String, List<Call>> calls) {
-    EventLoop loop =
-        (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    EventLoop loop = AccountedEventLoop.create();
     InMemoryLogStore store = new InMemoryLogStore(loop, PARTITIONS);
     InetSocketAddress served = new LoopbackEndpoint(loop, names).address();
     String address = served.getAddress().getHostAddress() + ":" + served.getPort();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayChannels.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayChannels.java
@@ -1,5 +1,7 @@
 package io.hawthornlb.gateway.relay;
 
+import io.hawthornlb.gateway.loop.WorkAccount;
+import io.hawthornlb.gateway.loop.WorkKind;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -57,6 +59,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
+      WorkAccount.noteKind(ctx.channel(), WorkKind.LINK);
       receiver.received(ctx.channel(), RelayCodec.decode(ByteBufUtil.getBytes(frame)));
     }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointCallListener.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointCallListener.java
@@ -1,11 +1,15 @@
 package io.hawthornlb.gateway.wire;
 
+import io.hawthornlb.gateway.loop.WorkKind;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 
 /** Receives the answer to a request at an endpoint. */
 public interface EndpointCallListener {
 
+  /** Returns the kind of work that the answer is. */
+  WorkKind work();
+
   /** Takes status and headers. */
   void onResponse(HttpResponse response);
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
@@ -1,6 +1,8 @@
 package io.hawthornlb.gateway.wire;
 
 import io.hawthornlb.gateway.endpoint.EndpointLife;
+import io.hawthornlb.gateway.loop.WorkAccount;
+import io.hawthornlb.gateway.loop.WorkKind;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -83,6 +85,8 @@
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
     PooledCall current = call;
+    WorkAccount.noteKind(
+        ctx.channel(), current == null ? WorkKind.OTHER : current.listener().work());
     if (current == null || current.done() || message.decoderResult().isFailure()) {
       reusable = false;
       ctx.close();
