--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/loop/AccountedIoHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/loop/AccountedIoHandler.java
@@ -6,7 +6,7 @@
 import io.netty.channel.IoRegistration;
 import io.netty.channel.nio.NioIoHandle;
 
-/** Passes events on to handles that keep account of them. */
+/** Waits until timers are due, and passes events on to handles that keep account of them. */
 final class AccountedIoHandler implements IoHandler {
 
   private final IoHandler delegate;
@@ -24,7 +24,7 @@
 
   @Override
   public int run(IoHandlerContext context) {
-    return delegate.run(context);
+    return delegate.run(new WholeMillisContext(context));
   }
 
   @Override
