Refuse for good only by a configuration that was read lately

Cause: ForwardingHandler answered 404 from whatever configuration it held, however long ago the store had last been heard. The class: a firm no from a state that nobody has shown to be fresh. Calls about jobs don't have it: JobService.withJob reads the log first.

Mend: KeyedFollower tells as of when what it has read is proven (the begin of a read that reached the end of the log), and reads at once when asked. Requests with a route are served from an old configuration as before, so that a data centre that is cut off serves what it can.

At rest nothing is called.

request.refused names as of when the configuration was proven, so that a log tells an old one from one that lacks the route.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardingHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardingHandler.java
@@ -14,6 +14,7 @@
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
+import org.jspecify.annotations.Nullable;
 
 /** Finds the route of a request and forwards it, or hands it to the jobs. */
 public final class ForwardingHandler implements RequestHandler {
@@ -24,6 +25,8 @@
   /** When to come back to another process, which may take the request at once. */
   private static final Duration STOPPING_RETRY = Duration.ofMillis(10);
 
+  private static final Handling NOTHING_LEFT = () -> {};
+
   private final Parts parts;
   private boolean stopping;
 
@@ -31,6 +34,7 @@
    * What forwarding needs.
    *
    * @param config configuration in force
+   * @param check tells whether the configuration may be relied on
    * @param directory endpoints
    * @param slots hands out slots
    * @param pool connections to endpoints
@@ -44,6 +48,7 @@
    */
   public record Parts(
       ConfigHolder config,
+      ConfigCheck check,
       EndpointDirectory directory,
       SlotClient slots,
       EndpointPool pool,
@@ -72,38 +77,69 @@
 
   @Override
   public Handling handle(FrontRequest request, Responder responder) {
-    if (stopping) {
-      refused(request, 503, "the process stops", -1);
-      responder.own(503, STOPPING_RETRY);
-      return () -> {};
-    }
-    Optional<RoutingConfig> config = parts.config().current();
-    if (config.isEmpty()) {
+    if (parts.config().current().isEmpty() && !stopping) {
       // Nothing is known of any route: a 404 would tell the caller to give up.
-      refused(request, 503, "no configuration yet", -1);
-      responder.own(503, CONFIG_RETRY);
-      return () -> {};
+      return refuse(request, responder, 503, "no configuration yet", CONFIG_RETRY);
     }
-    Optional<Route> route = config.get().match(request.host(), request.path());
-    boolean aboutJobs = route.isEmpty() && config.get().jobRoute(request.host()).isPresent();
-    if (aboutJobs || route.filter(found -> found.kind() == RouteKind.JOB).isPresent()) {
-      return parts.jobs().handle(request, responder);
+    return takeIfKnown(request, responder).orElseGet(() -> refuseOnceSure(request, responder));
+  }
+
+  /** Begins to handle a request that has a route, or that cannot be handled whatever its route. */
+  private Optional<Handling> takeIfKnown(FrontRequest request, Responder responder) {
+    if (stopping) {
+      return Optional.of(refuse(request, responder, 503, "the process stops", STOPPING_RETRY));
     }
-    if (route.isEmpty()) {
-      refused(request, 404, "no route", config.get().version());
-      responder.own(404, null);
-      return () -> {};
+    RoutingConfig config = parts.config().current().orElseThrow();
+    Optional<Route> route = config.match(request.host(), request.path());
+    boolean aboutJobs = route.isEmpty() && config.jobRoute(request.host()).isPresent();
+    if (aboutJobs || route.filter(found -> found.kind() == RouteKind.JOB).isPresent()) {
+      return Optional.of(parts.jobs().handle(request, responder));
     }
+    return route.map(found -> forward(found, request, responder));
+  }
+
+  private Handling forward(Route route, FrontRequest request, Responder responder) {
     if (request.headers().get(parts.names().requestId()) == null) {
       responder.own(400, null);
-      return () -> {};
+      return NOTHING_LEFT;
     }
-    Forwarding forwarding = new Forwarding(parts, route.get(), request, responder);
+    Forwarding forwarding = new Forwarding(parts, route, request, responder);
     forwarding.start();
     return forwarding;
   }
 
-  private void refused(FrontRequest request, int status, String cause, long version) {
+  /** Refuses a request without a route, after another look at the configuration if that is old. */
+  private Handling refuseOnceSure(FrontRequest request, Responder responder) {
+    if (parts.check().holdsFor(request)) {
+      return refuseUnknown(request, responder);
+    }
+    DeferredHandling later = new DeferredHandling(responder, STOPPING_RETRY);
+    parts.check().renew(request, () -> later.begin(() -> takeOrRefuse(request, responder)));
+    return later;
+  }
+
+  private Handling takeOrRefuse(FrontRequest request, Responder responder) {
+    return takeIfKnown(request, responder).orElseGet(() -> refuseUnknown(request, responder));
+  }
+
+  private Handling refuseUnknown(FrontRequest request, Responder responder) {
+    return parts.check().holdsFor(request)
+        ? refuse(request, responder, 404, "no route", null)
+        : refuse(request, responder, 503, "routes may be old", CONFIG_RETRY);
+  }
+
+  private Handling refuse(
+      FrontRequest request,
+      Responder responder,
+      int status,
+      String cause,
+      @Nullable Duration retry) {
+    refused(request, status, cause);
+    responder.own(status, retry);
+    return NOTHING_LEFT;
+  }
+
+  private void refused(FrontRequest request, int status, String cause) {
     parts.metrics().count("requests.refused", cause);
     parts
         .log()
@@ -111,7 +147,8 @@
         .with("id", request.headers().get(parts.names().requestId()))
         .with("status", status)
         .with("cause", cause)
-        .with("config", version)
+        .with("config", parts.config().current().map(RoutingConfig::version).orElse(-1L))
+        .with("configProven", String.valueOf(parts.check().provenAt()))
         .write();
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -2,6 +2,7 @@
 
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.event.EventLog;
+import io.hawthornlb.gateway.front.ConfigCheck;
 import io.hawthornlb.gateway.front.ForwardingHandler;
 import io.hawthornlb.gateway.front.FrontServer;
 import io.hawthornlb.gateway.http.HttpCaller;
@@ -99,10 +100,15 @@
             () -> rank(fleet));
     new RelayServer(direct, access.address(), caller::away, log)
         .bind(loop, settings.self().address(), new RelayedJobCalls(jobs.calls(), clock));
+    ConfigSource configs = new ConfigSource(formats, config, clock, log);
+    Duration wait = KeyedFollower.waitWithin(settings.changeTime());
+    KeyedFollower routes = follow(store, formats.configTopic(), wait, configs);
+    caller.onRegained(routes::readNow);
     handler =
         new ForwardingHandler(
             new ForwardingHandler.Parts(
                 config,
+                new ConfigCheck(routes, settings.changeTime(), loop),
                 directory,
                 slots,
                 pool,
@@ -114,9 +120,6 @@
                 log,
                 metrics));
     front = new FrontServer(handler, config, clock, log);
-    ConfigSource configs = new ConfigSource(formats, config, clock, log);
-    Duration wait = KeyedFollower.waitWithin(settings.changeTime());
-    caller.onRegained(follow(store, formats.configTopic(), wait, configs)::readNow);
     caller.onRegained(follow(store, formats.endpointTopic(), wait, endpoints)::readNow);
     caller.onRegained(
         follow(store, InstanceSource.TOPIC, KeyedFollower.UNHURRIED, instances)::readNow);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/KeyedFollower.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/KeyedFollower.java
@@ -9,6 +9,7 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
@@ -31,7 +32,7 @@
  * meanwhile; after missing history the listener gets the whole content anew, so that removals in
  * the gap are not missed.
  */
-public final class KeyedFollower {
+public final class KeyedFollower implements LogProof {
 
   /**
    * Wait of a read for changes that may be seen late, such as the list of processes, whose silence
@@ -75,6 +76,8 @@
   private @Nullable HedgedCall<?> call;
   private @Nullable Pause paused;
   private long steps;
+  private CompletableFuture<Void> nextProof = new CompletableFuture<>();
+  private Instant provenAt = Instant.MIN;
   private boolean loaded;
   private boolean lost;
   private Instant lostAt = Instant.MIN;
@@ -88,6 +91,14 @@
    */
   private record Pause(Future<?> timer, Runnable next) {}
 
+  /**
+   * A page and when the call for it began; it holds what was written before that.
+   *
+   * @param page the page
+   * @param begun when the call began
+   */
+  private record Answer<T>(T page, Instant begun) {}
+
   /** Receives what a partition holds. */
   public interface Listener {
 
@@ -137,7 +148,7 @@
 
   /** Starts to follow. */
   public void start() {
-    loadAll(new ArrayList<>(), null, -1);
+    loadAll(new ArrayList<>(), null, null);
   }
 
   /** Stops after the read that is on its way. */
@@ -158,12 +169,33 @@
     executor.execute(() -> hurryAt(step));
   }
 
+  @Override
+  public Instant provenAt() {
+    return provenAt;
+  }
+
+  @Override
+  public CompletionStage<Void> refresh() {
+    if (lost) {
+      return CompletableFuture.failedFuture(noAnswer());
+    }
+    hurry();
+    return nextProof;
+  }
+
+  private static StoreException noAnswer() {
+    return new StoreException(StoreException.Kind.NOT_DONE, "The store does not answer");
+  }
+
   private void hurryAt(long step) {
+    if (steps == step) {
+      hurry();
+    }
+  }
+
+  private void hurry() {
     HedgedCall<?> current = call;
     Pause pausing = paused;
-    if (steps != step) {
-      return;
-    }
     if (pausing != null && pausing.timer().cancel(false)) {
       pausing.next().run();
     } else if (current != null) {
@@ -171,21 +203,28 @@
     }
   }
 
-  private void loadAll(List<KeyedRecord> records, @Nullable String after, long firstEnd) {
+  /**
+   * Loads a page of newest records.
+   *
+   * @param first the first page that was loaded; null for that one
+   */
+  private void loadAll(
+      List<KeyedRecord> records, @Nullable String after, @Nullable Answer<KeyedPage> first) {
     if (stopped) {
       return;
     }
-    Supplier<CompletionStage<KeyedPage>> list = () -> store.newest(topic, partition, after);
-    HedgedCall<KeyedPage> listing = begin(new HedgedCall<>(list, executor));
+    Supplier<CompletionStage<Answer<KeyedPage>>> list =
+        () -> timed(() -> store.newest(topic, partition, after));
+    HedgedCall<Answer<KeyedPage>> listing = begin(new HedgedCall<>(list, executor));
     listing
         .start(list)
         .whenComplete(
-            (page, failure) -> {
+            (answer, failure) -> {
               if (failure != null) {
                 failed("newest", -1, failure, this::start);
                 return;
               }
-              loadedPage(records, page, firstEnd);
+              loadedPage(records, answer.page(), first == null ? answer : first);
             });
     // A process that starts takes no requests yet, and may be one of many.
     if (loaded) {
@@ -193,17 +232,17 @@
     }
   }
 
-  private void loadedPage(List<KeyedRecord> records, KeyedPage page, long firstEnd) {
+  private void loadedPage(List<KeyedRecord> records, KeyedPage page, Answer<KeyedPage> first) {
     answered();
     records.addAll(page.records());
-    // Pages are not a snapshot. Reading on from the end that the first page named sees what was
-    // written between the pages once more, which does no harm, and misses nothing.
-    long from = firstEnd < 0 ? page.end() : firstEnd;
     if (page.more() && !page.records().isEmpty()) {
       String last = page.records().get(page.records().size() - 1).key();
-      loadAll(records, last, from);
+      loadAll(records, last, first);
       return;
     }
+    // Pages are not a snapshot. Reading on from the end that the first page named sees what was
+    // written between the pages once more, which does no harm, and misses nothing.
+    long from = first.page().end();
     log.important("store", "loaded")
         .with("topic", topic)
         .with("records", records.size())
@@ -211,6 +250,7 @@
         .write();
     loaded = true;
     listener.onAll(records);
+    proven(first.begun());
     readFrom(from);
   }
 
@@ -219,23 +259,28 @@
       return;
     }
     Duration longest = lost ? Duration.ZERO : wait;
-    HedgedCall<LogPage> reading =
+    HedgedCall<Answer<LogPage>> reading =
         begin(new HedgedCall<>(() -> read(offset, Duration.ZERO), executor));
     reading
         .start(() -> read(offset, longest))
         .whenComplete(
-            (page, failure) -> {
+            (answer, failure) -> {
               if (failure != null) {
                 failed("read", offset, failure, () -> readFrom(offset));
                 return;
               }
-              readPage(page);
+              readPage(answer.page(), answer.begun());
             });
     reading.hurryAfter(longest.plus(spread(ANSWER_TIME)));
   }
 
-  private CompletionStage<LogPage> read(long offset, Duration longest) {
-    return store.read(topic, partition, offset, longest);
+  private CompletionStage<Answer<LogPage>> read(long offset, Duration longest) {
+    return timed(() -> store.read(topic, partition, offset, longest));
+  }
+
+  private <T> CompletionStage<Answer<T>> timed(Supplier<CompletionStage<T>> made) {
+    Instant begun = clock.instant();
+    return made.get().thenApply(page -> new Answer<>(page, begun));
   }
 
   private <T> HedgedCall<T> begin(HedgedCall<T> begun) {
@@ -255,21 +300,34 @@
     return time.plusMillis(ThreadLocalRandom.current().nextLong(SPREAD.toMillis()));
   }
 
-  private void readPage(LogPage page) {
+  private void readPage(LogPage page, Instant begun) {
     answered();
     if (page.trimmed()) {
       log.important("store", "history.gone").with("topic", topic).write();
       start();
       return;
     }
+    if (!page.records().isEmpty()) {
+      listener.onRecords(page.records());
+    }
+    if (!page.more()) {
+      proven(begun);
+    }
     if (page.records().isEmpty()) {
       readFrom(page.next());
       return;
     }
-    listener.onRecords(page.records());
     pause(GATHER, () -> readFrom(page.next()));
   }
 
+  private void proven(Instant begun) {
+    provenAt = begun.isAfter(provenAt) ? begun : provenAt;
+    CompletableFuture<Void> proof = nextProof;
+    nextProof = new CompletableFuture<>();
+    // Whoever asks for another proof is to find the next call begun.
+    executor.execute(() -> proof.complete(null));
+  }
+
   private void answered() {
     pause = FIRST_PAUSE;
     if (lost) {
@@ -292,6 +350,8 @@
           .with("from", offset)
           .with("cause", String.valueOf(failure.getMessage()))
           .write();
+      nextProof.completeExceptionally(noAnswer());
+      nextProof = new CompletableFuture<>();
       again.run();
       return;
     }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/store/KeyedFollowerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/store/KeyedFollowerTest.java
@@ -10,6 +10,7 @@
 import io.hawthornlb.gateway.store.support.InMemoryLogStore;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -296,6 +297,50 @@
     assertEquals(60, store.reads);
   }
 
+  /** A process takes what it knows for fresh, by the end of a read that began long before. */
+  @Test
+  void provesWhatWasThereWhenItsReadBegan() {
+    KeyedFollower follower = follow(PROMPT);
+    Instant loaded = follower.provenAt();
+    time.advance(PROMPT.minusMillis(10));
+    assertTrue(follower.provenAt().isBefore(loaded.plus(Duration.ofMillis(10))));
+    time.advance(PROMPT.plusMillis(20));
+    assertTrue(!follower.provenAt().isBefore(loaded.plus(PROMPT)));
+    Instant proven = follower.provenAt();
+    store.away = true;
+    time.advance(CHANGE_TIME);
+    assertTrue(!follower.provenAt().isAfter(proven.plus(PROMPT).plusMillis(10)));
+  }
+
+  /** Requests without a route become as many calls to the store. */
+  @Test
+  void sharesOneReadAmongAllWhoAskForAProof() {
+    KeyedFollower follower = follow(PROMPT);
+    time.advance(PROMPT.dividedBy(2));
+    Instant asked = time.instant();
+    store.reads = 0;
+    CompletionStage<Void> first = follower.refresh();
+    for (int i = 0; i < 100; i++) {
+      follower.refresh();
+    }
+    assertEquals(1, store.reads);
+    time.advance(Duration.ofMillis(2));
+    assertTrue(first.toCompletableFuture().isDone());
+    assertTrue(!follower.provenAt().isBefore(asked));
+    assertEquals(2, store.reads);
+  }
+
+  /** The same while the store is away, when each would find that out anew. */
+  @Test
+  void asksNothingForAProofWhileTheStoreIsAway() {
+    KeyedFollower follower = follow(PROMPT);
+    store.away = true;
+    time.advance(Duration.ofSeconds(4));
+    store.reads = 0;
+    assertTrue(follower.refresh().toCompletableFuture().isCompletedExceptionally());
+    assertEquals(0, store.reads);
+  }
+
   /** Idle processes of a large fleet use up what the store can answer, and pay for each call. */
   @Test
   void asksSeldomForWhatMayBeSeenLate() {
