Show a request without a route that is taken for a job

What callers see: on a host that also takes jobs, a request whose route was added lately is refused for good with 400 (as a job that cannot be read) or 404, by processes that have not heard of the change; with a body that reads like a job it would be accepted as one.

The test has a host with a route of jobs and posts to another path of it: 400, where 404 is expected from a process that knows the routes, and 503 from one whose routes may be old.

--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ForwardingFailureTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ForwardingFailureTest.java
@@ -315,6 +315,18 @@
         .until(() -> gateway.call("/nowhere/", "x").status() == 404);
   }
 
+  /** A request of a new route is refused as a job that cannot be read: its host takes jobs too. */
+  @Test
+  void takesNothingWithoutARouteForAJob() throws Exception {
+    gateway.route(RouteKind.JOB, 1, false);
+    assertEquals(404, gateway.call("/nowhere/", "x").status());
+    gateway.storeAway(true);
+    Thread.sleep(GatewayFixture.CHANGE_TIME.multipliedBy(2).toMillis());
+    assertEquals(503, gateway.call("/nowhere/", "x").status());
+    // A job of a known route is taken for one whatever the routes are now.
+    assertEquals(400, gateway.call("/a/", "x").status());
+  }
+
   @Test
   void answersBadInputWithOneClearError() throws IOException {
     gateway.route(RouteKind.ONCE, 1, false, first);
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
@@ -2,6 +2,7 @@
 
 import io.hawthornlb.gateway.ScriptedEndpoint;
 import io.hawthornlb.gateway.SilentEventLog;
+import io.hawthornlb.gateway.decode.UnreadableException;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.job.JobCall;
 import io.hawthornlb.gateway.job.JobFormat;
@@ -143,7 +144,8 @@
 
     @Override
     public Optional<JobCall> call(FrontRequest request) {
-      return Optional.empty();
+      // Whatever is posted to a host that takes jobs is read as a job.
+      throw new UnreadableException("body", "not a job");
     }
 
     @Override
