Take no run of an item that begins with another event than was asked for

A report could lack its first line and be listed as complete, or join two runs; no report of either is known. Cause: ItemOutput compared an event with the last one it had, whoever it was of; before the first event any number was taken, and a run that began anew was passed over up to the last event and taken from there.

A run that strays, also by a gap later, counts as broken at once; before, it went on until its end or until 2 s of silence. Later events of a number that was taken are passed over as before.

PartitionRunnerTest.completesNoItemWhoseStreamLacksItsFirstEvent and .goesOnWithNoRunThatBeginsAnew failed on the commit before and pass.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemOutput.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemOutput.java
@@ -7,6 +7,9 @@
 /** What an item has produced so far, event by event, over all its runs. */
 final class ItemOutput {
 
+  /** Number of the first event of a run that is asked for all of them. */
+  private static final long FIRST_EVENT = 1;
+
   private final String itemId;
   private final long epoch;
   private final StringBuilder text = new StringBuilder();
@@ -39,14 +42,18 @@
   }
 
   /**
-   * Returns whether events are missing between the last one and a new one.
+   * Returns whether a run with a new event is not the one that was asked for.
+   *
+   * <p>Failure: an endpoint spoils an event on the way, or begins anew where it was asked to go on.
+   * It shows as a gap in the numbers of a stream that ends well, or as a text of two runs. Guard:
+   * such a run counts as broken, and the next one brings what is missing.
    *
-   * <p>Failure: an endpoint spoils an event on the way. It shows as a gap in the numbers of a
-   * stream that ends well. Guard: such a run counts as broken, and the next one brings what is
-   * missing.
+   * @param first whether no numbered event of the run came before
    */
-  boolean missingBefore(StreamEvent event) {
-    return lastEventId >= 0 && event.id() > lastEventId + 1;
+  boolean strays(StreamEvent event, boolean first) {
+    boolean missing = event.id() > Math.max(FIRST_EVENT, lastEventId + 1);
+    boolean anew = first && event.id() >= 0 && event.id() <= lastEventId;
+    return missing || anew;
   }
 
   /** Takes an event; returns whether it is the next one, or one without a number. */
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -289,7 +289,8 @@
     private final EventSplitter splitter = new EventSplitter();
     private int status;
     private boolean notRun;
-    private boolean missing;
+    private boolean begun;
+    private boolean strayed;
     private boolean proven;
 
     private Answer(EndpointLife life) {
@@ -322,7 +323,15 @@
     }
 
     private void take(StreamEvent event) {
-      missing |= output.missingBefore(event);
+      if (strayed) {
+        return;
+      }
+      if (output.strays(event, !begun)) {
+        strayed = true;
+        onFailure(true, "event " + event.id() + " follows " + output.lastEventId());
+        return;
+      }
+      begun |= event.id() >= 0;
       if (output.take(event)) {
         lastEvent = parts.clock().instant();
       }
@@ -334,10 +343,10 @@
         excluded.add(life);
         end(status == 421 ? SlotOutcome.REPLACED : SlotOutcome.SHED);
         again(PAUSE);
-      } else if (status == 200 && proven && !splitter.torn() && !missing) {
+      } else if (status == 200 && proven && !splitter.torn()) {
         completed();
       } else if (status == 200) {
-        onFailure(true, "the answer is torn, lacks an event or bears no proof");
+        onFailure(true, "the answer is torn or bears no proof");
       } else {
         // Another endpoint may do what this one fails at.
         excluded.add(life);
