Keep an empty first line of an item's text

An item whose first event had no data lost the line feed behind it: the separator depended on the text so far. It depends on whether an event came before now. No report of it is known; PartitionRunnerTest.keepsAnEmptyFirstLine failed ("b" for "\nb") and passes.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemOutput.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemOutput.java
@@ -63,7 +63,7 @@
       return false;
     }
     if (event.id() >= 0) {
-      if (text.length() > 0) {
+      if (lastEventId >= 0) {
         text.append('\n');
       }
       text.append(EventSplitter.data(event));
