Show that an interim answer ends a call, which fails

Fails for 100, 102 and 103: the status of the interim answer is taken for the call's, where 200 is expected.

--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/http/NettyHttpCallerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/http/NettyHttpCallerTest.java
@@ -12,17 +12,26 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class NettyHttpCallerTest {
 
   private static final int BACKLOG = 5;
 
+  /** Time in which an interim answer comes alone. */
+  private static final int INTERIM_MILLIS = 50;
+
+  private static final String DONE = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
   private final ServerSocket server =
       new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
   private final EventLoop loop =
@@ -44,10 +53,35 @@
     assertEquals(false, failureOf(Duration.ofMillis(100), false).cut());
   }
 
-  private HttpCallException failureOf(Duration timeout, boolean closes) throws Exception {
+  /**
+   * A job that was written was refused: an answer that only announces the real one ended its call.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {100, 102, 103})
+  void waitsForTheAnswerBehindAnInterimOne(int status) throws Exception {
+    CompletableFuture<HttpReply> reply = call(Duration.ofSeconds(10));
+    try (Socket connection = server.accept()) {
+      connection.getInputStream().read();
+      send(connection, "HTTP/1.1 " + status + " Wait\r\n\r\n");
+      Thread.sleep(INTERIM_MILLIS);
+      send(connection, DONE);
+      assertEquals(200, reply.get(10, TimeUnit.SECONDS).status());
+    }
+  }
+
+  private CompletableFuture<HttpReply> call(Duration timeout) {
     InetSocketAddress address = new InetSocketAddress("127.0.0.1", server.getLocalPort());
     HttpCall call = new HttpCall(address, "GET", "/", Map.of(), new byte[0], timeout);
-    var reply = caller.call(call).toCompletableFuture();
+    return caller.call(call).toCompletableFuture();
+  }
+
+  private static void send(Socket connection, String text) throws IOException {
+    connection.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    connection.getOutputStream().flush();
+  }
+
+  private HttpCallException failureOf(Duration timeout, boolean closes) throws Exception {
+    CompletableFuture<HttpReply> reply = call(timeout);
     try (Socket connection = server.accept()) {
       connection.getInputStream().read();
       if (closes) {
