Pass over interim answers in calls to the store

Suspected only: no store of ours has sent one.

Cause: NettyHttpCaller ended a call with the first answer on its connection, also with one of 1xx, which only announces the real one. The append counted as refused although it was being carried out, and the connection was kept: the real answer was then taken for that of the next call.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/NettyHttpCaller.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/NettyHttpCaller.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -187,6 +188,10 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+      if (pending != null && response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+        // The answer follows.
+        return;
+      }
       Pending waiting = pending;
       pending = null;
       if (waiting == null || !response.decoderResult().isSuccess()) {
