Show that a second answer is taken for that of the next call, which fails

The next call goes out on the same connection before what came behind the first answer has been looked at: no other connection is opened (accept times out).

--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/http/NettyHttpCallerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/http/NettyHttpCallerTest.java
@@ -30,6 +30,9 @@
   /** Time in which an interim answer comes alone. */
   private static final int INTERIM_MILLIS = 50;
 
+  /** Time within which a call is made on another connection. */
+  private static final int ACCEPT_MILLIS = 2_000;
+
   private static final String DONE = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 
   private final ServerSocket server =
@@ -69,6 +72,23 @@
     }
   }
 
+  /** A job was taken and is lost: its call had the second answer to the call before it. */
+  @Test
+  void takesNoSecondAnswerForThatOfTheNextCall() throws Exception {
+    CompletableFuture<HttpReply> next =
+        call(Duration.ofSeconds(10)).thenCompose(first -> call(Duration.ofSeconds(10)));
+    try (Socket connection = server.accept()) {
+      connection.getInputStream().read();
+      send(connection, DONE + DONE);
+      server.setSoTimeout(ACCEPT_MILLIS);
+      try (Socket another = server.accept()) {
+        another.getInputStream().read();
+        send(another, DONE.replace("200 OK", "503 Busy"));
+        assertEquals(503, next.get(10, TimeUnit.SECONDS).status());
+      }
+    }
+  }
+
   private CompletableFuture<HttpReply> call(Duration timeout) {
     InetSocketAddress address = new InetSocketAddress("127.0.0.1", server.getLocalPort());
     HttpCall call = new HttpCall(address, "GET", "/", Map.of(), new byte[0], timeout);
