Count connections to endpoints, calls of the store and datagrams by cause

Each is counted by its cause in the metrics and written as one line each five seconds and at the end of a process; no decision changes.

Test: ConnectionCountsTest (new; the counters did not exist before).

--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/metric/TrafficLog.java
@@ -0,0 +1,42 @@
+package io.hawthornlb.gateway.metric;
+
+import io.hawthornlb.gateway.event.EventLine;
+import io.hawthornlb.gateway.event.EventLog;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.LongAdder;
+
+/** Writes what a gateway has opened, called and sent so far as one line. */
+public final class TrafficLog {
+
+  private static final List<String> NAMES =
+      List.of("connections.", "store.calls", "store.reads.", "datagrams.", "requests.answered");
+
+  private final GatewayMetrics metrics;
+  private final EventLog log;
+
+  /** Creates a writer of lines. */
+  public TrafficLog(GatewayMetrics metrics, EventLog log) {
+    this.metrics = metrics;
+    this.log = log;
+  }
+
+  /** Writes the counts as of now, in the order of their names. */
+  public void write() {
+    EventLine line = log.important("process", "traffic");
+    counts().forEach(line::with);
+    line.write();
+  }
+
+  private Map<String, Long> counts() {
+    Map<String, Long> counts = new TreeMap<>();
+    for (Map.Entry<GatewayMetrics.Series, LongAdder> counter : metrics.counters().entrySet()) {
+      GatewayMetrics.Series series = counter.getKey();
+      if (NAMES.stream().anyMatch(series.name()::startsWith)) {
+        counts.put(series.name() + " " + series.label(), counter.getValue().sum());
+      }
+    }
+    return counts;
+  }
+}
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -11,9 +11,12 @@
 import io.hawthornlb.gateway.job.JobRunners;
 import io.hawthornlb.gateway.metric.GatewayMetrics;
 import io.hawthornlb.gateway.metric.MetricsText;
+import io.hawthornlb.gateway.metric.TrafficLog;
+import io.hawthornlb.gateway.peer.CountedPeerTransport;
 import io.hawthornlb.gateway.peer.FleetSlotClient;
 import io.hawthornlb.gateway.peer.FleetView;
 import io.hawthornlb.gateway.peer.PeerHoldNotices;
+import io.hawthornlb.gateway.peer.PeerTransport;
 import io.hawthornlb.gateway.peer.UdpPeerTransport;
 import io.hawthornlb.gateway.relay.RelayJobPeers;
 import io.hawthornlb.gateway.relay.RelayServer;
@@ -24,6 +27,7 @@
 import io.hawthornlb.gateway.route.ConfigHolder;
 import io.hawthornlb.gateway.store.KeyedFollower;
 import io.hawthornlb.gateway.store.LogStore;
+import io.hawthornlb.gateway.store.support.CountedLogStore;
 import io.hawthornlb.gateway.wire.EndpointPool;
 import io.hawthornlb.gateway.wire.HeaderNames;
 import io.netty.channel.EventLoop;
@@ -48,6 +52,9 @@
 
   private static final Duration STOP_POLL = Duration.ofMillis(50);
 
+  /** Time between lines of counts; a process that is killed writes none at its end. */
+  private static final Duration COUNTS_EVERY = Duration.ofSeconds(5);
+
   private final GatewaySettings settings;
   private final EventLoop loop;
   private final InstantSource clock;
@@ -60,6 +67,7 @@
   private final ForwardingHandler handler;
   private final FrontServer front;
   private final JobRunners jobs;
+  private final TrafficLog traffic;
   private boolean stopping;
 
   /** Starts a gateway on an event loop. */
@@ -80,11 +88,10 @@
     HttpCaller direct = new NettyHttpCaller(loop);
     RelayTransport links = new TcpRelayTransport(loop);
     RelayingHttpCaller caller = relaying(direct, links, fleet);
-    LogStore store = access.client().apply(caller);
-    UdpPeerTransport transport =
-        new UdpPeerTransport(loop, settings.self().address(), settings.self().name(), clock, log);
+    LogStore store = new CountedLogStore(access.client().apply(caller), metrics);
+    PeerTransport transport = datagrams();
     FleetSlotClient slots = new FleetSlotClient(fleet, transport, directory, loop, clock, log);
-    EndpointPool pool = new EndpointPool(loop, names, clock);
+    EndpointPool pool = new EndpointPool(loop, names, clock, metrics);
     directory.onRemoval(endpoint -> pool.forget(endpoint.life()));
     directory.onNewLife(pool::begun);
     endpoints = new EndpointSource(formats, directory, loop, clock, log);
@@ -119,6 +126,9 @@
     follow(store, formats.configTopic(), wait, configs);
     follow(store, formats.endpointTopic(), wait, endpoints);
     follow(store, InstanceSource.TOPIC, KeyedFollower.UNHURRIED, instances);
+    traffic = new TrafficLog(metrics, log);
+    loop.scheduleAtFixedRate(
+        traffic::write, COUNTS_EVERY.toMillis(), COUNTS_EVERY.toMillis(), TimeUnit.MILLISECONDS);
     instances.announce();
     loop.execute(jobs::start);
     front.bind(loop, settings.front());
@@ -147,6 +157,12 @@
         log);
   }
 
+  private PeerTransport datagrams() {
+    UdpPeerTransport transport =
+        new UdpPeerTransport(loop, settings.self().address(), settings.self().name(), clock, log);
+    return new CountedPeerTransport(transport, metrics);
+  }
+
   private JobParts jobParts(
       FleetSlotClient slots, EndpointPool pool, HeaderNames names, LogStore store) {
     return new JobParts(
@@ -214,6 +230,7 @@
     if ((idle && now.isAfter(earliest)) || now.isAfter(latest)) {
       jobs.stop();
       log.important("process", "stopped").with("active", front.active()).write();
+      traffic.write();
       handler.stopTaking();
       front.end();
       loop.schedule(done::countDown, STOP_POLL.toMillis(), TimeUnit.MILLISECONDS);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
@@ -39,6 +39,7 @@
   /** Up to nine digits: a longer time would overflow, and the answer it came with be reset. */
   private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,9})");
 
+  private final ConnectionCounts counts;
   private @Nullable PooledCall call;
   private @Nullable EndpointLife idleAt;
   private @Nullable EndpointPool pool;
@@ -53,11 +54,31 @@
   private long begunNanos;
   private Duration idleTime = DEFAULT_IDLE;
   private Instant opened = Instant.MAX;
+  private @Nullable EndpointLife life;
 
-  void opened(Instant when) {
+  EndpointHandler(ConnectionCounts counts) {
+    this.counts = counts;
+  }
+
+  void opened(EndpointLife endpoint, Instant when) {
+    life = endpoint;
     opened = when;
   }
 
+  /** Takes why the connection is being closed; the first reason counts. */
+  void endsBy(ConnectionEnd end) {
+    EndpointLife endpoint = life;
+    life = null;
+    if (endpoint == null) {
+      return;
+    }
+    if (idleAt == null) {
+      counts.closed(endpoint, end);
+    } else {
+      counts.closedAtRest(endpoint, end);
+    }
+  }
+
   Instant opened() {
     return opened;
   }
@@ -154,7 +175,7 @@
       current.pool().keep(current.endpoint(), channel);
       startIdleTimer(channel);
     } else {
-      channel.close();
+      EndpointPool.close(channel, ConnectionEnd.ANNOUNCED);
     }
     current.ended();
   }
@@ -162,6 +183,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     stopIdleTimer();
+    endsBy(idleAt == null ? ConnectionEnd.BROKEN : ConnectionEnd.CLOSED_BY_ENDPOINT);
     PooledCall current = call;
     call = null;
     if (idleAt != null && pool != null) {
@@ -193,7 +215,7 @@
 
   private void close(Channel channel) {
     if (call == null) {
-      channel.close();
+      EndpointPool.close(channel, ConnectionEnd.RESTED);
     }
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointPool.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointPool.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.gateway.wire;
 
 import io.hawthornlb.gateway.endpoint.EndpointLife;
+import io.hawthornlb.gateway.metric.GatewayMetrics;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -39,16 +40,19 @@
   private final EventLoop loop;
   private final HeaderNames names;
   private final InstantSource clock;
+  private final ConnectionCounts counts;
   private final Map<EndpointLife, Deque<Channel>> idle = new HashMap<>();
   private final Set<PooledCall> running = new HashSet<>();
   private final Bootstrap bootstrap;
 
   /** Creates a pool on an event loop. */
-  public EndpointPool(EventLoop loop, HeaderNames names, InstantSource clock) {
+  public EndpointPool(
+      EventLoop loop, HeaderNames names, InstantSource clock, GatewayMetrics metrics) {
     this.rests = new RestLimits(loop);
     this.loop = loop;
     this.clock = clock;
     this.names = names;
+    this.counts = new ConnectionCounts(metrics);
     this.bootstrap =
         new Bootstrap()
             .group(loop)
@@ -71,18 +75,21 @@
     PooledCall call = new PooledCall(this, endpoint, request, listener);
     Channel kept = takeIdle(endpoint);
     if (kept != null) {
+      counts.reused(endpoint);
       call.write(kept);
       return call;
     }
+    counts.opened(endpoint);
     bootstrap
         .connect(address)
         .addListener(
             (ChannelFutureListener)
                 connected -> {
                   if (connected.isSuccess()) {
-                    handler(connected.channel()).opened(clock.instant());
+                    handler(connected.channel()).opened(endpoint, clock.instant());
                     call.write(connected.channel());
                   } else {
+                    counts.closed(endpoint, ConnectionEnd.NOT_OPENED);
                     call.notSent("no connection: " + connected.cause());
                   }
                 });
@@ -93,8 +100,9 @@
   public void forget(EndpointLife endpoint) {
     Deque<Channel> channels = idle.remove(endpoint);
     if (channels != null) {
-      channels.forEach(Channel::close);
+      channels.forEach(channel -> close(channel, ConnectionEnd.ENDPOINT_GONE));
     }
+    counts.forget(endpoint);
   }
 
   /** Gives up the connections to former lives of an endpoint that has started again. */
@@ -143,6 +151,7 @@
   }
 
   void keep(EndpointLife endpoint, Channel channel) {
+    counts.kept(endpoint);
     idle.computeIfAbsent(endpoint, any -> new ArrayDeque<>()).push(channel);
   }
 
@@ -160,23 +169,28 @@
       if (channel.isActive() && restedLittle(channel)) {
         return channel;
       }
-      channel.close();
+      close(channel, ConnectionEnd.FORGOTTEN);
     }
     return null;
   }
 
+  static void close(Channel channel, ConnectionEnd end) {
+    handler(channel).endsBy(end);
+    channel.close();
+  }
+
   private boolean restedLittle(Channel channel) {
-    Duration rest = channel.pipeline().get(EndpointHandler.class).rested();
+    Duration rest = handler(channel).rested();
     return rests.allows(channel.remoteAddress(), rest);
   }
 
   /** Sets up a connection. */
-  private static final class Pipeline extends ChannelInitializer<Channel> {
+  private final class Pipeline extends ChannelInitializer<Channel> {
 
     @Override
     protected void initChannel(Channel channel) {
       channel.pipeline().addLast(new HttpClientCodec());
-      channel.pipeline().addLast(new EndpointHandler());
+      channel.pipeline().addLast(new EndpointHandler(counts));
     }
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/PooledCall.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/PooledCall.java
@@ -39,7 +39,7 @@
       if (outgoing != null) {
         outgoing.release();
       }
-      to.close();
+      EndpointPool.close(to, ConnectionEnd.ABORTED);
       return;
     }
     channel = to;
@@ -62,7 +62,7 @@
     end();
     releaseRequest();
     if (channel != null) {
-      channel.close();
+      EndpointPool.close(channel, ConnectionEnd.ABORTED);
     }
   }
 
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
@@ -48,7 +48,7 @@
         config,
         directory,
         new FreeSlots(),
-        new EndpointPool(loop, NAMES, clock),
+        new EndpointPool(loop, NAMES, clock, new GatewayMetrics()),
         NAMES,
         store,
         Duration.ofSeconds(120),
--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/wire/ConnectionCountsTest.java
@@ -0,0 +1,113 @@
+package io.hawthornlb.gateway.wire;
+
+import static io.hawthornlb.gateway.ScriptedEndpoint.After.CLOSE;
+import static io.hawthornlb.gateway.ScriptedEndpoint.After.KEEP;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.hawthornlb.gateway.ScriptedEndpoint;
+import io.hawthornlb.gateway.endpoint.EndpointLife;
+import io.hawthornlb.gateway.metric.GatewayMetrics;
+import io.hawthornlb.gateway.metric.MetricsText;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class ConnectionCountsTest {
+
+  private static final String OK =
+      "HTTP/1.1 200 OK\r\nTest-Id: {id}\r\nContent-Length: 4\r\n\r\nbody";
+  private static final String LAST =
+      "HTTP/1.1 200 OK\r\nTest-Id: {id}\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody";
+
+  private static final EndpointLife LIFE = EndpointLife.ofUnknownStart("e0");
+
+  private final EventLoop loop =
+      (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+  private final GatewayMetrics metrics = new GatewayMetrics();
+  private final MetricsText text = new MetricsText(metrics);
+  private final EndpointPool pool =
+      new EndpointPool(loop, names(), InstantSource.system(), metrics);
+  private int sent;
+
+  @AfterEach
+  void stop() {
+    loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+  }
+
+  /** Guards against new connections of which nobody can tell why none was kept. */
+  @Test
+  void tellsWhyEachConnectionWasOpened() throws Exception {
+    try (ScriptedEndpoint endpoint = new ScriptedEndpoint()) {
+      endpoint.then(OK, KEEP).then(LAST, CLOSE).then(OK, KEEP).then(OK, KEEP);
+      call(endpoint);
+      call(endpoint);
+      call(endpoint);
+      awaitCount("connections_closed_total{by=\"rested\"} 1");
+      call(endpoint);
+      awaitCount("connections_requests_total{by=\"kept\"} 1");
+      awaitCount("connections_requests_total{by=\"opened\"} 3");
+      awaitCount("connections_opened_total{by=\"first\"} 1");
+      awaitCount("connections_opened_total{by=\"announced\"} 1");
+      awaitCount("connections_opened_total{by=\"rested\"} 1");
+    }
+  }
+
+  private void awaitCount(String line) {
+    Awaitility.await().until(() -> text.write().contains(line));
+    assertTrue(text.write().contains(line));
+  }
+
+  private void call(ScriptedEndpoint endpoint) throws Exception {
+    CompletableFuture<Void> ended = new CompletableFuture<>();
+    FullHttpRequest request =
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/a");
+    sent++;
+    request.headers().set("Test-Id", "r" + sent).set("Content-Length", 0);
+    loop.execute(() -> pool.send(LIFE, endpoint.address(), request, new Ended(ended)));
+    ended.get(5, TimeUnit.SECONDS);
+  }
+
+  private static HeaderNames names() {
+    return new HeaderNames(
+        "Test-Id",
+        "Test-Remaining",
+        "Test-Expect",
+        "Test-Not-Run",
+        "Test-Signature",
+        "Last-Event-Id",
+        headers -> Optional.empty());
+  }
+
+  /** Waits for the end of an answer. */
+  private record Ended(CompletableFuture<Void> done) implements EndpointCallListener {
+
+    @Override
+    public void onResponse(HttpResponse response) {}
+
+    @Override
+    public void onContent(ByteBuf content) {}
+
+    @Override
+    public void onEnd() {
+      done.complete(null);
+    }
+
+    @Override
+    public void onFailure(boolean sent, String cause) {
+      done.completeExceptionally(new IllegalStateException(cause));
+    }
+  }
+}
