--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
@@ -79,7 +79,7 @@
     }
   }
 
-  Instant opened() {
+  Instant openedAt() {
     return opened;
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/PooledCall.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/PooledCall.java
@@ -83,7 +83,7 @@
 
   /** Returns whether the request went out on a connection that was opened before a moment. */
   boolean openedBefore(Instant moment) {
-    return channel != null && EndpointPool.handler(channel).opened().isBefore(moment);
+    return channel != null && EndpointPool.handler(channel).openedAt().isBefore(moment);
   }
 
   boolean done() {
