--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -14,9 +14,12 @@
 import io.hawthornlb.gateway.loop.WorkReport;
 import io.hawthornlb.gateway.metric.GatewayMetrics;
 import io.hawthornlb.gateway.metric.MetricsText;
+import io.hawthornlb.gateway.metric.TrafficLog;
+import io.hawthornlb.gateway.peer.CountedPeerTransport;
 import io.hawthornlb.gateway.peer.FleetSlotClient;
 import io.hawthornlb.gateway.peer.FleetView;
 import io.hawthornlb.gateway.peer.PeerHoldNotices;
+import io.hawthornlb.gateway.peer.PeerTransport;
 import io.hawthornlb.gateway.peer.UdpPeerTransport;
 import io.hawthornlb.gateway.relay.RelayJobPeers;
 import io.hawthornlb.gateway.relay.RelayServer;
@@ -27,6 +30,7 @@
 import io.hawthornlb.gateway.route.ConfigHolder;
 import io.hawthornlb.gateway.store.KeyedFollower;
 import io.hawthornlb.gateway.store.LogStore;
+import io.hawthornlb.gateway.store.support.CountedLogStore;
 import io.hawthornlb.gateway.wire.EndpointPool;
 import io.hawthornlb.gateway.wire.HeaderNames;
 import io.netty.channel.EventLoop;
@@ -51,6 +55,9 @@
 
   private static final Duration STOP_POLL = Duration.ofMillis(50);
 
+  /** Time between lines of counts; a process that is killed writes none at its end. */
+  private static final Duration COUNTS_EVERY = Duration.ofSeconds(5);
+
   private final GatewaySettings settings;
   private final EventLoop loop;
   private final InstantSource clock;
@@ -64,6 +71,7 @@
   private final FrontServer front;
   private final JobRunners jobs;
   private final WorkReport report;
+  private final TrafficLog traffic;
   private boolean stopping;
 
   /** Starts a gateway on an event loop. */
@@ -84,11 +92,10 @@
     HttpCaller direct = new NettyHttpCaller(loop);
     RelayTransport links = new TcpRelayTransport(loop);
     RelayingHttpCaller caller = relaying(direct, links, fleet);
-    LogStore store = access.client().apply(caller);
-    UdpPeerTransport transport =
-        new UdpPeerTransport(loop, settings.self().address(), settings.self().name(), clock, log);
+    LogStore store = new CountedLogStore(access.client().apply(caller), metrics);
+    PeerTransport transport = datagrams();
     FleetSlotClient slots = new FleetSlotClient(fleet, transport, directory, loop, clock, log);
-    EndpointPool pool = new EndpointPool(loop, names, clock);
+    EndpointPool pool = new EndpointPool(loop, names, clock, metrics);
     directory.onRemoval(endpoint -> pool.forget(endpoint.life()));
     directory.onNewLife(pool::begun);
     endpoints = new EndpointSource(formats, directory, loop, clock, log);
@@ -126,6 +133,9 @@
     caller.onRegained(follow(store, formats.endpointTopic(), wait, endpoints)::readNow);
     caller.onRegained(
         follow(store, InstanceSource.TOPIC, KeyedFollower.UNHURRIED, instances)::readNow);
+    traffic = new TrafficLog(metrics, log);
+    loop.scheduleAtFixedRate(
+        traffic::write, COUNTS_EVERY.toMillis(), COUNTS_EVERY.toMillis(), TimeUnit.MILLISECONDS);
     instances.announce();
     loop.execute(jobs::start);
     report = new WorkReport(loop, new ThreadTimes(), log);
@@ -156,6 +166,12 @@
         log);
   }
 
+  private PeerTransport datagrams() {
+    UdpPeerTransport transport =
+        new UdpPeerTransport(loop, settings.self().address(), settings.self().name(), clock, log);
+    return new CountedPeerTransport(transport, metrics);
+  }
+
   private JobParts jobParts(
       FleetSlotClient slots, EndpointPool pool, HeaderNames names, LogStore store) {
     return new JobParts(
@@ -224,6 +240,7 @@
       jobs.stop();
       report.write();
       log.important("process", "stopped").with("active", front.active()).write();
+      traffic.write();
       handler.stopTaking();
       front.end();
       loop.schedule(done::countDown, STOP_POLL.toMillis(), TimeUnit.MILLISECONDS);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
@@ -41,6 +41,7 @@
   /** Up to nine digits: a longer time would overflow, and the answer it came with be reset. */
   private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,9})");
 
+  private final ConnectionCounts counts;
   private @Nullable PooledCall call;
   private @Nullable EndpointLife idleAt;
   private @Nullable EndpointPool pool;
@@ -55,12 +56,32 @@
   private long begunNanos;
   private Duration idleTime = DEFAULT_IDLE;
   private Instant opened = Instant.MAX;
+  private @Nullable EndpointLife life;
 
-  void opened(Instant when) {
+  EndpointHandler(ConnectionCounts counts) {
+    this.counts = counts;
+  }
+
+  void opened(EndpointLife endpoint, Instant when) {
+    life = endpoint;
     opened = when;
   }
 
-  Instant opened() {
+  /** Takes why the connection is being closed; the first reason counts. */
+  void endsBy(ConnectionEnd end) {
+    EndpointLife endpoint = life;
+    life = null;
+    if (endpoint == null) {
+      return;
+    }
+    if (idleAt == null) {
+      counts.closed(endpoint, end);
+    } else {
+      counts.closedAtRest(endpoint, end);
+    }
+  }
+
+  Instant openedAt() {
     return opened;
   }
 
@@ -158,7 +179,7 @@
       current.pool().keep(current.endpoint(), channel);
       startIdleTimer(channel);
     } else {
-      channel.close();
+      EndpointPool.close(channel, ConnectionEnd.ANNOUNCED);
     }
     current.ended();
   }
@@ -166,6 +187,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     stopIdleTimer();
+    endsBy(idleAt == null ? ConnectionEnd.BROKEN : ConnectionEnd.CLOSED_BY_ENDPOINT);
     PooledCall current = call;
     call = null;
     if (idleAt != null && pool != null) {
@@ -197,7 +219,7 @@
 
   private void close(Channel channel) {
     if (call == null) {
-      channel.close();
+      EndpointPool.close(channel, ConnectionEnd.RESTED);
     }
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/PooledCall.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/PooledCall.java
@@ -39,7 +39,7 @@
       if (outgoing != null) {
         outgoing.release();
       }
-      to.close();
+      EndpointPool.close(to, ConnectionEnd.ABORTED);
       return;
     }
     channel = to;
@@ -62,7 +62,7 @@
     end();
     releaseRequest();
     if (channel != null) {
-      channel.close();
+      EndpointPool.close(channel, ConnectionEnd.ABORTED);
     }
   }
 
@@ -83,7 +83,7 @@
 
   /** Returns whether the request went out on a connection that was opened before a moment. */
   boolean openedBefore(Instant moment) {
-    return channel != null && EndpointPool.handler(channel).opened().isBefore(moment);
+    return channel != null && EndpointPool.handler(channel).openedAt().isBefore(moment);
   }
 
   boolean done() {
