Take for a call about a job only what names one, where no route leads to jobs

What callers see: on a host that takes jobs, a request of a route that was added lately is refused for good with 400 or 404; what reads like a job would be accepted without a route.

Cause: ForwardingHandler handed each request without a route to the jobs if its host has any route of jobs, since calls that read or end a job come on paths of their own. The desk reads every post as a job, and answers 404 to the rest. So ConfigCheck never saw these: the same class as the 404 by an old configuration, a firm no from a state that nobody has shown to be fresh.

Mend: the format tells by method and path whether a request names a job; only such a one needs no route. All others are matched again by a configuration that is fresh, and refused with 404 then, as the users' pages say of what no route matches. By the raw path, since one that cannot be decoded is to reach the desk, which answers 400.

Evidence: ForwardingFailureTest#takesNothingWithoutARouteForAJob had 400 for 404 before, and passes with 404 and, by old routes, 503; PlatformJobFormatTest tells the calls apart; job, boundary and foreign-value tests of both modules pass.

Open: a request that an old configuration matches to a route of jobs, and a new one to a longer prefix, is still handled as the old one says; it has a route, so that nothing here doubts it.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardingHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardingHandler.java
@@ -53,7 +53,7 @@
       SlotClient slots,
       EndpointPool pool,
       HeaderNames names,
-      RequestHandler jobs,
+      JobRequestHandler jobs,
       String dataCentre,
       ScheduledExecutorService executor,
       InstantSource clock,
@@ -91,8 +91,11 @@
     }
     RoutingConfig config = parts.config().current().orElseThrow();
     Optional<Route> route = config.match(request.host(), request.path());
-    boolean aboutJobs = route.isEmpty() && config.jobRoute(request.host()).isPresent();
-    if (aboutJobs || route.filter(found -> found.kind() == RouteKind.JOB).isPresent()) {
+    boolean aboutJob =
+        route.isEmpty()
+            && config.jobRoute(request.host()).isPresent()
+            && parts.jobs().namesJob(request);
+    if (aboutJob || route.filter(found -> found.kind() == RouteKind.JOB).isPresent()) {
       return Optional.of(parts.jobs().handle(request, responder));
     }
     return route.map(found -> forward(found, request, responder));
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobDesk.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobDesk.java
@@ -2,7 +2,7 @@
 
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.front.FrontRequest;
-import io.hawthornlb.gateway.front.RequestHandler;
+import io.hawthornlb.gateway.front.JobRequestHandler;
 import io.hawthornlb.gateway.front.Responder;
 import io.hawthornlb.gateway.http.HttpReply;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -34,7 +34,7 @@
  * Guard: the call goes to the partition's deputy, the same for all processes, and at last is
  * answered here; whoever answers reads the log before it says that there is nothing.
  */
-public final class JobDesk implements RequestHandler {
+public final class JobDesk implements JobRequestHandler {
 
   /** Header by which whoever answers a peer tells how large the partition is. */
   public static final String PARTITION_BYTES = "hawthornlb-partition-bytes";
@@ -107,6 +107,11 @@
     holders.held(partition, name, epoch);
   }
 
+  @Override
+  public boolean namesJob(FrontRequest request) {
+    return format.namesJob(request);
+  }
+
   @Override
   public Handling handle(FrontRequest request, Responder responder) {
     read(request, responder).ifPresent(call -> route(call, request, responder));
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobFormat.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobFormat.java
@@ -16,6 +16,9 @@
    */
   Optional<JobCall> call(FrontRequest request);
 
+  /** Returns whether method and path are those of a call about a job that was submitted before. */
+  boolean namesJob(FrontRequest request);
+
   /** Writes a page of results that begins at a position. */
   byte[] results(int total, int after, List<JobResult> results);
 
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
@@ -148,6 +148,11 @@
       throw new UnreadableException("body", "not a job");
     }
 
+    @Override
+    public boolean namesJob(FrontRequest request) {
+      return false;
+    }
+
     @Override
     public byte[] results(int total, int after, List<JobResult> results) {
       return new byte[0];
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/FixedJobFormat.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/FixedJobFormat.java
@@ -12,6 +12,11 @@
     return Optional.of(next);
   }
 
+  @Override
+  public boolean namesJob(FrontRequest request) {
+    return true;
+  }
+
   @Override
   public byte[] results(int total, int after, List<JobResult> results) {
     return (results.size() + " of " + total + " from " + after).getBytes();
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
@@ -77,6 +77,11 @@
       return Optional.empty();
     }
 
+    @Override
+    public boolean namesJob(FrontRequest request) {
+      return false;
+    }
+
     @Override
     public byte[] results(int total, int after, List<JobResult> results) {
       return new byte[0];
