--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobRunnersTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobRunnersTest.java
@@ -15,9 +15,11 @@
 import io.hawthornlb.gateway.store.support.InMemoryLogStore;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -99,6 +101,46 @@
     assertEquals(2, generation("other"));
   }
 
+  /**
+   * A result that a caller has read is nowhere later: a process left its partition and held it
+   * anew, and the store took what it wrote for a repeat of what it had written before.
+   */
+  @Test
+  void holdsAPartitionAnewUnderALaterEpoch() {
+    List<Long> epochs = new ArrayList<>();
+    InMemoryLogStore deaf =
+        new InMemoryLogStore(time.loop(), 1) {
+          @Override
+          public CompletionStage<Appended> append(AppendCall call) {
+            epochs.add(call.writer().epoch());
+            return super.append(call);
+          }
+
+          @Override
+          public CompletionStage<Void> leave(String name, String member) {
+            return CompletableFuture.failedFuture(
+                new StoreException(StoreException.Kind.UNKNOWN, "cut"));
+          }
+        };
+    int[] rank = {0};
+    JobRunners runners =
+        new JobRunners(
+            JobFixture.parts(deaf, time.loop(), time, new ConfigHolder(), new EndpointDirectory()),
+            new JobFixture.NoCalls(),
+            new JobFixture.SilentNotices(),
+            new ScriptedJobPeers("g1"),
+            1,
+            () -> OptionalInt.of(rank[0]));
+    runners.start();
+    time.advance(Duration.ofSeconds(1));
+    rank[0] = 100;
+    time.advance(Duration.ofSeconds(12));
+    rank[0] = 0;
+    time.advance(Duration.ofSeconds(1));
+    assertEquals(2, epochs.size());
+    assertTrue(epochs.get(0) < epochs.get(1), epochs.toString());
+  }
+
   private long generation(String member) {
     GroupJoin join = new GroupJoin("runners", member, JobReplicas.TOPIC, Duration.ofSeconds(3), 0);
     return join(store.join(join)).generation();
