Hold a partition anew only under an epoch above the last one

JobRunners computed an epoch from the generation, the start and the refused fences alone, so that a process which held a partition twice in one generation had one epoch twice: two holders of one name, for the store's sequence numbers as for the chain of progress. Each epoch of a partition is now above the last one that the process had for it.

Two processes: in one generation a partition is one member's. A process that is restarted keeps the member's name and begins with a later start, in tenths of a second; held anew it rises by one, and that takes 600 ms at least. Left open: after refused fences (1,000 each, which is 100 s of starts) a process that starts just these 100 s later, to the tenth, in the same generation, or whose clock was set back, could meet the former one's epoch.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRunners.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRunners.java
@@ -46,6 +46,7 @@
   private final HolderSelection selection;
   private final Map<Integer, PartitionRunner> runners = new HashMap<>();
   private final Map<Integer, Long> bumps = new HashMap<>();
+  private final Map<Integer, Long> lastEpochs = new HashMap<>();
   private long generation;
   private boolean member;
   private boolean leaving;
@@ -202,8 +203,7 @@
     if (runners.containsKey(partition)) {
       return;
     }
-    long bump = bumps.getOrDefault(partition, 0L);
-    long epoch = generation * EPOCHS_PER_GENERATION + startEpoch + bump;
+    long epoch = nextEpoch(partition);
     PartitionRunner runner =
         new PartitionRunner(
             parts,
@@ -216,6 +216,21 @@
     runner.start();
   }
 
+  /**
+   * Returns an epoch that this process has not had for a partition.
+   *
+   * <p>Failure: a leave does not arrive, and the process holds its partitions anew in the same
+   * generation. Under its former epoch the store would take its appends for repeats of earlier
+   * ones, and answer them as done. Guard: each epoch is above the last one.
+   */
+  private long nextEpoch(int partition) {
+    long bump = bumps.getOrDefault(partition, 0L);
+    long ofGeneration = generation * EPOCHS_PER_GENERATION + startEpoch + bump;
+    long epoch = Math.max(ofGeneration, lastEpochs.getOrDefault(partition, -1L) + 1);
+    lastEpochs.put(partition, epoch);
+    return epoch;
+  }
+
   private void refused(int partition, PartitionRunner refused) {
     // One that hands its partition over may be refused after this process holds it anew.
     if (runners.remove(partition, refused)) {
