Hand an answer on once all that came with it was looked at

Cause: NettyHttpCaller gave a connection back, and ended the call, with the answer's last byte. Whoever waited made the next call at once, on that connection, and took for its answer what came right behind the first one. Now an answer is handed on when the read that brought it is through; what came behind it closes the connection.

What is left: a second answer that comes in a later read than the first one, behind a call that went out in between; answers of the store bear no number.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/NettyHttpCaller.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/NettyHttpCaller.java
@@ -161,16 +161,15 @@
       result.completeExceptionally(HttpCallException.connectionClosed(message));
     }
 
-    private void replied(FullHttpResponse response) {
+    private void replied(HttpReply reply, boolean reusable) {
       stopTimer();
-      byte[] body = ByteBufUtil.getBytes(response.content());
       Channel used = channel;
-      if (used != null && HttpUtil.isKeepAlive(response)) {
+      if (used != null && reusable) {
         idle.computeIfAbsent(call.address(), any -> new ArrayDeque<>()).push(used);
       } else if (used != null) {
         used.close();
       }
-      result.complete(new HttpReply(response.status().code(), body));
+      result.complete(reply);
     }
 
     private void stopTimer() {
@@ -180,28 +179,50 @@
     }
   }
 
-  /** Hands replies to the call that waits on a connection. */
+  /**
+   * Hands replies to the call that waits on a connection.
+   *
+   * <p>Failure: a second answer comes behind the one to a call, and whoever made that call makes
+   * the next one at once. It shows as an append that counts as written or refused by the answer to
+   * another call. Guard: an answer is handed on once all that came with it was looked at, and a
+   * connection that brought more than one answer to a call is not used again.
+   */
   private static final class ReplyHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
 
     private @Nullable Pending pending;
+    private @Nullable HttpReply reply;
+    private boolean reusable = true;
     private String cause = "";
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-      if (pending != null && response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-        // The answer follows.
-        return;
-      }
+      boolean interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
       Pending waiting = pending;
-      pending = null;
-      if (waiting == null || !response.decoderResult().isSuccess()) {
+      if (waiting == null) {
+        ctx.close();
+      } else if (reply != null) {
+        reusable = false;
+      } else if (!response.decoderResult().isSuccess()) {
+        pending = null;
         ctx.close();
-      }
-      if (waiting != null && response.decoderResult().isSuccess()) {
-        waiting.replied(response);
-      } else if (waiting != null) {
         waiting.fail("The reply is not HTTP");
+      } else if (!interim) {
+        // An interim one only announces the answer.
+        reply = new HttpReply(response.status().code(), ByteBufUtil.getBytes(response.content()));
+        reusable = HttpUtil.isKeepAlive(response);
+      }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+      Pending answered = pending;
+      HttpReply whole = reply;
+      if (answered != null && whole != null) {
+        pending = null;
+        reply = null;
+        answered.replied(whole, reusable);
       }
+      ctx.fireChannelReadComplete();
     }
 
     @Override
