--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/http/NettyHttpCallerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/http/NettyHttpCallerTest.java
@@ -33,6 +33,9 @@
   /** Time within which a call is made on another connection. */
   private static final int ACCEPT_MILLIS = 2_000;
 
+  /** More than sockets take that nobody reads. */
+  private static final int LARGE_BYTES = 32 * 1024 * 1024;
+
   private static final String DONE = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 
   private final ServerSocket server =
@@ -89,9 +92,31 @@
     }
   }
 
+  /** A call waits in vain: it was sent behind the rest of a large one that was refused unread. */
+  @Test
+  void keepsNoConnectionOnWhichACallIsStillLeaving() throws Exception {
+    CompletableFuture<HttpReply> large = call(new byte[LARGE_BYTES], Duration.ofSeconds(10));
+    try (Socket connection = server.accept()) {
+      connection.getInputStream().read();
+      send(connection, DONE.replace("200 OK", "503 Busy"));
+      assertEquals(503, large.get(10, TimeUnit.SECONDS).status());
+      CompletableFuture<HttpReply> next = call(Duration.ofSeconds(10));
+      server.setSoTimeout(ACCEPT_MILLIS);
+      try (Socket another = server.accept()) {
+        another.getInputStream().read();
+        send(another, DONE);
+        assertEquals(200, next.get(10, TimeUnit.SECONDS).status());
+      }
+    }
+  }
+
   private CompletableFuture<HttpReply> call(Duration timeout) {
+    return call(new byte[0], timeout);
+  }
+
+  private CompletableFuture<HttpReply> call(byte[] body, Duration timeout) {
     InetSocketAddress address = new InetSocketAddress("127.0.0.1", server.getLocalPort());
-    HttpCall call = new HttpCall(address, "GET", "/", Map.of(), new byte[0], timeout);
+    HttpCall call = new HttpCall(address, "POST", "/", Map.of(), body, timeout);
     return caller.call(call).toCompletableFuture();
   }
 
