Keep no connection to the store on which a call is still leaving

Cause: a store that refuses a call unread answers before the call has left, and NettyHttpCaller gave the connection back with the answer. The next call went out behind the rest of the first one's body, and was read as part of it or not at all. Now a connection is kept only if the whole call has left, as EndpointHandler does.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/NettyHttpCaller.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/NettyHttpCaller.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -97,6 +98,7 @@
     private final CompletableFuture<HttpReply> result = new CompletableFuture<>();
     private @Nullable ScheduledFuture<?> timer;
     private @Nullable Channel channel;
+    private @Nullable ChannelFuture left;
     private boolean written;
 
     private Pending(HttpCall call) {
@@ -140,7 +142,7 @@
       call.headers().forEach(request.headers()::set);
       HttpUtil.setContentLength(request, call.body().length);
       written = true;
-      to.writeAndFlush(request);
+      left = to.writeAndFlush(request);
     }
 
     private void timedOut() {
@@ -164,7 +166,8 @@
     private void replied(HttpReply reply, boolean reusable) {
       stopTimer();
       Channel used = channel;
-      if (used != null && reusable) {
+      boolean whollyLeft = left != null && left.isSuccess();
+      if (used != null && reusable && whollyLeft) {
         idle.computeIfAbsent(call.address(), any -> new ArrayDeque<>()).push(used);
       } else if (used != null) {
         used.close();
