Split what a follower does now and what it has proven out of the follower

No behaviour changes: FollowerStep holds the one call or pause that is under way and hurries it, ProvenMoment the moment up to which was read and those who wait for a later one. KeyedFollowerTest, HedgedCallTest and CutReadsTest pass as they were.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/KeyedFollower.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/store/KeyedFollower.java
@@ -11,10 +11,8 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
@@ -68,29 +66,17 @@
   private final String topic;
   private final int partition;
   private final Duration wait;
-  private final ScheduledExecutorService executor;
   private final InstantSource clock;
   private final EventLog log;
   private final Listener listener;
+  private final FollowerStep step;
+  private final ProvenMoment proven;
   private Duration pause = FIRST_PAUSE;
-  private @Nullable HedgedCall<?> call;
-  private @Nullable Pause paused;
-  private long steps;
-  private CompletableFuture<Void> nextProof = new CompletableFuture<>();
-  private Instant provenAt = Instant.MIN;
   private boolean loaded;
   private boolean lost;
   private Instant lostAt = Instant.MIN;
   private boolean stopped;
 
-  /**
-   * A pause before the next call.
-   *
-   * @param timer ends the pause
-   * @param next makes the call
-   */
-  private record Pause(Future<?> timer, Runnable next) {}
-
   /**
    * A page and when the call for it began; it holds what was written before that.
    *
@@ -130,10 +116,11 @@
     this.topic = topic;
     this.partition = partition;
     this.wait = wait;
-    this.executor = executor;
     this.clock = clock;
     this.log = log;
     this.listener = listener;
+    this.step = new FollowerStep(executor);
+    this.proven = new ProvenMoment(executor);
   }
 
   /**
@@ -164,14 +151,13 @@
    * answers again calls this.
    */
   public void readNow() {
-    long step = steps;
     // The answer by which that was learned may be this follower's own.
-    executor.execute(() -> hurryAt(step));
+    step.hurryBehindAnswers();
   }
 
   @Override
   public Instant provenAt() {
-    return provenAt;
+    return proven.latest();
   }
 
   @Override
@@ -179,30 +165,14 @@
     if (lost) {
       return CompletableFuture.failedFuture(noAnswer());
     }
-    hurry();
-    return nextProof;
+    step.hurry();
+    return proven.next();
   }
 
   private static StoreException noAnswer() {
     return new StoreException(StoreException.Kind.NOT_DONE, "The store does not answer");
   }
 
-  private void hurryAt(long step) {
-    if (steps == step) {
-      hurry();
-    }
-  }
-
-  private void hurry() {
-    HedgedCall<?> current = call;
-    Pause pausing = paused;
-    if (pausing != null && pausing.timer().cancel(false)) {
-      pausing.next().run();
-    } else if (current != null) {
-      current.hurry();
-    }
-  }
-
   /**
    * Loads a page of newest records.
    *
@@ -215,7 +185,7 @@
     }
     Supplier<CompletionStage<Answer<KeyedPage>>> list =
         () -> timed(() -> store.newest(topic, partition, after));
-    HedgedCall<Answer<KeyedPage>> listing = begin(new HedgedCall<>(list, executor));
+    HedgedCall<Answer<KeyedPage>> listing = step.call(list);
     listing
         .start(list)
         .whenComplete(
@@ -250,7 +220,7 @@
         .write();
     loaded = true;
     listener.onAll(records);
-    proven(first.begun());
+    proven.proven(first.begun());
     readFrom(from);
   }
 
@@ -259,8 +229,7 @@
       return;
     }
     Duration longest = lost ? Duration.ZERO : wait;
-    HedgedCall<Answer<LogPage>> reading =
-        begin(new HedgedCall<>(() -> read(offset, Duration.ZERO), executor));
+    HedgedCall<Answer<LogPage>> reading = step.call(() -> read(offset, Duration.ZERO));
     reading
         .start(() -> read(offset, longest))
         .whenComplete(
@@ -283,19 +252,6 @@
     return made.get().thenApply(page -> new Answer<>(page, begun));
   }
 
-  private <T> HedgedCall<T> begin(HedgedCall<T> begun) {
-    steps++;
-    paused = null;
-    call = begun;
-    return begun;
-  }
-
-  private void pause(Duration time, Runnable next) {
-    steps++;
-    call = null;
-    paused = new Pause(executor.schedule(next, time.toMillis(), TimeUnit.MILLISECONDS), next);
-  }
-
   private static Duration spread(Duration time) {
     return time.plusMillis(ThreadLocalRandom.current().nextLong(SPREAD.toMillis()));
   }
@@ -311,21 +267,13 @@
       listener.onRecords(page.records());
     }
     if (!page.more()) {
-      proven(begun);
+      proven.proven(begun);
     }
     if (page.records().isEmpty()) {
       readFrom(page.next());
       return;
     }
-    pause(GATHER, () -> readFrom(page.next()));
-  }
-
-  private void proven(Instant begun) {
-    provenAt = begun.isAfter(provenAt) ? begun : provenAt;
-    CompletableFuture<Void> proof = nextProof;
-    nextProof = new CompletableFuture<>();
-    // Whoever asks for another proof is to find the next call begun.
-    executor.execute(() -> proof.complete(null));
+    step.pause(GATHER, () -> readFrom(page.next()));
   }
 
   private void answered() {
@@ -350,12 +298,11 @@
           .with("from", offset)
           .with("cause", String.valueOf(failure.getMessage()))
           .write();
-      nextProof.completeExceptionally(noAnswer());
-      nextProof = new CompletableFuture<>();
+      proven.lost(noAnswer());
       again.run();
       return;
     }
-    pause(pause, again);
+    step.pause(pause, again);
     Duration doubled = pause.multipliedBy(2);
     pause = doubled.compareTo(MAX_PAUSE) > 0 ? MAX_PAUSE : doubled;
   }
