Show a request refused for good by limits that may be old

What callers see: 413 or 431, and give the request up, though the bound has been raised and the change is in force. Found as the same class as the 404 by an old configuration.

The test lets all reads be silent for twice the time for a change and sends a body and a header beyond the limits: 413, where 503 with when to come back is expected.

--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ForwardingFailureTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ForwardingFailureTest.java
@@ -327,6 +327,21 @@
     assertEquals(400, gateway.call("/a/", "x").status());
   }
 
+  /** A caller gives a request up for a bound on its size that was raised seconds ago. */
+  @Test
+  void refusesNothingForGoodByLimitsThatMayBeOld() throws Exception {
+    gateway.route(RouteKind.ONCE, 1, false, first).storeAway(true);
+    Thread.sleep(GatewayFixture.CHANGE_TIME.multipliedBy(2).toMillis());
+    Answer body = gateway.call("/a/", "x".repeat(5_001));
+    assertEquals(503, body.status());
+    assertTrue(body.head().toLowerCase().contains("retry-after"), body.head());
+    String longHeader = "GET /a/ HTTP/1.1\r\nX: " + "y".repeat(3_000) + "\r\n\r\n";
+    try (Socket socket = gateway.raw(longHeader)) {
+      assertEquals(503, GatewayFixture.read(socket).status());
+    }
+    assertEquals(0, first.requests().size());
+  }
+
   @Test
   void answersBadInputWithOneClearError() throws IOException {
     gateway.route(RouteKind.ONCE, 1, false, first);
