Add a failing test of resumed streams that begin elsewhere

A stream that is resumed after event 1 is joined with whatever the next endpoint sends: one that begins anew is passed over up to event 1 and taken from there, one that begins with 3 is taken as it comes. The caller gets two runs, or a gap, as one whole answer. "Given Last-Event-Id n, any engine resumes at n + 1."

Both cases fail: the answer is whole.

--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ForwardingFailureTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ForwardingFailureTest.java
@@ -21,6 +21,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Each point at which a request can stop, over real sockets. */
 class ForwardingFailureTest {
@@ -222,6 +224,24 @@
     assertTrue(second.requests().get(0).contains("Last-Event-Id: 1"), second.requests().get(0));
   }
 
+  /**
+   * A caller reads a stream of two runs as one: the endpoint that was asked to go on began anew, or
+   * behind an event that is missing.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 3})
+  void goesOnWithNoStreamThatBeginsElsewhere(int begin) throws IOException {
+    first.then(CHUNKED + chunk("id: 1\ndata: a\n\n"), RESET);
+    StringBuilder other = new StringBuilder();
+    for (int id = begin; id < begin + 3; id++) {
+      other.append("id: ").append(id).append("\ndata: x\n\n");
+    }
+    second.then(CHUNKED + chunk(other.toString()) + END, KEEP);
+    Answer answer = gateway.route(RouteKind.STREAM, 2, true, first, second).call("/a/", "x");
+    assertFalse(answer.whole());
+    assertEquals("id: 1\ndata: a\n\n", answer.body());
+  }
+
   /** A caller takes half of a stream for all of it. */
   @Test
   void neverEndsABrokenStreamAsComplete() throws IOException {
