Tell the event loop's thread apart in the account

The thread has a short name now.

Evidence: WorkReportTest.knowsTheThreadOfTheLoop reads this process's own threads.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/loop/AccountedEventLoop.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/loop/AccountedEventLoop.java
@@ -5,6 +5,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SingleThreadIoEventLoop;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledFuture;
 import org.jspecify.annotations.Nullable;
@@ -61,7 +62,10 @@
   private static final class LoopGroup extends MultiThreadIoEventLoopGroup {
 
     private LoopGroup() {
-      super(1, NioIoHandler.newFactory());
+      super(
+          1,
+          new DefaultThreadFactory(ThreadTimes.LOOP_NAME, Thread.MAX_PRIORITY),
+          NioIoHandler.newFactory());
     }
 
     @Override
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/loop/ThreadTimes.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/loop/ThreadTimes.java
@@ -14,6 +14,9 @@
  */
 public final class ThreadTimes {
 
+  /** How names of threads of event loops begin; short, as the system keeps 15 bytes. */
+  static final String LOOP_NAME = "loop";
+
   private static final Path TASKS = Path.of("/proc/self/task");
 
   /** Longest text that is read of a file; names have 16 bytes, times some 50. */
@@ -60,7 +63,7 @@
   }
 
   private static String part(String name) {
-    if (name.startsWith("loopGroup")) {
+    if (name.startsWith(LOOP_NAME)) {
       return "loop";
     }
     if (name.startsWith("C1 Comp") || name.startsWith("C2 Comp")) {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/loop/ThreadTimesTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/loop/ThreadTimesTest.java
@@ -16,7 +16,7 @@
   @Test
   void addsUpThreadsOfAKind() throws IOException {
     thread("1", "java", "3000 10 2");
-    thread("2", "loopGroup-2-1", "5000 10 2");
+    thread("2", "loop-2-1", "5000 10 2");
     thread("3", "C1 Comp..hread0", "7000 10 2");
     thread("4", "VM Thread", "1000 10 2");
     thread("5", "Signal Dispatch", "2000 10 2");
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/loop/WorkReportTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/loop/WorkReportTest.java
@@ -15,6 +15,8 @@
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.condition.EnabledOnOs;
+import org.junit.jupiter.api.condition.OS;
 import org.junit.jupiter.api.io.TempDir;
 
 class WorkReportTest {
@@ -33,7 +35,7 @@
   @Test
   void tellsTimesOfThreadsAndKindsOfWork() throws Exception {
     Path thread = Files.createDirectory(tasks.resolve("1"));
-    Files.writeString(thread.resolve("comm"), "loopGroup-2-1\n");
+    Files.writeString(thread.resolve("comm"), "loop-2-1\n");
     Files.writeString(thread.resolve("schedstat"), "5000 1 1\n");
     WorkReport report = new WorkReport(accounted, new ThreadTimes(tasks), log);
     accounted.submit(report::write).sync();
@@ -44,6 +46,16 @@
     assertTrue(line.matches(".*\"selectMicros\":\\d+,\"selects\":[1-9].*"), line);
   }
 
+  /** The loop's time counts among that of the runtime, since the system cuts its thread's name. */
+  @Test
+  @EnabledOnOs(OS.LINUX)
+  void knowsTheThreadOfTheLoop() throws Exception {
+    WorkReport report = new WorkReport(accounted, new ThreadTimes(), log);
+    accounted.submit(report::write).sync();
+    String line = lines(1)[0];
+    assertTrue(line.contains("\"loopThread\":"), line);
+  }
+
   @Test
   void writesALineEveryFewSeconds() throws Exception {
     VirtualLoop virtual = new VirtualLoop();
