Refuse by a limit for good only where it may be relied on

What callers see: 413 or 431, and give the request up, though the bound has been raised.

Cause: FrontConnection refused by the limits it knew, however long ago the configuration was read, and by the bound on headers of the time when the connection was opened, which may be long ago.

Mend: beyond a limit, ConfigCheck decides as for routes: 413 or 431 if no change can be missing, else after one read shared by all, else 503 with when to come back. A connection whose bound on headers is lower than the one in force now is closed with 503 too, so that the caller comes on one with the new bound. Meanwhile the connection takes nothing and counts as busy.

Evidence: ForwardingFailureTest#refusesNothingForGoodByLimitsThatMayBeOld had 413 for 503 before and passes; answersBadInputWithOneClearError (413, 431, 400, 408 with a store that answers) and the tests of ConfigCheck, FrontServer and GracefulStop pass. No test has a connection that is older than a raised bound on headers.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ConfigCheck.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ConfigCheck.java
@@ -27,6 +27,9 @@
   /** Requests that wait at a time. */
   static final int MAX_WAITING = 256;
 
+  /** When to come back while the configuration may be old; a read takes some 10 ms. */
+  static final Duration RETRY = Duration.ofMillis(300);
+
   /** Part of the time for a change that is left for what the clock and the answer may differ by. */
   private static final Duration MARGIN = Duration.ofMillis(200);
 
@@ -52,16 +55,16 @@
     return proof.provenAt();
   }
 
-  /** Returns whether all changes are known that are to be in force for a request. */
-  boolean holdsFor(FrontRequest request) {
-    Instant latest = request.arrived().minus(changeTime).plus(MARGIN);
+  /** Returns whether all changes are known that are to be in force at a moment. */
+  boolean holdsAt(Instant moment) {
+    Instant latest = moment.minus(changeTime).plus(MARGIN);
     return !proof.provenAt().isBefore(latest);
   }
 
-  /** Reads the configuration again, and acts when it holds for a request or cannot be read. */
-  void renew(FrontRequest request, Runnable action) {
+  /** Reads the configuration again, and acts when it holds at a moment or cannot be read. */
+  void renew(Instant moment, Runnable action) {
     if (waiting < MAX_WAITING) {
-      new Wait(request, action).start();
+      new Wait(moment, action).start();
     } else {
       action.run();
     }
@@ -70,13 +73,13 @@
   /** A request that waits. */
   private final class Wait {
 
-    private final FrontRequest request;
+    private final Instant moment;
     private final Runnable action;
     private @Nullable Future<?> timer;
     private boolean over;
 
-    private Wait(FrontRequest request, Runnable action) {
-      this.request = request;
+    private Wait(Instant moment, Runnable action) {
+      this.moment = moment;
       this.action = action;
     }
 
@@ -94,7 +97,7 @@
       if (over) {
         return;
       }
-      if (failure != null || holdsFor(request)) {
+      if (failure != null || holdsAt(moment)) {
         end();
       } else {
         read();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardingHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardingHandler.java
@@ -113,11 +113,13 @@
 
   /** Refuses a request without a route, after another look at the configuration if that is old. */
   private Handling refuseOnceSure(FrontRequest request, Responder responder) {
-    if (parts.check().holdsFor(request)) {
+    if (parts.check().holdsAt(request.arrived())) {
       return refuseUnknown(request, responder);
     }
     DeferredHandling later = new DeferredHandling(responder, STOPPING_RETRY);
-    parts.check().renew(request, () -> later.begin(() -> takeOrRefuse(request, responder)));
+    parts
+        .check()
+        .renew(request.arrived(), () -> later.begin(() -> takeOrRefuse(request, responder)));
     return later;
   }
 
@@ -126,9 +128,9 @@
   }
 
   private Handling refuseUnknown(FrontRequest request, Responder responder) {
-    return parts.check().holdsFor(request)
+    return parts.check().holdsAt(request.arrived())
         ? refuse(request, responder, 404, "no route", null)
-        : refuse(request, responder, 503, "routes may be old", CONFIG_RETRY);
+        : refuse(request, responder, 503, "routes may be old", ConfigCheck.RETRY);
   }
 
   private Handling refuse(
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontConnection.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontConnection.java
@@ -27,6 +27,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
@@ -39,6 +40,7 @@
   private static final int MAX_QUEUED = 64;
 
   private final FrontServer server;
+  private final int headerBytes;
   private final Deque<HttpObject> queued = new ArrayDeque<>();
   private @Nullable Channel channel;
   private @Nullable HttpRequest head;
@@ -55,8 +57,9 @@
    */
   private int unsent;
 
-  FrontConnection(FrontServer server) {
+  FrontConnection(FrontServer server, int headerBytes) {
     this.server = server;
+    this.headerBytes = headerBytes;
   }
 
   boolean busy() {
@@ -137,7 +140,7 @@
     try {
       DecoderResult result = message.decoderResult();
       if (result.isFailure()) {
-        refuseInput(result.cause() instanceof TooLongFrameException ? 431 : 400);
+        refuseMalformed(result.cause());
         return;
       }
       if (message instanceof HttpRequest request) {
@@ -155,7 +158,7 @@
     head = request;
     schedule(server.limits().idleTimeout(), 408);
     if (HttpUtil.getContentLength(request, 0L) > server.limits().bodyBytes()) {
-      refuseInput(413);
+      refuseBeyondLimit(413);
     } else if (HttpUtil.is100ContinueExpected(request)) {
       HttpResponse goOn =
           new DefaultFullHttpResponse(
@@ -171,7 +174,7 @@
       }
       body.writeBytes(content.content());
       if (body.readableBytes() > server.limits().bodyBytes()) {
-        refuseInput(413);
+        refuseBeyondLimit(413);
         return;
       }
     }
@@ -205,19 +208,61 @@
     next.start(whole);
   }
 
-  private void refuseInput(int status) {
-    head = null;
-    dropBody();
-    closing = true;
+  private void refuseMalformed(Throwable cause) {
+    if (cause instanceof TooLongFrameException) {
+      refuseBeyondLimit(431);
+    } else {
+      refuseInput(400, null);
+    }
+  }
+
+  /**
+   * Refuses a request that is beyond a limit, for good only if the limit may be relied on.
+   *
+   * <p>Failure: a limit was raised, and this process or this connection still has the former one.
+   * It shows as 413 or 431, by which the caller gives the request up. Guard: the caller is told to
+   * come back, on another connection.
+   */
+  private void refuseBeyondLimit(int status) {
+    ConfigCheck check = server.check();
+    Instant now = server.clock().instant();
+    if (status == 431 && server.limits().headerBytes() > headerBytes) {
+      refuseInput(503, ConfigCheck.RETRY);
+    } else if (check.holdsAt(now)) {
+      refuseInput(status, null);
+    } else {
+      takeNoMore();
+      unsent++;
+      check.renew(now, () -> refuseOnceSure(status, check.holdsAt(now)));
+    }
+  }
+
+  private void refuseOnceSure(int status, boolean sure) {
+    unsent--;
+    refuseInput(sure ? status : 503, sure ? null : ConfigCheck.RETRY);
+  }
+
+  private void refuseInput(int status, @Nullable Duration retry) {
+    takeNoMore();
     server.log().important("front", "input.refused").with("status", status).write();
     HttpResponse answer =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.EMPTY_BUFFER);
     answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
     answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    if (retry != null) {
+      answer.headers().set(HttpHeaderNames.RETRY_AFTER, Responder.seconds(retry));
+    }
     open().writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
   }
 
+  private void takeNoMore() {
+    head = null;
+    dropBody();
+    stopTimer();
+    closing = true;
+  }
+
   private void finished(boolean keep) {
     exchange = null;
     if (!keep) {
@@ -256,7 +301,7 @@
     } else if (status == 0) {
       open().close();
     } else {
-      refuseInput(status);
+      refuseInput(status, null);
     }
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontServer.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontServer.java
@@ -26,6 +26,7 @@
 
   private final RequestHandler handler;
   private final ConfigHolder config;
+  private final ConfigCheck check;
   private final InstantSource clock;
   private final EventLog log;
   private final Set<FrontConnection> connections = new HashSet<>();
@@ -34,9 +35,14 @@
 
   /** Creates a server that hands requests to a handler. */
   public FrontServer(
-      RequestHandler handler, ConfigHolder config, InstantSource clock, EventLog log) {
+      RequestHandler handler,
+      ConfigHolder config,
+      ConfigCheck check,
+      InstantSource clock,
+      EventLog log) {
     this.handler = handler;
     this.config = config;
+    this.check = check;
     this.clock = clock;
     this.log = log;
   }
@@ -101,6 +107,10 @@
     return log;
   }
 
+  ConfigCheck check() {
+    return check;
+  }
+
   CallerLimits limits() {
     return config.current().map(RoutingConfig::limits).orElse(CallerLimits.DEFAULT);
   }
@@ -127,7 +137,7 @@
           new HttpDecoderConfig()
               .setMaxInitialLineLength(headerBytes)
               .setMaxHeaderSize(headerBytes);
-      FrontConnection connection = new FrontConnection(FrontServer.this);
+      FrontConnection connection = new FrontConnection(FrontServer.this, headerBytes);
       channel.pipeline().addLast(new FirstBytesHandler(connection));
       channel.pipeline().addLast(new HttpServerCodec(decoding));
       channel.pipeline().addLast(connection);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Responder.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Responder.java
@@ -19,13 +19,17 @@
   default void own(int status, @Nullable Duration retryAfter) {
     HttpHeaders headers = new DefaultHttpHeaders();
     if (retryAfter != null) {
-      BigDecimal seconds = BigDecimal.valueOf(retryAfter.toMillis(), 3);
-      headers.set(
-          HttpHeaderNames.RETRY_AFTER, seconds.setScale(2, RoundingMode.HALF_UP).toPlainString());
+      headers.set(HttpHeaderNames.RETRY_AFTER, seconds(retryAfter));
     }
     whole(status, headers, new byte[0]);
   }
 
+  /** Returns a time as answers name it, in seconds. */
+  static String seconds(Duration time) {
+    BigDecimal seconds = BigDecimal.valueOf(time.toMillis(), 3);
+    return seconds.setScale(2, RoundingMode.HALF_UP).toPlainString();
+  }
+
   /** Sends the head of an answer whose body follows in parts. */
   void head(int status, HttpHeaders headers);
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -104,11 +104,12 @@
     Duration wait = KeyedFollower.waitWithin(settings.changeTime());
     KeyedFollower routes = follow(store, formats.configTopic(), wait, configs);
     caller.onRegained(routes::readNow);
+    ConfigCheck check = new ConfigCheck(routes, settings.changeTime(), loop);
     handler =
         new ForwardingHandler(
             new ForwardingHandler.Parts(
                 config,
-                new ConfigCheck(routes, settings.changeTime(), loop),
+                check,
                 directory,
                 slots,
                 pool,
@@ -119,7 +120,7 @@
                 clock,
                 log,
                 metrics));
-    front = new FrontServer(handler, config, clock, log);
+    front = new FrontServer(handler, config, check, clock, log);
     caller.onRegained(follow(store, formats.endpointTopic(), wait, endpoints)::readNow);
     caller.onRegained(
         follow(store, InstanceSource.TOPIC, KeyedFollower.UNHURRIED, instances)::readNow);
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ConfigCheckTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ConfigCheckTest.java
@@ -6,8 +6,6 @@
 
 import io.hawthornlb.gateway.VirtualLoop;
 import io.hawthornlb.gateway.store.LogProof;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.concurrent.CompletableFuture;
@@ -57,16 +55,16 @@
   @Test
   void holdsWhileNoChangeCanBeMissingThatIsToBeInForce() {
     time.advance(CHANGE_TIME.dividedBy(2));
-    assertTrue(check.holdsFor(request()));
+    assertTrue(check.holdsAt(time.instant()));
     time.advance(CHANGE_TIME.dividedBy(2));
-    assertFalse(check.holdsFor(request()));
+    assertFalse(check.holdsAt(time.instant()));
   }
 
   @Test
   void waitsForOneProofThatIsYoungEnough() {
     Instant old = time.instant();
     time.advance(CHANGE_TIME);
-    check.renew(request(), () -> settled++);
+    check.renew(time.instant(), () -> settled++);
     proof.renewed(old);
     assertEquals(0, settled);
     proof.renewed(time.instant());
@@ -79,7 +77,7 @@
   @Test
   void waitsNoLongerThanAnAnswerTakes() {
     time.advance(CHANGE_TIME);
-    check.renew(request(), () -> settled++);
+    check.renew(time.instant(), () -> settled++);
     time.advance(ConfigCheck.LONGEST_WAIT);
     assertEquals(1, settled);
     proof.renewed(time.instant());
@@ -89,7 +87,7 @@
   @Test
   void waitsNoLongerThanUntilTheStoreIsLost() {
     time.advance(CHANGE_TIME);
-    check.renew(request(), () -> settled++);
+    check.renew(time.instant(), () -> settled++);
     proof.next.completeExceptionally(new IllegalStateException("away"));
     assertEquals(1, settled);
   }
@@ -99,18 +97,13 @@
   void letsFewRequestsWait() {
     time.advance(CHANGE_TIME);
     for (int i = 0; i < ConfigCheck.MAX_WAITING + 10; i++) {
-      check.renew(request(), () -> settled++);
+      check.renew(time.instant(), () -> settled++);
     }
     assertEquals(10, settled);
     assertEquals(ConfigCheck.MAX_WAITING, proof.refreshes);
     time.advance(ConfigCheck.LONGEST_WAIT);
     assertEquals(ConfigCheck.MAX_WAITING + 10, settled);
-    check.renew(request(), () -> settled++);
+    check.renew(time.instant(), () -> settled++);
     assertEquals(ConfigCheck.MAX_WAITING + 10, settled);
   }
-
-  private FrontRequest request() {
-    return new FrontRequest(
-        HttpMethod.POST, "/a/", "/a/", "h", new DefaultHttpHeaders(), new byte[0], time.instant());
-  }
 }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/FrontServerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/FrontServerTest.java
@@ -4,6 +4,7 @@
 
 import io.hawthornlb.gateway.SilentEventLog;
 import io.hawthornlb.gateway.route.ConfigHolder;
+import io.hawthornlb.gateway.store.LogProof;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -14,7 +15,11 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -35,6 +40,20 @@
   private InetSocketAddress address;
   private FrontServer server;
 
+  /** Proof of a log that was never read. */
+  private static final class NoProof implements LogProof {
+
+    @Override
+    public Instant provenAt() {
+      return Instant.MIN;
+    }
+
+    @Override
+    public CompletionStage<Void> refresh() {
+      return CompletableFuture.failedFuture(new IllegalStateException("no log"));
+    }
+  }
+
   @BeforeEach
   void start() throws IOException {
     try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
@@ -42,7 +61,11 @@
     }
     server =
         new FrontServer(
-            this::answer, new ConfigHolder(), InstantSource.system(), new SilentEventLog());
+            this::answer,
+            new ConfigHolder(),
+            new ConfigCheck(new NoProof(), Duration.ofSeconds(2), loop),
+            InstantSource.system(),
+            new SilentEventLog());
     server.bind(loop, address);
   }
 
