Resume a stream only with an answer that begins behind its last event

A caller could read two runs, or a gap, as one whole stream: AnswerRelay passed over what the caller had and took the rest, wherever the answer of the next endpoint began. The first numbered event of a resumed answer must now be n + 1 after Last-Event-Id n; otherwise the call is ended and counts as broken, so that another endpoint goes on or the stream is broken off.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
@@ -14,6 +14,7 @@
 import java.io.ByteArrayOutputStream;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -39,6 +40,7 @@
   private @Nullable Mode mode;
   private boolean headSent;
   private long lastEventId = -1;
+  private boolean begun;
   private Instant lastHeard;
   private @Nullable Instant firstPassed;
 
@@ -75,6 +77,7 @@
     kept.reset();
     response = null;
     mode = null;
+    begun = false;
     lastHeard = clock.instant();
   }
 
@@ -107,7 +110,7 @@
   public void onContent(ByteBuf content) {
     lastHeard = clock.instant();
     if (mode == Mode.EVENTS) {
-      splitter.feed(content).forEach(this::pass);
+      passAll(splitter.feed(content));
     } else if (mode == Mode.PASSED) {
       responder.part(content.readRetainedSlice(content.readableBytes()));
       pauseIfCongested();
@@ -185,9 +188,32 @@
     }
   }
 
+  private void passAll(List<StreamEvent> events) {
+    for (StreamEvent event : events) {
+      if (strays(event)) {
+        mode = Mode.UNUSABLE;
+        forwarding.strayed("event " + event.id() + " follows " + lastEventId);
+        return;
+      }
+      begun |= event.id() >= 0;
+      pass(event);
+    }
+  }
+
+  /**
+   * Returns whether an answer that was asked to go on begins elsewhere.
+   *
+   * <p>Failure: an endpoint begins anew, or its first event is spoiled on the way. It shows as a
+   * stream of two runs, or with a gap, that ends well. Guard: such an answer counts as broken.
+   */
+  private boolean strays(StreamEvent event) {
+    boolean first = !begun && event.id() >= 0;
+    return first && lastEventId >= 0 && event.id() != lastEventId + 1;
+  }
+
   private void pass(StreamEvent event) {
     if (lastEventId >= 0 && event.id() >= 0 && event.id() <= lastEventId) {
-      // The endpoint began anew; the caller has this event.
+      // The caller has this event.
       return;
     }
     sendHead();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -154,6 +154,15 @@
     }
   }
 
+  /** Is told that the endpoint does not go on where it was asked to. */
+  void strayed(String cause) {
+    EndpointCall other = call;
+    if (other != null) {
+      other.abort();
+    }
+    broken(true, cause);
+  }
+
   /** Returns whether a failure that an endpoint answered may be hidden by another try. */
   boolean mayRetryFailure() {
     AttemptRules.State after =
