--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSearch.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSearch.java
@@ -5,6 +5,7 @@
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.slot.SlotRequest;
 import java.time.Instant;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 
@@ -18,6 +19,7 @@
   private final Penalties penalties;
   private final Outliers outliers;
   private final ForeignLoad foreign;
+  private final KeptConnections connections;
 
   SlotSearch(
       String service,
@@ -26,7 +28,8 @@
       SlotLeases leases,
       Penalties penalties,
       Outliers outliers,
-      ForeignLoad foreign) {
+      ForeignLoad foreign,
+      KeptConnections connections) {
     this.service = service;
     this.directory = directory;
     this.settings = settings;
@@ -34,6 +37,7 @@
     this.penalties = penalties;
     this.outliers = outliers;
     this.foreign = foreign;
+    this.connections = connections;
   }
 
   /** Returns the slots of all endpoints, free or not. */
@@ -120,10 +124,18 @@
 
   /** Returns the best of some endpoints that have a free slot. */
   Optional<EndpointRecord> withFreeSlot(
-      List<EndpointRecord> candidates, String dataCentre, Instant now) {
+      List<EndpointRecord> candidates, SlotRequest request, Instant now) {
     return candidates.stream()
         .filter(endpoint -> inUse(endpoint, now) < endpoint.slots())
-        .min(settings.placement().order(dataCentre, endpoint -> inUse(endpoint, now)));
+        .min(order(request, now));
+  }
+
+  private Comparator<EndpointRecord> order(SlotRequest request, Instant now) {
+    return settings
+        .placement()
+        .order(request.dataCentre(), endpoint -> inUse(endpoint, now))
+        .thenComparing(connections.order(request.key().holder()))
+        .thenComparing(EndpointRecord::id);
   }
 
   /** Returns those of some endpoints that a data centre prefers. */
