Look at a chat's answer before its meter, and wait for the meter

Cause: the figure is counted late, the chat is not refused. OnlineDecisions.succeeded hands the counting to the thread that decides, and the answer does not wait for it: metrics never block an answer.

So the test was wrong to look once, and weak in that it took any text with the meter's name after any answer. It now asks that the chat was served (200) and that exactly one request of this fresh instance is counted, within 5 s.

--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/EntryProcessTest.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/EntryProcessTest.java
@@ -5,9 +5,12 @@
 
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import java.util.List;
+import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.IntStream;
+import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -24,6 +27,12 @@
           + "[{\"role\":\"system\",\"content\":\"You brief waiters.\"},"
           + "{\"role\":\"user\",\"content\":\"Which shoes?\"}]%s}";
 
+  private static final Pattern COUNT =
+      Pattern.compile("(?m)^hawthornlb_request_seconds_count\\S* (\\d+)");
+
+  /** Figures are counted by one thread, which a busy machine holds up. */
+  private static final Duration COUNTED_WITHIN = Duration.ofSeconds(5);
+
   private TestFleet fleet;
   private EntryProcess entry;
 
@@ -110,10 +119,20 @@
     assertEquals(401, fleet.send(request).statusCode());
   }
 
+  /**
+   * The meters lacked a chat right after its answer: no answer waits for a figure to be counted.
+   */
   @Test
   void listsModelsAndMeters() {
     assertTrue(fleet.send(TestFleet.get(entry, "/v1/models")).body().contains("brief-llm"));
-    fleet.send(TestFleet.chat(entry, ASK.formatted("")));
-    assertTrue(fleet.send(TestFleet.get(entry, "/metrics")).body().contains("hawthornlb_request"));
+    HttpResponse<String> answer = fleet.send(TestFleet.chat(entry, ASK.formatted("")));
+    assertEquals(200, answer.statusCode(), answer.body());
+    Awaitility.await().atMost(COUNTED_WITHIN).until(() -> countedChats() == 1);
+  }
+
+  private int countedChats() {
+    String meters = fleet.send(TestFleet.get(entry, "/metrics")).body();
+    Matcher count = COUNT.matcher(meters);
+    return count.find() ? Integer.parseInt(count.group(1)) : 0;
   }
 }
