--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobDeskTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobDeskTest.java
@@ -2,13 +2,16 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.hawthornlb.gateway.SilentEventLog;
 import io.hawthornlb.gateway.VirtualLoop;
 import io.hawthornlb.gateway.front.FrontRequest;
+import io.hawthornlb.gateway.http.HttpCallException;
 import io.hawthornlb.gateway.http.HttpReply;
 import io.hawthornlb.gateway.store.LogStore.AppendCall;
+import io.hawthornlb.gateway.store.StoreException;
 import io.hawthornlb.gateway.store.support.InMemoryLogStore;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -18,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import org.junit.jupiter.api.Test;
 
 class JobDeskTest {
@@ -26,7 +30,7 @@
   private static final HttpReply PAGE = new HttpReply(200, "page".getBytes());
 
   private final VirtualLoop time = new VirtualLoop();
-  private final InMemoryLogStore store = new InMemoryLogStore(time.loop(), 1);
+  private final RefusingStore store = new RefusingStore(time);
   private final JobReplicas replicas = new JobReplicas(store, 1, time.loop());
   private final ScriptedJobPeers peers = new ScriptedJobPeers("g1");
   private final Map<Integer, String> owners = new HashMap<>();
@@ -165,6 +169,64 @@
     assertEquals(List.of(), peers.asked());
   }
 
+  /**
+   * A caller hears that its job was not ended, and it was: the holder that had ended it fell
+   * silent.
+   */
+  @Test
+  void promisesNothingOfAnEndThatASilentHolderMayHaveMade() {
+    owners.put(0, "g7");
+    store.append(new AppendCall(JobReplicas.TOPIC, 0, JobRecords.accepted(job()), null));
+    store.refuse();
+    RecordingResponder answer = handle(desk(new JobCall.End("j")));
+    time.advance(Duration.ofMillis(3_500));
+    assertEquals(502, answer.status());
+    assertNull(answer.retryAfter());
+  }
+
+  /** The same where the deputy, which was asked next, refuses. */
+  @Test
+  void passesOnNoPromiseOfADeputyBehindASilentHolder() {
+    owners.put(0, "g7");
+    peers.setDeputy("g3");
+    peers.answers("g3", new HttpReply(503, Map.of("Retry-After", "0.40"), new byte[0]));
+    RecordingResponder answer = handle(desk(new JobCall.End("j")));
+    assertEquals(502, answer.status());
+  }
+
+  @Test
+  void saysThatAnEndWasNotMadeIfTheHolderWasNotReached() {
+    owners.put(0, "g7");
+    peers.fails("g7", new HttpCallException("no link", true));
+    store.append(new AppendCall(JobReplicas.TOPIC, 0, JobRecords.accepted(job()), null));
+    store.refuse();
+    RecordingResponder answer = handle(desk(new JobCall.End("j")));
+    time.advance(Duration.ofMillis(3_500));
+    assertEquals(503, answer.status());
+  }
+
+  /** Log that refuses appends once it is told to. */
+  private static final class RefusingStore extends InMemoryLogStore {
+
+    private boolean refuses;
+
+    private RefusingStore(VirtualLoop time) {
+      super(time.loop(), 1);
+    }
+
+    private void refuse() {
+      refuses = true;
+    }
+
+    @Override
+    public CompletionStage<Appended> append(AppendCall call) {
+      return refuses
+          ? CompletableFuture.failedFuture(
+              new StoreException(StoreException.Kind.NOT_DONE, "as told"))
+          : super.append(call);
+    }
+  }
+
   private static Job job() {
     return new Job(
         "j", "h", Instant.EPOCH, List.of(new JobItem("i1", "/p", Map.of(), new byte[0])));
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/ScriptedJobPeers.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/ScriptedJobPeers.java
@@ -17,6 +17,7 @@
 
   private final String self;
   private final Map<String, HttpReply> replies = new HashMap<>();
+  private final Map<String, RuntimeException> failures = new HashMap<>();
   private final List<String> asked = new ArrayList<>();
   private @Nullable String deputy;
 
@@ -28,6 +29,10 @@
     replies.put(name, reply);
   }
 
+  void fails(String name, RuntimeException failure) {
+    failures.put(name, failure);
+  }
+
   void setDeputy(String name) {
     deputy = name;
   }
@@ -61,8 +66,10 @@
   public CompletionStage<HttpReply> ask(String name, FrontRequest request, Duration patience) {
     asked.add(name);
     HttpReply reply = replies.get(name);
-    return reply == null
-        ? CompletableFuture.failedFuture(new IllegalStateException(name + " does not answer"))
-        : CompletableFuture.completedFuture(reply);
+    if (reply != null) {
+      return CompletableFuture.completedFuture(reply);
+    }
+    RuntimeException silence = new IllegalStateException(name + " does not answer");
+    return CompletableFuture.failedFuture(failures.getOrDefault(name, silence));
   }
 }
