Add a failing test of a late count of failed runs

A holder that is fenced leaves its counts of failed runs without its epoch, under the key that the next holder writes, too. A lower one that comes late replaces the higher one, and whoever loads the newest records runs an item more often than its route allows (2 expected, 1 found).

--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobTableTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobTableTest.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeMap;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
@@ -190,6 +191,24 @@
     assertEquals(2 * count - 1, job.progress("i1").text().length());
   }
 
+  /**
+   * An item that can never be done runs more often than the route allows: a former holder's lower
+   * count of its failed runs came late and replaced the holder's.
+   */
+  @Test
+  void keepsTheHighestCountOfFailedRunsThoughALowerOneComesLate() {
+    List<KeyedRecord> log = new ArrayList<>(JobRecords.accepted(job(10)));
+    KeyedRecord late = JobRecords.failures("j", new JobRecords.Failures("i1", 1));
+    log.add(JobRecords.failures("j", new JobRecords.Failures("i1", 1)));
+    log.add(JobRecords.failures("j", new JobRecords.Failures("i1", 2)));
+    log.add(late);
+    Map<String, KeyedRecord> newest = new TreeMap<>();
+    log.forEach(record -> newest.put(record.key(), record));
+    JobTable loaded = new JobTable();
+    newest.values().forEach(loaded::take);
+    assertEquals(2, loaded.find("j").orElseThrow().failures("i1"));
+  }
+
   @Test
   void dropsAJobWhoseRecordsAreDropped() {
     JobTable table = new JobTable();
