Keep counts of failed runs by holder, so that a late one replaces none

An item that can never be done could run more often than its route allows: counts of failed runs had one key for all holders, and a former holder's lower one that came late replaced the holder's. No report of it is known. The key holds the writer's epoch now (kind n); the highest count of all counts, as before. Records of former versions (kind f) still count; a former version reports the new ones as unreadable and passes over them, so that an item may run a few times more during a rolling update.

What two holders count at the same time is still not added up: each begins with what it loaded, and the higher one counts. That errs on the side of one run more.

JobTableTest.keepsTheHighestCountOfFailedRunsThoughALowerOneComesLate failed (2 expected, 1 found) and passes.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRecords.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRecords.java
@@ -37,12 +37,24 @@
   /** Progress as former versions wrote it: it does not say what it extends, so nothing joins it. */
   private static final String FORMER_PROGRESS = "p";
 
-  private static final String FAILURES = "f";
+  private static final String FAILURES = "n";
+
+  /** Counts as former versions wrote them: one key for those of all holders. */
+  private static final String FORMER_FAILURES = "f";
+
   private static final String OFFER = "o";
 
   /** Fields of a key of each kind. */
   private static final Map<String, Integer> FIELDS =
-      Map.of(PART, 3, RESULT, 3, END, 2, PROGRESS, 5, FORMER_PROGRESS, 4, FAILURES, 3, OFFER, 3);
+      Map.ofEntries(
+          Map.entry(PART, 3),
+          Map.entry(RESULT, 3),
+          Map.entry(END, 2),
+          Map.entry(PROGRESS, 5),
+          Map.entry(FORMER_PROGRESS, 4),
+          Map.entry(FAILURES, 4),
+          Map.entry(FORMER_FAILURES, 3),
+          Map.entry(OFFER, 3));
 
   /** Longest id of a job or an item; keys of the log hold 255 bytes, with two ids and a place. */
   static final int MAX_ID = 100;
@@ -99,7 +111,7 @@
     }
 
     boolean failures() {
-      return kind.equals(FAILURES);
+      return kind.equals(FAILURES) || kind.equals(FORMER_FAILURES);
     }
   }
 
@@ -139,6 +151,9 @@
     int number = numbered ? (int) number(fields[2], MAX_DIGITS) : 0;
     boolean ofItem = !numbered && expected > 2;
     String itemId = ofItem ? HttpText.id("key", fields[2], MAX_ID) : "";
+    if (fields[0].equals(FAILURES)) {
+      number(fields[3], MAX_LONG_DIGITS);
+    }
     ProgressLink start = fields[0].equals(PROGRESS) ? start(fields) : ProgressLink.START;
     return new Key(fields[0], jobId, itemId, number, start);
   }
@@ -271,8 +286,10 @@
     return new ProgressLink(event, epoch);
   }
 
-  static KeyedRecord failures(String jobId, Failures failures) {
-    String key = String.join(String.valueOf(SEPARATOR), FAILURES, jobId, failures.itemId());
+  /** Returns a record that replaces no other holder's, since a late one may hold a lower count. */
+  static KeyedRecord failures(String jobId, Failures failures, long epoch) {
+    String holder = String.valueOf(epoch);
+    String key = String.join(String.valueOf(SEPARATOR), FAILURES, jobId, failures.itemId(), holder);
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       packer.packString(failures.itemId()).packInt(failures.count());
       return new KeyedRecord(key, packer.toByteArray());
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -235,7 +235,8 @@
 
     @Override
     public void failed(JobItem item, int count) {
-      waiting.add(JobRecords.failures(job.id(), new JobRecords.Failures(item.id(), count)));
+      JobRecords.Failures failures = new JobRecords.Failures(item.id(), count);
+      waiting.add(JobRecords.failures(job.id(), failures, epoch));
       write();
     }
   }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/ForeignJobRecordsTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/ForeignJobRecordsTest.java
@@ -26,7 +26,8 @@
 
   private static final ProgressLink END = new ProgressLink(2, 1);
   private static final byte[] NOISE = {(byte) 0xff, 0, 7};
-  private static final List<String> KINDS = List.of("a", "r", "e", "g", "p", "f", "o", "x", "");
+  private static final List<String> KINDS =
+      List.of("a", "r", "e", "g", "p", "n", "f", "o", "x", "");
   private static final List<String> TAILS =
       List.of(
           "",
@@ -157,8 +158,9 @@
   @Test
   void aRecordWhoseItemDiffersFromItsKeyIsNone() {
     JobRecords.accepted(job("j")).forEach(table::take);
-    KeyedRecord failures = JobRecords.failures("j", new JobRecords.Failures("i2", 9));
+    KeyedRecord failures = JobRecords.failures("j", new JobRecords.Failures("i2", 9), 1);
     table.take(new KeyedRecord("f/j/i1", failures.value()));
+    table.take(new KeyedRecord("n/j/i1/1", failures.value()));
     assertEquals(0, table.find("j").orElseThrow().failures("i2"));
     assertEquals(0, table.find("j").orElseThrow().failures("i1"));
   }
@@ -179,7 +181,7 @@
     records.add(JobRecords.result(jobId, 0, new JobResult("i1", true, "one")));
     records.add(
         JobRecords.gained(jobId, new JobRecords.Gained("i2", ProgressLink.START, END, "two")));
-    records.add(JobRecords.failures(jobId, new JobRecords.Failures("i2", 3)));
+    records.add(JobRecords.failures(jobId, new JobRecords.Failures("i2", 3), 1));
     records.add(JobRecords.end(jobId));
     return records;
   }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobTableTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobTableTest.java
@@ -198,15 +198,17 @@
   @Test
   void keepsTheHighestCountOfFailedRunsThoughALowerOneComesLate() {
     List<KeyedRecord> log = new ArrayList<>(JobRecords.accepted(job(10)));
-    KeyedRecord late = JobRecords.failures("j", new JobRecords.Failures("i1", 1));
-    log.add(JobRecords.failures("j", new JobRecords.Failures("i1", 1)));
-    log.add(JobRecords.failures("j", new JobRecords.Failures("i1", 2)));
+    KeyedRecord late = JobRecords.failures("j", new JobRecords.Failures("i1", 1), 1);
+    log.add(JobRecords.failures("j", new JobRecords.Failures("i1", 1), 2));
+    log.add(JobRecords.failures("j", new JobRecords.Failures("i1", 2), 2));
     log.add(late);
     Map<String, KeyedRecord> newest = new TreeMap<>();
     log.forEach(record -> newest.put(record.key(), record));
     JobTable loaded = new JobTable();
     newest.values().forEach(loaded::take);
     assertEquals(2, loaded.find("j").orElseThrow().failures("i1"));
+    loaded.take(new KeyedRecord("f/j/i1", late.value()));
+    assertEquals(2, loaded.find("j").orElseThrow().failures("i1"));
   }
 
   @Test
