Promise nothing of an end that a silent holder may have made

Cause: JobDesk has the holder of a job write its end, and turns to the deputy or the log itself if the holder does not answer. What the last one of them said was passed on: a 503 of a second instance, which knows nothing of the first one's try, promised that the job was not ended.

Now a call that a peer may have carried out (it was sent, and no answer came) gets 502 where later ones are refused; one that was surely not sent still gets 503. Reads stay as they are. Submissions never take this way.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobDesk.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobDesk.java
@@ -4,6 +4,7 @@
 import io.hawthornlb.gateway.front.FrontRequest;
 import io.hawthornlb.gateway.front.JobRequestHandler;
 import io.hawthornlb.gateway.front.Responder;
+import io.hawthornlb.gateway.http.HttpCallException;
 import io.hawthornlb.gateway.http.HttpReply;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -15,6 +16,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -210,8 +212,8 @@
     private final JobCall call;
     private final int partition;
     private final FrontRequest request;
-    private final Responder responder;
     private final Deque<String> tried = new ArrayDeque<>();
+    private Responder responder;
 
     private Question(JobCall call, int partition, FrontRequest request, Responder responder) {
       this.call = call;
@@ -286,6 +288,7 @@
                 if (failure == null) {
                   send(name, reply);
                 } else {
+                  unanswered(failure);
                   holders.doubt(partition, name);
                   log.important("job", "holder.silent")
                       .with("id", call.jobId())
@@ -299,6 +302,21 @@
               executor);
     }
 
+    /**
+     * Takes that whoever was asked may have carried the call out.
+     *
+     * <p>Failure: a holder writes the end of a job and falls silent, and whoever is asked next is
+     * refused by the store. It would show as a job that ended though its caller was told that it
+     * did not. Guard: after such a call no answer promises anything.
+     */
+    private void unanswered(Throwable failure) {
+      Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+      boolean unsent = cause instanceof HttpCallException made && made.unsent();
+      if (call instanceof JobCall.End && !unsent) {
+        responder = new UnpromisingResponder(responder);
+      }
+    }
+
     private Duration patience() {
       if (call instanceof JobCall.Read read) {
         return read.waitTime().plus(ANSWER_TIME);
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/UnpromisingResponder.java
@@ -0,0 +1,67 @@
+package io.hawthornlb.gateway.job;
+
+import io.hawthornlb.gateway.front.Responder;
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.time.Duration;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/** Answers a caller whose call may have been carried out: no answer says that it was not. */
+final class UnpromisingResponder implements Responder {
+
+  /** Statuses that promise that a call was not carried out and never will be. */
+  private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+
+  private static final int FAILED = 502;
+
+  private final Responder caller;
+
+  UnpromisingResponder(Responder caller) {
+    this.caller = caller;
+  }
+
+  @Override
+  public void whole(int status, HttpHeaders headers, byte[] body) {
+    if (PROMISES.contains(status)) {
+      caller.whole(FAILED, new DefaultHttpHeaders(), new byte[0]);
+    } else {
+      caller.whole(status, headers, body);
+    }
+  }
+
+  @Override
+  public void own(int status, @Nullable Duration retryAfter) {
+    if (PROMISES.contains(status)) {
+      caller.own(FAILED, null);
+    } else {
+      caller.own(status, retryAfter);
+    }
+  }
+
+  @Override
+  public void head(int status, HttpHeaders headers) {
+    caller.head(status, headers);
+  }
+
+  @Override
+  public void part(ByteBuf content) {
+    caller.part(content);
+  }
+
+  @Override
+  public void end() {
+    caller.end();
+  }
+
+  @Override
+  public void breakOff() {
+    caller.breakOff();
+  }
+
+  @Override
+  public boolean congested() {
+    return caller.congested();
+  }
+}
