--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ForwardingFailureTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ForwardingFailureTest.java
@@ -208,6 +208,17 @@
    * A caller misses an event, or reads one twice, after an endpoint broke off in the middle of an
    * event and another one went on.
    */
+  /** A caller heard that its request never runs from an endpoint that had run it. */
+  @ParameterizedTest
+  @ValueSource(ints = {408, 429, 503})
+  void passesOnNoPromiseWithoutTheMarkOfARequestThatDidNotRun(int status) throws IOException {
+    String unmarked = HEAD.replace("200 OK", status + " Busy") + "Content-Length: 0\r\n\r\n";
+    first.then(unmarked, KEEP);
+    Answer answer = gateway.route(RouteKind.ONCE, 1, false, first).call("/a/", "x");
+    assertEquals(502, answer.status());
+    assertFalse(answer.head().contains("Test-Signature"), answer.head());
+  }
+
   @Test
   void resumesAStreamAfterTheLastWholeEvent() throws IOException {
     first.then(CHUNKED + chunk("id: 1\ndata: a\n\nid: 2\nda"), RESET);
