Pass on no promise of an endpoint that does not say that it did not run the request

Cause: AnswerRelay passed an endpoint's 408, 429 or 503 on as it came, also without the header by which endpoints say that they did not run a request.

Looked at beside it, by reading, without a fault: Forwarding.outOfTime and processEnds (a call that is under way counts as one that may have run), AttemptRules (a single run rules REFUSE out), PooledCall.notSent (only from a connect that failed), EndpointPool.giveUpCalls.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
@@ -135,7 +135,8 @@
     int status = answer.status().code();
     switch (mode) {
       case NOT_RUN -> forwarding.notRun(status);
-      case UNUSABLE -> forwarding.broken(true, "the answer bears no proof");
+      case UNUSABLE ->
+          forwarding.broken(true, "the answer bears no proof, or promises without one");
       case EVENTS -> endEvents(answer);
       case PASSED -> {
         responder.end();
@@ -169,7 +170,8 @@
     if (success && (!proven || headers.contains(HttpHeaderNames.CONTENT_ENCODING))) {
       return Mode.UNUSABLE;
     }
-    if (headSent && !success) {
+    if (Promises.madeBy(status) || (headSent && !success)) {
+      // An endpoint that did not run a request says so by a header of its own.
       return Mode.UNUSABLE;
     }
     if (status >= 500 && forwarding.mayRetryFailure()) {
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Promises.java
@@ -0,0 +1,16 @@
+package io.hawthornlb.gateway.front;
+
+import java.util.Set;
+
+/** Statuses by which a caller is told that its request has not run and never will. */
+public final class Promises {
+
+  private static final Set<Integer> STATUSES = Set.of(408, 421, 429, 503);
+
+  private Promises() {}
+
+  /** Returns whether a status makes the promise; only who can prove it may answer with it. */
+  public static boolean madeBy(int status) {
+    return STATUSES.contains(status);
+  }
+}
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/UnpromisingResponder.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/UnpromisingResponder.java
@@ -1,19 +1,16 @@
 package io.hawthornlb.gateway.job;
 
+import io.hawthornlb.gateway.front.Promises;
 import io.hawthornlb.gateway.front.Responder;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
-import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /** Answers a caller whose call may have been carried out: no answer says that it was not. */
 final class UnpromisingResponder implements Responder {
 
-  /** Statuses that promise that a call was not carried out and never will be. */
-  private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
-
   private static final int FAILED = 502;
 
   private final Responder caller;
@@ -24,7 +21,7 @@
 
   @Override
   public void whole(int status, HttpHeaders headers, byte[] body) {
-    if (PROMISES.contains(status)) {
+    if (Promises.madeBy(status)) {
       caller.whole(FAILED, new DefaultHttpHeaders(), new byte[0]);
     } else {
       caller.whole(status, headers, body);
@@ -33,7 +30,7 @@
 
   @Override
   public void own(int status, @Nullable Duration retryAfter) {
-    if (PROMISES.contains(status)) {
+    if (Promises.madeBy(status)) {
       caller.own(FAILED, null);
     } else {
       caller.own(status, retryAfter);
