--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/metric/TrafficLog.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/metric/TrafficLog.java
@@ -11,7 +11,7 @@
 public final class TrafficLog {
 
   private static final List<String> NAMES =
-      List.of("connections.", "store.calls", "store.reads.", "datagrams.", "requests.answered");
+      List.of("connections.", "store.calls", "store.reads.", "datagrams.");
 
   private final GatewayMetrics metrics;
   private final EventLog log;
