Look once a second for connections that a holder no longer keeps

The coordinator looked through all of them at each tick, 50 times a second; on a crest of a large fleet there are some thousands (worked out).

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/KeptConnections.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/KeptConnections.java
@@ -22,11 +22,16 @@
   /** Time for which a connection is taken for kept; endpoints that name a time name seconds. */
   private static final Duration KEPT = Duration.ofSeconds(5);
 
+  /** Time between looks for what has rested too long; there are thousands on a crest. */
+  private static final Duration LOOK_EVERY = Duration.ofSeconds(1);
+
   private static final Instant NEVER = Instant.MIN;
 
   /** By holder and endpoint, when the uses ended whose connections no use has taken since. */
   private final Map<String, Map<String, Deque<Instant>>> ends = new HashMap<>();
 
+  private Instant nextLook = Instant.MIN;
+
   /** Takes that a use of a holder has ended with a whole answer. */
   void ended(String holder, String endpoint, Instant now) {
     ends.computeIfAbsent(holder, any -> new HashMap<>())
@@ -53,6 +58,10 @@
 
   /** Forgets what has rested too long; called now and again. */
   void expire(Instant now) {
+    if (now.isBefore(nextLook)) {
+      return;
+    }
+    nextLook = now.plus(LOOK_EVERY);
     Instant before = now.minus(KEPT);
     for (Map<String, Deque<Instant>> ofHolder : ends.values()) {
       ofHolder.values().forEach(atEndpoint -> atEndpoint.removeIf(before::isAfter));
