--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/loop/WorkKind.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/loop/WorkKind.java
@@ -4,6 +4,8 @@
 public enum WorkKind {
   /** Selecting, and waiting for events. */
   SELECT("select"),
+  /** Resting, so that events gather. */
+  REST("rest"),
   /** Taking connections. */
   ACCEPT("accept"),
   /** Connections that open. */
