--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -134,9 +134,7 @@
     caller.onRegained(follow(store, formats.endpointTopic(), wait, endpoints)::readNow);
     caller.onRegained(
         follow(store, InstanceSource.TOPIC, KeyedFollower.UNHURRIED, instances)::readNow);
-    traffic = new TrafficLog(metrics, log);
-    loop.scheduleAtFixedRate(
-        traffic::write, COUNTS_EVERY.toMillis(), COUNTS_EVERY.toMillis(), TimeUnit.MILLISECONDS);
+    traffic = startedTrafficLog();
     instances.announce();
     loop.execute(jobs::start);
     report = new WorkReport(loop, new ThreadTimes(), log);
@@ -157,6 +155,14 @@
     }
   }
 
+  /** Returns a log of counts that writes a line from time to time. */
+  private TrafficLog startedTrafficLog() {
+    TrafficLog counts = new TrafficLog(metrics, log);
+    long every = COUNTS_EVERY.toMillis();
+    loop.scheduleAtFixedRate(counts::write, every, every, TimeUnit.MILLISECONDS);
+    return counts;
+  }
+
   /** Returns what calls the store, by peers if need be. */
   private RelayingHttpCaller relaying(HttpCaller direct, RelayTransport links, FleetView fleet) {
     return new RelayingHttpCaller(
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobServiceTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobServiceTest.java
@@ -73,6 +73,17 @@
     assertNull(answer.retryAfter());
   }
 
+  /** Guards against a store that answers errors and gets each job once a round trip. */
+  @Test
+  void pausesBetweenAppendsThatAreAnsweredByErrors() {
+    store.appendFailures.addAll(Collections.nCopies(1_000, StoreException.Kind.UNKNOWN));
+    RecordingResponder answer = handle(new JobCall.Submit("j", ITEMS));
+    time.advance(Duration.ofMillis(3_500));
+    assertEquals(502, answer.status());
+    int appends = 1_000 - store.appendFailures.size();
+    assertTrue(appends <= 17, appends + " appends in 3 s");
+  }
+
   /**
    * A buyer's reports are refused although the store is back two seconds later. The gateway refused
    * them at once, the caller came back while the store was still away, and that was its last try.
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PartitionRunnerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PartitionRunnerTest.java
@@ -32,6 +32,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
@@ -101,6 +102,38 @@
     assertEquals(MAX_ATTEMPTS, endpoint.requests().size());
   }
 
+  /**
+   * Guards against an item that is given up after one failure, as its route is gone for a moment.
+   */
+  @Test
+  void givesUpNoItemWhileItsRouteIsGone() {
+    CountDownLatch routeGone = new CountDownLatch(1);
+    String done =
+        "HTTP/1.1 200 OK\r\nTest-Id: {id}\r\nTest-Signature: s\r\n"
+            + "Content-Length: 15\r\n\r\nid: 1\ndata: a\n\n";
+    String head = "HTTP/1.1 500 Failed\r\nTest-Id: {id}\r\n";
+    String rest = "Test-Signature: s\r\nContent-Length: 0\r\n\r\n";
+    endpoint.then(head, routeGone, rest, After.KEEP).then(done, After.KEEP);
+    Route route = config.current().orElseThrow().match("h", "/jobs/1").orElseThrow();
+    JobItem item = new JobItem("i1", "/jobs/1", Map.of(), new byte[0]);
+    Job job = new Job("j", "h", InstantSource.system().instant(), List.of(item));
+    store.append(new AppendCall(JobReplicas.TOPIC, 0, JobRecords.accepted(job), null));
+    JobReplica replica = new JobReplica(store, JobReplicas.TOPIC, 0, new LoadGate(), loop);
+    runner(replica, 1);
+    await().until(() -> endpoint.requests().size() == 1);
+    offer(2, List.of());
+    routeGone.countDown();
+    await().until(() -> failures(replica) == 1 || page(replica).size() == 1);
+    offer(3, List.of(route));
+    await().until(() -> page(replica).size() == 1);
+    assertEquals(new JobResult("i1", true, "a"), page(replica).get(0));
+  }
+
+  private void offer(long version, List<Route> routes) {
+    RoutingConfig next = new RoutingConfig(version, routes, CallerLimits.DEFAULT);
+    loop.submit(() -> config.offer(next)).syncUninterruptibly();
+  }
+
   /**
    * A result that a caller has read stands elsewhere later: another writer had destroyed the record
    * before it, and the holder gave the positions behind the gap out again.
