Pause before a job is appended again, unless the last try took long

Cause: an append whose outcome is unknown was repeated at once, which took for granted that it had been silent for 0.9 s. An error of the store is unknown as well, and comes in milliseconds.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobService.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobService.java
@@ -38,7 +38,7 @@
   /** When to come back if the store cannot be asked. */
   private static final Duration STORE_RETRY = Duration.ofMillis(400);
 
-  /** Pause before an append that was refused is tried again. */
+  /** Pause before an append that was answered is tried again. */
   private static final Duration REPEAT = Duration.ofMillis(200);
 
   /** Wait for a result that is worth another call to the store. */
@@ -150,18 +150,20 @@
    */
   private void appendFailed(Throwable failure, Write write, Instant began) {
     boolean notDone = kind(failure) == StoreException.Kind.NOT_DONE;
+    Duration took = Duration.between(began, clock.instant());
     Write next = notDone ? write : write.afterNoAnswer();
     log.important("job", "append.failed")
         .with("id", write.jobId())
         .with("done", notDone ? "no" : "unknown")
         .with("earlierTries", write.perhapsDone() ? "unknown" : "no")
-        .with("tryMillis", Duration.between(began, clock.instant()).toMillis())
+        .with("tryMillis", took.toMillis())
         .with("millis", write.millis(clock.instant()))
         .with("cause", failure.getMessage())
         .write();
     if (clock.instant().isBefore(write.arrived().plus(APPEND_TIME))) {
-      long millis = notDone ? REPEAT.toMillis() : 0;
-      executor.schedule(() -> append(next), millis, TimeUnit.MILLISECONDS);
+      // What took long needs no pause besides.
+      Duration pause = notDone || took.compareTo(REPEAT) < 0 ? REPEAT : Duration.ZERO;
+      executor.schedule(() -> append(next), pause.toMillis(), TimeUnit.MILLISECONDS);
     } else if (next.perhapsDone()) {
       // It may have been written, or may still be: no promise.
       notWritten(write, 502, null);
