Give no item up for its attempts while its route is gone

Callers would see a report given up after one failure, if a change of the configuration took its route away for a moment: the attempts of no route counted as one.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -266,7 +266,8 @@
 
   private void failedWith(int status) {
     failures += status == 500 ? 1 : 0;
-    int maxAttempts = route().map(Route::maxAttempts).orElse(1);
+    // A route that is gone for now may come back, and allow more.
+    int maxAttempts = route().map(Route::maxAttempts).orElse(Integer.MAX_VALUE);
     end(SlotOutcome.ANSWERED);
     parts.metrics().count("items.failed", String.valueOf(status));
     line("item.failed").with("status", status).with("failures", failures).write();
