Take back near requests among those that came together

Hypothesis: a new connection for every second request is a main part of the processor time. Lookups refused while their coordinator woke from a freeze are not explained and may or may not be due to it.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -47,12 +47,10 @@
   private final OverloadSpell spell = new OverloadSpell();
   private final ForeignLoad foreign = new ForeignLoad();
   private final WaitEstimate estimate = new WaitEstimate();
-  private final KeptConnections connections = new KeptConnections();
   private final SlotLeases leases;
   private final WaitingRequests waiting = new WaitingRequests();
   private final LateItems lateItems;
   private final SlotSearch search;
-  private final NearestWaiter nearestWaiter;
 
   /**
    * Creates a coordinator of a service.
@@ -70,9 +68,7 @@
     this.leases = new SlotLeases(directory);
     this.lateItems = new LateItems(leases, waiting);
     this.search =
-        new SlotSearch(
-            service, directory, settings, leases, penalties, outliers, foreign, connections);
-    this.nearestWaiter = new NearestWaiter(waiting, settings.placement(), connections);
+        new SlotSearch(service, directory, settings, leases, penalties, outliers, foreign);
     directory.onNewLife(this::begun);
   }
 
@@ -114,9 +110,6 @@
           lease.endpoint(), lease.endpointDataCentre(), lease.dataCentre(), outcome, now);
       outliers.ended(lease, outcome, now);
     }
-    if (outcome == SlotOutcome.ANSWERED && leases.counts(lease)) {
-      connections.ended(key.holder(), lease.endpoint(), now);
-    }
     if (outcome == SlotOutcome.FAILED && lease.fingerprint() != 0) {
       crashed(lease.fingerprint(), now);
     }
@@ -179,7 +172,6 @@
   public List<SlotAnswer> tick(Instant now) {
     Instant silentSince = now.minus(settings.leaseTime());
     leases.dropAll(lease -> lease.renewed().isBefore(silentSince));
-    connections.expire(now);
     if (settings.lateItemsLast()) {
       lateItems.look(now);
     }
@@ -265,7 +257,6 @@
    */
   private List<SlotAnswer> fill(Instant now) {
     List<SlotAnswer> answers = new ArrayList<>();
-    fillOnline(now, answers);
     Set<Search> failed = new HashSet<>();
     Iterator<Waiter> next = waiting.inOrder();
     while (next.hasNext() && !exhausted(now)) {
@@ -287,26 +278,6 @@
     return answers;
   }
 
-  /** Hands free slots to online requests, to near ones among those that came together. */
-  private void fillOnline(Instant now, List<SlotAnswer> answers) {
-    for (Waiter first = waiting.firstOnline(); first != null; first = waiting.firstOnline()) {
-      EndpointRecord free = search.anyFree(now) ? freeFor(first.request(), now) : null;
-      if (free == null) {
-        return;
-      }
-      Waiter nearest = nearestWaiter.orNearer(first, free);
-      Waiter next = search.suits(nearest.request(), free, now) ? nearest : first;
-      grant(next.request(), free, now, answers);
-      waiting.remove(next.request().key());
-    }
-  }
-
-  private @Nullable EndpointRecord freeFor(SlotRequest request, Instant now) {
-    List<EndpointRecord> candidates = search.candidates(request, now);
-    List<EndpointRecord> sound = search.sound(candidates, request.dataCentre(), now);
-    return search.withFreeSlot(sound, request, now).orElse(null);
-  }
-
   /** Where a slot is looked for; those with an equal one find the same, less what they exclude. */
   private record Search(String dataCentre, boolean batch) {
 
@@ -340,23 +311,17 @@
     if (request.batch() && !search.roomForItem(sound, now)) {
       return false;
     }
-    Optional<EndpointRecord> found = search.withFreeSlot(sound, request, now);
+    Optional<EndpointRecord> found = search.withFreeSlot(sound, from, now);
     if (found.isEmpty() && !request.batch()) {
       found =
           revokeOne(search.preferred(sound, from), answers)
               .or(() -> revokeOne(sound, answers))
-              .or(() -> search.withFreeSlot(candidates, request, now));
+              .or(() -> search.withFreeSlot(candidates, from, now));
     }
     if (found.isEmpty()) {
       return false;
     }
-    grant(request, found.get(), now, answers);
-    return true;
-  }
-
-  private void grant(
-      SlotRequest request, EndpointRecord endpoint, Instant now, List<SlotAnswer> answers) {
-    connections.used(request.key().holder(), endpoint.id());
+    EndpointRecord endpoint = found.get();
     penalties.granted(endpoint, request.dataCentre(), now);
     outliers.granted(endpoint.id(), request.dataCentre(), now);
     leases.hold(
@@ -374,6 +339,7 @@
             now,
             false));
     answers.add(new SlotAnswer.Granted(request.key(), endpoint.life()));
+    return true;
   }
 
   /** Forgets what a former life of an endpoint has made untrue. */
@@ -381,7 +347,6 @@
     penalties.forget(life.id());
     outliers.forget(life.id());
     foreign.forget(life.id());
-    connections.forget(life.id());
     leases.recount();
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/LeastUsedPlacement.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/LeastUsedPlacement.java
@@ -11,7 +11,8 @@
   public Comparator<EndpointRecord> order(String dataCentre, ToIntFunction<EndpointRecord> inUse) {
     return Comparator.comparingDouble(
             (EndpointRecord endpoint) -> (double) inUse.applyAsInt(endpoint) / endpoint.slots())
-        .thenComparing(endpoint -> !endpoint.dataCentre().equals(dataCentre));
+        .thenComparing(endpoint -> !endpoint.dataCentre().equals(dataCentre))
+        .thenComparing(EndpointRecord::id);
   }
 
   @Override
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSearch.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSearch.java
@@ -5,7 +5,6 @@
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.slot.SlotRequest;
 import java.time.Instant;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 
@@ -19,7 +18,6 @@
   private final Penalties penalties;
   private final Outliers outliers;
   private final ForeignLoad foreign;
-  private final KeptConnections connections;
 
   SlotSearch(
       String service,
@@ -28,8 +26,7 @@
       SlotLeases leases,
       Penalties penalties,
       Outliers outliers,
-      ForeignLoad foreign,
-      KeptConnections connections) {
+      ForeignLoad foreign) {
     this.service = service;
     this.directory = directory;
     this.settings = settings;
@@ -37,7 +34,6 @@
     this.penalties = penalties;
     this.outliers = outliers;
     this.foreign = foreign;
-    this.connections = connections;
   }
 
   /** Returns the slots of all endpoints, free or not. */
@@ -101,15 +97,6 @@
         .toList();
   }
 
-  /** Returns whether a request may go to an endpoint that another one may go to. */
-  boolean suits(SlotRequest request, EndpointRecord endpoint, Instant now) {
-    String from = request.dataCentre();
-    return !excluded(request, endpoint)
-        && penalties.free(endpoint, from, now)
-        && !outliers.avoided(endpoint.id(), from, now)
-        && !outliers.failsMost(endpoint.id(), from, now);
-  }
-
   private List<EndpointRecord> reachable(SlotRequest request, Instant now) {
     return directory.usable(service).stream()
         .filter(endpoint -> !excluded(request, endpoint))
@@ -148,18 +135,10 @@
 
   /** Returns the best of some endpoints that have a free slot. */
   Optional<EndpointRecord> withFreeSlot(
-      List<EndpointRecord> candidates, SlotRequest request, Instant now) {
+      List<EndpointRecord> candidates, String dataCentre, Instant now) {
     return candidates.stream()
         .filter(endpoint -> inUse(endpoint, now) < endpoint.slots())
-        .min(order(request, now));
-  }
-
-  private Comparator<EndpointRecord> order(SlotRequest request, Instant now) {
-    return settings
-        .placement()
-        .order(request.dataCentre(), endpoint -> inUse(endpoint, now))
-        .thenComparing(connections.order(request.key().holder()))
-        .thenComparing(EndpointRecord::id);
+        .min(settings.placement().order(dataCentre, endpoint -> inUse(endpoint, now)));
   }
 
   /** Returns those of some endpoints that a data centre prefers. */
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Waiter.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Waiter.java
@@ -28,14 +28,6 @@
           .thenComparing(waiter -> waiter.request().key().holder())
           .thenComparing(waiter -> waiter.request().key().number());
 
-  /** Returns whether another request differs in the order by the time at which it came alone. */
-  boolean alike(Waiter other) {
-    return request.batch() == other.request.batch()
-        && request.rank() == other.request.rank()
-        && late == other.late
-        && returning == other.returning;
-  }
-
   /** Returns the request with another place among the batch items. */
   Waiter withLate(boolean nowLate) {
     return new Waiter(request, returning, nowLate, since, until);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/WaitingRequests.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/WaitingRequests.java
@@ -1,9 +1,7 @@
 package io.hawthornlb.gateway.slot.support;
 
 import io.hawthornlb.gateway.slot.SlotKey;
-import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -39,26 +37,6 @@
     return online;
   }
 
-  /** Returns the online request that gets the next slot; null if none waits. */
-  @Nullable Waiter firstOnline() {
-    return online == 0 ? null : ordered.first();
-  }
-
-  /**
-   * Returns the online requests that come after the first one in the order, rank alike and at most
-   * some time later.
-   */
-  List<Waiter> besides(Waiter first, Duration atMost) {
-    List<Waiter> besides = new ArrayList<>();
-    for (Waiter each : ordered.tailSet(first, false)) {
-      if (!first.alike(each) || each.since().isAfter(first.since().plus(atMost))) {
-        break;
-      }
-      besides.add(each);
-    }
-    return besides;
-  }
-
   /** Returns the number of requests that get a slot before one that is not among them. */
   int before(Waiter waiter) {
     return ordered.headSet(waiter).size();
