Name the statuses that tell a request has not run by what they are

Promises and UnpromisingResponder said what the statuses do to a caller in words of our own; NotRunStatuses and UnknownOutcomeResponder say what they hold. No change of logic; JobDeskTest and ForwardingFailureTest pass.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
@@ -170,7 +170,7 @@
     if (success && (!proven || headers.contains(HttpHeaderNames.CONTENT_ENCODING))) {
       return Mode.UNUSABLE;
     }
-    if (Promises.madeBy(status) || (headSent && !success)) {
+    if (NotRunStatuses.contains(status) || (headSent && !success)) {
       // An endpoint that did not run a request says so by a header of its own.
       return Mode.UNUSABLE;
     }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Promises.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/NotRunStatuses.java
@@ -3,14 +3,14 @@
 import java.util.Set;
 
 /** Statuses by which a caller is told that its request has not run and never will. */
-public final class Promises {
+public final class NotRunStatuses {
 
   private static final Set<Integer> STATUSES = Set.of(408, 421, 429, 503);
 
-  private Promises() {}
+  private NotRunStatuses() {}
 
-  /** Returns whether a status makes the promise; only who can prove it may answer with it. */
-  public static boolean madeBy(int status) {
+  /** Returns whether a status tells that; only who can prove it may answer with it. */
+  public static boolean contains(int status) {
     return STATUSES.contains(status);
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobDesk.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobDesk.java
@@ -313,7 +313,7 @@
       Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
       boolean unsent = cause instanceof HttpCallException made && made.unsent();
       if (call instanceof JobCall.End && !unsent) {
-        responder = new UnpromisingResponder(responder);
+        responder = new UnknownOutcomeResponder(responder);
       }
     }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/UnpromisingResponder.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/UnknownOutcomeResponder.java
@@ -1,6 +1,6 @@
 package io.hawthornlb.gateway.job;
 
-import io.hawthornlb.gateway.front.Promises;
+import io.hawthornlb.gateway.front.NotRunStatuses;
 import io.hawthornlb.gateway.front.Responder;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -9,19 +9,19 @@
 import org.jspecify.annotations.Nullable;
 
 /** Answers a caller whose call may have been carried out: no answer says that it was not. */
-final class UnpromisingResponder implements Responder {
+final class UnknownOutcomeResponder implements Responder {
 
   private static final int FAILED = 502;
 
   private final Responder caller;
 
-  UnpromisingResponder(Responder caller) {
+  UnknownOutcomeResponder(Responder caller) {
     this.caller = caller;
   }
 
   @Override
   public void whole(int status, HttpHeaders headers, byte[] body) {
-    if (Promises.madeBy(status)) {
+    if (NotRunStatuses.contains(status)) {
       caller.whole(FAILED, new DefaultHttpHeaders(), new byte[0]);
     } else {
       caller.whole(status, headers, body);
@@ -30,7 +30,7 @@
 
   @Override
   public void own(int status, @Nullable Duration retryAfter) {
-    if (Promises.madeBy(status)) {
+    if (NotRunStatuses.contains(status)) {
       caller.own(FAILED, null);
     } else {
       caller.own(status, retryAfter);
