Take back the rest of a busy loop

A question is repeated after 25 ms and goes elsewhere after 50 ms; rests of 5 ms at both ends take up to 10 of them, on instances whose answers are slow already.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/loop/WorkKind.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/loop/WorkKind.java
@@ -4,8 +4,6 @@
 public enum WorkKind {
   /** Selecting, and waiting for events. */
   SELECT("select"),
-  /** Resting, so that events gather. */
-  REST("rest"),
   /** Taking connections. */
   ACCEPT("accept"),
   /** Connections that open. */
