Keep how a call was tried in a field of its reply

Cause: the attempts at a call to the store rode in the reply's headers under a name of ours, a special case in a map that is meant for headers of whoever was called; a reply that is passed on would have carried it to others. Change: HttpReply has a field for it, empty where nobody says; the word account is left to the account of processor time. No change of what is logged. RelayingHttpCallerTest.tellsEachWayOfACallThatFailed, PlatformStoreTest and JobServiceTest pass.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/HttpReply.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/HttpReply.java
@@ -9,20 +9,23 @@
  * @param status status code
  * @param headers headers that matter to whoever asked; empty for replies of the store
  * @param body body; may be empty
+ * @param attempts how the call was tried, for whoever logs it; empty if nobody said
  */
-public record HttpReply(int status, Map<String, String> headers, byte[] body) {
+public record HttpReply(int status, Map<String, String> headers, byte[] body, String attempts) {
 
   /** Statuses that promise that nothing was done; any other one leaves it open. */
   private static final Set<Integer> REFUSALS = Set.of(429, 503);
 
-  /** Header under which a reply that does not help carries how the call went. */
-  private static final String ACCOUNT = "hawthornlb-account";
-
   /** Copies the headers. */
   public HttpReply {
     headers = Map.copyOf(headers);
   }
 
+  /** Creates a reply of which nobody says how the call was tried. */
+  public HttpReply(int status, Map<String, String> headers, byte[] body) {
+    this(status, headers, body, "");
+  }
+
   /** Creates a reply without headers. */
   public HttpReply(int status, byte[] body) {
     this(status, Map.of(), body);
@@ -33,13 +36,8 @@
     return REFUSALS.contains(status);
   }
 
-  /** Returns the same reply with how the call went, for whoever logs it. */
-  public HttpReply withAccount(String account) {
-    return new HttpReply(status, Map.of(ACCOUNT, account), body);
-  }
-
-  /** Returns how the call went; the status if nobody said more. */
-  public String account() {
-    return headers.getOrDefault(ACCOUNT, "status " + status);
+  /** Returns the same reply with how the call was tried. */
+  public HttpReply withAttempts(String tried) {
+    return new HttpReply(status, headers, body, tried);
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayingHttpCaller.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayingHttpCaller.java
@@ -136,7 +136,7 @@
     private final CompletableFuture<HttpReply> result = new CompletableFuture<>();
     private @Nullable HttpReply lastReply;
     private Throwable lastFailure = new HttpCallException("No peer reaches the store", true);
-    private final List<String> account = new ArrayList<>();
+    private final List<String> attempts = new ArrayList<>();
     private int asked;
 
     private Attempt(HttpCall call) {
@@ -284,14 +284,14 @@
         String way, @Nullable HttpReply reply, @Nullable Throwable failure, Instant began) {
       long millis = Duration.between(began, clock.instant()).toMillis();
       String done = reply != null || unsent(failure) ? "not done" : "perhaps done";
-      account.add(way + " in " + millis + " ms, " + done + ": " + cause(reply, failure));
+      attempts.add(way + " in " + millis + " ms, " + done + ": " + cause(reply, failure));
     }
 
     private void end() {
-      String told = String.join("; ", account);
+      String told = String.join("; ", attempts);
       if (lastReply != null) {
-        result.complete(lastReply.withAccount(told));
-      } else if (account.isEmpty()) {
+        result.complete(lastReply.withAttempts(told));
+      } else if (attempts.isEmpty()) {
         result.completeExceptionally(lastFailure);
       } else {
         result.completeExceptionally(new HttpCallException(told, unsent(lastFailure)));
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/RelayingHttpCallerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/RelayingHttpCallerTest.java
@@ -273,7 +273,7 @@
     time.advance(StoreReach.PEERS_PAUSE);
     assertEquals(
         "a1 in 0 ms, not done: status 503; a2 in 0 ms, not done: status 503",
-        caller.call(append()).toCompletableFuture().join().account());
+        caller.call(append()).toCompletableFuture().join().attempts());
   }
 
   private CompletionStage<HttpReply> way(String name, Supplier<CompletionStage<HttpReply>> how) {
