Write the lines about a whole process from one place

Cause: the lines of processor time and of traffic each had a schedule and a time of five seconds of their own, one in its class and one in GatewayProcess. Change: PeriodicLines schedules both and writes both at a stop; WorkReport and TrafficLog only write. At a stop both come before the line that it has stopped. WorkReportTest.writesALineEveryFewSeconds asks the same of PeriodicLines with a WorkReport; it, TrafficLogTest and GracefulStopTest pass.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/loop/WorkReport.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/loop/WorkReport.java
@@ -3,14 +3,10 @@
 import io.hawthornlb.gateway.event.EventLine;
 import io.hawthornlb.gateway.event.EventLog;
 import io.netty.channel.EventLoop;
-import java.time.Duration;
-import java.util.concurrent.TimeUnit;
 
-/** Tells the log, every few seconds, what processor time went into since the start. */
+/** Tells the log what processor time went into since the start. */
 public final class WorkReport {
 
-  private static final Duration EVERY = Duration.ofSeconds(5);
-
   private final EventLoop loop;
   private final ThreadTimes threads;
   private final EventLog log;
@@ -22,16 +18,6 @@
     this.log = log;
   }
 
-  /** Writes a line every few seconds from now on. */
-  public void start() {
-    loop.schedule(this::next, EVERY.toMillis(), TimeUnit.MILLISECONDS);
-  }
-
-  private void next() {
-    write();
-    start();
-  }
-
   /** Writes a line; called by the thread of the loop. */
   public void write() {
     EventLine line = log.important("process", "processor.time");
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -2,6 +2,7 @@
 
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.event.EventLog;
+import io.hawthornlb.gateway.event.PeriodicLines;
 import io.hawthornlb.gateway.front.ConfigCheck;
 import io.hawthornlb.gateway.front.ForwardingHandler;
 import io.hawthornlb.gateway.front.FrontServer;
@@ -37,6 +38,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.OptionalInt;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -55,9 +57,6 @@
 
   private static final Duration STOP_POLL = Duration.ofMillis(50);
 
-  /** Time between lines of counts; a process that is killed writes none at its end. */
-  private static final Duration COUNTS_EVERY = Duration.ofSeconds(5);
-
   private final GatewaySettings settings;
   private final EventLoop loop;
   private final InstantSource clock;
@@ -70,8 +69,7 @@
   private final ForwardingHandler handler;
   private final FrontServer front;
   private final JobRunners jobs;
-  private final WorkReport report;
-  private final TrafficLog traffic;
+  private final PeriodicLines lines;
   private boolean stopping;
 
   /** Starts a gateway on an event loop. */
@@ -134,11 +132,10 @@
     caller.onRegained(follow(store, formats.endpointTopic(), wait, endpoints)::readNow);
     caller.onRegained(
         follow(store, InstanceSource.TOPIC, KeyedFollower.UNHURRIED, instances)::readNow);
-    traffic = startedTrafficLog();
     instances.announce();
     loop.execute(jobs::start);
-    report = new WorkReport(loop, new ThreadTimes(), log);
-    report.start();
+    lines = lines();
+    lines.start();
     front.bind(loop, settings.front());
     bindReadiness();
     log.important("process", "started").with("instance", settings.self().name()).write();
@@ -155,12 +152,11 @@
     }
   }
 
-  /** Returns a log of counts that writes a line from time to time. */
-  private TrafficLog startedTrafficLog() {
-    TrafficLog counts = new TrafficLog(metrics, log);
-    long every = COUNTS_EVERY.toMillis();
-    loop.scheduleAtFixedRate(counts::write, every, every, TimeUnit.MILLISECONDS);
-    return counts;
+  /** Returns the lines about processor time and traffic. */
+  private PeriodicLines lines() {
+    WorkReport work = new WorkReport(loop, new ThreadTimes(), log);
+    TrafficLog traffic = new TrafficLog(metrics, log);
+    return new PeriodicLines(loop, List.of(work::write, traffic::write));
   }
 
   /** Returns what calls the store, by peers if need be. */
@@ -245,9 +241,8 @@
     boolean idle = front.active() == 0;
     if ((idle && now.isAfter(earliest)) || now.isAfter(latest)) {
       jobs.stop();
-      report.write();
+      lines.write();
       log.important("process", "stopped").with("active", front.active()).write();
-      traffic.write();
       handler.stopTaking();
       front.end();
       loop.schedule(done::countDown, STOP_POLL.toMillis(), TimeUnit.MILLISECONDS);
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/loop/WorkReportTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/loop/WorkReportTest.java
@@ -5,6 +5,7 @@
 
 import io.hawthornlb.gateway.VirtualLoop;
 import io.hawthornlb.gateway.event.JsonEventLog;
+import io.hawthornlb.gateway.event.PeriodicLines;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -12,6 +13,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.List;
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -59,7 +61,8 @@
   @Test
   void writesALineEveryFewSeconds() throws Exception {
     VirtualLoop virtual = new VirtualLoop();
-    new WorkReport(virtual.loop(), new ThreadTimes(tasks), log).start();
+    WorkReport report = new WorkReport(virtual.loop(), new ThreadTimes(tasks), log);
+    new PeriodicLines(virtual.loop(), List.of(report::write)).start();
     virtual.advance(Duration.ofSeconds(11));
     assertEquals(2, lines(2).length);
   }
