Copy a use of a slot in one place

Cause: three methods of SlotLease each spelled out its twelve fields to change one or two. Change: one private copy with the four that may change.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotLease.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotLease.java
@@ -33,53 +33,35 @@
 
   /** Returns the use as its holder tells it, which knows best at which life it is. */
   SlotLease renewed(EndpointLife told, Instant now) {
-    return new SlotLease(
-        key,
-        told,
-        endpointDataCentre,
-        dataCentre,
-        batch,
-        rank,
-        work,
-        late,
-        fingerprint,
-        since,
-        now,
-        suspected);
+    return with(told, late, now, suspected);
   }
 
   /** Returns the use with another place among the batch items. */
   SlotLease withLate(boolean nowLate) {
-    return new SlotLease(
-        key,
-        life,
-        endpointDataCentre,
-        dataCentre,
-        batch,
-        rank,
-        work,
-        nowLate,
-        fingerprint,
-        since,
-        renewed,
-        suspected);
+    return with(life, nowLate, renewed, suspected);
   }
 
   /** Returns the use as one whose endpoint is silent. */
   SlotLease withSuspicion() {
+    return with(life, late, renewed, true);
+  }
+
+  /** Returns the use with what may change of it. */
+  private SlotLease with(
+      EndpointLife nowLife, boolean nowLate, Instant nowRenewed, boolean nowSuspected) {
     return new SlotLease(
         key,
-        life,
+        nowLife,
         endpointDataCentre,
         dataCentre,
         batch,
         rank,
         work,
-        late,
+        nowLate,
         fingerprint,
         since,
-        renewed,
-        true);
+        nowRenewed,
+        nowSuspected);
   }
 
   /** Returns for how long it still has to run. */
