Give tests of holders one configuration and one directory

Cause: LateProgressTest repeated the route and the endpoint of PartitionRunnerTest line by line. Change: JobFixture makes both; no assertion is touched. Both classes pass.

--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
@@ -2,9 +2,15 @@
 
 import io.hawthornlb.gateway.SilentEventLog;
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
+import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.front.FrontRequest;
 import io.hawthornlb.gateway.metric.GatewayMetrics;
+import io.hawthornlb.gateway.route.CallerLimits;
 import io.hawthornlb.gateway.route.ConfigHolder;
+import io.hawthornlb.gateway.route.Route;
+import io.hawthornlb.gateway.route.RouteKind;
+import io.hawthornlb.gateway.route.RoutingConfig;
+import io.hawthornlb.gateway.route.ServiceShare;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotClient;
 import io.hawthornlb.gateway.slot.SlotKey;
@@ -15,6 +21,7 @@
 import io.hawthornlb.gateway.wire.HeaderNames;
 import io.hawthornlb.gateway.wire.ToldLoad;
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
@@ -38,6 +45,34 @@
 
   private JobFixture() {}
 
+  /** Returns a configuration whose one route takes jobs. */
+  static ConfigHolder config(int maxAttempts) {
+    Route route =
+        new Route(
+            "r",
+            "h",
+            "/jobs/",
+            RouteKind.JOB,
+            Duration.ofSeconds(4),
+            Duration.ofSeconds(1),
+            0,
+            List.of(new ServiceShare("engine", 1)),
+            maxAttempts,
+            false,
+            Duration.ofSeconds(18),
+            Duration.ofSeconds(60));
+    ConfigHolder config = new ConfigHolder();
+    config.offer(new RoutingConfig(1, List.of(route), CallerLimits.DEFAULT));
+    return config;
+  }
+
+  /** Returns a directory of the one endpoint. */
+  static EndpointDirectory directory(InetSocketAddress address) {
+    EndpointDirectory directory = new EndpointDirectory();
+    directory.put(new EndpointRecord(ENDPOINT, "engine", address, "a", 8, false));
+    return directory;
+  }
+
   static JobParts parts(
       LogStore store,
       EventLoop loop,
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/LateProgressTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/LateProgressTest.java
@@ -6,13 +6,7 @@
 import io.hawthornlb.gateway.ScriptedEndpoint;
 import io.hawthornlb.gateway.ScriptedEndpoint.After;
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
-import io.hawthornlb.gateway.endpoint.EndpointRecord;
-import io.hawthornlb.gateway.route.CallerLimits;
 import io.hawthornlb.gateway.route.ConfigHolder;
-import io.hawthornlb.gateway.route.Route;
-import io.hawthornlb.gateway.route.RouteKind;
-import io.hawthornlb.gateway.route.RoutingConfig;
-import io.hawthornlb.gateway.route.ServiceShare;
 import io.hawthornlb.gateway.store.LogStore.AppendCall;
 import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
 import io.hawthornlb.gateway.store.StoreException;
@@ -21,7 +15,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
-import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Map;
@@ -37,6 +30,8 @@
 /** Records of what an item has gained, of a holder that is none any more. */
 class LateProgressTest {
 
+  private static final int MAX_ATTEMPTS = 3;
+
   private static final String HEAD =
       "HTTP/1.1 200 OK\r\nTest-Id: {id}\r\nTest-Signature: s\r\n"
           + "Transfer-Encoding: chunked\r\n\r\n";
@@ -44,28 +39,12 @@
       (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
   private final RefusingLogStore store = new RefusingLogStore(loop);
   private final ScriptedEndpoint endpoint;
-  private final EndpointDirectory directory = new EndpointDirectory();
-  private final ConfigHolder config = new ConfigHolder();
+  private final EndpointDirectory directory;
+  private final ConfigHolder config = JobFixture.config(MAX_ATTEMPTS);
 
   LateProgressTest() throws IOException {
     endpoint = new ScriptedEndpoint();
-    directory.put(
-        new EndpointRecord(JobFixture.ENDPOINT, "engine", endpoint.address(), "a", 8, false));
-    Route route =
-        new Route(
-            "r",
-            "h",
-            "/jobs/",
-            RouteKind.JOB,
-            Duration.ofSeconds(4),
-            Duration.ofSeconds(1),
-            0,
-            List.of(new ServiceShare("engine", 1)),
-            3,
-            false,
-            Duration.ofSeconds(18),
-            Duration.ofSeconds(60));
-    config.offer(new RoutingConfig(1, List.of(route), CallerLimits.DEFAULT));
+    directory = JobFixture.directory(endpoint.address());
     JobItem item = new JobItem("i1", "/jobs/1", Map.of(), new byte[0]);
     Job job = new Job("j", "h", InstantSource.system().instant(), List.of(item));
     store.append(new AppendCall(JobReplicas.TOPIC, 0, JobRecords.accepted(job), null));
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PartitionRunnerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PartitionRunnerTest.java
@@ -8,13 +8,10 @@
 import io.hawthornlb.gateway.ScriptedEndpoint;
 import io.hawthornlb.gateway.ScriptedEndpoint.After;
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
-import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.route.CallerLimits;
 import io.hawthornlb.gateway.route.ConfigHolder;
 import io.hawthornlb.gateway.route.Route;
-import io.hawthornlb.gateway.route.RouteKind;
 import io.hawthornlb.gateway.route.RoutingConfig;
-import io.hawthornlb.gateway.route.ServiceShare;
 import io.hawthornlb.gateway.store.LogStore.AppendCall;
 import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
 import io.hawthornlb.gateway.store.StoreException;
@@ -47,28 +44,12 @@
       (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
   private final AwayLogStore store = new AwayLogStore(loop);
   private final ScriptedEndpoint endpoint;
-  private final EndpointDirectory directory = new EndpointDirectory();
-  private final ConfigHolder config = new ConfigHolder();
+  private final EndpointDirectory directory;
+  private final ConfigHolder config = JobFixture.config(MAX_ATTEMPTS);
 
   PartitionRunnerTest() throws IOException {
     endpoint = new ScriptedEndpoint();
-    directory.put(
-        new EndpointRecord(JobFixture.ENDPOINT, "engine", endpoint.address(), "a", 8, false));
-    Route route =
-        new Route(
-            "r",
-            "h",
-            "/jobs/",
-            RouteKind.JOB,
-            Duration.ofSeconds(4),
-            Duration.ofSeconds(1),
-            0,
-            List.of(new ServiceShare("engine", 1)),
-            MAX_ATTEMPTS,
-            false,
-            Duration.ofSeconds(18),
-            Duration.ofSeconds(60));
-    config.offer(new RoutingConfig(1, List.of(route), CallerLimits.DEFAULT));
+    directory = JobFixture.directory(endpoint.address());
   }
 
   @AfterEach
