Keep no count of an endpoint that is gone

Connections end after their endpoint was forgotten, and each such end made the endpoint known again: the counts grew with each endpoint that was ever there, and the next connection to it counted as opened after 'endpoint gone'. Ends of what is not known change nothing now. ConnectionCountsTest.keepsNothingOfAnEndpointThatWasForgotten failed before (one first connection, two expected) and passes.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/ConnectionCounts.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/ConnectionCounts.java
@@ -4,6 +4,7 @@
 import io.hawthornlb.gateway.metric.GatewayMetrics;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 /** Counts connections to endpoints: how many are opened, and what became of those before. */
 final class ConnectionCounts {
@@ -35,19 +36,19 @@
 
   /** Takes that a request has ended and its connection rests. */
   void kept(EndpointLife endpoint) {
-    use(endpoint).open--;
+    known(endpoint).ifPresent(use -> use.open--);
   }
 
   /** Counts the end of a connection that carried a request until now. */
   void closed(EndpointLife endpoint, ConnectionEnd end) {
-    use(endpoint).open--;
+    known(endpoint).ifPresent(use -> use.open--);
     closedAtRest(endpoint, end);
   }
 
   /** Counts the end of a connection that rested. */
   void closedAtRest(EndpointLife endpoint, ConnectionEnd end) {
     metrics.count(CLOSED, end.label());
-    use(endpoint).lastEnd = end.label();
+    known(endpoint).ifPresent(use -> use.lastEnd = end.label());
   }
 
   /** Forgets an endpoint that is gone. */
@@ -55,6 +56,11 @@
     uses.remove(endpoint);
   }
 
+  /** Returns the use of an endpoint; connections outlast one that was forgotten. */
+  private Optional<Use> known(EndpointLife endpoint) {
+    return Optional.ofNullable(uses.get(endpoint));
+  }
+
   private Use use(EndpointLife endpoint) {
     return uses.computeIfAbsent(endpoint, any -> new Use());
   }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/wire/ConnectionCountsTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/wire/ConnectionCountsTest.java
@@ -48,6 +48,17 @@
     loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
   }
 
+  /** Guards against counts that grow with each endpoint that was ever there. */
+  @Test
+  void keepsNothingOfAnEndpointThatWasForgotten() {
+    ConnectionCounts counts = new ConnectionCounts(metrics);
+    counts.opened(LIFE);
+    counts.forget(LIFE);
+    counts.closed(LIFE, ConnectionEnd.ENDPOINT_GONE);
+    counts.opened(LIFE);
+    assertTrue(text.write().contains("connections_opened_total{by=\"first\"} 2"), text.write());
+  }
+
   /** Guards against new connections of which nobody can tell why none was kept. */
   @Test
   void tellsWhyEachConnectionWasOpened() throws Exception {
