Authenticate requests by the workspaces of the configuration

Cause: the gateway skipped the list of workspaces, passed each caller's key on to the endpoint, let callers name a workspace of their own and answered nothing with 401.

A request is resolved to route and workspace in one place; an unknown key gets 401 from its head, before its body is read, and the connection stays usable. As with an unknown route, the answer is final only if the configuration is known to be current; else it is 503. The key and any workspace that the caller names are removed; the endpoint gets the name from the gateway, also when a stream is resumed. The workspace's priority precedes the route's. A stream whose key goes while it runs is completed; the next request on the same connection gets 401.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardedHeaders.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardedHeaders.java
@@ -32,6 +32,8 @@
     headers.remove(HttpHeaderNames.CONTENT_LENGTH);
     headers.remove(names.remainingMillis());
     headers.remove(names.expectedEndpoint());
+    headers.remove(names.apiKey());
+    headers.remove(names.workspace());
     return headers;
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.gateway.front;
 
 import com.dynatrace.hash4j.hashing.Hashing;
+import io.hawthornlb.core.workspace.Workspace;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.event.EventLine;
@@ -209,7 +210,7 @@
             key,
             service,
             false,
-            route.priority(),
+            priority(),
             Duration.ZERO,
             parts.dataCentre(),
             maxWait,
@@ -219,6 +220,11 @@
     parts.slots().acquire(wanted, this::onSlot);
   }
 
+  private int priority() {
+    Workspace workspace = request.workspace();
+    return workspace == null ? route.priority() : workspace.priorityOr(route.priority());
+  }
+
   /**
    * Returns a hash by which a request is recognized when its caller repeats it under another id.
    */
@@ -329,6 +335,10 @@
     HttpHeaders headers = ForwardedHeaders.toEndpoint(request.headers(), parts.names());
     headers.set(parts.names().remainingMillis(), Math.max(1, time.left().toMillis()));
     headers.set(parts.names().expectedEndpoint(), endpointId);
+    Workspace workspace = request.workspace();
+    if (workspace != null) {
+      headers.set(parts.names().workspace(), workspace.id().value());
+    }
     if (relay.lastEventId() >= 0) {
       headers.set(parts.names().lastEventId(), relay.lastEventId());
     }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardingHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardingHandler.java
@@ -5,7 +5,6 @@
 import io.hawthornlb.gateway.metric.GatewayMetrics;
 import io.hawthornlb.gateway.route.ConfigHolder;
 import io.hawthornlb.gateway.route.Route;
-import io.hawthornlb.gateway.route.RouteKind;
 import io.hawthornlb.gateway.route.RoutingConfig;
 import io.hawthornlb.gateway.slot.SlotClient;
 import io.hawthornlb.gateway.wire.EndpointPool;
@@ -13,6 +12,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.ScheduledExecutorService;
 import org.jspecify.annotations.Nullable;
 
@@ -31,6 +31,7 @@
   private static final Handling COMPLETED = () -> {};
 
   private final Parts parts;
+  private final RequestResolver resolver;
   private boolean stopping;
 
   /**
@@ -66,6 +67,7 @@
   /** Creates a handler. */
   public ForwardingHandler(Parts parts) {
     this.parts = parts;
+    this.resolver = new RequestResolver(parts.names(), request -> parts.jobs().namesJob(request));
   }
 
   /**
@@ -84,27 +86,43 @@
       // No route is known yet, and a 404 would make the caller give the request up.
       return refuse(request, responder, 503, "no configuration yet", CONFIG_RETRY);
     }
-    return handleIfRouted(request, responder).orElseGet(() -> refuseOnceSure(request, responder));
+    return handleIfAllowed(request, responder).orElseGet(() -> refuseOnceSure(request, responder));
+  }
+
+  @Override
+  public OptionalInt refusalOf(FrontRequest head) {
+    Optional<RoutingConfig> config = parts.config().current();
+    if (config.isEmpty() || stopping || resolver.keyKnown(config.get(), head)) {
+      return OptionalInt.empty();
+    }
+    if (!(resolver.resolve(config.get(), head) instanceof RequestResolver.Rejected rejected)
+        || !parts.check().isCurrentAt(head.arrived())) {
+      return OptionalInt.empty();
+    }
+    logRefused(head, rejected.status(), rejected.cause());
+    return OptionalInt.of(rejected.status());
   }
 
   /**
-   * Starts handling a request that has a route or concerns a job, and any request while the process
-   * stops. Returns empty for a request without a route.
+   * Starts handling a request that the configuration allows, and any request while the process
+   * stops. Returns empty for a request without a route or with an unknown key.
    */
-  private Optional<Handling> handleIfRouted(FrontRequest request, Responder responder) {
+  private Optional<Handling> handleIfAllowed(FrontRequest request, Responder responder) {
     if (stopping) {
       return Optional.of(refuse(request, responder, 503, "the process stops", STOPPING_RETRY));
     }
-    RoutingConfig config = parts.config().current().orElseThrow();
-    Optional<Route> route = config.match(request.host(), request.path());
-    boolean aboutJob =
-        route.isEmpty()
-            && config.jobRoute(request.host()).isPresent()
-            && parts.jobs().namesJob(request);
-    if (aboutJob || route.filter(found -> found.kind() == RouteKind.JOB).isPresent()) {
-      return Optional.of(parts.jobs().handle(request, responder));
+    RequestResolver.Resolution resolution = resolve(request);
+    if (resolution instanceof RequestResolver.AboutJob job) {
+      return Optional.of(parts.jobs().handle(job.request(), responder));
     }
-    return route.map(found -> forward(found, request, responder));
+    if (resolution instanceof RequestResolver.Forward forward) {
+      return Optional.of(forward(forward.route(), forward.request(), responder));
+    }
+    return Optional.empty();
+  }
+
+  private RequestResolver.Resolution resolve(FrontRequest request) {
+    return resolver.resolve(parts.config().current().orElseThrow(), request);
   }
 
   private Handling forward(Route route, FrontRequest request, Responder responder) {
@@ -118,12 +136,12 @@
   }
 
   /**
-   * Refuses a request without a route. Reads the configuration again first if the local copy may be
-   * stale.
+   * Refuses a request that the configuration does not allow. Reads the configuration again first if
+   * the local copy may be stale.
    */
   private Handling refuseOnceSure(FrontRequest request, Responder responder) {
     if (parts.check().isCurrentAt(request.arrived())) {
-      return refuseUnknown(request, responder);
+      return refuseDisallowed(request, responder);
     }
     DeferredHandling later = new DeferredHandling(responder, STOPPING_RETRY);
     parts
@@ -133,13 +151,16 @@
   }
 
   private Handling handleOrRefuse(FrontRequest request, Responder responder) {
-    return handleIfRouted(request, responder).orElseGet(() -> refuseUnknown(request, responder));
+    return handleIfAllowed(request, responder)
+        .orElseGet(() -> refuseDisallowed(request, responder));
   }
 
-  private Handling refuseUnknown(FrontRequest request, Responder responder) {
-    return parts.check().isCurrentAt(request.arrived())
-        ? refuse(request, responder, 404, "no route", null)
-        : refuse(request, responder, 503, "routes may be old", ConfigFreshness.RETRY);
+  private Handling refuseDisallowed(FrontRequest request, Responder responder) {
+    if (parts.check().isCurrentAt(request.arrived())
+        && resolve(request) instanceof RequestResolver.Rejected rejected) {
+      return refuse(request, responder, rejected.status(), rejected.cause(), null);
+    }
+    return refuse(request, responder, 503, "configuration may be old", ConfigFreshness.RETRY);
   }
 
   private Handling refuse(
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontConnection.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontConnection.java
@@ -32,6 +32,7 @@
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
@@ -51,6 +52,9 @@
   private @Nullable ScheduledFuture<?> timer;
   private boolean closing;
 
+  /** Whether the body that arrives belongs to a request that was refused by its head. */
+  private boolean discarding;
+
   /**
    * Completed responses that are not yet fully written to the socket, and refusals that wait for
    * the configuration to be read.
@@ -152,15 +156,33 @@
       if (message instanceof HttpRequest request) {
         begin(request);
       }
-      if (message instanceof HttpContent content && head != null && !closing) {
-        append(content);
+      if (message instanceof HttpContent content && !closing) {
+        onContent(content);
       }
     } finally {
       ReferenceCountUtil.release(message);
     }
   }
 
+  private void onContent(HttpContent content) {
+    if (head != null) {
+      append(content);
+    } else if (discarding && content instanceof LastHttpContent) {
+      discarding = false;
+      schedule(server.limits().idleTimeout(), 0);
+    }
+  }
+
   private void begin(HttpRequest request) {
+    OptionalInt refusal = server.handler().refusalOf(frontRequest(request, new byte[0]));
+    if (refusal.isPresent()) {
+      discarding = true;
+      Exchange refused = new Exchange(HttpUtil.isKeepAlive(request));
+      exchange = refused;
+      schedule(server.limits().idleTimeout(), 408);
+      refused.sendStatus(refusal.getAsInt(), null);
+      return;
+    }
     head = request;
     schedule(server.limits().idleTimeout(), 408);
     if (HttpUtil.getContentLength(request, 0L) > server.limits().bodyBytes()) {
@@ -198,22 +220,25 @@
     byte[] bytes = body == null ? new byte[0] : ByteBufUtil.getBytes(body);
     head = null;
     dropBody();
-    String uri = request.uri();
-    int query = uri.indexOf('?');
-    FrontRequest whole =
-        new FrontRequest(
-            request.method(),
-            uri,
-            query < 0 ? uri : uri.substring(0, query),
-            request.headers().get(HttpHeaderNames.HOST, ""),
-            request.headers(),
-            bytes,
-            server.clock().instant());
+    FrontRequest whole = frontRequest(request, bytes);
     Exchange next = new Exchange(HttpUtil.isKeepAlive(request));
     exchange = next;
     next.start(whole);
   }
 
+  private FrontRequest frontRequest(HttpRequest request, byte[] bytes) {
+    String uri = request.uri();
+    int query = uri.indexOf('?');
+    return new FrontRequest(
+        request.method(),
+        uri,
+        query < 0 ? uri : uri.substring(0, query),
+        request.headers().get(HttpHeaderNames.HOST, ""),
+        request.headers(),
+        bytes,
+        server.clock().instant());
+  }
+
   private void refuseMalformed(Throwable cause) {
     if (cause instanceof TooLongFrameException) {
       refuseBeyondLimit(431);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontRequest.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontRequest.java
@@ -1,8 +1,12 @@
 package io.hawthornlb.gateway.front;
 
+import io.hawthornlb.core.workspace.Workspace;
+import io.hawthornlb.gateway.wire.HeaderNames;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Instant;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A complete request of a caller, as received.
@@ -14,6 +18,7 @@
  * @param headers headers
  * @param body body; empty if there is none
  * @param arrived when its last byte was read
+ * @param workspace workspace that holds the caller's key; null if the request was not authenticated
  */
 public record FrontRequest(
     HttpMethod method,
@@ -22,4 +27,34 @@
     String host,
     HttpHeaders headers,
     byte[] body,
-    Instant arrived) {}
+    Instant arrived,
+    @Nullable Workspace workspace) {
+
+  /** Creates a request that was not authenticated. */
+  public FrontRequest(
+      HttpMethod method,
+      String uri,
+      String path,
+      String host,
+      HttpHeaders headers,
+      byte[] body,
+      Instant arrived) {
+    this(method, uri, path, host, headers, body, arrived, null);
+  }
+
+  /**
+   * Returns this request for a workspace, without the caller's key and without any workspace that
+   * the caller named.
+   *
+   * @param holder workspace that holds the key; null for an anonymous request
+   */
+  public FrontRequest authenticated(@Nullable Workspace holder, HeaderNames names) {
+    HttpHeaders authenticated = new DefaultHttpHeaders().add(headers);
+    authenticated.remove(names.apiKey());
+    authenticated.remove(names.workspace());
+    if (holder != null) {
+      authenticated.set(names.workspace(), holder.id().value());
+    }
+    return new FrontRequest(method, uri, path, host, authenticated, body, arrived, holder);
+  }
+}
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/RequestHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/RequestHandler.java
@@ -1,8 +1,20 @@
 package io.hawthornlb.gateway.front;
 
+import java.util.OptionalInt;
+
 /** Handles callers' requests. */
 public interface RequestHandler {
 
+  /**
+   * Returns the status with which a request is refused before its body is read; empty if the body
+   * must be read first.
+   *
+   * @param head the request without its body
+   */
+  default OptionalInt refusalOf(FrontRequest head) {
+    return OptionalInt.empty();
+  }
+
   /** Starts handling a request; the response goes to the responder. */
   Handling handle(FrontRequest request, Responder responder);
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/route/Route.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/route/Route.java
@@ -18,6 +18,7 @@
  * @param services services that run its requests
  * @param maxAttempts number of endpoints on which one request may run
  * @param resumable whether a stream may be resumed at another endpoint
+ * @param anonymous whether its requests need no API key
  * @param completion time after which all results of a job are due; jobs only
  * @param retention time after which an item of a job may be abandoned; jobs only
  */
@@ -32,6 +33,7 @@
     List<ServiceShare> services,
     int maxAttempts,
     boolean resumable,
+    boolean anonymous,
     @Nullable Duration completion,
     @Nullable Duration retention) {
 
@@ -43,6 +45,36 @@
     services = List.copyOf(services);
   }
 
+  /** Creates a route whose requests need an API key if the configuration has workspaces. */
+  public Route(
+      String name,
+      String host,
+      String pathPrefix,
+      RouteKind kind,
+      Duration timeout,
+      Duration objective,
+      int priority,
+      List<ServiceShare> services,
+      int maxAttempts,
+      boolean resumable,
+      @Nullable Duration completion,
+      @Nullable Duration retention) {
+    this(
+        name,
+        host,
+        pathPrefix,
+        kind,
+        timeout,
+        objective,
+        priority,
+        services,
+        maxAttempts,
+        resumable,
+        false,
+        completion,
+        retention);
+  }
+
   /**
    * Selects the service of a request according to the weights.
    *
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/route/RoutingConfig.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/route/RoutingConfig.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.route;
 
+import io.hawthornlb.core.workspace.WorkspaceRegistry;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
@@ -7,18 +8,34 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
 
-/** One version of the configuration: routes and limits. */
+/** One version of the configuration: routes, limits and workspaces. */
 public final class RoutingConfig {
 
   private final long version;
   private final Map<String, List<Route>> routesByHost;
   private final CallerLimits limits;
+  private final @Nullable WorkspaceRegistry workspaces;
 
-  /** Creates a configuration. */
+  /** Creates a configuration without workspaces. */
   public RoutingConfig(long version, Collection<Route> routes, CallerLimits limits) {
+    this(version, routes, limits, null);
+  }
+
+  /**
+   * Creates a configuration.
+   *
+   * @param workspaces the workspaces; null if requests need no API key
+   */
+  public RoutingConfig(
+      long version,
+      Collection<Route> routes,
+      CallerLimits limits,
+      @Nullable WorkspaceRegistry workspaces) {
     this.version = version;
     this.limits = limits;
+    this.workspaces = workspaces;
     this.routesByHost = byHost(routes);
   }
 
@@ -32,6 +49,11 @@
     return limits;
   }
 
+  /** Returns the workspaces; empty if requests need no API key. */
+  public Optional<WorkspaceRegistry> workspaces() {
+    return Optional.ofNullable(workspaces);
+  }
+
   /** Returns the route of the host with the longest prefix that matches the path. */
   public Optional<Route> match(String host, String path) {
     List<Route> routes = routesByHost.getOrDefault(withoutPort(host), List.of());
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/HeaderNames.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/HeaderNames.java
@@ -9,6 +9,8 @@
  * @param notRun response header: the endpoint did not run the request
  * @param signature response header: proof that an endpoint created the response
  * @param lastEventId last event of a stream that the caller has received
+ * @param apiKey API key of a caller; never forwarded
+ * @param workspace name of the workspace for which a request is made; set by the gateway only
  * @param load reads the load that a response reports
  */
 public record HeaderNames(
@@ -18,4 +20,6 @@
     String notRun,
     String signature,
     String lastEventId,
+    String apiKey,
+    String workspace,
     LoadFormat load) {}
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
@@ -1,5 +1,9 @@
 package io.hawthornlb.gateway.front;
 
+import io.hawthornlb.core.model.WorkspaceId;
+import io.hawthornlb.core.workspace.Workspace;
+import io.hawthornlb.core.workspace.WorkspaceRegistry;
+import io.hawthornlb.core.workspace.support.DefaultWorkspaceRegistry;
 import io.hawthornlb.gateway.RecordingEventLog;
 import io.hawthornlb.gateway.ScriptedEndpoint;
 import io.hawthornlb.gateway.decode.UnreadableException;
@@ -42,6 +46,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -60,6 +65,8 @@
           "Test-Not-Run",
           "Test-Signature",
           "Last-Event-Id",
+          "Test-Key",
+          "Test-Workspace",
           headers -> Optional.empty());
 
   /** Time within which a change must be in force. */
@@ -75,6 +82,8 @@
   private final GatewaySettings settings;
   private final GatewayProcess process;
   private Duration timeout = Duration.ofMillis(1_500);
+  private @Nullable WorkspaceRegistry workspaces;
+  private List<Route> routes = List.of();
 
   /** Log store that stops answering reads when the test asks for it. */
   private static final class UnresponsiveStore extends InMemoryLogStore {
@@ -199,8 +208,65 @@
     return this;
   }
 
+  /** Sets the keys, with their workspaces, of the configuration that is put in force next. */
+  GatewayFixture keys(Map<String, String> holders) {
+    DefaultWorkspaceRegistry.Builder registry = DefaultWorkspaceRegistry.builder();
+    for (String name : Set.copyOf(holders.values())) {
+      Workspace workspace = new Workspace(new WorkspaceId(name), null, null);
+      registry.add(
+          workspace,
+          holders.keySet().stream().filter(key -> holders.get(key).equals(name)).toList());
+    }
+    workspaces = registry.build();
+    return this;
+  }
+
+  /** Puts a version with other keys in force. */
+  void changeKeys(long version, Map<String, String> holders) {
+    long applied = log.events().stream().filter("config.applied"::equals).count();
+    offerKeys(version, holders);
+    Awaitility.await()
+        .until(() -> log.events().stream().filter("config.applied"::equals).count() > applied);
+  }
+
+  /** Writes a version with other keys, and waits until the gateway has read that version. */
+  void offerKeys(long version, Map<String, String> holders) {
+    long read = readConfigs();
+    keys(holders);
+    putConfig(version);
+    Awaitility.await().until(() -> readConfigs() > read);
+  }
+
+  private long readConfigs() {
+    return log.events().stream()
+        .filter(event -> event.equals("config.applied") || event.equals("config.passed.over"))
+        .count();
+  }
+
+  private void putConfig(long version) {
+    CallerLimits limits =
+        new CallerLimits(2_000, 5_000, Duration.ofMillis(300), Duration.ofSeconds(5));
+    String name = String.valueOf(version);
+    formats.configs.put(name, new RoutingConfig(version, routes, limits, workspaces));
+    put(formats.configTopic(), formats.configKey(), name);
+  }
+
+  /** Puts a configuration in force whose only route needs no key. */
+  GatewayFixture openRoute(RouteKind kind, ScriptedEndpoint to) {
+    return route(kind, 1, false, true, to);
+  }
+
   /** Puts a configuration with one route in force, and offers the endpoints in the given order. */
   GatewayFixture route(RouteKind kind, int maxAttempts, boolean resumable, ScriptedEndpoint... to) {
+    return route(kind, maxAttempts, resumable, false, to);
+  }
+
+  private GatewayFixture route(
+      RouteKind kind,
+      int maxAttempts,
+      boolean resumable,
+      boolean anonymous,
+      ScriptedEndpoint... to) {
     for (int i = 0; i < to.length; i++) {
       String id = "e" + i;
       formats.endpoints.put(id, new EndpointRecord(id, SERVICE, to[i].address(), "a", 8, false));
@@ -218,12 +284,11 @@
             List.of(new ServiceShare(SERVICE, 1)),
             maxAttempts,
             resumable,
+            anonymous,
             null,
             null);
-    CallerLimits limits =
-        new CallerLimits(2_000, 5_000, Duration.ofMillis(300), Duration.ofSeconds(5));
-    formats.configs.put("1", new RoutingConfig(1, List.of(route), limits));
-    put(formats.configTopic(), formats.configKey(), "1");
+    routes = List.of(route);
+    putConfig(1);
     Awaitility.await().until(() -> log.events().contains("config.applied"));
     Awaitility.await()
         .until(
@@ -263,6 +328,18 @@
     }
   }
 
+  /** Sends a request with further header lines. */
+  Answer callWith(String headers, String path, String body) throws IOException {
+    try (Socket socket = raw(request(path, body, headers + "Connection: close\r\n"))) {
+      return read(socket);
+    }
+  }
+
+  /** Returns a request with further header lines, which leaves the connection open. */
+  static String keptRequestWith(String headers, String path, String body) {
+    return request(path, body, headers);
+  }
+
   Socket open(String path, String body) throws IOException {
     return raw(request(path, body, "Connection: close\r\n"));
   }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
@@ -41,6 +41,8 @@
           "Test-Not-Run",
           "Test-Signature",
           "Last-Event-Id",
+          "Test-Key",
+          "Test-Workspace",
           headers -> Optional.empty());
 
   private JobFixture() {}
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/wire/ConnectionCountsTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/wire/ConnectionCountsTest.java
@@ -100,6 +100,8 @@
         "Test-Not-Run",
         "Test-Signature",
         "Last-Event-Id",
+        "Test-Key",
+        "Test-Workspace",
         headers -> Optional.empty());
   }
 
