Give each job to the workspace that submitted it

Cause: jobs belonged to nobody. Any caller could read, end or resend a job whose id it knew, and a second workspace that submitted the same id replaced the first one's records in the log. Items ran without a workspace. Besides, a partition kept its runs by item id alone, so that the end of one job stopped the item of the same id in another.

Change: a job is stored under the caller's id and a hash of the workspace, in the partition that the caller's id gives, and its record names the workspace. Another workspace's calls are answered as if the job did not exist, and the same id is free for it. Another key of the same workspace finds the job; taking keys away ends none. A forwarded call carries the workspace that the first instance determined, never the key. Runs are kept by job and item. Jobs that the former version accepted name no workspace; each workspace that knows the id finds them until they expire.

Ruled out: a check of the owner on records under the caller's id alone, which still lets a second submitter replace the record of the first.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/decode/MessageReader.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/decode/MessageReader.java
@@ -55,6 +55,11 @@
     }
   }
 
+  /** Returns whether further fields follow. */
+  public boolean hasMore() throws IOException {
+    return unpacker.hasNext();
+  }
+
   /** Reads a string. */
   public String text() throws IOException {
     return unpacker.unpackString();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -222,6 +222,9 @@
   private FullHttpRequest outgoing(String endpointId) {
     HttpHeaders headers = new DefaultHttpHeaders();
     item.headers().forEach(headers::set);
+    headers.remove(parts.names().apiKey());
+    headers.remove(parts.names().workspace());
+    job.workspace().ifPresent(owner -> headers.set(parts.names().workspace(), owner.value()));
     headers.set(HttpHeaderNames.HOST, job.host());
     headers.set(parts.names().requestId(), item.id());
     headers.set(parts.names().expectedEndpoint(), endpointId);
@@ -301,7 +304,7 @@
   }
 
   private EventLine logLine(String event) {
-    return parts.log().routine("job", event).with("id", item.id()).with("job", job.id());
+    return parts.log().routine("job", event).with("id", item.id()).with("job", job.callerId());
   }
 
   /** Handles the response of one endpoint. */
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/Job.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/Job.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.job;
 
+import io.hawthornlb.core.model.WorkspaceId;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -9,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A job as recorded in the log.
@@ -21,6 +23,7 @@
   private final String id;
   private final String host;
   private final Instant accepted;
+  private final @Nullable WorkspaceId workspace;
   private final List<JobItem> items;
   private final Map<String, JobItem> itemsById = new HashMap<>();
   private final TreeMap<Integer, JobResult> results = new TreeMap<>();
@@ -30,20 +33,45 @@
   private final Map<String, JobResult> offers = new HashMap<>();
   private boolean ended;
 
-  /** Creates a job without results. */
+  /** Creates a job of an anonymous caller, without results. */
   Job(String id, String host, Instant accepted, List<JobItem> items) {
+    this(id, host, accepted, items, null);
+  }
+
+  /**
+   * Creates a job without results.
+   *
+   * @param workspace workspace of the caller; null if the caller was anonymous
+   */
+  Job(
+      String id,
+      String host,
+      Instant accepted,
+      List<JobItem> items,
+      @Nullable WorkspaceId workspace) {
     this.id = id;
+    this.workspace = workspace;
     this.host = host;
     this.accepted = accepted;
     this.items = List.copyOf(items);
     this.items.forEach(item -> itemsById.put(item.id(), item));
   }
 
-  /** Returns the id, chosen by the caller. */
+  /** Returns the id under which the job is stored. */
   public String id() {
     return id;
   }
 
+  /** Returns the id that the caller chose. */
+  public String callerId() {
+    return JobScope.callerId(id);
+  }
+
+  /** Returns the workspace of the caller; empty if the caller was anonymous. */
+  public Optional<WorkspaceId> workspace() {
+    return Optional.ofNullable(workspace);
+  }
+
   /** Returns the host of the request that submitted the job; selects the route. */
   public String host() {
     return host;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobCall.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobCall.java
@@ -11,6 +11,9 @@
   /** Returns the id of the job. */
   String jobId();
 
+  /** Returns this call about a job with another id. */
+  JobCall withJobId(String id);
+
   /**
    * Checks that the id of a new job can be used in the keys of records.
    *
@@ -22,7 +25,13 @@
   }
 
   /** Request to accept a new job. */
-  record Submit(String jobId, List<JobItem> items) implements JobCall {}
+  record Submit(String jobId, List<JobItem> items) implements JobCall {
+
+    @Override
+    public JobCall withJobId(String id) {
+      return new Submit(id, items);
+    }
+  }
 
   /**
    * Request for a page of results.
@@ -30,11 +39,29 @@
    * @param after position of the first requested result
    * @param waitTime longest time that the request may wait for a result
    */
-  record Read(String jobId, int after, Duration waitTime) implements JobCall {}
+  record Read(String jobId, int after, Duration waitTime) implements JobCall {
+
+    @Override
+    public JobCall withJobId(String id) {
+      return new Read(id, after, waitTime);
+    }
+  }
 
   /** Request for the body of an item. */
-  record ReadBody(String jobId, String itemId) implements JobCall {}
+  record ReadBody(String jobId, String itemId) implements JobCall {
+
+    @Override
+    public JobCall withJobId(String id) {
+      return new ReadBody(id, itemId);
+    }
+  }
 
   /** Request to end a job. */
-  record End(String jobId) implements JobCall {}
+  record End(String jobId) implements JobCall {
+
+    @Override
+    public JobCall withJobId(String id) {
+      return new End(id);
+    }
+  }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRecords.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRecords.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.job;
 
+import io.hawthornlb.core.model.WorkspaceId;
 import io.hawthornlb.gateway.decode.HttpText;
 import io.hawthornlb.gateway.decode.MessageReader;
 import io.hawthornlb.gateway.decode.UnreadableException;
@@ -69,6 +70,9 @@
    */
   static final int MAX_ID = 100;
 
+  /** Maximum length of the id under which a job is stored. */
+  private static final int MAX_STORED_ID = MAX_ID + JobScope.LENGTH;
+
   /** Maximum digits of a part's number or a result's position. */
   private static final int MAX_DIGITS = 6;
 
@@ -163,7 +167,7 @@
     if (expected == null || fields.length != expected) {
       throw new UnreadableException("key", "not the key of a job record");
     }
-    String jobId = HttpText.id("key", fields[1], MAX_ID);
+    String jobId = HttpText.id("key", fields[1], MAX_STORED_ID);
     boolean numbered = fields[0].equals(PART) || fields[0].equals(RESULT);
     int number = numbered ? (int) number(fields[2], MAX_DIGITS) : 0;
     boolean hasItem = !numbered && expected > 2;
@@ -378,6 +382,9 @@
         }
         packer.packBinaryHeader(item.body().length).writePayload(item.body());
       }
+      if (job.workspace().isPresent()) {
+        packer.packString(job.workspace().get().value());
+      }
       return packer.toByteArray();
     } catch (IOException e) {
       throw new UncheckedIOException("A buffer in memory failed", e);
@@ -396,10 +403,16 @@
           for (int i = 0; i < count; i++) {
             items.add(item(reader));
           }
-          return new Job(jobId, host, accepted, JobItem.checked(items));
+          // Jobs of former versions, and those of anonymous callers, end with their items.
+          WorkspaceId workspace = reader.hasMore() ? workspace(reader.text()) : null;
+          return new Job(jobId, host, accepted, JobItem.checked(items), workspace);
         });
   }
 
+  private static WorkspaceId workspace(String name) {
+    return new WorkspaceId(HttpText.headerValue("workspace", name));
+  }
+
   private static JobItem item(MessageReader reader) throws IOException {
     String id = reader.text();
     String path = reader.text();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobReplicas.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobReplicas.java
@@ -27,8 +27,9 @@
     this.executor = executor;
   }
 
+  /** Returns the partition of a job, which depends only on the id that the caller chose. */
   int partition(String jobId) {
-    long hash = Hashing.wyhashFinal4().hashCharsToLong(jobId);
+    long hash = Hashing.wyhashFinal4().hashCharsToLong(JobScope.callerId(jobId));
     return (int) Long.remainderUnsigned(hash, partitions);
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRequestRouter.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRequestRouter.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.job;
 
+import io.hawthornlb.core.workspace.Workspace;
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.front.FrontRequest;
 import io.hawthornlb.gateway.front.JobRequestHandler;
@@ -140,7 +141,7 @@
   private Optional<JobCall> parse(FrontRequest request, Responder responder) {
     Optional<JobCall> call;
     try {
-      call = format.call(request);
+      call = format.call(request).map(parsed -> scoped(parsed, request));
     } catch (IllegalArgumentException e) {
       log.important("job", "call.unreadable").with("cause", e.getMessage()).write();
       responder.sendStatus(400, null);
@@ -152,6 +153,13 @@
     return call;
   }
 
+  /** Returns a call about the job of that id in the caller's workspace. */
+  private static JobCall scoped(JobCall call, FrontRequest request) {
+    Workspace workspace = request.workspace();
+    String id = JobScope.storedId(call.jobId(), workspace == null ? null : workspace.id());
+    return call.withJobId(id);
+  }
+
   private void route(JobCall call, FrontRequest request, Responder responder) {
     int partition = replicas.partition(call.jobId());
     if (call instanceof JobCall.Submit || heldHere.test(partition) || readsLocally(partition)) {
@@ -282,7 +290,7 @@
         return;
       }
       log.important("job", "job.unsure")
-          .with("id", call.jobId())
+          .with("id", JobScope.callerId(call.jobId()))
           .with("status", 503)
           .with("cause", "no holder is known")
           .write();
@@ -305,7 +313,7 @@
                   onNoReply(failure);
                   holders.remove(partition, name);
                   log.important("job", "holder.silent")
-                      .with("id", call.jobId())
+                      .with("id", JobScope.callerId(call.jobId()))
                       .with("instance", name)
                       .with("partition", partition)
                       .with("cause", failure.toString())
@@ -348,7 +356,7 @@
         recordSize(name, size);
       }
       log.routine("job", "job.answered")
-          .with("id", call.jobId())
+          .with("id", JobScope.callerId(call.jobId()))
           .with("instance", name)
           .with("status", reply.status())
           .write();
@@ -367,7 +375,7 @@
 
     private void answerLocally() {
       log.important("job", "job.answered.here")
-          .with("id", call.jobId())
+          .with("id", JobScope.callerId(call.jobId()))
           .with("partition", partition)
           .with("tried", tried.toString())
           .write();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobService.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobService.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.job;
 
+import io.hawthornlb.core.workspace.Workspace;
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.front.FrontRequest;
 import io.hawthornlb.gateway.front.Responder;
@@ -86,20 +87,31 @@
 
   private void submit(JobCall.Submit submit, FrontRequest request, Responder responder) {
     JobReplica replica = replicas.of(submit.jobId());
-    if (replica.table().find(submit.jobId()).isPresent()) {
+    if (find(replica, submit.jobId()).isPresent()) {
       logStatus("job.known", submit.jobId(), 202);
       responder.sendStatus(202, null);
       return;
     }
-    Job job = new Job(submit.jobId(), request.host(), clock.instant(), submit.items());
+    Workspace workspace = request.workspace();
+    Job job =
+        new Job(
+            submit.jobId(),
+            request.host(),
+            clock.instant(),
+            submit.items(),
+            workspace == null ? null : workspace.id());
     List<KeyedRecord> records = JobRecords.accepted(job);
     append(new Write(submit.jobId(), records, request.arrived(), responder, 202, false));
   }
 
   private void end(String jobId, Instant arrived, Responder responder) {
-    List<KeyedRecord> records = List.of(JobRecords.end(jobId));
-    Write write = new Write(jobId, records, arrived, responder, 200, false);
-    withKnownJob(jobId, responder, job -> append(write));
+    withKnownJob(
+        jobId,
+        responder,
+        job -> {
+          List<KeyedRecord> records = List.of(JobRecords.end(job.id()));
+          append(new Write(job.id(), records, arrived, responder, 200, false));
+        });
   }
 
   /**
@@ -161,7 +173,7 @@
     Duration elapsed = Duration.between(began, clock.instant());
     Write next = notDone ? write : write.withUnknownOutcome();
     log.important("job", "append.failed")
-        .with("id", write.jobId())
+        .with("id", JobScope.callerId(write.jobId()))
         .with("done", notDone ? "no" : "unknown")
         .with("earlierTries", write.maybeWritten() ? "unknown" : "no")
         .with("tryMillis", elapsed.toMillis())
@@ -182,7 +194,7 @@
 
   private void refuse(Write write, int status, @Nullable Duration retryAfter) {
     log.important("job", "job.not.written")
-        .with("id", write.jobId())
+        .with("id", JobScope.callerId(write.jobId()))
         .with("status", status)
         .with("millis", write.millis(clock.instant()))
         .write();
@@ -299,7 +311,7 @@
     headers.set(HttpHeaderNames.CONTENT_TYPE, format.resultsType());
     byte[] body = format.results(job.items().size(), read.after(), page);
     log.routine("job", "job.read")
-        .with("id", job.id())
+        .with("id", job.callerId())
         .with("after", read.after())
         .with("results", page.size())
         .write();
@@ -322,7 +334,7 @@
   /** Runs an action with a job. Responds with 404 only after the log was read to its end. */
   private void withKnownJob(String jobId, Responder responder, Consumer<Job> action) {
     JobReplica replica = replicas.of(jobId);
-    Optional<Job> known = replica.table().find(jobId);
+    Optional<Job> known = find(replica, jobId);
     if (known.isPresent()) {
       action.accept(known.get());
       return;
@@ -330,10 +342,10 @@
     CompletionStage<Void> refreshed = replica.refresh();
     refreshed.whenCompleteAsync(
         (done, failure) -> {
-          Optional<Job> found = replica.table().find(jobId);
+          Optional<Job> found = find(replica, jobId);
           if (found.isPresent()) {
             action.accept(found.get());
-          } else if (failure != null || replica.table().maybeAccepted(jobId)) {
+          } else if (failure != null || maybeAccepted(replica, jobId)) {
             logStatus("job.unsure", jobId, 503);
             responder.sendStatus(503, STORE_RETRY);
           } else {
@@ -344,12 +356,28 @@
         executor);
   }
 
+  /**
+   * Returns a job of the caller's workspace. A job that a former version accepted has no workspace;
+   * every workspace that knows its id finds it.
+   */
+  private static Optional<Job> find(JobReplica replica, String jobId) {
+    JobTable table = replica.table();
+    return table
+        .find(jobId)
+        .or(() -> table.find(JobScope.callerId(jobId)).filter(job -> job.workspace().isEmpty()));
+  }
+
+  private static boolean maybeAccepted(JobReplica replica, String jobId) {
+    JobTable table = replica.table();
+    return table.maybeAccepted(jobId) || table.maybeAccepted(JobScope.callerId(jobId));
+  }
+
   private static StoreException.Kind kind(Throwable failure) {
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
     return cause instanceof StoreException store ? store.kind() : StoreException.Kind.UNKNOWN;
   }
 
   private void logStatus(String event, String jobId, int status) {
-    log.important("job", event).with("id", jobId).with("status", status).write();
+    log.important("job", event).with("id", JobScope.callerId(jobId)).with("status", status).write();
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -190,22 +190,22 @@
     for (Job job : List.copyOf(replica.table().all())) {
       for (JobItem item : job.items()) {
         if (job.ended()) {
-          stopRun(item);
+          stopRun(job, item);
         } else if (job.offered(item.id()).isPresent()) {
-          stopRun(item);
+          stopRun(job, item);
           finish(job, job.offered(item.id()).get());
-        } else if (!job.listed(item.id()) && !runs.containsKey(item.id())) {
+        } else if (!job.listed(item.id()) && !runs.containsKey(runKey(job, item.id()))) {
           ItemRun run =
               new ItemRun(parts, job, item, epoch, due(job), estimate, limiter, new Outcomes(job));
-          runs.put(item.id(), run);
+          runs.put(runKey(job, item.id()), run);
           run.start();
         }
       }
     }
   }
 
-  private void stopRun(JobItem item) {
-    ItemRun run = runs.remove(item.id());
+  private void stopRun(Job job, JobItem item) {
+    ItemRun run = runs.remove(runKey(job, item.id()));
     if (run != null) {
       run.stop();
     }
@@ -246,14 +246,19 @@
 
   /** Queues a result to be listed, unless the item has a result or one is already queued. */
   private void finish(Job job, JobResult result) {
-    if (!job.listed(result.itemId()) && resultDecided.add(decision(job, result.itemId()))) {
+    if (!job.listed(result.itemId()) && resultDecided.add(runKey(job, result.itemId()))) {
       finished.add(new Finished(job, result));
       write();
     }
   }
 
-  private static String decision(Job job, String itemId) {
-    return job.id() + "/" + itemId;
+  /** Returns the key of an item's run; items of different jobs may have the same id. */
+  private static String runKey(Job job, String itemId) {
+    return runKey(job.id(), itemId);
+  }
+
+  private static String runKey(String jobId, String itemId) {
+    return jobId + "/" + itemId;
   }
 
   private void scheduleSave() {
@@ -305,7 +310,7 @@
       return;
     }
     for (JobItem item : job.items()) {
-      ItemRun run = runs.get(item.id());
+      ItemRun run = runs.get(runKey(job, item.id()));
       if (run != null && !job.listed(item.id()) && run.running()) {
         run.stop();
         finish(job, new JobResult(item.id(), false, ""));
@@ -460,12 +465,13 @@
   private void onWritten(List<KeyedRecord> records) {
     sequence++;
     writing = false;
-    inFlight.forEach(each -> resultDecided.remove(decision(each.job(), each.result().itemId())));
+    inFlight.forEach(each -> resultDecided.remove(runKey(each.job(), each.result().itemId())));
     inFlight.clear();
     for (KeyedRecord record : records) {
       replica.apply(record);
-      if (record.value() != null && JobRecords.key(record.key()).result()) {
-        runs.remove(JobRecords.result(record.value()).itemId());
+      JobRecords.Key key = JobRecords.key(record.key());
+      if (record.value() != null && key.result()) {
+        runs.remove(runKey(key.jobId(), JobRecords.result(record.value()).itemId()));
       }
     }
     write();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -113,7 +113,7 @@
             settings.jobPartitions(),
             () -> rank(fleet));
     new RelayServer(direct, access.address(), caller::storeUnavailable, log)
-        .bind(loop, settings.self().address(), new RelayedJobCalls(jobs.router(), clock));
+        .bind(loop, settings.self().address(), new RelayedJobCalls(jobs.router(), names, clock));
     ConfigSource configs = new ConfigSource(formats, config, clock, log);
     Duration wait = KeyedFollower.waitWithin(settings.changeTime());
     KeyedFollower routes = follow(store, formats.configTopic(), wait, configs);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayedJobCalls.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayedJobCalls.java
@@ -1,11 +1,14 @@
 package io.hawthornlb.gateway.relay;
 
+import io.hawthornlb.core.model.WorkspaceId;
+import io.hawthornlb.core.workspace.Workspace;
 import io.hawthornlb.gateway.front.FrontRequest;
 import io.hawthornlb.gateway.front.Responder;
 import io.hawthornlb.gateway.http.HttpCall;
 import io.hawthornlb.gateway.http.HttpCaller;
 import io.hawthornlb.gateway.http.HttpReply;
 import io.hawthornlb.gateway.job.JobRequestRouter;
+import io.hawthornlb.gateway.wire.HeaderNames;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -17,16 +20,19 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
 
 /** Answers calls about jobs that peers have forwarded. */
 public final class RelayedJobCalls implements HttpCaller {
 
   private final JobRequestRouter router;
+  private final HeaderNames names;
   private final InstantSource clock;
 
   /** Creates a caller whose calls a router answers locally. */
-  public RelayedJobCalls(JobRequestRouter router, InstantSource clock) {
+  public RelayedJobCalls(JobRequestRouter router, HeaderNames names, InstantSource clock) {
     this.router = router;
+    this.names = names;
     this.clock = clock;
   }
 
@@ -43,12 +49,19 @@
             headers.get(HttpHeaderNames.HOST, ""),
             headers,
             call.body(),
-            clock.instant());
+            clock.instant(),
+            workspace(headers));
     CompleteResponse response = new CompleteResponse();
     LongSupplier bytes = router.answerLocally(request, response);
     return response.reply.thenApply(reply -> withSize(reply, bytes.getAsLong()));
   }
 
+  /** Returns the workspace that the peer has determined from the caller's key. */
+  private @Nullable Workspace workspace(HttpHeaders headers) {
+    String name = headers.get(names.workspace());
+    return name == null ? null : new Workspace(new WorkspaceId(name), null, null);
+  }
+
   private static HttpReply withSize(HttpReply reply, long bytes) {
     Map<String, String> headers = new LinkedHashMap<>(reply.headers());
     headers.put(JobRequestRouter.PARTITION_BYTES, String.valueOf(bytes));
