Limit each workspace at the coordinators of the services

Cause: a limit per workspace existed only in the product's own admission, which nothing on the platform runs.

The coordinator of a service, which decides about each request anyway, charges it before a slot or the queue is used, and answers beyond the limit at once with a time of its own for each caller; the gateway sends 429. What gets no slot is taken back, a repeated request counts once, further attempts and items do not count. Every 100 ms the coordinators of all services and the instances next in their order learn what the others have allowed, so one limit holds for all services and a successor knows the tokens that are left. A new ledger begins with few tokens; one that was not told for five seconds begins anew. A side of a network partition grants the part of its data centres, seen by datagrams and a question before it gives one up; an instance alone grants half of its own part.

Ruled out: one holder a workspace that is asked for each request, which adds two datagrams and a round trip to each request.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -202,6 +202,7 @@
 
   private void acquire() {
     Duration maxWait = time.maxWait(relay.headSent() || runs > 0, rejections > 0);
+    Workspace workspace = request.workspace();
     SlotKey key = parts.slots().nextKey();
     slot = key;
     requestedAt = parts.clock().instant();
@@ -216,10 +217,17 @@
             maxWait,
             time.patience(maxWait),
             fingerprint(),
-            Set.copyOf(excluded));
+            Set.copyOf(excluded),
+            workspace == null ? null : workspace.id(),
+            runs == 0 && rejections == 0);
     parts.slots().acquire(wanted, this::onSlot);
   }
 
+  private @Nullable String workspaceName() {
+    Workspace workspace = request.workspace();
+    return workspace == null ? null : workspace.id().value();
+  }
+
   private int priority() {
     Workspace workspace = request.workspace();
     return workspace == null ? route.priority() : workspace.priorityOr(route.priority());
@@ -247,6 +255,9 @@
     if (answer instanceof SlotAnswer.Granted granted) {
       parts.metrics().time("requests.slot", route.name(), Duration.ofMillis(time.sinceArrival()));
       send(granted.incarnation());
+    } else if (answer instanceof SlotAnswer.OverLimit over) {
+      slot = null;
+      refuseOverLimit(over.retryAfter());
     } else if (answer instanceof SlotAnswer.Refused refused) {
       slot = null;
       logNoSlot(refused);
@@ -254,6 +265,17 @@
     }
   }
 
+  /** Refuses the request because its workspace has used up its limit. */
+  private void refuseOverLimit(Duration retryAfter) {
+    parts.metrics().count("requests.refused", "over limit");
+    line("limit.exceeded")
+        .with("workspace", workspaceName())
+        .with("retryMillis", retryAfter.toMillis())
+        .write();
+    responder.sendStatus(429, retryAfter);
+    finish(SlotOutcome.ABANDONED);
+  }
+
   /** Logs the slot counts the coordinator reported and the time since the slot was requested. */
   private void logNoSlot(SlotAnswer.Refused refused) {
     line("slot.refused")
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
@@ -4,6 +4,7 @@
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.event.EventLog;
+import io.hawthornlb.gateway.slot.RequestQuota;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotClient;
 import io.hawthornlb.gateway.slot.SlotCoordinator;
@@ -64,6 +65,7 @@
   private final ScheduledExecutorService executor;
   private final InstantSource clock;
   private final EventLog log;
+  private final RequestQuota quota;
   private final Map<String, SlotCoordinator> coordinators = new HashMap<>();
   private final Map<SlotKey, Pending> pending = new HashMap<>();
 
@@ -86,8 +88,10 @@
       EndpointDirectory directory,
       ScheduledExecutorService executor,
       InstantSource clock,
-      EventLog log) {
+      EventLog log,
+      RequestQuota quota) {
     this.fleet = fleet;
+    this.quota = quota;
     this.transport = transport;
     this.directory = directory;
     this.executor = executor;
@@ -160,7 +164,11 @@
         service,
         name ->
             new DefaultSlotCoordinator(
-                name, directory, SlotSettings.DEFAULT, fingerprint -> barred(name, fingerprint)));
+                name,
+                directory,
+                SlotSettings.DEFAULT,
+                quota,
+                fingerprint -> barred(name, fingerprint)));
   }
 
   private void barred(String service, long fingerprint) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetView.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetView.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -55,6 +56,7 @@
   private final Map<String, Suspicion> suspicions = new HashMap<>();
   private final Map<String, List<GatewayInstance>> orders = new HashMap<>();
   private @Nullable RendezvousHash hash;
+  private @Nullable Map<String, List<GatewayInstance>> byDataCentre;
 
   /** Creates a view that contains this process alone. */
   public FleetView(GatewayInstance self) {
@@ -92,6 +94,7 @@
 
   private void invalidateOrders() {
     hash = null;
+    byDataCentre = null;
     orders.clear();
   }
 
@@ -124,6 +127,17 @@
     return instances.values().stream().filter(each -> !each.equals(self)).toList();
   }
 
+  /** Returns the listed processes, including this one, by data centre. */
+  Map<String, List<GatewayInstance>> byDataCentre() {
+    Map<String, List<GatewayInstance>> current = byDataCentre;
+    if (current == null) {
+      current =
+          instances.values().stream().collect(Collectors.groupingBy(GatewayInstance::dataCentre));
+      byDataCentre = current;
+    }
+    return current;
+  }
+
   /** Records that a process did not answer. */
   public void recordSilence(String name, Instant now) {
     Suspicion former = suspicions.get(name);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.peer;
 
+import io.hawthornlb.core.model.WorkspaceId;
 import io.hawthornlb.gateway.decode.MessageReader;
 import io.hawthornlb.gateway.decode.UnreadableException;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
@@ -13,8 +14,10 @@
 import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -34,6 +37,10 @@
   private static final int HELD = 9;
   private static final int TOLD = 10;
   private static final int BARRED = 11;
+  private static final int OVER_LIMIT = 12;
+  private static final int ALLOWED = 13;
+  private static final int PING = 14;
+  private static final int PONG = 15;
 
   /**
    * Longest duration that a message may contain; batch items wait for minutes at most. A longer
@@ -97,6 +104,12 @@
       packer.packInt(HELD).packInt(held.partition()).packLong(held.epoch());
     } else if (message instanceof PeerMessage.Barred barred) {
       packer.packInt(BARRED).packString(barred.service()).packLong(barred.fingerprint());
+    } else if (message instanceof PeerMessage.Allowed allowed) {
+      packAllowed(packer.packInt(ALLOWED), allowed);
+    } else if (message instanceof PeerMessage.Ping) {
+      packer.packInt(PING);
+    } else if (message instanceof PeerMessage.Pong) {
+      packer.packInt(PONG);
     } else if (message instanceof PeerMessage.Renew renew) {
       packRenew(packer.packInt(RENEW), renew);
     }
@@ -113,6 +126,18 @@
     for (EndpointIncarnation incarnation : request.excluded()) {
       packIncarnation(packer, incarnation);
     }
+    WorkspaceId workspace = request.workspace();
+    if (workspace != null) {
+      packer.packString(workspace.value()).packBoolean(request.charged());
+    }
+  }
+
+  private static void packAllowed(MessagePacker packer, PeerMessage.Allowed allowed)
+      throws IOException {
+    packer.packMapHeader(allowed.counts().size());
+    for (Map.Entry<WorkspaceId, Integer> count : allowed.counts().entrySet()) {
+      packer.packString(count.getKey().value()).packInt(count.getValue());
+    }
   }
 
   private static void packAnswer(MessageBufferPacker packer, SlotAnswer answer) throws IOException {
@@ -127,6 +152,9 @@
       packer.packLong(refused.retryAfter().toMillis());
       SlotAnswer.Load seen = refused.seen();
       packer.packInt(seen.slots()).packInt(seen.used()).packInt(seen.waiting());
+    } else if (answer instanceof SlotAnswer.OverLimit over) {
+      packKey(packer.packInt(OVER_LIMIT), answer.key());
+      packer.packLong(over.retryAfter().toMillis());
     } else {
       packKey(packer.packInt(REVOKED), answer.key());
     }
@@ -151,7 +179,7 @@
   }
 
   private static PeerMessage unpack(MessageReader reader) throws IOException {
-    int type = reader.number("type", ASK, BARRED);
+    int type = reader.number("type", ASK, PONG);
     return switch (type) {
       case ASK -> new PeerMessage.Ask(unpackRequest(reader));
       case GRANTED ->
@@ -167,6 +195,12 @@
       case SUSPECT -> unpackSuspect(reader);
       case TOLD -> unpackTold(reader);
       case BARRED -> new PeerMessage.Barred(reader.text(), reader.number());
+      case OVER_LIMIT ->
+          new PeerMessage.Answer(
+              new SlotAnswer.OverLimit(unpackKey(reader), reader.millis("retryAfter", MAX_TIME)));
+      case ALLOWED -> unpackAllowed(reader);
+      case PING -> new PeerMessage.Ping();
+      case PONG -> new PeerMessage.Pong();
       case HELD ->
           new PeerMessage.Held(
               reader.number("partition", 0, Integer.MAX_VALUE),
@@ -223,8 +257,32 @@
     for (int i = 0; i < size; i++) {
       excluded.add(unpackIncarnation(reader));
     }
+    // Requests of anonymous callers, and those of former versions, end with the excluded endpoints.
+    WorkspaceId workspace = reader.hasMore() ? new WorkspaceId(reader.text()) : null;
+    boolean charged = workspace != null && reader.flag();
     return new SlotRequest(
-        key, service, batch, rank, work, dataCentre, maxWait, patience, fingerprint, excluded);
+        key,
+        service,
+        batch,
+        rank,
+        work,
+        dataCentre,
+        maxWait,
+        patience,
+        fingerprint,
+        excluded,
+        workspace,
+        charged);
+  }
+
+  private static PeerMessage unpackAllowed(MessageReader reader) throws IOException {
+    Map<WorkspaceId, Integer> counts = new HashMap<>();
+    int size = reader.mapSize();
+    for (int i = 0; i < size; i++) {
+      WorkspaceId workspace = new WorkspaceId(reader.text());
+      counts.put(workspace, reader.number("count", -MAX_COUNT, MAX_COUNT));
+    }
+    return new PeerMessage.Allowed(counts);
   }
 
   private static PeerMessage unpackRenew(MessageReader reader) throws IOException {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerMessage.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerMessage.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.peer;
 
+import io.hawthornlb.core.model.WorkspaceId;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotKey;
 import io.hawthornlb.gateway.slot.SlotOutcome;
@@ -7,6 +8,7 @@
 import io.hawthornlb.gateway.slot.SlotUse;
 import io.hawthornlb.gateway.wire.ReportedLoad;
 import java.util.List;
+import java.util.Map;
 
 /** A message between processes of the fleet, sent as one datagram that may be lost. */
 public sealed interface PeerMessage {
@@ -32,6 +34,18 @@
   /** Announces that a request has crashed too many endpoints of a service. */
   record Barred(String service, long fingerprint) implements PeerMessage {}
 
+  /**
+   * Reports to the other coordinators how many requests the sender has allowed since its last
+   * report, net of those that did not run.
+   */
+  record Allowed(Map<WorkspaceId, Integer> counts) implements PeerMessage {}
+
+  /** Asks the receiver for a sign of life. */
+  record Ping() implements PeerMessage {}
+
+  /** Answers a {@link Ping}. */
+  record Pong() implements PeerMessage {}
+
   /** Reports all uses of a holder to a coordinator. */
   record Renew(String service, String holder, List<SlotUse> uses) implements PeerMessage {}
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -17,6 +17,7 @@
 import io.hawthornlb.gateway.metric.MetricsText;
 import io.hawthornlb.gateway.metric.TrafficLog;
 import io.hawthornlb.gateway.peer.CountedPeerTransport;
+import io.hawthornlb.gateway.peer.FleetQuota;
 import io.hawthornlb.gateway.peer.FleetSlotClient;
 import io.hawthornlb.gateway.peer.FleetView;
 import io.hawthornlb.gateway.peer.PeerHoldNotices;
@@ -98,7 +99,9 @@
     RelayingHttpCaller caller = relayingCaller(direct, relayTransport, fleet);
     LogStore store = new CountedLogStore(access.client().apply(caller), metrics);
     PeerTransport transport = peerTransport();
-    FleetSlotClient slots = new FleetSlotClient(fleet, transport, directory, loop, clock, log);
+    FleetQuota quota = new FleetQuota(fleet, transport, config, loop, clock);
+    FleetSlotClient slots =
+        new FleetSlotClient(fleet, transport, directory, loop, clock, log, quota);
     EndpointPool pool = new EndpointPool(loop, names, clock, metrics);
     directory.onRemoval(endpoint -> pool.forget(endpoint.incarnation()));
     directory.onRestart(pool::onRestart);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/route/RoutingConfig.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/route/RoutingConfig.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
@@ -16,6 +17,7 @@
   private final long version;
   private final Map<String, List<Route>> routesByHost;
   private final CallerLimits limits;
+  private final Set<String> services;
   private final @Nullable WorkspaceRegistry workspaces;
 
   /** Creates a configuration without workspaces. */
@@ -37,6 +39,11 @@
     this.limits = limits;
     this.workspaces = workspaces;
     this.routesByHost = byHost(routes);
+    this.services =
+        routes.stream()
+            .flatMap(route -> route.services().stream())
+            .map(ServiceShare::service)
+            .collect(Collectors.toUnmodifiableSet());
   }
 
   /** Returns the version; a higher one replaces a lower one. */
@@ -49,6 +56,11 @@
     return limits;
   }
 
+  /** Returns the names of all services that routes use. */
+  public Set<String> services() {
+    return services;
+  }
+
   /** Returns the workspaces; empty if requests need no API key. */
   public Optional<WorkspaceRegistry> workspaces() {
     return Optional.ofNullable(workspaces);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotAnswer.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotAnswer.java
@@ -42,6 +42,13 @@
    */
   record Refused(SlotKey key, Duration retryAfter, Load seen) implements SlotAnswer {}
 
+  /**
+   * The request exceeds the limit of its workspace.
+   *
+   * @param retryAfter time after which the limit is likely to allow the request
+   */
+  record OverLimit(SlotKey key, Duration retryAfter) implements SlotAnswer {}
+
   /**
    * Load of a service at the moment of a refusal, reported so that operators can find the cause.
    *
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotRequest.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotRequest.java
@@ -1,8 +1,10 @@
 package io.hawthornlb.gateway.slot;
 
+import io.hawthornlb.core.model.WorkspaceId;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import java.time.Duration;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Requests a slot at an endpoint of a service.
@@ -22,6 +24,9 @@
  *     that is not needed
  * @param excluded endpoint incarnations that refused the request or broke the connection while they
  *     ran it
+ * @param workspace workspace of the caller; null if the caller is anonymous
+ * @param charged whether the request counts against the limit of its workspace; false for batch
+ *     items and for further attempts at a request that was counted
  */
 public record SlotRequest(
     SlotKey key,
@@ -33,7 +38,36 @@
     Duration maxWait,
     Duration patience,
     long fingerprint,
-    Set<EndpointIncarnation> excluded) {
+    Set<EndpointIncarnation> excluded,
+    @Nullable WorkspaceId workspace,
+    boolean charged) {
+
+  /** Creates a request that counts against no limit. */
+  public SlotRequest(
+      SlotKey key,
+      String service,
+      boolean batch,
+      long rank,
+      Duration work,
+      String dataCentre,
+      Duration maxWait,
+      Duration patience,
+      long fingerprint,
+      Set<EndpointIncarnation> excluded) {
+    this(
+        key,
+        service,
+        batch,
+        rank,
+        work,
+        dataCentre,
+        maxWait,
+        patience,
+        fingerprint,
+        excluded,
+        null,
+        false);
+  }
 
   /**
    * Creates a request of unknown work that may not wait longer when its caller returns after a
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -1,8 +1,10 @@
 package io.hawthornlb.gateway.slot.support;
 
+import io.hawthornlb.core.workspace.LimitDecision;
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
+import io.hawthornlb.gateway.slot.RequestQuota;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotCoordinator;
 import io.hawthornlb.gateway.slot.SlotKey;
@@ -42,6 +44,7 @@
   private final EndpointDirectory directory;
   private final SlotSettings settings;
   private final LongConsumer onBlocked;
+  private final RequestQuota quota;
   private final Penalties penalties;
   private final OutlierDetector outliers;
   private final CrashCounts crashes = new CrashCounts();
@@ -57,11 +60,17 @@
   /**
    * Creates a coordinator of a service.
    *
+   * @param quota decides whether requests lie within the limits of their workspaces
    * @param onBlocked receives the fingerprint of each request that gets no more slots because it
    *     crashed endpoints
    */
   public DefaultSlotCoordinator(
-      String service, EndpointDirectory directory, SlotSettings settings, LongConsumer onBlocked) {
+      String service,
+      EndpointDirectory directory,
+      SlotSettings settings,
+      RequestQuota quota,
+      LongConsumer onBlocked) {
+    this.quota = quota;
     this.onBlocked = onBlocked;
     this.directory = directory;
     this.settings = settings;
@@ -90,6 +99,10 @@
     if (crashes.blocked(request.fingerprint(), now)) {
       return List.of(refused(request, crashes.blockTime()));
     }
+    LimitDecision limit = quota.charge(request, now);
+    if (!limit.allowed()) {
+      return List.of(new SlotAnswer.OverLimit(request.key(), limit.retryAfter()));
+    }
     List<SlotAnswer> answers = new ArrayList<>();
     boolean returning = refusedCallers.returned(request.fingerprint(), now);
     boolean firstInQueue = waiting.isEmpty();
@@ -103,7 +116,10 @@
 
   @Override
   public List<SlotAnswer> release(SlotKey key, SlotOutcome outcome, Instant now) {
-    waiting.remove(key);
+    Waiter waiter = waiting.remove(key);
+    if (waiter != null) {
+      quota.refund(waiter.request(), now);
+    }
     SlotLease lease = leases.drop(key);
     if (lease == null) {
       return List.of();
@@ -225,6 +241,7 @@
    */
   private SlotAnswer refuse(Waiter waiter, Instant now) {
     SlotRequest request = waiter.request();
+    quota.refund(request, now);
     if (request.batch()) {
       return refused(request, Duration.ZERO);
     }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/WaitingRequests.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/WaitingRequests.java
@@ -51,12 +51,14 @@
     online += waiter.request().batch() ? 0 : 1;
   }
 
-  void remove(SlotKey key) {
+  /** Removes and returns a waiting request; null if the request does not wait. */
+  @Nullable Waiter remove(SlotKey key) {
     Waiter waiter = byKey.get(key);
     if (waiter != null) {
       ordered.remove(waiter);
       forget(waiter);
     }
+    return waiter;
   }
 
   /** Removes and returns the requests that have waited for their maximum time. */
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
@@ -8,6 +8,7 @@
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
+import io.hawthornlb.gateway.slot.RequestQuota;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotOutcome;
 import io.hawthornlb.gateway.slot.SlotRequest;
@@ -50,7 +51,14 @@
       this.fleet = new FleetView(instance(name));
       directory.put(new EndpointRecord(SERVICE, SERVICE, address(), "a", 1, false));
       this.slots =
-          new FleetSlotClient(fleet, this, directory, time.loop(), time, new RecordingEventLog());
+          new FleetSlotClient(
+              fleet,
+              this,
+              directory,
+              time.loop(),
+              time,
+              new RecordingEventLog(),
+              RequestQuota.UNLIMITED);
     }
 
     private void connectToAll() {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.hawthornlb.core.model.WorkspaceId;
 import io.hawthornlb.gateway.decode.UnreadableException;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.slot.SlotAnswer;
@@ -13,6 +14,7 @@
 import io.hawthornlb.gateway.wire.ReportedLoad;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -41,6 +43,24 @@
         new PeerMessage.Answer(new SlotAnswer.Waiting(KEY, Duration.ofMillis(150))),
         new PeerMessage.Answer(
             new SlotAnswer.Refused(KEY, Duration.ofMillis(250), new SlotAnswer.Load(48, 48, 3))),
+        new PeerMessage.Ask(
+            new SlotRequest(
+                KEY,
+                "engine",
+                false,
+                1,
+                Duration.ZERO,
+                "a",
+                Duration.ofMillis(150),
+                Duration.ofMillis(3_000),
+                99,
+                Set.of(),
+                new WorkspaceId("farm"),
+                true)),
+        new PeerMessage.Answer(new SlotAnswer.OverLimit(KEY, Duration.ofMillis(730))),
+        new PeerMessage.Allowed(Map.of(new WorkspaceId("farm"), 7, new WorkspaceId("store"), -1)),
+        new PeerMessage.Ping(),
+        new PeerMessage.Pong(),
         new PeerMessage.Answer(new SlotAnswer.Revoked(KEY)),
         new PeerMessage.Release("engine", KEY, SlotOutcome.FAILED),
         new PeerMessage.Suspect("engine", KEY),
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/ConnectionReplay.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/ConnectionReplay.java
@@ -2,6 +2,7 @@
 
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
+import io.hawthornlb.gateway.slot.RequestQuota;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotKey;
 import io.hawthornlb.gateway.slot.SlotOutcome;
@@ -75,7 +76,8 @@
     this.random = new Random(seed);
     this.keepAliveMillis = keepAliveMillis;
     this.coordinator =
-        new DefaultSlotCoordinator(SERVICE, directory, SlotSettings.DEFAULT, fingerprint -> {});
+        new DefaultSlotCoordinator(
+            SERVICE, directory, SlotSettings.DEFAULT, RequestQuota.UNLIMITED, fingerprint -> {});
     for (int i = 0; i < ENDPOINTS; i++) {
       InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
       directory.put(new EndpointRecord("e" + i, SERVICE, address, dataCentre(i), SLOTS, false));
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/CoordinatorFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/CoordinatorFixture.java
@@ -3,6 +3,7 @@
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
+import io.hawthornlb.gateway.slot.RequestQuota;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotKey;
 import io.hawthornlb.gateway.slot.SlotOutcome;
@@ -32,7 +33,16 @@
   }
 
   CoordinatorFixture(SlotSettings settings) {
-    coordinator = new DefaultSlotCoordinator(SERVICE, directory, settings, fingerprint -> {});
+    this(settings, RequestQuota.UNLIMITED);
+  }
+
+  CoordinatorFixture(RequestQuota quota) {
+    this(SlotSettings.DEFAULT, quota);
+  }
+
+  private CoordinatorFixture(SlotSettings settings, RequestQuota quota) {
+    coordinator =
+        new DefaultSlotCoordinator(SERVICE, directory, settings, quota, fingerprint -> {});
   }
 
   CoordinatorFixture endpoint(String id, String dataCentre, int slots) {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinatorTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinatorTest.java
@@ -6,8 +6,10 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.hawthornlb.core.workspace.LimitDecision;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
+import io.hawthornlb.gateway.slot.RequestQuota;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotKey;
 import io.hawthornlb.gateway.slot.SlotOutcome;
@@ -16,6 +18,7 @@
 import io.hawthornlb.gateway.wire.ReportedLoad;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -356,4 +359,78 @@
     assertEquals(endpoint, fixture.granted(request));
     fixture.release(request, SlotOutcome.FAILED);
   }
+
+  /** Guards against a request beyond a limit that takes a slot or waits for one. */
+  @Test
+  void answersARequestBeyondItsLimitAtOnce() {
+    CoordinatorFixture limited = new CoordinatorFixture(new CountingQuota(1));
+    limited.endpoint("e1", "a", 8);
+    limited.granted(limited.online("a"));
+    SlotRequest second = limited.online("a");
+    assertEquals(
+        List.of(new SlotAnswer.OverLimit(second.key(), Duration.ofMillis(700))),
+        limited.ask(second));
+  }
+
+  /** Guards against a request that is charged again when its holder repeats it. */
+  @Test
+  void chargesARepeatedRequestOnce() {
+    CountingQuota quota = new CountingQuota(9);
+    CoordinatorFixture limited = fullEndpoint(quota);
+    SlotRequest queued = limited.online("a");
+    for (int i = 0; i < 3; i++) {
+      assertTrue(limited.ask(queued).get(0) instanceof SlotAnswer.Waiting);
+    }
+    assertEquals(5, quota.charged);
+  }
+
+  /** Guards against a limit that is used up by requests which found no slot. */
+  @Test
+  void takesBackTheChargeOfRequestsThatGetNoSlot() {
+    CountingQuota quota = new CountingQuota(9);
+    CoordinatorFixture limited = fullEndpoint(quota);
+    SlotRequest cancelled = limited.online("a");
+    limited.ask(cancelled);
+    limited.release(cancelled, SlotOutcome.ABANDONED);
+    assertEquals(4, quota.charged);
+    limited.ask(limited.online("a"));
+    assertEquals(5, quota.charged);
+    limited.advance(Duration.ofMillis(200));
+    limited.tick();
+    assertEquals(4, quota.charged);
+  }
+
+  /** Returns a coordinator whose four slots are in use. */
+  private static CoordinatorFixture fullEndpoint(RequestQuota quota) {
+    CoordinatorFixture full = new CoordinatorFixture(quota).endpoint("e1", "a", 4);
+    for (int i = 0; i < 4; i++) {
+      full.granted(full.online("a"));
+    }
+    return full;
+  }
+
+  /** Quota of a number of requests. */
+  private static final class CountingQuota implements RequestQuota {
+
+    private final int most;
+    private int charged;
+
+    private CountingQuota(int most) {
+      this.most = most;
+    }
+
+    @Override
+    public LimitDecision charge(SlotRequest request, Instant now) {
+      if (charged == most) {
+        return LimitDecision.refused(Duration.ofMillis(700));
+      }
+      charged++;
+      return LimitDecision.ALLOWED;
+    }
+
+    @Override
+    public void refund(SlotRequest request, Instant now) {
+      charged--;
+    }
+  }
 }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/OutlierReplayTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/OutlierReplayTest.java
@@ -7,6 +7,7 @@
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
+import io.hawthornlb.gateway.slot.RequestQuota;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotKey;
 import io.hawthornlb.gateway.slot.SlotOutcome;
@@ -222,7 +223,8 @@
       directory.put(new EndpointRecord("e" + i, "engine", nowhere, "a", SLOTS, false));
     }
     DefaultSlotCoordinator coordinator =
-        new DefaultSlotCoordinator("engine", directory, settings, fingerprint -> {});
+        new DefaultSlotCoordinator(
+            "engine", directory, settings, RequestQuota.UNLIMITED, fingerprint -> {});
     PriorityQueue<End> ends = new PriorityQueue<>((left, right) -> left.at().compareTo(right.at()));
     Instant start = Instant.parse("2026-01-01T00:00:00Z");
     Result result = new Result(0, 0);
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/ReturnReplayTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/ReturnReplayTest.java
@@ -6,6 +6,7 @@
 
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
+import io.hawthornlb.gateway.slot.RequestQuota;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotKey;
 import io.hawthornlb.gateway.slot.SlotOutcome;
@@ -143,7 +144,9 @@
         InetSocketAddress nowhere = new InetSocketAddress("127.0.0.1", 1);
         directory.put(new EndpointRecord("e" + i, "engine", nowhere, "a", SLOTS, false));
       }
-      coordinator = new DefaultSlotCoordinator("engine", directory, settings, barred -> {});
+      coordinator =
+          new DefaultSlotCoordinator(
+              "engine", directory, settings, RequestQuota.UNLIMITED, barred -> {});
     }
 
     private void run() {
