Serve the workspaces that wait in turns

Cause: requests of one rank got slots in order of arrival, so a workspace that sends seven times its usual at the peak of a wave made the others late in its place.

Change: each waiting request has a turn by start-time fair queueing among workspaces, between rank and arrival in the order of waiting. A workspace with others in the queue sees fewer before it and is refused less. A refused request takes no turn, and turns begin anew when nothing waits. Callers without a workspace form one flow, which keeps the order of arrival: on the earlier deployments nothing changes.

Result: FairTurnsReplayTest, DefaultSlotCoordinatorTest and ReturnReplayTest pass.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -54,6 +54,7 @@
   private final WaitEstimate estimate = new WaitEstimate();
   private final SlotLeases leases;
   private final WaitingRequests waiting = new WaitingRequests();
+  private final FairTurns turns = new FairTurns();
   private final LateItems lateItems;
   private final SlotSearch search;
 
@@ -216,12 +217,20 @@
   private void waitOrRefuse(
       SlotRequest request, boolean returning, Instant now, List<SlotAnswer> answers) {
     Duration longest = returning ? request.patience() : request.maxWait();
-    Waiter waiter = new Waiter(request, returning, late(request, now), now, now.plus(longest));
+    if (waiting.online() == 0) {
+      turns.clear();
+    }
+    double turn = request.batch() ? 0 : turns.next(request.workspace());
+    Waiter waiter =
+        new Waiter(request, returning, turn, late(request, now), now, now.plus(longest));
     if (!request.batch() && expectedWait(waiter, now).compareTo(longest) > 0) {
       answers.add(refuse(waiter, now));
       return;
     }
     waiting.add(waiter);
+    if (!request.batch()) {
+      turns.taken(request.workspace(), turn);
+    }
     answers.add(waitingUntil(waiter, now));
   }
 
@@ -283,7 +292,8 @@
     Set<SearchScope> failed = new HashSet<>();
     Iterator<Waiter> next = waiting.inOrder();
     while (next.hasNext() && !exhausted(now)) {
-      SlotRequest request = next.next().request();
+      Waiter waiter = next.next();
+      SlotRequest request = waiter.request();
       if (request.batch() && !search.anyFree(now)) {
         // Items come last, so there is no slot for the items behind this one either.
         break;
@@ -294,6 +304,7 @@
       }
       if (tryGrant(request, now, answers)) {
         next.remove();
+        turns.served(waiter.turn());
       } else if (request.excluded().isEmpty()) {
         failed.add(scope);
       }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Waiter.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Waiter.java
@@ -9,27 +9,35 @@
  *
  * @param request the request
  * @param returning whether the request was refused before
+ * @param turn turn of the request among the workspaces; see {@link FairTurns}
  * @param late whether this is a batch item that goes behind items that can finish in time
  * @param since when the request arrived
  * @param until when the request is refused if it still waits
  */
-record Waiter(SlotRequest request, boolean returning, boolean late, Instant since, Instant until) {
+record Waiter(
+    SlotRequest request,
+    boolean returning,
+    double turn,
+    boolean late,
+    Instant since,
+    Instant until) {
 
   /**
    * Orders online requests before items, then items that can finish in time before others, then by
-   * rank, then new requests before returning ones, then by time of arrival.
+   * rank, then new requests before returning ones, then by turn, then by time of arrival.
    */
   static final Comparator<Waiter> ORDER =
       Comparator.comparing((Waiter waiter) -> waiter.request().batch())
           .thenComparing(Waiter::late)
           .thenComparing(waiter -> waiter.request().rank())
           .thenComparing(Waiter::returning)
+          .thenComparing(Waiter::turn)
           .thenComparing(Waiter::since)
           .thenComparing(waiter -> waiter.request().key().holder())
           .thenComparing(waiter -> waiter.request().key().number());
 
   /** Returns this request with another position among the batch items. */
   Waiter withLate(boolean nowLate) {
-    return new Waiter(request, returning, nowLate, since, until);
+    return new Waiter(request, returning, turn, nowLate, since, until);
   }
 }
