Refuse keys that may be revoked where the operator asks for it

Cause: an instance that cannot read the configuration accepted each key of its last version for ever. Whether it may do so is the operator's choice, which the settings state and the product did not read.

Change: the settings' strict revocation and revoke time become a policy. A lenient one serves callers by the last configuration that was read; a strict one refuses keys with 503 once the configuration is older than the revoke time, after one more read. A request is judged once, at its arrival: one that waits or runs while its key goes is completed.

Ruled out: ending streams and waiting calls whose key goes: their answers were allowed when they were asked for, and no rule of the users wants them cut.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardingHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardingHandler.java
@@ -39,6 +39,7 @@
    *
    * @param config configuration in force
    * @param check determines whether the configuration is current
+   * @param revocation decides whether known keys are accepted while the configuration is old
    * @param directory endpoints
    * @param slots client that acquires slots
    * @param pool connections to endpoints
@@ -53,6 +54,7 @@
   public record Parts(
       ConfigHolder config,
       ConfigFreshness check,
+      RevocationPolicy revocation,
       EndpointDirectory directory,
       SlotClient slots,
       EndpointPool pool,
@@ -112,15 +114,19 @@
       return Optional.of(refuse(request, responder, 503, "the process stops", STOPPING_RETRY));
     }
     RequestResolver.Resolution resolution = resolve(request);
-    if (resolution instanceof RequestResolver.AboutJob job) {
+    if (resolution instanceof RequestResolver.AboutJob job && mayServe(job.request())) {
       return Optional.of(parts.jobs().handle(job.request(), responder));
     }
-    if (resolution instanceof RequestResolver.Forward forward) {
+    if (resolution instanceof RequestResolver.Forward forward && mayServe(forward.request())) {
       return Optional.of(forward(forward.route(), forward.request(), responder));
     }
     return Optional.empty();
   }
 
+  private boolean mayServe(FrontRequest request) {
+    return parts.revocation().allows(request, parts.check().freshAsOf());
+  }
+
   private RequestResolver.Resolution resolve(FrontRequest request) {
     return resolver.resolve(parts.config().current().orElseThrow(), request);
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -127,6 +127,7 @@
             new ForwardingHandler.Parts(
                 config,
                 check,
+                settings.revocation(),
                 directory,
                 slots,
                 pool,
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewaySettings.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewaySettings.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.process;
 
+import io.hawthornlb.gateway.front.RevocationPolicy;
 import io.hawthornlb.gateway.peer.GatewayInstance;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -13,6 +14,7 @@
  * @param metrics address at which metrics are scraped
  * @param stopTime time from the stop signal until the process is killed
  * @param changeTime time within which a change must be in force everywhere
+ * @param revocation decides whether keys are accepted while the configuration cannot be read
  * @param resultRetention time for which results of jobs stay readable
  * @param jobPartitions number of partitions of the jobs' topic
  */
@@ -23,5 +25,6 @@
     InetSocketAddress metrics,
     Duration stopTime,
     Duration changeTime,
+    RevocationPolicy revocation,
     Duration resultRetention,
     int jobPartitions) {}
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/TrialRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/TrialRun.java
@@ -2,6 +2,7 @@
 
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.event.JsonEventLog;
+import io.hawthornlb.gateway.front.RevocationPolicy;
 import io.hawthornlb.gateway.http.HttpCall;
 import io.hawthornlb.gateway.http.HttpCaller;
 import io.hawthornlb.gateway.http.HttpReply;
@@ -147,6 +148,7 @@
           new InetSocketAddress(loopback, metrics.getLocalPort()),
           STOP_TIME,
           STOP_TIME,
+          RevocationPolicy.LENIENT,
           STOP_TIME,
           PARTITIONS);
     } catch (IOException e) {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
@@ -189,7 +189,16 @@
 
   /** Starts a gateway with a given shutdown time. */
   GatewayFixture(Duration stopTime) {
-    settings = settings(stopTime);
+    this(stopTime, RevocationPolicy.LENIENT);
+  }
+
+  /** Starts a gateway with a given policy for keys. */
+  GatewayFixture(RevocationPolicy revocation) {
+    this(Duration.ofSeconds(8), revocation);
+  }
+
+  private GatewayFixture(Duration stopTime, RevocationPolicy revocation) {
+    settings = settings(stopTime, revocation);
     process =
         new GatewayProcess(
             settings,
@@ -458,7 +467,7 @@
     return text.toString();
   }
 
-  private static GatewaySettings settings(Duration stopTime) {
+  private static GatewaySettings settings(Duration stopTime, RevocationPolicy revocation) {
     InetAddress loopback = InetAddress.getLoopbackAddress();
     List<Integer> ports = new ArrayList<>();
     try (ServerSocket front = new ServerSocket(0, 1, loopback);
@@ -480,6 +489,7 @@
         new InetSocketAddress(loopback, ports.get(2)),
         stopTime,
         CHANGE_TIME,
+        revocation,
         Duration.ofSeconds(120),
         2);
   }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/WorkspaceKeyTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/WorkspaceKeyTest.java
@@ -12,6 +12,7 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import org.awaitility.Awaitility;
@@ -171,6 +172,42 @@
     assertEquals(401, gateway.callWith(KEY, "/a/", "x").status());
   }
 
+  /**
+   * Guards against an instance that is cut off and goes on to accept keys that may have been
+   * revoked, although the operator asked for strict revocation.
+   */
+  @Test
+  void refusesKnownKeysOnceTheyMayBeRevokedIfRevocationIsStrict() throws IOException {
+    try (GatewayFixture strict =
+        new GatewayFixture(new RevocationPolicy(true, Duration.ofSeconds(2)))
+            .keys(Map.of("key-a", "farm"))) {
+      endpoint.then(OK, KEEP);
+      strict.route(RouteKind.ONCE, 1, false, endpoint);
+      assertEquals(200, strict.callWith(KEY, "/a/", "x").status());
+      strict.storeUnresponsive(true);
+      Awaitility.await().until(() -> strict.unansweredReads() > 0);
+      Awaitility.await()
+          .atMost(Duration.ofSeconds(10))
+          .until(
+              () -> {
+                endpoint.then(OK, KEEP);
+                return strict.callWith(KEY, "/a/", "x").status() == 503;
+              });
+    }
+  }
+
+  /** Guards against refusing all callers of an instance that is cut off from the store. */
+  @Test
+  void servesKnownKeysWhileTheStoreIsAwayIfRevocationIsLenient() throws Exception {
+    gateway.route(RouteKind.ONCE, 1, false, endpoint);
+    gateway.storeUnresponsive(true);
+    Awaitility.await()
+        .atMost(GatewayFixture.CHANGE_TIME.multipliedBy(3))
+        .until(() -> gateway.callWith("Test-Key: key-c\r\n", "/a/", "x").status() == 503);
+    endpoint.then(OK, KEEP);
+    assertEquals(200, gateway.callWith(KEY, "/a/", "x").status());
+  }
+
   /**
    * Guards against telling a caller that its new key does not exist while this process cannot read
    * the configuration that has it.
