Split the coordinators of a process from its client for slots

Change: LocalCoordinators has the coordinators, their ticks and answers; the client keeps its requests. No behaviour changes.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
@@ -7,13 +7,10 @@
 import io.hawthornlb.gateway.slot.RequestQuota;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotClient;
-import io.hawthornlb.gateway.slot.SlotCoordinator;
 import io.hawthornlb.gateway.slot.SlotKey;
 import io.hawthornlb.gateway.slot.SlotOutcome;
 import io.hawthornlb.gateway.slot.SlotRequest;
 import io.hawthornlb.gateway.slot.SlotUse;
-import io.hawthornlb.gateway.slot.support.DefaultSlotCoordinator;
-import io.hawthornlb.gateway.slot.support.SlotSettings;
 import io.hawthornlb.gateway.wire.ReportedLoad;
 import java.time.Duration;
 import java.time.Instant;
@@ -28,8 +25,7 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Requests slots from the coordinator of a service, and acts as the coordinator of some services
- * itself.
+ * Requests slots from the coordinators of the services.
  *
  * <p>All processes compute the same order of candidates for a service, and the first candidate that
  * answers is the coordinator. A coordinator that is killed, frozen or partitioned from the network
@@ -56,29 +52,19 @@
 
   private static final Duration RENEW_EVERY = Duration.ofSeconds(1);
 
-  /** Interval at which a coordinator checks the requests that wait. */
-  private static final Duration TICK = Duration.ofMillis(20);
-
   private final FleetView fleet;
   private final PeerTransport transport;
   private final EndpointDirectory directory;
   private final ScheduledExecutorService executor;
   private final InstantSource clock;
   private final EventLog log;
-  private final RequestQuota quota;
-  private final Map<String, SlotCoordinator> coordinators = new HashMap<>();
+  private final LocalCoordinators coordinators;
   private final Map<SlotKey, Pending> pending = new HashMap<>();
 
   /** Names of the last known coordinators by service. */
   private final Map<String, String> lastCoordinators = new HashMap<>();
 
-  /**
-   * Names of the processes by boot id; answers to a holder are sent to the process with that name.
-   */
-  private final Map<String, String> senders = new HashMap<>();
-
   private long nextNumber;
-  private boolean ticking;
   private boolean renewing;
 
   /** Creates a client that does all its work on the executor. */
@@ -91,12 +77,14 @@
       EventLog log,
       RequestQuota quota) {
     this.fleet = fleet;
-    this.quota = quota;
     this.transport = transport;
     this.directory = directory;
     this.executor = executor;
     this.clock = clock;
     this.log = log;
+    this.coordinators =
+        new LocalCoordinators(
+            fleet, transport, directory, executor, clock, log, quota, this::answeredHere);
     transport.onMessage(this::onMessageReceived);
   }
 
@@ -125,7 +113,7 @@
     GatewayInstance coordinator = ended.coordinator;
     String service = ended.request.service();
     if (coordinator.equals(fleet.self())) {
-      deliver(local(service).release(key, reported, clock.instant()));
+      coordinators.release(service, key, reported);
     } else {
       transport.send(coordinator, new PeerMessage.Release(service, key, reported));
     }
@@ -139,7 +127,7 @@
     }
     String service = held.request.service();
     if (held.coordinator.equals(fleet.self())) {
-      local(service).suspect(key, clock.instant());
+      coordinators.suspect(service, key);
     } else {
       transport.send(held.coordinator, new PeerMessage.Suspect(service, key));
     }
@@ -153,70 +141,23 @@
     }
     String service = held.request.service();
     if (held.coordinator.equals(fleet.self())) {
-      local(service).reportLoad(key, load, clock.instant());
+      coordinators.reportLoad(service, key, load);
     } else {
       transport.send(held.coordinator, new PeerMessage.Told(service, key, load));
     }
   }
 
-  private SlotCoordinator local(String service) {
-    return coordinators.computeIfAbsent(
-        service,
-        name ->
-            new DefaultSlotCoordinator(
-                name,
-                directory,
-                SlotSettings.DEFAULT,
-                quota,
-                fingerprint -> barred(name, fingerprint)));
-  }
-
-  private void barred(String service, long fingerprint) {
-    log.important("slot", "request.barred")
-        .with("service", service)
-        .with("fingerprint", Long.toHexString(fingerprint))
-        .write();
-    PeerMessage.Barred notice = new PeerMessage.Barred(service, fingerprint);
-    fleet.others().forEach(other -> transport.send(other, notice));
-  }
-
   private void onMessageReceived(PeerCodec.Envelope envelope) {
     fleet.recordContact(envelope.sender());
-    PeerMessage message = envelope.message();
-    Instant now = clock.instant();
-    if (message instanceof PeerMessage.Ask ask) {
-      senders.put(ask.request().key().holder(), envelope.sender());
-      deliver(local(ask.request().service()).request(ask.request(), now));
-      scheduleTick();
-    } else if (message instanceof PeerMessage.Answer answer) {
+    if (envelope.message() instanceof PeerMessage.Answer answer) {
       answered(answer.answer(), envelope.sender());
-    } else if (message instanceof PeerMessage.Release release) {
-      deliver(local(release.service()).release(release.key(), release.outcome(), now));
-    } else if (message instanceof PeerMessage.Suspect suspect) {
-      local(suspect.service()).suspect(suspect.key(), now);
-    } else if (message instanceof PeerMessage.Told told) {
-      local(told.service()).reportLoad(told.key(), told.load(), now);
-    } else if (message instanceof PeerMessage.Barred barred) {
-      local(barred.service()).blockRequest(barred.fingerprint(), now);
-    } else if (message instanceof PeerMessage.Renew renew) {
-      senders.put(renew.holder(), envelope.sender());
-      local(renew.service()).renew(renew.holder(), renew.uses(), now);
-      scheduleTick();
+    } else {
+      coordinators.onMessage(envelope);
     }
   }
 
-  private void deliver(List<SlotAnswer> answers) {
-    for (SlotAnswer answer : answers) {
-      if (answer.key().holder().equals(fleet.self().boot())) {
-        answered(answer, fleet.self().name());
-        continue;
-      }
-      String name = senders.get(answer.key().holder());
-      GatewayInstance holder = name == null ? null : fleet.lastKnown(name);
-      if (holder != null) {
-        transport.send(holder, new PeerMessage.Answer(answer));
-      }
-    }
+  private void answeredHere(SlotAnswer answer) {
+    answered(answer, fleet.self().name());
   }
 
   /**
@@ -240,26 +181,6 @@
     }
   }
 
-  private void scheduleTick() {
-    if (!ticking) {
-      ticking = true;
-      executor.schedule(this::tick, TICK.toMillis(), TimeUnit.MILLISECONDS);
-    }
-  }
-
-  private void tick() {
-    ticking = false;
-    Instant now = clock.instant();
-    boolean busy = false;
-    for (SlotCoordinator coordinator : List.copyOf(coordinators.values())) {
-      deliver(coordinator.tick(now));
-      busy |= coordinator.busy();
-    }
-    if (busy) {
-      scheduleTick();
-    }
-  }
-
   private void scheduleRenewal() {
     if (!renewing) {
       renewing = true;
@@ -322,8 +243,7 @@
   private void renewAt(GatewayInstance coordinator, String service, List<SlotUse> uses) {
     String holder = fleet.self().boot();
     if (coordinator.equals(fleet.self())) {
-      local(service).renew(holder, uses, clock.instant());
-      scheduleTick();
+      coordinators.renew(service, holder, uses);
     } else {
       transport.send(coordinator, new PeerMessage.Renew(service, holder, uses));
     }
@@ -375,8 +295,7 @@
 
     private void ask() {
       if (coordinator.equals(fleet.self())) {
-        deliver(local(request.service()).request(request, clock.instant()));
-        scheduleTick();
+        coordinators.request(request);
         return;
       }
       attempts++;
