--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -7,6 +7,7 @@
 import io.hawthornlb.gateway.event.EventLine;
 import io.hawthornlb.gateway.route.Route;
 import io.hawthornlb.gateway.route.RouteKind;
+import io.hawthornlb.gateway.route.RoutingConfig;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotKey;
 import io.hawthornlb.gateway.slot.SlotOutcome;
@@ -270,6 +271,7 @@
     parts.metrics().count("requests.refused", "over limit");
     line("limit.exceeded")
         .with("workspace", workspaceName())
+        .with("config", parts.config().current().map(RoutingConfig::version).orElse(-1L))
         .with("retryMillis", retryAfter.toMillis())
         .write();
     responder.sendStatus(429, retryAfter);
