Test the refusal beyond a limit over real sockets

Cause: the limit was tested by its decisions alone. Change: a case of WorkspaceKeyTest: two requests of a burst run, the third gets 429 with Retry-After and a log line, another workspace is served. Result: WorkspaceKeyTest passes.

--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
@@ -2,6 +2,7 @@
 
 import io.hawthornlb.core.model.WorkspaceId;
 import io.hawthornlb.core.workspace.Workspace;
+import io.hawthornlb.core.workspace.WorkspaceLimit;
 import io.hawthornlb.core.workspace.WorkspaceRegistry;
 import io.hawthornlb.core.workspace.support.DefaultWorkspaceRegistry;
 import io.hawthornlb.gateway.RecordingEventLog;
@@ -84,6 +85,7 @@
   private Duration timeout = Duration.ofMillis(1_500);
   private @Nullable WorkspaceRegistry workspaces;
   private List<Route> routes = List.of();
+  private @Nullable WorkspaceLimit limit;
 
   /** Log store that stops answering reads when the test asks for it. */
   private static final class UnresponsiveStore extends InMemoryLogStore {
@@ -217,11 +219,17 @@
     return this;
   }
 
+  /** Sets the limit of each workspace whose keys are set after this call. */
+  GatewayFixture limit(WorkspaceLimit each) {
+    limit = each;
+    return this;
+  }
+
   /** Sets the keys, with their workspaces, of the configuration that is put in force next. */
   GatewayFixture keys(Map<String, String> holders) {
     DefaultWorkspaceRegistry.Builder registry = DefaultWorkspaceRegistry.builder();
     for (String name : Set.copyOf(holders.values())) {
-      Workspace workspace = new Workspace(new WorkspaceId(name), null, null);
+      Workspace workspace = new Workspace(new WorkspaceId(name), null, limit);
       registry.add(
           workspace,
           holders.keySet().stream().filter(key -> holders.get(key).equals(name)).toList());
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/WorkspaceKeyTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/WorkspaceKeyTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.hawthornlb.core.workspace.WorkspaceLimit;
 import io.hawthornlb.gateway.ScriptedEndpoint;
 import io.hawthornlb.gateway.front.GatewayFixture.Answer;
 import io.hawthornlb.gateway.route.RouteKind;
@@ -13,6 +14,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import org.awaitility.Awaitility;
@@ -118,6 +120,24 @@
     }
   }
 
+  /** Guards against a workspace that runs more than its limit, or is not told when to return. */
+  @Test
+  void refusesRequestsBeyondTheLimitWithATimeToReturn() throws IOException {
+    gateway.limit(new WorkspaceLimit(0.1, 2)).keys(Map.of("key-a", "farm", "key-b", "store"));
+    gateway.route(RouteKind.ONCE, 1, false, endpoint);
+    for (int i = 0; i < 3; i++) {
+      endpoint.then(OK, KEEP);
+    }
+    assertEquals(200, gateway.callWith(KEY, "/a/", "x").status());
+    assertEquals(200, gateway.callWith(KEY, "/a/", "x").status());
+    Answer beyond = gateway.callWith(KEY, "/a/", "x");
+    assertEquals(429, beyond.status());
+    assertTrue(beyond.head().toLowerCase(Locale.ROOT).contains("retry-after: "), beyond.head());
+    assertEquals(200, gateway.callWith("Test-Key: key-b\r\n", "/a/", "x").status());
+    assertEquals(3, endpoint.requests().size());
+    assertTrue(gateway.log().events().contains("front.limit.exceeded"));
+  }
+
   /** Guards against a key that stays valid on a connection on which it was valid once. */
   @Test
   void refusesARevokedKeyOnAKeptConnection() throws IOException {
