Take the request to an endpoint out of Forwarding

Change: ForwardedRequest has id, workspace, priority, fingerprint, time allowed and the request to an endpoint.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -1,7 +1,5 @@
 package io.hawthornlb.gateway.front;
 
-import com.dynatrace.hash4j.hashing.Hashing;
-import io.hawthornlb.core.workspace.Workspace;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.event.EventLine;
@@ -15,14 +13,6 @@
 import io.hawthornlb.gateway.wire.EndpointCall;
 import io.hawthornlb.gateway.wire.ReportedLoad;
 import io.hawthornlb.gateway.wire.SilenceWatch;
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpVersion;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
@@ -57,9 +47,8 @@
 
   private final ForwardingHandler.Parts parts;
   private final Route route;
-  private final FrontRequest request;
+  private final ForwardedRequest request;
   private final Responder responder;
-  private final String id;
   private final String service;
   private final RequestTime time;
   private final Set<EndpointIncarnation> excluded = new HashSet<>();
@@ -78,11 +67,11 @@
       ForwardingHandler.Parts parts, Route route, FrontRequest request, Responder responder) {
     this.parts = parts;
     this.route = route;
-    this.request = request;
+    this.request = new ForwardedRequest(request, route, parts.names(), parts.log());
     this.responder = responder;
-    this.id = request.headers().get(parts.names().requestId(), "");
     this.service = route.service(ThreadLocalRandom.current().nextDouble());
-    this.time = new RequestTime(route, request.arrived(), timeAllowed(), parts.clock());
+    this.time =
+        new RequestTime(route, request.arrived(), this.request.timeAllowed(), parts.clock());
     boolean streaming = route.kind() == RouteKind.STREAM;
     this.relay = new AnswerRelay(this, parts, responder, streaming);
     SilenceWatch.Limits limits =
@@ -192,7 +181,7 @@
     parts
         .log()
         .routine("front", "request.answered")
-        .with("id", id)
+        .with("id", request.id())
         .with("status", status)
         .with("endpoint", endpointId())
         .with("firstMillis", first.toMillis())
@@ -203,45 +192,23 @@
 
   private void acquire() {
     Duration maxWait = time.maxWait(relay.headSent() || runs > 0, rejections > 0);
-    Workspace workspace = request.workspace();
     SlotKey key = parts.slots().nextKey();
     slot = key;
     requestedAt = parts.clock().instant();
     SlotRequest wanted =
         SlotRequest.builder(key, service)
-            .rank(priority())
+            .rank(request.priority())
             .dataCentre(parts.dataCentre())
             .maxWait(maxWait)
             .patience(time.patience(maxWait))
-            .fingerprint(fingerprint())
+            .fingerprint(request.fingerprint())
             .excluded(Set.copyOf(excluded))
-            .workspace(workspace == null ? null : workspace.id())
+            .workspace(request.workspace())
             .charged(runs == 0 && rejections == 0)
             .build();
     parts.slots().acquire(wanted, this::onSlot);
   }
 
-  private @Nullable String workspaceName() {
-    Workspace workspace = request.workspace();
-    return workspace == null ? null : workspace.id().value();
-  }
-
-  private int priority() {
-    Workspace workspace = request.workspace();
-    return workspace == null ? route.priority() : workspace.priorityOr(route.priority());
-  }
-
-  /**
-   * Returns a hash by which a request is recognized when its caller repeats it under another id.
-   */
-  private long fingerprint() {
-    return Hashing.wyhashFinal4()
-        .hashStream()
-        .putString(request.uri())
-        .putBytes(request.body())
-        .getAsLong();
-  }
-
   private static Duration objectives(Route route, double count) {
     return Duration.ofMillis((long) (route.objective().toMillis() * count));
   }
@@ -267,7 +234,7 @@
   private void refuseOverLimit(Duration retryAfter) {
     parts.metrics().count("requests.refused", "over limit");
     line("limit.exceeded")
-        .with("workspace", workspaceName())
+        .with("workspace", String.valueOf(request.workspace()))
         .with("config", parts.config().current().map(RoutingConfig::version).orElse(-1L))
         .with("retryMillis", retryAfter.toMillis())
         .write();
@@ -300,7 +267,7 @@
     parts
         .log()
         .routine("front", "request.sent")
-        .with("id", id)
+        .with("id", request.id())
         .with("route", route.name())
         .with("endpoint", incarnation.id())
         .with("runs", runs)
@@ -309,7 +276,11 @@
     call =
         parts
             .pool()
-            .send(incarnation, target.get().address(), endpointRequest(incarnation.id()), relay);
+            .send(
+                incarnation,
+                target.get().address(),
+                request.toEndpoint(incarnation.id(), time.left(), relay.lastEventId()),
+                relay);
     watch.start();
   }
 
@@ -352,29 +323,6 @@
     return endpoint == null ? null : endpoint.id();
   }
 
-  private FullHttpRequest endpointRequest(String endpointId) {
-    HttpHeaders headers = ForwardedHeaders.toEndpoint(request.headers(), parts.names());
-    headers.set(parts.names().remainingMillis(), Math.max(1, time.left().toMillis()));
-    headers.set(parts.names().expectedEndpoint(), endpointId);
-    Workspace workspace = request.workspace();
-    if (workspace != null) {
-      headers.set(parts.names().workspace(), workspace.id().value());
-    }
-    if (relay.lastEventId() >= 0) {
-      headers.set(parts.names().lastEventId(), relay.lastEventId());
-    }
-    if (request.body().length > 0 || !request.method().equals(HttpMethod.GET)) {
-      headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
-    }
-    return new DefaultFullHttpRequest(
-        HttpVersion.HTTP_1_1,
-        request.method(),
-        request.uri(),
-        Unpooled.wrappedBuffer(request.body()),
-        headers,
-        new DefaultHttpHeaders());
-  }
-
   private void proceed(NextStep step, String cause) {
     if (step == NextStep.SEND_AGAIN || step == NextStep.RESUME) {
       acquire();
@@ -463,30 +411,11 @@
     return new AttemptRules.State(runs, rejections, relay.headSent(), time.allowsAttempt());
   }
 
-  private Duration timeAllowed() {
-    String remaining = request.headers().get(parts.names().remainingMillis());
-    if (remaining == null) {
-      return route.timeout();
-    }
-    try {
-      Duration callers = Duration.ofMillis(Long.parseLong(remaining.trim()));
-      return callers.compareTo(route.timeout()) < 0 ? callers : route.timeout();
-    } catch (NumberFormatException e) {
-      parts
-          .log()
-          .routine("front", "budget.unreadable")
-          .with("id", id)
-          .with("value", remaining)
-          .write();
-      return route.timeout();
-    }
-  }
-
   private EventLine line(String event) {
     return parts
         .log()
         .important("front", event)
-        .with("id", id)
+        .with("id", request.id())
         .with("route", route.name())
         .with("millis", time.sinceArrival());
   }
