Refuse by the head only where the connection stays open

Cause: found on reading the change. A caller that closes its connection after the response gets 401 while its body still arrives; closing with bytes unread resets the connection, and the caller may never read the 401. Change: a request whose connection closes, also since the process stops, is refused once its body is read, within the limit of a body. The request is built from head and body in FrontRequest.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontConnection.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontConnection.java
@@ -164,6 +164,11 @@
     }
   }
 
+  private OptionalInt refusalOf(HttpRequest request) {
+    FrontRequest withoutBody = FrontRequest.of(request, new byte[0], server.clock().instant());
+    return server.handler().refusalOf(withoutBody);
+  }
+
   private void onContent(HttpContent content) {
     if (head != null) {
       append(content);
@@ -174,10 +179,12 @@
   }
 
   private void begin(HttpRequest request) {
-    OptionalInt refusal = server.handler().refusalOf(frontRequest(request, new byte[0]));
+    // Closing a connection whose body is still arriving would reset it before the response is read.
+    boolean staysOpen = HttpUtil.isKeepAlive(request) && !server.draining();
+    OptionalInt refusal = staysOpen ? refusalOf(request) : OptionalInt.empty();
     if (refusal.isPresent()) {
       discarding = true;
-      Exchange refused = new Exchange(HttpUtil.isKeepAlive(request));
+      Exchange refused = new Exchange(true);
       exchange = refused;
       schedule(server.limits().idleTimeout(), 408);
       refused.sendStatus(refusal.getAsInt(), null);
@@ -220,25 +227,12 @@
     byte[] bytes = body == null ? new byte[0] : ByteBufUtil.getBytes(body);
     head = null;
     dropBody();
-    FrontRequest whole = frontRequest(request, bytes);
+    FrontRequest whole = FrontRequest.of(request, bytes, server.clock().instant());
     Exchange next = new Exchange(HttpUtil.isKeepAlive(request));
     exchange = next;
     next.start(whole);
   }
 
-  private FrontRequest frontRequest(HttpRequest request, byte[] bytes) {
-    String uri = request.uri();
-    int query = uri.indexOf('?');
-    return new FrontRequest(
-        request.method(),
-        uri,
-        query < 0 ? uri : uri.substring(0, query),
-        request.headers().get(HttpHeaderNames.HOST, ""),
-        request.headers(),
-        bytes,
-        server.clock().instant());
-  }
-
   private void refuseMalformed(Throwable cause) {
     if (cause instanceof TooLongFrameException) {
       refuseBeyondLimit(431);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontRequest.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontRequest.java
@@ -3,8 +3,10 @@
 import io.hawthornlb.core.workspace.Workspace;
 import io.hawthornlb.gateway.wire.HeaderNames;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import java.time.Instant;
 import org.jspecify.annotations.Nullable;
 
@@ -42,6 +44,20 @@
     this(method, uri, path, host, headers, body, arrived, null);
   }
 
+  /** Returns the request with the given head and body. */
+  static FrontRequest of(HttpRequest head, byte[] body, Instant arrived) {
+    String uri = head.uri();
+    int query = uri.indexOf('?');
+    return new FrontRequest(
+        head.method(),
+        uri,
+        query < 0 ? uri : uri.substring(0, query),
+        head.headers().get(HttpHeaderNames.HOST, ""),
+        head.headers(),
+        body,
+        arrived);
+  }
+
   /** Returns this request for a workspace, with its headers as received. */
   FrontRequest withWorkspace(@Nullable Workspace holder) {
     return new FrontRequest(method, uri, path, host, headers, body, arrived, holder);
