Add the contracts of work sizes, paces and demand to the coordinator

Cause: the coordinator treats all requests and endpoints alike, and two deployments have requests of unequal size and endpoints of unequal pace. Change: core gets the contracts WorkEstimator, PaceTable and DemandForecast with baselines that behave as the code did; requests carry the token counts that they state, and endpoints' reports their pace, in optional fields at the end of the datagrams. Measured: tests of the codec, the coordinator, settings and formats pass; no decision changes yet.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardedRequest.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardedRequest.java
@@ -2,6 +2,7 @@
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import io.hawthornlb.core.model.WorkspaceId;
+import io.hawthornlb.core.work.WorkSize;
 import io.hawthornlb.core.workspace.Workspace;
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.route.Route;
@@ -49,6 +50,11 @@
     return workspace == null ? null : workspace.id();
   }
 
+  /** Returns the token counts that the request states. */
+  WorkSize size() {
+    return names.workSize().read(request.headers()::get);
+  }
+
   /** Returns the priority of the workspace, or that of the route if the workspace has none. */
   int priority() {
     Workspace workspace = request.workspace();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -117,13 +117,10 @@
     }
   }
 
-  /**
-   * Called when a response reports the endpoint's load. Reports the load to the coordinator only if
-   * requests wait at the endpoint; any other load does not justify a message.
-   */
+  /** Called when a response reports the endpoint's load. */
   void onLoadReported(ReportedLoad load) {
     SlotKey held = slot;
-    if (held != null && load.waiting() > 0) {
+    if (held != null) {
       parts.slots().reportLoad(held, load);
     }
   }
@@ -205,6 +202,7 @@
             .excluded(Set.copyOf(excluded))
             .workspace(request.workspace())
             .charged(runs == 0 && rejections == 0)
+            .size(request.size())
             .build();
     parts.slots().acquire(wanted, this::onSlot);
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -156,6 +156,7 @@
             .dataCentre(parts.dataCentre())
             .maxWait(SLOT_WAIT)
             .excluded(Set.copyOf(excluded))
+            .size(parts.names().workSize().read(item.headers()::get))
             .build();
     excluded.clear();
     parts.slots().acquire(wanted, this::onSlot);
@@ -333,7 +334,6 @@
             .names()
             .load()
             .read(response.headers())
-            .filter(load -> load.waiting() > 0)
             .ifPresent(load -> parts.slots().reportLoad(held, load));
       }
       notRun = response.headers().contains(parts.names().notRun()) || status == 421;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
@@ -5,6 +5,7 @@
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.slot.RequestQuota;
+import io.hawthornlb.gateway.slot.SchedulingSettings;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotClient;
 import io.hawthornlb.gateway.slot.SlotKey;
@@ -17,8 +18,10 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -58,9 +61,13 @@
   private final ScheduledExecutorService executor;
   private final InstantSource clock;
   private final EventLog log;
+  private final SchedulingSettings scheduling;
   private final LocalCoordinators coordinators;
   private final Map<SlotKey, Pending> pending = new HashMap<>();
 
+  /** Services whose endpoints report a pace. */
+  private final Set<String> pacedServices = new HashSet<>();
+
   /** Names of the last known coordinators by service. */
   private final Map<String, String> lastCoordinators = new HashMap<>();
 
@@ -75,16 +82,26 @@
       ScheduledExecutorService executor,
       InstantSource clock,
       EventLog log,
-      RequestQuota quota) {
+      RequestQuota quota,
+      SchedulingSettings scheduling) {
     this.fleet = fleet;
     this.transport = transport;
     this.directory = directory;
     this.executor = executor;
     this.clock = clock;
     this.log = log;
+    this.scheduling = scheduling;
     this.coordinators =
         new LocalCoordinators(
-            fleet, transport, directory, executor, clock, log, quota, this::answeredHere);
+            fleet,
+            transport,
+            directory,
+            executor,
+            clock,
+            log,
+            quota,
+            scheduling,
+            this::answeredHere);
     transport.onMessage(this::onMessageReceived);
   }
 
@@ -96,7 +113,7 @@
 
   @Override
   public void acquire(SlotRequest request, Listener listener) {
-    Pending asked = new Pending(request, listener);
+    Pending asked = new Pending(sized(request) ? request : request.withoutSize(), listener);
     pending.put(request.key(), asked);
     asked.askNextCandidate();
     scheduleRenewal();
@@ -140,6 +157,12 @@
       return;
     }
     String service = held.request.service();
+    if (load.hasPace()) {
+      pacedServices.add(service);
+    }
+    if (load.waiting() == 0) {
+      return;
+    }
     if (held.coordinator.equals(fleet.self())) {
       coordinators.reportLoad(service, key, load);
     } else {
@@ -147,6 +170,11 @@
     }
   }
 
+  /** Returns whether the coordinator schedules the request by the size that it states. */
+  private boolean sized(SlotRequest request) {
+    return scheduling.contended() || pacedServices.contains(request.service());
+  }
+
   private void onMessageReceived(PeerCodec.Envelope envelope) {
     fleet.recordContact(envelope.sender());
     if (envelope.message() instanceof PeerMessage.Answer answer) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/LocalCoordinators.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/LocalCoordinators.java
@@ -3,6 +3,7 @@
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.slot.RequestQuota;
+import io.hawthornlb.gateway.slot.SchedulingSettings;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotCoordinator;
 import io.hawthornlb.gateway.slot.SlotKey;
@@ -38,6 +39,7 @@
   private final InstantSource clock;
   private final EventLog log;
   private final RequestQuota quota;
+  private final SlotSettings settings;
   private final Consumer<SlotAnswer> onOwnAnswer;
   private final Map<String, SlotCoordinator> coordinators = new HashMap<>();
 
@@ -61,6 +63,7 @@
       InstantSource clock,
       EventLog log,
       RequestQuota quota,
+      SchedulingSettings scheduling,
       Consumer<SlotAnswer> onOwnAnswer) {
     this.fleet = fleet;
     this.transport = transport;
@@ -69,6 +72,7 @@
     this.clock = clock;
     this.log = log;
     this.quota = quota;
+    this.settings = SlotSettings.builder().scheduling(scheduling).build();
     this.onOwnAnswer = onOwnAnswer;
   }
 
@@ -124,11 +128,7 @@
         service,
         name ->
             new DefaultSlotCoordinator(
-                name,
-                directory,
-                SlotSettings.DEFAULT,
-                quota,
-                fingerprint -> onBlocked(name, fingerprint)));
+                name, directory, settings, quota, fingerprint -> onBlocked(name, fingerprint)));
   }
 
   private void onBlocked(String service, long fingerprint) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.gateway.peer;
 
 import io.hawthornlb.core.model.WorkspaceId;
+import io.hawthornlb.core.work.WorkSize;
 import io.hawthornlb.gateway.decode.MessageReader;
 import io.hawthornlb.gateway.decode.UnreadableException;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
@@ -54,6 +55,12 @@
    */
   private static final int MAX_COUNT = 1_000_000;
 
+  /**
+   * Stands for the workspace of an anonymous caller where further fields follow; no configuration
+   * allows this name.
+   */
+  private static final String NO_WORKSPACE = "\0";
+
   private PeerCodec() {}
 
   /**
@@ -100,6 +107,9 @@
       packKey(packer.packInt(TOLD), told.key());
       packer.packString(told.service());
       packer.packInt(told.load().running()).packInt(told.load().waiting());
+      if (told.load().hasPace()) {
+        packer.packInt(told.load().pacePercent());
+      }
     } else if (message instanceof PeerMessage.Held held) {
       packer.packInt(HELD).packInt(held.partition()).packLong(held.epoch());
     } else if (message instanceof PeerMessage.Barred barred) {
@@ -127,8 +137,15 @@
       packIncarnation(packer, incarnation);
     }
     WorkspaceId workspace = request.workspace();
+    WorkSize size = request.size();
     if (workspace != null) {
       packer.packString(workspace.value()).packBoolean(request.charged());
+    } else if (size.isStated()) {
+      packer.packString(NO_WORKSPACE).packBoolean(false);
+    }
+    if (size.isStated()) {
+      packer.packInt(size.promptTokens()).packInt(size.maxOutputTokens());
+      packer.packInt(size.hintedOutputTokens());
     }
   }
 
@@ -233,8 +250,12 @@
     SlotKey key = unpackKey(reader);
     String service = reader.text();
     int running = reader.number("running", 0, MAX_COUNT);
-    ReportedLoad load = new ReportedLoad(running, reader.number("waiting", 0, MAX_COUNT));
-    return new PeerMessage.Told(service, key, load);
+    int waiting = reader.number("waiting", 0, MAX_COUNT);
+    int pace =
+        reader.hasMore()
+            ? reader.number("pace", ReportedLoad.MIN_PACE, ReportedLoad.MAX_PACE)
+            : ReportedLoad.UNKNOWN_PACE;
+    return new PeerMessage.Told(service, key, new ReportedLoad(running, waiting, pace));
   }
 
   private static PeerMessage unpackSuspect(MessageReader reader) throws IOException {
@@ -253,13 +274,16 @@
     Duration patience = reader.millis("patience", MAX_TIME);
     long fingerprint = reader.number();
     Set<EndpointIncarnation> excluded = new HashSet<>();
-    int size = reader.listSize();
-    for (int i = 0; i < size; i++) {
+    int excludedCount = reader.listSize();
+    for (int i = 0; i < excludedCount; i++) {
       excluded.add(unpackIncarnation(reader));
     }
-    // Requests of anonymous callers, and those of former versions, end with the excluded endpoints.
-    WorkspaceId workspace = reader.hasMore() ? new WorkspaceId(reader.text()) : null;
-    boolean charged = workspace != null && reader.flag();
+    // Requests of anonymous callers, and those of former versions, end with the excluded endpoints;
+    // those that state no size end with the workspace.
+    String workspace = reader.hasMore() ? reader.text() : NO_WORKSPACE;
+    boolean anonymous = workspace.equals(NO_WORKSPACE);
+    boolean charged = reader.hasMore() && reader.flag();
+    WorkSize size = reader.hasMore() ? unpackSize(reader) : WorkSize.NONE;
     return SlotRequest.builder(key, service)
         .batch(batch)
         .rank(rank)
@@ -269,11 +293,22 @@
         .patience(patience)
         .fingerprint(fingerprint)
         .excluded(excluded)
-        .workspace(workspace)
-        .charged(charged)
+        .workspace(anonymous ? null : new WorkspaceId(workspace))
+        .charged(charged && !anonymous)
+        .size(size)
         .build();
   }
 
+  private static WorkSize unpackSize(MessageReader reader) throws IOException {
+    int promptTokens = unpackTokens(reader);
+    int maxOutputTokens = unpackTokens(reader);
+    return new WorkSize(promptTokens, maxOutputTokens, unpackTokens(reader));
+  }
+
+  private static int unpackTokens(MessageReader reader) throws IOException {
+    return reader.number("tokens", WorkSize.UNKNOWN, WorkSize.MAX_TOKENS);
+  }
+
   private static PeerMessage unpackAllowed(MessageReader reader) throws IOException {
     Map<WorkspaceId, Integer> counts = new HashMap<>();
     int size = reader.mapSize();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -186,7 +186,8 @@
 
   private FleetSlotClient slotClient(FleetView fleet, PeerTransport transport) {
     FleetQuota quota = new FleetQuota(fleet, transport, config, loop, clock);
-    return new FleetSlotClient(fleet, transport, directory, loop, clock, log, quota);
+    return new FleetSlotClient(
+        fleet, transport, directory, loop, clock, log, quota, settings.scheduling());
   }
 
   private PeerTransport peerTransport() {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewaySettings.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import io.hawthornlb.gateway.front.RevocationPolicy;
 import io.hawthornlb.gateway.peer.GatewayInstance;
+import io.hawthornlb.gateway.slot.SchedulingSettings;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 
@@ -17,6 +18,7 @@
  * @param revocation decides whether keys are accepted while the configuration cannot be read
  * @param resultRetention time for which results of jobs stay readable
  * @param jobPartitions number of partitions of the jobs' topic
+ * @param scheduling determines how slots are scheduled
  */
 public record GatewaySettings(
     GatewayInstance self,
@@ -27,4 +29,30 @@
     Duration changeTime,
     RevocationPolicy revocation,
     Duration resultRetention,
-    int jobPartitions) {}
+    int jobPartitions,
+    SchedulingSettings scheduling) {
+
+  /** Creates settings of a deployment that asks for no particular scheduling. */
+  public GatewaySettings(
+      GatewayInstance self,
+      InetSocketAddress front,
+      InetSocketAddress ready,
+      InetSocketAddress metrics,
+      Duration stopTime,
+      Duration changeTime,
+      RevocationPolicy revocation,
+      Duration resultRetention,
+      int jobPartitions) {
+    this(
+        self,
+        front,
+        ready,
+        metrics,
+        stopTime,
+        changeTime,
+        revocation,
+        resultRetention,
+        jobPartitions,
+        SchedulingSettings.DEFAULT);
+  }
+}
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotClient.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotClient.java
@@ -22,7 +22,7 @@
    */
   void suspect(SlotKey key);
 
-  /** Passes on the load that the endpoint of a slot reported. */
+  /** Passes on the load that the endpoint of a slot reported, if it concerns the coordinator. */
   void reportLoad(SlotKey key, ReportedLoad load);
 
   /** Returns the key for a new request, unique in the fleet. */
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotRequest.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotRequest.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.gateway.slot;
 
 import io.hawthornlb.core.model.WorkspaceId;
+import io.hawthornlb.core.work.WorkSize;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import java.time.Duration;
 import java.util.Set;
@@ -27,6 +28,7 @@
  * @param workspace workspace of the caller; null if the caller is anonymous
  * @param charged whether the request counts against the limit of its workspace; false for batch
  *     items and for further attempts at a request that was counted
+ * @param size token counts that the request states; {@link WorkSize#NONE} if it states none
  */
 public record SlotRequest(
     SlotKey key,
@@ -40,7 +42,8 @@
     long fingerprint,
     Set<EndpointIncarnation> excluded,
     @Nullable WorkspaceId workspace,
-    boolean charged) {
+    boolean charged,
+    WorkSize size) {
 
   /**
    * Returns a builder of an online request without a workspace, which may not wait.
@@ -52,6 +55,24 @@
     return new Builder(key, service);
   }
 
+  /** Returns this request without the token counts that it states. */
+  public SlotRequest withoutSize() {
+    return new SlotRequest(
+        key,
+        service,
+        batch,
+        rank,
+        work,
+        dataCentre,
+        maxWait,
+        patience,
+        fingerprint,
+        excluded,
+        workspace,
+        charged,
+        WorkSize.NONE);
+  }
+
   /** Builds a request. */
   public static final class Builder {
 
@@ -67,6 +88,7 @@
     private Set<EndpointIncarnation> excluded = Set.of();
     private @Nullable WorkspaceId workspace;
     private boolean charged = false;
+    private WorkSize size = WorkSize.NONE;
 
     private Builder(SlotKey key, String service) {
       this.key = key;
@@ -133,6 +155,12 @@
       return this;
     }
 
+    /** Sets the token counts that the request states. */
+    public Builder size(WorkSize value) {
+      size = value;
+      return this;
+    }
+
     /** Returns the request. Its patience is its longest wait unless it was set. */
     public SlotRequest build() {
       return new SlotRequest(
@@ -147,7 +175,8 @@
           fingerprint,
           excluded,
           workspace,
-          charged);
+          charged,
+          size);
     }
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.slot.support;
 
+import io.hawthornlb.core.work.WorkSize;
 import io.hawthornlb.core.workspace.LimitDecision;
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
@@ -52,6 +53,7 @@
   private final OverloadPeriod overloadPeriod = new OverloadPeriod();
   private final UntrackedLoad untrackedLoad = new UntrackedLoad();
   private final WaitEstimate estimate = new WaitEstimate();
+  private final ServiceEstimates estimates;
   private final SlotLeases leases;
   private final WaitingRequests waiting = new WaitingRequests();
   private final FairTurns turns = new FairTurns();
@@ -78,6 +80,7 @@
     this.penalties = new Penalties(settings);
     this.outliers = new OutlierDetector(settings);
     this.refusedCallers = new RefusedCallers(settings);
+    this.estimates = new ServiceEstimates(settings.scheduling());
     this.leases = new SlotLeases(directory);
     this.lateItems = new LateItems(leases, waiting);
     this.search =
@@ -104,6 +107,9 @@
     if (!limit.allowed()) {
       return List.of(new SlotAnswer.OverLimit(request.key(), limit.retryAfter()));
     }
+    if (!request.batch()) {
+      estimates.arrived(request, now);
+    }
     List<SlotAnswer> answers = new ArrayList<>();
     boolean returning = refusedCallers.returned(request.fingerprint(), now);
     boolean firstInQueue = waiting.isEmpty();
@@ -135,6 +141,9 @@
     }
     if (outcome == SlotOutcome.ANSWERED && !lease.batch()) {
       estimate.ended(lease.since(), now);
+      if (leases.isCurrent(lease)) {
+        estimates.answered(lease, now);
+      }
     }
     return fill(now);
   }
@@ -158,6 +167,9 @@
   public void reportLoad(SlotKey key, ReportedLoad load, Instant now) {
     SlotLease lease = leases.find(key);
     if (lease != null && leases.isCurrent(lease)) {
+      if (load.hasPace()) {
+        estimates.paces().reported(lease.endpoint(), load.pacePercent(), now);
+      }
       untrackedLoad.reported(lease.endpoint(), load, leases.used(lease.endpoint()), now);
     }
   }
@@ -373,6 +385,8 @@
             request.work(),
             late(request, now),
             request.fingerprint(),
+            request.size(),
+            request.workspace(),
             now,
             now,
             false));
@@ -385,6 +399,7 @@
     penalties.forget(incarnation.id());
     outliers.forget(incarnation.id());
     untrackedLoad.forget(incarnation.id());
+    estimates.paces().forget(incarnation.id());
     leases.recount();
   }
 
@@ -400,6 +415,8 @@
         use.work(),
         false,
         0,
+        WorkSize.NONE,
+        null,
         now,
         now,
         false);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotLease.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotLease.java
@@ -1,15 +1,20 @@
 package io.hawthornlb.gateway.slot.support;
 
+import io.hawthornlb.core.model.WorkspaceId;
+import io.hawthornlb.core.work.WorkSize;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.slot.SlotKey;
 import java.time.Duration;
 import java.time.Instant;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A lease of a slot, which a holder renews while it uses the slot.
  *
  * @param work time for which the request still had to run when the coordinator learned of it
  * @param late whether this is a batch item that goes behind items that can finish in time
+ * @param size token counts that the request states
+ * @param workspace workspace of the caller; null if the caller is anonymous or not known
  * @param suspected whether the holder has reported that the endpoint is silent
  */
 record SlotLease(
@@ -22,6 +27,8 @@
     Duration work,
     boolean late,
     long fingerprint,
+    WorkSize size,
+    @Nullable WorkspaceId workspace,
     Instant since,
     Instant renewed,
     boolean suspected) {
@@ -62,6 +69,8 @@
         work,
         nowLate,
         fingerprint,
+        size,
+        workspace,
         since,
         nowRenewed,
         nowSuspected);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSettings.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSettings.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.slot.support;
 
+import io.hawthornlb.gateway.slot.SchedulingSettings;
 import java.time.Duration;
 
 /**
@@ -20,6 +21,7 @@
  * @param itemReserve slots kept free from items, as a multiple of the square root of the number of
  *     slots that online requests use
  * @param placement determines which endpoint gets a request
+ * @param scheduling settings of the deployment
  */
 public record SlotSettings(
     Duration leaseTime,
@@ -34,7 +36,8 @@
     Duration returnTime,
     boolean lateItemsLast,
     double itemReserve,
-    Placement placement) {
+    Placement placement,
+    SchedulingSettings scheduling) {
 
   /** The default settings, as defined in {@link Builder}. */
   public static final SlotSettings DEFAULT = builder().build();
@@ -71,6 +74,7 @@
     private boolean lateItemsLast = true;
     private double itemReserve = 1;
     private Placement placement = new NearestPlacement();
+    private SchedulingSettings scheduling = SchedulingSettings.DEFAULT;
 
     private Builder() {}
 
@@ -107,6 +111,12 @@
       return this;
     }
 
+    /** Sets the scheduling settings of the deployment. */
+    public Builder scheduling(SchedulingSettings settings) {
+      scheduling = settings;
+      return this;
+    }
+
     /** Returns the settings. */
     public SlotSettings build() {
       return new SlotSettings(
@@ -122,7 +132,8 @@
           returnTime,
           lateItemsLast,
           itemReserve,
-          placement);
+          placement,
+          scheduling);
     }
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/HeaderNames.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/HeaderNames.java
@@ -1,5 +1,7 @@
 package io.hawthornlb.gateway.wire;
 
+import io.hawthornlb.core.work.WorkSize;
+
 /**
  * Names of the headers that the gateway reads or sets.
  *
@@ -12,6 +14,7 @@
  * @param apiKey API key of a caller; never forwarded
  * @param workspace name of the workspace for which a request is made; set by the gateway only
  * @param load reads the load that a response reports
+ * @param workSize reads the token counts that a request states
  */
 public record HeaderNames(
     String requestId,
@@ -22,4 +25,30 @@
     String lastEventId,
     String apiKey,
     String workspace,
-    LoadFormat load) {}
+    LoadFormat load,
+    WorkSizeFormat workSize) {
+
+  /** Creates the names where requests do not state their size. */
+  public HeaderNames(
+      String requestId,
+      String remainingMillis,
+      String expectedEndpoint,
+      String notRun,
+      String signature,
+      String lastEventId,
+      String apiKey,
+      String workspace,
+      LoadFormat load) {
+    this(
+        requestId,
+        remainingMillis,
+        expectedEndpoint,
+        notRun,
+        signature,
+        lastEventId,
+        apiKey,
+        workspace,
+        load,
+        header -> WorkSize.NONE);
+  }
+}
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
@@ -9,6 +9,7 @@
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.slot.RequestQuota;
+import io.hawthornlb.gateway.slot.SchedulingSettings;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotOutcome;
 import io.hawthornlb.gateway.slot.SlotRequest;
@@ -57,7 +58,8 @@
               time.loop(),
               time,
               new RecordingEventLog(),
-              RequestQuota.UNLIMITED);
+              RequestQuota.UNLIMITED,
+              SchedulingSettings.DEFAULT);
     }
 
     private void connectToAll() {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.hawthornlb.core.model.WorkspaceId;
+import io.hawthornlb.core.work.WorkSize;
 import io.hawthornlb.gateway.decode.UnreadableException;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.slot.SlotAnswer;
@@ -53,6 +54,14 @@
                 .workspace(new WorkspaceId("farm"))
                 .charged(true)
                 .build()),
+        new PeerMessage.Ask(
+            SlotRequest.builder(KEY, "engine")
+                .workspace(new WorkspaceId("farm"))
+                .charged(true)
+                .size(new WorkSize(450, 300, WorkSize.UNKNOWN))
+                .build()),
+        new PeerMessage.Ask(
+            SlotRequest.builder(KEY, "engine").size(new WorkSize(450, 300, 210)).build()),
         new PeerMessage.Answer(new SlotAnswer.OverLimit(KEY, Duration.ofMillis(730))),
         new PeerMessage.Allowed(Map.of(new WorkspaceId("farm"), 7, new WorkspaceId("store"), -1)),
         new PeerMessage.Ping(),
@@ -61,6 +70,7 @@
         new PeerMessage.Release("engine", KEY, SlotOutcome.FAILED),
         new PeerMessage.Suspect("engine", KEY),
         new PeerMessage.Told("engine", KEY, new ReportedLoad(8, 3)),
+        new PeerMessage.Told("engine", KEY, new ReportedLoad(8, 0, 250)),
         new PeerMessage.Held(11, 7L << 40),
         new PeerMessage.Barred("engine", -7L << 50),
         new PeerMessage.Renew(
