Estimate waits by the work of the requests ahead

A wait was estimated as the number of requests ahead times the mean of the last ten uses, whatever their sizes. Where callers compete for capacity or endpoints report a pace, it is now the sum of the work queued ahead, divided by the slots weighted by pace. The sum is kept while requests come and go; only the requests behind the new one are walked. Uses that were adopted, resumed or begun by another attempt teach nothing, and batch items teach times per token only.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.front;
 
+import io.hawthornlb.core.work.WorkSize;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.event.EventLine;
@@ -202,7 +203,7 @@
             .excluded(Set.copyOf(excluded))
             .workspace(request.workspace())
             .charged(runs == 0 && rejections == 0)
-            .size(request.size())
+            .size(relay.lastEventId() < 0 ? request.size() : WorkSize.NONE)
             .build();
     parts.slots().acquire(wanted, this::onSlot);
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -139,8 +139,10 @@
     if (outcome == SlotOutcome.FAILED && lease.fingerprint() != 0) {
       recordCrash(lease.fingerprint(), now);
     }
-    if (outcome == SlotOutcome.ANSWERED && !lease.batch()) {
-      estimate.ended(lease.since(), now);
+    if (outcome == SlotOutcome.ANSWERED) {
+      if (!lease.batch()) {
+        estimate.ended(lease.since(), now);
+      }
       if (leases.isCurrent(lease)) {
         estimates.answered(lease, now);
       }
@@ -233,8 +235,9 @@
       turns.clear();
     }
     double turn = request.batch() ? 0 : turns.next(request.workspace());
+    Duration work = estimates.queuedWork(request);
     Waiter waiter =
-        new Waiter(request, returning, turn, late(request, now), now, now.plus(longest));
+        new Waiter(request, returning, turn, late(request, now), work, now, now.plus(longest));
     if (!request.batch() && expectedWait(waiter, now).compareTo(longest) > 0) {
       answers.add(refuse(waiter, now));
       return;
@@ -247,12 +250,19 @@
   }
 
   private Duration expectedWait(Waiter waiter, Instant now) {
-    Duration queue = estimate.of(waiting.before(waiter), search.slots());
+    Duration queue =
+        estimates.active()
+            ? estimates.untilSlot(waiting.workBefore(waiter), 0, capacity())
+            : estimate.of(waiting.before(waiter), search.slots());
     // New requests go first, so a returning one is served only once the overload ends.
     Duration overload = waiter.returning() ? overloadPeriod.remaining(now) : Duration.ZERO;
     return queue.compareTo(overload) > 0 ? queue : overload;
   }
 
+  private double capacity() {
+    return search.capacity(estimates.paces());
+  }
+
   private static SlotAnswer waitingUntil(Waiter waiter, Instant now) {
     return new SlotAnswer.Waiting(waiter.request().key(), Duration.between(now, waiter.until()));
   }
@@ -266,8 +276,7 @@
     if (request.batch()) {
       return refused(request, Duration.ZERO);
     }
-    int before = waiting.online() + refusedCallers.count(now);
-    Duration queue = estimate.retryAfter(before, search.slots());
+    Duration queue = retryAfter(refusedCallers.count(now));
     Duration overload = overload(now);
     Duration retryAfter = queue.compareTo(overload) > 0 ? queue : overload;
     if (!waiter.returning()) {
@@ -276,6 +285,13 @@
     return refused(request, retryAfter);
   }
 
+  /** Returns the time until the waiting requests and the refused callers are served. */
+  private Duration retryAfter(int refusedBefore) {
+    return estimates.active()
+        ? estimate.retryAfter(estimates.untilSlot(waiting.onlineWork(), refusedBefore, capacity()))
+        : estimate.retryAfter(waiting.online() + refusedBefore, search.slots());
+  }
+
   private SlotAnswer refused(SlotRequest request, Duration retryAfter) {
     SlotAnswer.Load seen = new SlotAnswer.Load(search.slots(), leases.counted(), waiting.online());
     return new SlotAnswer.Refused(request.key(), retryAfter, seen);
@@ -387,6 +403,7 @@
             request.fingerprint(),
             request.size(),
             request.workspace(),
+            request.excluded().isEmpty(),
             now,
             now,
             false));
@@ -417,6 +434,7 @@
         0,
         WorkSize.NONE,
         null,
+        false,
         now,
         now,
         false);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/ServiceEstimates.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/ServiceEstimates.java
@@ -4,8 +4,7 @@
 import io.hawthornlb.core.demand.support.RecentDemandForecast;
 import io.hawthornlb.core.pace.PaceTable;
 import io.hawthornlb.core.pace.support.UniformPaceTable;
-import io.hawthornlb.core.work.WorkEstimator;
-import io.hawthornlb.core.work.support.MeanWorkEstimator;
+import io.hawthornlb.core.work.support.LearningWorkEstimator;
 import io.hawthornlb.gateway.slot.SchedulingSettings;
 import io.hawthornlb.gateway.slot.SlotRequest;
 import java.time.Duration;
@@ -21,7 +20,7 @@
 final class ServiceEstimates {
 
   private final SchedulingSettings settings;
-  private final WorkEstimator work = new MeanWorkEstimator();
+  private final LearningWorkEstimator work = new LearningWorkEstimator();
   private final PaceTable paces = new UniformPaceTable();
   private final DemandForecast demand = new RecentDemandForecast();
 
@@ -39,6 +38,31 @@
     return work.estimate(request.size(), request.workspace());
   }
 
+  /** Returns the time that a waiting request occupies a slot; zero if no decision uses it. */
+  Duration queuedWork(SlotRequest request) {
+    if (!active()) {
+      return Duration.ZERO;
+    }
+    return request.batch() ? request.work() : wholeWork(request);
+  }
+
+  /**
+   * Returns the time until a slot is free for a request.
+   *
+   * @param ahead work of the requests before it
+   * @param others number of further requests before it whose work is not known
+   * @param capacity slots of all endpoints, in slots of an endpoint of usual pace
+   */
+  Duration untilSlot(Duration ahead, int others, double capacity) {
+    double usual = work.usual().toNanos();
+    double whole = ahead.toNanos() + (others + 1) * usual;
+    return Duration.ofNanos((long) (capacity > 0 ? whole / capacity : usual));
+  }
+
+  LearningWorkEstimator work() {
+    return work;
+  }
+
   PaceTable paces() {
     return paces;
   }
@@ -54,16 +78,25 @@
     }
   }
 
-  /** Learns from the use of an online request that an endpoint has answered. */
+  /**
+   * Learns from a use that an endpoint has answered. The use of a batch item shows times per token
+   * only, since items are longer than the requests that are estimated here.
+   */
   void answered(SlotLease lease, Instant now) {
-    if (!active()) {
+    if (!active() || !lease.whole()) {
       return;
     }
     Duration used = Duration.between(lease.since(), now);
+    if (lease.batch()) {
+      work.learnTokenTimes(lease.size(), atUsualPace(lease, used));
+      return;
+    }
     Duration estimated = work.estimate(lease.size(), lease.workspace());
     paces.completed(lease.endpoint(), estimated, used, now);
-    double factor = paces.lastingFactor(lease.endpoint());
-    Duration usual = Duration.ofMillis((long) (used.toMillis() / factor));
-    work.completed(lease.size(), lease.workspace(), usual);
+    work.completed(lease.size(), lease.workspace(), atUsualPace(lease, used));
+  }
+
+  private Duration atUsualPace(SlotLease lease, Duration used) {
+    return Duration.ofNanos((long) (used.toNanos() / paces.lastingFactor(lease.endpoint())));
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotLease.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotLease.java
@@ -15,6 +15,8 @@
  * @param late whether this is a batch item that goes behind items that can finish in time
  * @param size token counts that the request states
  * @param workspace workspace of the caller; null if the caller is anonymous or not known
+ * @param whole whether the lease covers the whole run of a request, not one that other attempts or
+ *     another coordinator had begun
  * @param suspected whether the holder has reported that the endpoint is silent
  */
 record SlotLease(
@@ -29,6 +31,7 @@
     long fingerprint,
     WorkSize size,
     @Nullable WorkspaceId workspace,
+    boolean whole,
     Instant since,
     Instant renewed,
     boolean suspected) {
@@ -71,6 +74,7 @@
         fingerprint,
         size,
         workspace,
+        whole,
         since,
         nowRenewed,
         nowSuspected);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSearch.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSearch.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.slot.support;
 
+import io.hawthornlb.core.pace.PaceTable;
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
@@ -41,6 +42,15 @@
     return directory.usable(service).stream().mapToInt(EndpointRecord::slots).sum();
   }
 
+  /** Returns the slots of all endpoints, in slots of an endpoint of usual pace. */
+  double capacity(PaceTable paces) {
+    double capacity = 0;
+    for (EndpointRecord endpoint : directory.usable(service)) {
+      capacity += endpoint.slots() / paces.lastingFactor(endpoint.id());
+    }
+    return capacity;
+  }
+
   /** Returns whether any endpoint that gets requests has a free slot. */
   boolean anyFree(Instant now) {
     List<EndpointRecord> usable = directory.usable(service);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/WaitEstimate.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/WaitEstimate.java
@@ -37,7 +37,11 @@
    * served.
    */
   Duration retryAfter(int ahead, int slots) {
-    Duration wait = of(ahead, slots);
+    return retryAfter(of(ahead, slots));
+  }
+
+  /** Returns the time after which a caller should return that would have to wait for a time. */
+  Duration retryAfter(Duration wait) {
     return wait.compareTo(MIN_RETRY) < 0 ? MIN_RETRY : wait;
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Waiter.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Waiter.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.gateway.slot.support;
 
 import io.hawthornlb.gateway.slot.SlotRequest;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Comparator;
 
@@ -11,6 +12,7 @@
  * @param returning whether the request was refused before
  * @param turn turn of the request among the workspaces; see {@link FairTurns}
  * @param late whether this is a batch item that goes behind items that can finish in time
+ * @param work time for which the request is expected to use a slot; zero if no decision uses it
  * @param since when the request arrived
  * @param until when the request is refused if it still waits
  */
@@ -19,6 +21,7 @@
     boolean returning,
     double turn,
     boolean late,
+    Duration work,
     Instant since,
     Instant until) {
 
@@ -38,6 +41,6 @@
 
   /** Returns this request with another position among the batch items. */
   Waiter withLate(boolean nowLate) {
-    return new Waiter(request, returning, turn, nowLate, since, until);
+    return new Waiter(request, returning, turn, nowLate, work, since, until);
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/WaitingRequests.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/WaitingRequests.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.gateway.slot.support;
 
 import io.hawthornlb.gateway.slot.SlotKey;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -22,6 +23,7 @@
   private final TreeSet<Waiter> ordered = new TreeSet<>(Waiter.ORDER);
   private final Map<SlotKey, Waiter> byKey = new HashMap<>();
   private int online;
+  private Duration onlineWork = Duration.ZERO;
 
   boolean isEmpty() {
     return ordered.isEmpty();
@@ -45,10 +47,34 @@
     return ordered.headSet(waiter).size();
   }
 
+  /** Returns the work of all waiting online requests. */
+  Duration onlineWork() {
+    return onlineWork;
+  }
+
+  /**
+   * Returns the work of the waiting requests that get a slot before the given online request, which
+   * need not be waiting itself. Most requests queue up near the end, so this walks the requests
+   * after it.
+   */
+  Duration workBefore(Waiter waiter) {
+    long after = 0;
+    for (Waiter each : ordered.tailSet(waiter)) {
+      if (each.request().batch()) {
+        break;
+      }
+      after += each.work().toNanos();
+    }
+    return onlineWork.minusNanos(after);
+  }
+
   void add(Waiter waiter) {
     ordered.add(waiter);
     byKey.put(waiter.request().key(), waiter);
-    online += waiter.request().batch() ? 0 : 1;
+    if (!waiter.request().batch()) {
+      online++;
+      onlineWork = onlineWork.plus(waiter.work());
+    }
   }
 
   /** Removes and returns a waiting request; null if the request does not wait. */
@@ -109,6 +135,9 @@
 
   private void forget(Waiter waiter) {
     byKey.remove(waiter.request().key());
-    online -= waiter.request().batch() ? 0 : 1;
+    if (!waiter.request().batch()) {
+      online--;
+      onlineWork = onlineWork.minus(waiter.work());
+    }
   }
 }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/CoordinatorCostTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/CoordinatorCostTest.java
@@ -2,6 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.hawthornlb.core.model.WorkspaceId;
+import io.hawthornlb.core.work.WorkSize;
+import io.hawthornlb.gateway.slot.SchedulingSettings;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotOutcome;
 import io.hawthornlb.gateway.slot.SlotRequest;
@@ -31,10 +34,48 @@
    */
   private static final int DECISIONS_PER_SECOND = 1_600;
 
-  private final CoordinatorFixture fixture = new CoordinatorFixture();
+  private CoordinatorFixture fixture = new CoordinatorFixture();
   private final Map<Object, SlotRequest> asked = new HashMap<>();
   private final Deque<SlotRequest> running = new ArrayDeque<>();
 
+  /**
+   * Guards against estimates of work that make each decision walk over all waiting requests; the
+   * deployment with competing callers allows 30 us at 62 endpoints and 600 waiting requests. The
+   * comparison with the decision without estimates holds on a busy machine too.
+   */
+  @Test
+  void decidesBySizeInAboutTheSameTime() {
+    Duration plain = Duration.ofDays(1);
+    Duration sized = plain;
+    for (int i = 0; i < 4; i++) {
+      plain = shorter(plain, decisionTime(SchedulingSettings.DEFAULT));
+      sized = shorter(sized, decisionTime(new SchedulingSettings(true)));
+    }
+    String seen = "by size " + sized.toNanos() / 1_000 + " us, plain " + plain.toNanos() / 1_000;
+    System.out.println("coordinator cost: " + seen);
+    assertTrue(sized.toNanos() < 1.5 * plain.toNanos(), seen);
+  }
+
+  private static Duration shorter(Duration first, Duration second) {
+    return first.compareTo(second) < 0 ? first : second;
+  }
+
+  private Duration decisionTime(SchedulingSettings scheduling) {
+    fixture = new CoordinatorFixture(SlotSettings.builder().scheduling(scheduling).build());
+    asked.clear();
+    running.clear();
+    for (int i = 0; i < 62; i++) {
+      fixture.endpoint("e" + i, "d" + i % 4, 8);
+    }
+    for (int i = 0; i < 62 * 8 + 600; i++) {
+      ask(i);
+    }
+    replay();
+    long began = System.nanoTime();
+    replay();
+    return Duration.ofNanos((System.nanoTime() - began) / (2 * ROUNDS));
+  }
+
   @Test
   void decidesAtPeakLoadWithASmallPartOfACore() {
     for (int i = 0; i < ENDPOINTS; i++) {
@@ -68,6 +109,8 @@
             .rank(number % 2)
             .dataCentre("d" + number % 4)
             .maxWait(Duration.ofSeconds(600))
+            .workspace(new WorkspaceId("w" + number % 86))
+            .size(new WorkSize(450, 4_000, 20 + number % 400))
             .build();
     asked.put(request.key(), request);
     take(fixture.ask(request));
