Estimate the rest of batch items by their stated sizes

All items counted with one mean run time per partition, so that long items seemed to be in time until they were late. Where callers compete or endpoints report a pace, an item's rest now follows from its stated size and the events that it has produced. Items that were resumed count by their events, not by the time of all attempts, and state no size to the coordinator.

--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/work/support/LearningWorkEstimator.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/work/support/LearningWorkEstimator.java
@@ -26,7 +26,7 @@
   static final int FEW_USES = 8;
 
   /** Output time before the first use has ended; that of a short answer of 250 tokens. */
-  private static final double FIRST_MILLIS = 500;
+  private static final Duration FIRST_OUTPUT = Duration.ofMillis(500);
 
   /** Uses that the initial or restored figures of a service count as. */
   private static final double INITIAL_USES = 2;
@@ -61,13 +61,30 @@
           return size() > MAX_WORKSPACES;
         }
       };
-  private OutputHistory service =
-      new OutputHistory(Math.log(FIRST_MILLIS), FIRST_USUAL_ERROR, FIRST_HINT_ERROR, INITIAL_USES);
-  private Correction hintedCorrection = new Correction(1, FIRST_MILLIS);
-  private Correction usualCorrection = new Correction(1, FIRST_MILLIS);
+  private OutputHistory service;
+  private Correction hintedCorrection;
+  private Correction usualCorrection;
   private MovingAverage promptTokens = new MovingAverage(PROMPT_WINDOW, 0, 0);
   private long uses;
 
+  /** Creates an estimator of online requests. */
+  public LearningWorkEstimator() {
+    this(FIRST_OUTPUT);
+  }
+
+  /**
+   * Creates an estimator.
+   *
+   * @param first estimate before the first use has ended
+   */
+  public LearningWorkEstimator(Duration first) {
+    double millis = first.toNanos() / 1e6;
+    service =
+        new OutputHistory(Math.log(millis), FIRST_USUAL_ERROR, FIRST_HINT_ERROR, INITIAL_USES);
+    hintedCorrection = new Correction(1, millis);
+    usualCorrection = new Correction(1, millis);
+  }
+
   @Override
   public Duration estimate(WorkSize size, @Nullable WorkspaceId workspace) {
     return millis(promptMillis(size) + outputMillis(size, workspace));
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -1,5 +1,7 @@
 package io.hawthornlb.gateway.job;
 
+import io.hawthornlb.core.model.WorkspaceId;
+import io.hawthornlb.core.work.WorkSize;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.event.EventLine;
@@ -12,6 +14,7 @@
 import io.hawthornlb.gateway.wire.EndpointCall;
 import io.hawthornlb.gateway.wire.EndpointCallListener;
 import io.hawthornlb.gateway.wire.EventSplitter;
+import io.hawthornlb.gateway.wire.ReportedLoad;
 import io.hawthornlb.gateway.wire.SilenceWatch;
 import io.hawthornlb.gateway.wire.StreamEvent;
 import io.netty.buffer.ByteBuf;
@@ -63,7 +66,10 @@
   private final RunEstimate estimate;
   private final ItemOutput output;
   private final Set<EndpointIncarnation> excluded = new HashSet<>();
+  private final WorkSize size;
   private Duration ran = Duration.ZERO;
+  private Duration lastRan = Duration.ZERO;
+  private boolean sentWhole;
   private @Nullable Instant sentAt;
   private int failures;
   private @Nullable SlotKey slot;
@@ -83,6 +89,7 @@
       ItemOutcome outcome) {
     this.output = new ItemOutput(item.id(), job.progress(item.id()), epoch);
     this.estimate = estimate;
+    this.size = parts.names().workSize().read(item.headers()::get);
     this.failures = job.failures(item.id());
     this.parts = parts;
     this.job = job;
@@ -133,7 +140,7 @@
 
   @Override
   public long rank() {
-    return estimate.rank(due, output.lastEventId(), parts.clock().instant());
+    return RunEstimate.rank(due, remaining(), parts.clock().instant());
   }
 
   @Override
@@ -152,16 +159,32 @@
         SlotRequest.builder(key, route.get().service(0))
             .batch(true)
             .rank(due.toEpochMilli())
-            .work(estimate.remaining(output.lastEventId()))
+            .work(remaining())
             .dataCentre(parts.dataCentre())
             .maxWait(SLOT_WAIT)
             .excluded(Set.copyOf(excluded))
-            .size(parts.names().workSize().read(item.headers()::get))
+            .size(output.lastEventId() < 0 ? size : WorkSize.NONE)
             .build();
     excluded.clear();
     parts.slots().acquire(wanted, this::onSlot);
   }
 
+  /** Returns the time for which the item still has to run. */
+  private Duration remaining() {
+    long events = output.lastEventId();
+    return itemEstimate()
+        .map(each -> each.remaining(size, workspace(), events))
+        .orElseGet(() -> estimate.remaining(events));
+  }
+
+  private Optional<ItemEstimate> itemEstimate() {
+    return route().flatMap(route -> parts.estimates().of(route.service(0)));
+  }
+
+  private @Nullable WorkspaceId workspace() {
+    return job.workspace().orElse(null);
+  }
+
   private Optional<Route> route() {
     return parts.config().current().flatMap(config -> config.match(job.host(), item.path()));
   }
@@ -202,6 +225,7 @@
     }
     lastEventAt = parts.clock().instant();
     sentAt = lastEventAt;
+    sentWhole = output.lastEventId() < 0;
     logLine("item.sent")
         .with("endpoint", incarnation.id())
         .with("after", output.lastEventId())
@@ -258,7 +282,8 @@
 
   private void end(SlotOutcome how) {
     if (sentAt != null) {
-      ran = ran.plus(Duration.between(sentAt, parts.clock().instant()));
+      lastRan = Duration.between(sentAt, parts.clock().instant());
+      ran = ran.plus(lastRan);
       sentAt = null;
     }
     watch.stop();
@@ -278,12 +303,21 @@
     end(SlotOutcome.ANSWERED);
     stopped = true;
     estimate.recordCompletion(ran, output.lastEventId());
+    itemEstimate().ifPresent(this::teach);
     parts.metrics().count("items", "completed");
     parts.metrics().time("items.run", "completed", ran);
     logLine("item.completed").with("events", output.lastEventId()).write();
     outcome.done(item, new JobResult(item.id(), true, output.text()));
   }
 
+  private void teach(ItemEstimate learning) {
+    if (sentWhole) {
+      learning.completed(size, workspace(), lastRan, output.lastEventId());
+    } else {
+      learning.completedInParts(size, workspace(), output.lastEventId());
+    }
+  }
+
   private void failWithStatus(int status) {
     failures += status == 500 ? 1 : 0;
     // If the route is missing at present, the item is not given up: a later configuration may have
@@ -330,11 +364,7 @@
       status = response.status().code();
       SlotKey held = slot;
       if (held != null) {
-        parts
-            .names()
-            .load()
-            .read(response.headers())
-            .ifPresent(load -> parts.slots().reportLoad(held, load));
+        parts.names().load().read(response.headers()).ifPresent(load -> reportLoad(held, load));
       }
       notRun = response.headers().contains(parts.names().notRun()) || status == 421;
       signed =
@@ -342,6 +372,13 @@
               && !response.headers().contains(HttpHeaderNames.CONTENT_ENCODING);
     }
 
+    private void reportLoad(SlotKey held, ReportedLoad load) {
+      if (load.hasPace()) {
+        route().ifPresent(route -> parts.estimates().paceReported(route.service(0)));
+      }
+      parts.slots().reportLoad(held, load);
+    }
+
     @Override
     public void onContent(ByteBuf content) {
       if (status == 200 && signed) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobParts.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobParts.java
@@ -18,6 +18,7 @@
  * @param config configuration in force
  * @param directory known endpoints
  * @param slots client that acquires slots
+ * @param estimates estimates of the run times of items, shared by all partitions
  * @param pool connections to endpoints
  * @param names names of headers
  * @param store log in which jobs are stored
@@ -32,6 +33,7 @@
     ConfigHolder config,
     EndpointDirectory directory,
     SlotClient slots,
+    ItemEstimates estimates,
     EndpointPool pool,
     HeaderNames names,
     LogStore store,
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/RunEstimate.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/RunEstimate.java
@@ -55,7 +55,12 @@
 
   /** Returns the rank of a waiting item; the item with the lowest rank goes first. */
   long rank(Instant due, long eventsSoFar, Instant now) {
-    boolean inTime = !now.plus(remaining(eventsSoFar)).isAfter(due);
+    return rank(due, remaining(eventsSoFar), now);
+  }
+
+  /** Returns the rank of a waiting item that still has to run for some time. */
+  static long rank(Instant due, Duration remaining, Instant now) {
+    boolean inTime = !now.plus(remaining).isAfter(due);
     return (inTime ? due : due.plus(LATE_RANK_OFFSET)).toEpochMilli();
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -8,6 +8,7 @@
 import io.hawthornlb.gateway.front.FrontServer;
 import io.hawthornlb.gateway.http.HttpCaller;
 import io.hawthornlb.gateway.http.NettyHttpCaller;
+import io.hawthornlb.gateway.job.ItemEstimates;
 import io.hawthornlb.gateway.job.JobFormat;
 import io.hawthornlb.gateway.job.JobParts;
 import io.hawthornlb.gateway.job.JobRunners;
@@ -202,6 +203,7 @@
         config,
         directory,
         slots,
+        new ItemEstimates(settings.scheduling()),
         pool,
         names,
         store,
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
@@ -11,6 +11,7 @@
 import io.hawthornlb.gateway.route.RouteKind;
 import io.hawthornlb.gateway.route.RoutingConfig;
 import io.hawthornlb.gateway.route.ServiceShare;
+import io.hawthornlb.gateway.slot.SchedulingSettings;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotClient;
 import io.hawthornlb.gateway.slot.SlotKey;
@@ -82,6 +83,7 @@
         config,
         directory,
         new FreeSlots(),
+        new ItemEstimates(SchedulingSettings.DEFAULT),
         new EndpointPool(loop, NAMES, clock, new GatewayMetrics()),
         NAMES,
         store,
