Distinguish jobs of anonymous callers from those of former versions

JobService took any job without a workspace for one of a former version, so a workspace could read and end the job of an anonymous caller with the same id, and its own job with that id was acknowledged but not stored. Parts of an anonymous caller's job are now marked, after the fields that former versions read; jobs without the marker are still found by every workspace.

readsAndEndsJobsThatTheFormerVersionAccepted now writes its job without the marker, as a former version does. JobOwnershipTest failed before (404 expected, 200 seen) and passes now, as do all tests of the package.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/Job.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/Job.java
@@ -24,6 +24,7 @@
   private final String host;
   private final Instant accepted;
   private final @Nullable WorkspaceId workspace;
+  private final boolean former;
   private final List<JobItem> items;
   private final Map<String, JobItem> itemsById = new HashMap<>();
   private final TreeMap<Integer, JobResult> results = new TreeMap<>();
@@ -49,6 +50,17 @@
       Instant accepted,
       List<JobItem> items,
       @Nullable WorkspaceId workspace) {
+    this(id, host, accepted, items, workspace, false);
+  }
+
+  private Job(
+      String id,
+      String host,
+      Instant accepted,
+      List<JobItem> items,
+      @Nullable WorkspaceId workspace,
+      boolean former) {
+    this.former = former;
     this.id = id;
     this.workspace = workspace;
     this.host = host;
@@ -57,6 +69,11 @@
     this.items.forEach(item -> itemsById.put(item.id(), item));
   }
 
+  /** Returns a job that a version without workspaces accepted, without results. */
+  static Job ofFormerVersion(String id, String host, Instant accepted, List<JobItem> items) {
+    return new Job(id, host, accepted, items, null, true);
+  }
+
   /** Returns the id under which the job is stored. */
   public String id() {
     return id;
@@ -72,6 +89,13 @@
     return Optional.ofNullable(workspace);
   }
 
+  /**
+   * Returns whether a version without workspaces accepted the job, so that its caller is not known.
+   */
+  boolean fromFormerVersion() {
+    return former;
+  }
+
   /** Returns the host of the request that submitted the job; selects the route. */
   public String host() {
     return host;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRecords.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRecords.java
@@ -9,6 +9,7 @@
 import java.io.UncheckedIOException;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -153,8 +154,10 @@
    * Part of an accepted job.
    *
    * @param count number of parts of the job
+   * @param anonymous whether the part is marked as that of an anonymous caller's job. The marker
+   *     follows the fields that former versions read, so that they still read the part
    */
-  record Part(int count, byte[] bytes) {}
+  record Part(int count, byte[] bytes, boolean anonymous) {}
 
   /**
    * Parses a key.
@@ -342,22 +345,26 @@
 
   static List<KeyedRecord> accepted(Job job) {
     byte[] bytes = encode(job);
+    boolean anonymous = job.workspace().isEmpty() && !job.fromFormerVersion();
     int count = Math.max(1, (bytes.length + PART_BYTES - 1) / PART_BYTES);
     List<KeyedRecord> records = new ArrayList<>();
     for (int number = 0; number < count; number++) {
       int from = number * PART_BYTES;
       int length = Math.min(PART_BYTES, bytes.length - from);
-      records.add(part(job.id(), number, count, bytes, from, length));
+      byte[] slice = Arrays.copyOfRange(bytes, from, from + length);
+      records.add(part(job.id(), number, new Part(count, slice, anonymous)));
     }
     return records;
   }
 
-  private static KeyedRecord part(
-      String jobId, int number, int count, byte[] bytes, int from, int length) {
+  private static KeyedRecord part(String jobId, int number, Part part) {
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
-      packer.packInt(count);
-      packer.packBinaryHeader(length);
-      packer.writePayload(bytes, from, length);
+      packer.packInt(part.count());
+      packer.packBinaryHeader(part.bytes().length);
+      packer.writePayload(part.bytes());
+      if (part.anonymous()) {
+        packer.packBoolean(true);
+      }
       return new KeyedRecord(PART + SEPARATOR + jobId + SEPARATOR + number, packer.toByteArray());
     } catch (IOException e) {
       throw new UncheckedIOException("A buffer in memory failed", e);
@@ -366,7 +373,13 @@
 
   static Part part(byte[] value) {
     return MessageReader.read(
-        "part", value, reader -> new Part(reader.number("count", 1, MAX_PARTS), reader.bytes()));
+        "part",
+        value,
+        reader -> {
+          int count = reader.number("count", 1, MAX_PARTS);
+          byte[] bytes = reader.bytes();
+          return new Part(count, bytes, reader.hasMore() && reader.flag());
+        });
   }
 
   private static byte[] encode(Job job) {
@@ -391,7 +404,12 @@
     }
   }
 
-  static Job decode(String jobId, byte[] bytes) {
+  /**
+   * Decodes a job.
+   *
+   * @param anonymous whether its parts are marked as those of an anonymous caller's job
+   */
+  static Job decode(String jobId, byte[] bytes, boolean anonymous) {
     return MessageReader.read(
         "job",
         bytes,
@@ -403,9 +421,12 @@
           for (int i = 0; i < count; i++) {
             items.add(item(reader));
           }
+          JobItem.checked(items);
           // Jobs of former versions, and those of anonymous callers, end with their items.
           WorkspaceId workspace = reader.hasMore() ? workspace(reader.text()) : null;
-          return new Job(jobId, host, accepted, JobItem.checked(items), workspace);
+          return workspace == null && !anonymous
+              ? Job.ofFormerVersion(jobId, host, accepted, items)
+              : new Job(jobId, host, accepted, items, workspace);
         });
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobService.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobService.java
@@ -357,14 +357,14 @@
   }
 
   /**
-   * Returns a job of the caller's workspace. A job that a former version accepted has no workspace;
-   * every workspace that knows its id finds it.
+   * Returns a job of the caller, or one that a version without workspaces accepted; every workspace
+   * that knows the id of the latter finds it.
    */
   private static Optional<Job> find(JobReplica replica, String jobId) {
     JobTable table = replica.table();
     return table
         .find(jobId)
-        .or(() -> table.find(JobScope.callerId(jobId)).filter(job -> job.workspace().isEmpty()));
+        .or(() -> table.find(JobScope.callerId(jobId)).filter(Job::fromFormerVersion));
   }
 
   private static boolean maybeAccepted(JobReplica replica, String jobId) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobTable.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobTable.java
@@ -26,7 +26,7 @@
 final class JobTable {
 
   private final Map<String, Job> jobs = new LinkedHashMap<>();
-  private final Map<String, TreeMap<Integer, byte[]>> parts = new HashMap<>();
+  private final Map<String, TreeMap<Integer, JobRecords.Part>> parts = new HashMap<>();
   private final Map<String, TreeMap<Integer, JobResult>> resultsBeforeJob = new HashMap<>();
   private final Set<String> ended = new HashSet<>();
   private final Set<String> destroyed = new LinkedHashSet<>();
@@ -181,7 +181,7 @@
       // same, so that an unreadable one is reported and restored.
       JobRecords.Part part = JobRecords.part(value);
       if (part.count() == 1) {
-        JobRecords.decode(jobId, part.bytes());
+        JobRecords.decode(jobId, part.bytes(), part.anonymous());
       }
       return;
     }
@@ -190,13 +190,15 @@
       if (key.number() >= part.count()) {
         throw new UnreadableException("part", "number is beyond the last part");
       }
-      TreeMap<Integer, byte[]> known = parts.computeIfAbsent(jobId, any -> new TreeMap<>());
+      TreeMap<Integer, JobRecords.Part> known =
+          parts.computeIfAbsent(jobId, any -> new TreeMap<>());
       known.tailMap(part.count(), true).clear();
-      known.put(key.number(), part.bytes());
+      known.put(key.number(), part);
       if (known.size() == part.count()) {
         ByteArrayOutputStream whole = new ByteArrayOutputStream();
-        known.values().forEach(whole::writeBytes);
-        add(JobRecords.decode(jobId, whole.toByteArray()));
+        known.values().forEach(each -> whole.writeBytes(each.bytes()));
+        boolean anonymous = known.values().stream().allMatch(JobRecords.Part::anonymous);
+        add(JobRecords.decode(jobId, whole.toByteArray(), anonymous));
         // Parts that do not decode to a job are kept. When the job is written again, its parts
         // replace them one by one.
         parts.remove(jobId);
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobOwnershipTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobOwnershipTest.java
@@ -92,7 +92,7 @@
   /** Guards against losing the jobs that the former version accepted, after an update. */
   @Test
   void readsAndEndsJobsThatTheFormerVersionAccepted() {
-    Job former = new Job("j", "h", Instant.EPOCH, items("former"));
+    Job former = Job.ofFormerVersion("j", "h", Instant.EPOCH, items("former"));
     int partition = replicas.partition("j");
     store.append(new AppendCall(JobReplicas.TOPIC, partition, JobRecords.accepted(former), null));
     assertEquals("former", call(READ_BODY, FARM).text());
@@ -100,6 +100,23 @@
     assertTrue(store.keys.contains(JobRecords.end("j").key()));
   }
 
+  /**
+   * Guards against a workspace that reads or ends the job of an anonymous caller who chose the same
+   * id, or whose own job is acknowledged but not stored.
+   */
+  @Test
+  void keepsJobsOfAnonymousCallersAndWorkspacesApart() {
+    assertEquals(202, call(submit("anonymous"), null).status());
+    assertEquals("anonymous", call(READ_BODY, null).text());
+    for (JobCall call : List.of(READ, READ_BODY, END)) {
+      assertEquals(404, call(call, FARM).status());
+    }
+    assertEquals(202, call(submit("own"), FARM).status());
+    assertEquals("own", call(READ_BODY, FARM).text());
+    assertEquals(200, call(END, FARM).status());
+    assertEquals("anonymous", call(READ_BODY, null).text());
+  }
+
   /** Guards against an anonymous caller that names the stored id of a job of a workspace. */
   @Test
   void refusesTheStoredIdOfAJobOfAWorkspace() {
