Report unusual paces to the coordinator, and log and measure them

Cause: the coordinator got no pace unless requests waited at the endpoint. Change: FleetSlotClient sends Told for a pace that PaceReportFilter passes: one that differs by over 20% from 100, or the first usual one within 600 ms after it. The coordinating instance logs pace.changed, at most every 10 s per endpoint, and has the gauges pace.median and pace.slowest by service. GatewayMetrics gets gauges, bounded as its other series. FleetSlotClientTest passes the new constructor argument.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/metric/MetricsText.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/metric/MetricsText.java
@@ -1,11 +1,13 @@
 package io.hawthornlb.gateway.metric;
 
 import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.atomic.LongAdder;
 import org.jspecify.annotations.Nullable;
 
@@ -44,6 +46,12 @@
         bind(open, latency.getKey(), latency.getValue());
       }
     }
+    for (Map.Entry<GatewayMetrics.Series, AtomicReference<Double>> gauge :
+        metrics.gauges().entrySet()) {
+      if (bound.add(gauge.getKey())) {
+        bind(open, gauge.getKey(), gauge.getValue());
+      }
+    }
     return open.scrape();
   }
 
@@ -54,6 +62,15 @@
         .register(registry);
   }
 
+  private static void bind(
+      PrometheusMeterRegistry registry,
+      GatewayMetrics.Series series,
+      AtomicReference<Double> value) {
+    Gauge.builder(series.name(), value, AtomicReference::get)
+        .tag(LABEL, series.label())
+        .register(registry);
+  }
+
   private static void bind(
       PrometheusMeterRegistry registry, GatewayMetrics.Series series, LatencyHistogram value) {
     for (int bucket = 0; bucket < LatencyHistogram.bucketCount(); bucket++) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
@@ -4,6 +4,7 @@
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.event.EventLog;
+import io.hawthornlb.gateway.metric.GatewayMetrics;
 import io.hawthornlb.gateway.slot.RequestQuota;
 import io.hawthornlb.gateway.slot.SchedulingSettings;
 import io.hawthornlb.gateway.slot.SlotAnswer;
@@ -68,6 +69,8 @@
   /** Services whose endpoints report a pace. */
   private final Set<String> pacedServices = new HashSet<>();
 
+  private final PaceReportFilter paceReports = new PaceReportFilter();
+
   /** Names of the last known coordinators by service. */
   private final Map<String, String> lastCoordinators = new HashMap<>();
 
@@ -83,7 +86,8 @@
       InstantSource clock,
       EventLog log,
       RequestQuota quota,
-      SchedulingSettings scheduling) {
+      SchedulingSettings scheduling,
+      GatewayMetrics metrics) {
     this.fleet = fleet;
     this.transport = transport;
     this.directory = directory;
@@ -101,6 +105,7 @@
             log,
             quota,
             scheduling,
+            new PaceObservation(log, metrics),
             this::answeredHere);
     transport.onMessage(this::onMessageReceived);
   }
@@ -160,7 +165,12 @@
     if (load.hasPace()) {
       pacedServices.add(service);
     }
-    if (load.waiting() == 0) {
+    EndpointIncarnation endpoint = held.endpoint;
+    boolean newPace =
+        load.hasPace()
+            && endpoint != null
+            && paceReports.passes(endpoint.id(), load.pacePercent(), clock.instant());
+    if (load.waiting() == 0 && !newPace) {
       return;
     }
     if (held.coordinator.equals(fleet.self())) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/LocalCoordinators.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/LocalCoordinators.java
@@ -40,6 +40,7 @@
   private final EventLog log;
   private final RequestQuota quota;
   private final SlotSettings settings;
+  private final PaceObservation paces;
   private final Consumer<SlotAnswer> onOwnAnswer;
   private final Map<String, SlotCoordinator> coordinators = new HashMap<>();
 
@@ -64,6 +65,7 @@
       EventLog log,
       RequestQuota quota,
       SchedulingSettings scheduling,
+      PaceObservation paces,
       Consumer<SlotAnswer> onOwnAnswer) {
     this.fleet = fleet;
     this.transport = transport;
@@ -73,6 +75,7 @@
     this.log = log;
     this.quota = quota;
     this.settings = SlotSettings.builder().scheduling(scheduling).build();
+    this.paces = paces;
     this.onOwnAnswer = onOwnAnswer;
   }
 
@@ -126,9 +129,13 @@
   private SlotCoordinator of(String service) {
     return coordinators.computeIfAbsent(
         service,
-        name ->
-            new DefaultSlotCoordinator(
-                name, directory, settings, quota, fingerprint -> onBlocked(name, fingerprint)));
+        name -> {
+          DefaultSlotCoordinator created =
+              new DefaultSlotCoordinator(
+                  name, directory, settings, quota, fingerprint -> onBlocked(name, fingerprint));
+          paces.observe(name, created);
+          return created;
+        });
   }
 
   private void onBlocked(String service, long fingerprint) {
@@ -169,6 +176,7 @@
       deliver(coordinator.tick(now));
       busy |= coordinator.busy();
     }
+    paces.update(now);
     if (busy) {
       scheduleTick();
     }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -187,7 +187,7 @@
   private FleetSlotClient slotClient(FleetView fleet, PeerTransport transport) {
     FleetQuota quota = new FleetQuota(fleet, transport, config, loop, clock);
     return new FleetSlotClient(
-        fleet, transport, directory, loop, clock, log, quota, settings.scheduling());
+        fleet, transport, directory, loop, clock, log, quota, settings.scheduling(), metrics);
   }
 
   private PeerTransport peerTransport() {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/metric/MetricsTextTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/metric/MetricsTextTest.java
@@ -22,6 +22,14 @@
     assertTrue(output.contains("requests_first_upto_total{by=\"r1\",le_ms=\"32\"} 0.0"), output);
   }
 
+  @Test
+  void writesTheLatestValueOfAGauge() {
+    metrics.gauge("pace.median", "engine", 1);
+    metrics.gauge("pace.median", "engine", 1.5);
+    String output = text.write();
+    assertTrue(output.contains("pace_median{by=\"engine\"} 1.5"), output);
+  }
+
   /** Guards against a process that runs out of memory because each new label creates a series. */
   @Test
   void limitsTheNumberOfSeries() {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
@@ -8,11 +8,14 @@
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
+import io.hawthornlb.gateway.metric.GatewayMetrics;
+import io.hawthornlb.gateway.metric.MetricsText;
 import io.hawthornlb.gateway.slot.RequestQuota;
 import io.hawthornlb.gateway.slot.SchedulingSettings;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotOutcome;
 import io.hawthornlb.gateway.slot.SlotRequest;
+import io.hawthornlb.gateway.wire.ReportedLoad;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -43,6 +46,8 @@
     private final FleetSlotClient slots;
     private final EndpointDirectory directory = new EndpointDirectory();
     private final List<SlotAnswer> answers = new ArrayList<>();
+    private final List<PeerMessage> sent = new ArrayList<>();
+    private final GatewayMetrics metrics = new GatewayMetrics();
     private Consumer<PeerCodec.Envelope> receiver = envelope -> {};
     private boolean down;
 
@@ -59,7 +64,8 @@
               time,
               new RecordingEventLog(),
               RequestQuota.UNLIMITED,
-              SchedulingSettings.DEFAULT);
+              SchedulingSettings.DEFAULT,
+              metrics);
     }
 
     private void connectToAll() {
@@ -89,6 +95,7 @@
 
     @Override
     public void send(GatewayInstance to, PeerMessage message) {
+      sent.add(message);
       Node target = nodes.get(to.name());
       if (!down && !target.down) {
         byte[] bytes = PeerCodec.encode(new PeerCodec.Envelope(name, message));
@@ -359,6 +366,31 @@
     assertEquals(1, holder.answers.size());
   }
 
+  /** Guards against a datagram for each response of an endpoint that works as usual. */
+  @Test
+  void reportsAPaceOnlyIfItIsUnusualOrUsualAgain() {
+    Node holder = holder();
+    SlotRequest request = holder.ask();
+    time.advance(Duration.ofMillis(5));
+    int before = holder.sent.size();
+    for (int percent : List.of(100, 110, 250, 100, 90, ReportedLoad.UNKNOWN_PACE)) {
+      holder.slots.reportLoad(request.key(), new ReportedLoad(1, 0, percent));
+    }
+    holder.slots.reportLoad(request.key(), new ReportedLoad(8, 2));
+    List<ReportedLoad> told =
+        holder.sent.stream()
+            .skip(before)
+            .map(message -> ((PeerMessage.Told) message).load())
+            .toList();
+    assertEquals(
+        List.of(new ReportedLoad(1, 0, 250), new ReportedLoad(1, 0, 100), new ReportedLoad(8, 2)),
+        told);
+    time.advance(Duration.ofMillis(1_100));
+    Node coordinator = nodes.get(holder.fleet.ranked(SERVICE, time.instant()).get(0).name());
+    String metrics = new MetricsText(coordinator.metrics).write();
+    assertTrue(metrics.contains("pace_slowest{by=\"engine\"} 1.0"), metrics);
+  }
+
   /** Returns a gateway that is not the coordinator. */
   private Node holder() {
     GatewayInstance first = nodes.get("a1").fleet.ranked(SERVICE, time.instant()).get(0);
