--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/ServiceEstimates.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/ServiceEstimates.java
@@ -2,8 +2,7 @@
 
 import io.hawthornlb.core.demand.DemandForecast;
 import io.hawthornlb.core.demand.support.RecentDemandForecast;
-import io.hawthornlb.core.pace.PaceTable;
-import io.hawthornlb.core.pace.support.UniformPaceTable;
+import io.hawthornlb.core.pace.support.ObservedPaceTable;
 import io.hawthornlb.core.work.support.LearningWorkEstimator;
 import io.hawthornlb.gateway.slot.SchedulingSettings;
 import io.hawthornlb.gateway.slot.SlotRequest;
@@ -21,7 +20,7 @@
 
   private final SchedulingSettings settings;
   private final LearningWorkEstimator work = new LearningWorkEstimator();
-  private final PaceTable paces = new UniformPaceTable();
+  private final ObservedPaceTable paces = new ObservedPaceTable();
   private final DemandForecast demand = new RecentDemandForecast();
 
   ServiceEstimates(SchedulingSettings settings) {
@@ -63,7 +62,7 @@
     return work;
   }
 
-  PaceTable paces() {
+  ObservedPaceTable paces() {
     return paces;
   }
 
