--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
@@ -42,6 +42,7 @@
   private static final int ALLOWED = 13;
   private static final int PING = 14;
   private static final int PONG = 15;
+  private static final int LEARNED = 16;
 
   /**
    * Longest duration that a message may contain; batch items wait for minutes at most. A longer
@@ -120,6 +121,8 @@
       packer.packInt(PING);
     } else if (message instanceof PeerMessage.Pong) {
       packer.packInt(PONG);
+    } else if (message instanceof PeerMessage.Learned learned) {
+      packLearned(packer.packInt(LEARNED), learned);
     } else if (message instanceof PeerMessage.Renew renew) {
       packRenew(packer.packInt(RENEW), renew);
     }
@@ -157,6 +160,13 @@
     }
   }
 
+  private static void packLearned(MessagePacker packer, PeerMessage.Learned learned)
+      throws IOException {
+    packer.packString(learned.service()).packLong(learned.version());
+    packer.packLong(learned.age().toMillis());
+    packer.packBinaryHeader(learned.state().length).writePayload(learned.state());
+  }
+
   private static void packAnswer(MessageBufferPacker packer, SlotAnswer answer) throws IOException {
     if (answer instanceof SlotAnswer.Granted granted) {
       packKey(packer.packInt(GRANTED), answer.key());
@@ -196,7 +206,7 @@
   }
 
   private static PeerMessage unpack(MessageReader reader) throws IOException {
-    int type = reader.number("type", ASK, PONG);
+    int type = reader.number("type", ASK, LEARNED);
     return switch (type) {
       case ASK -> new PeerMessage.Ask(unpackRequest(reader));
       case GRANTED ->
@@ -218,6 +228,12 @@
       case ALLOWED -> unpackAllowed(reader);
       case PING -> new PeerMessage.Ping();
       case PONG -> new PeerMessage.Pong();
+      case LEARNED ->
+          new PeerMessage.Learned(
+              reader.text(),
+              reader.number("version", 0L, Long.MAX_VALUE),
+              reader.millis("age", MAX_TIME),
+              reader.bytes());
       case HELD ->
           new PeerMessage.Held(
               reader.number("partition", 0, Integer.MAX_VALUE),
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerMessage.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerMessage.java
@@ -7,6 +7,8 @@
 import io.hawthornlb.gateway.slot.SlotRequest;
 import io.hawthornlb.gateway.slot.SlotUse;
 import io.hawthornlb.gateway.wire.ReportedLoad;
+import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 
@@ -46,6 +48,30 @@
   /** Answers a {@link Ping}. */
   record Pong() implements PeerMessage {}
 
+  /**
+   * Sends what a coordinator has learned to an instance that may succeed it.
+   *
+   * @param version version of the snapshot; the parts of one snapshot have the same
+   * @param age time since the figures were learned
+   * @param state encoded snapshot, or a part of it
+   */
+  record Learned(String service, long version, Duration age, byte[] state) implements PeerMessage {
+
+    @Override
+    public boolean equals(Object other) {
+      return other instanceof Learned learned
+          && version == learned.version
+          && service.equals(learned.service)
+          && age.equals(learned.age)
+          && Arrays.equals(state, learned.state);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * service.hashCode() + Long.hashCode(version);
+    }
+  }
+
   /** Reports all uses of a holder to a coordinator. */
   record Renew(String service, String holder, List<SlotUse> uses) implements PeerMessage {}
 }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
@@ -71,6 +71,7 @@
         new PeerMessage.Suspect("engine", KEY),
         new PeerMessage.Told("engine", KEY, new ReportedLoad(8, 3)),
         new PeerMessage.Told("engine", KEY, new ReportedLoad(8, 0, 250)),
+        new PeerMessage.Learned("engine", 7L << 40, Duration.ofMillis(730), new byte[] {1, 2, 3}),
         new PeerMessage.Held(11, 7L << 40),
         new PeerMessage.Barred("engine", -7L << 50),
         new PeerMessage.Renew(
