Replicate and restore what a coordinator has learned

Cause: a successor of a lost coordinator, and a fleet whose instances were all killed, start with initial estimates. Change: LearnedStateReplicator sends the changed state of a service to the next two instances in rank every 2 s, writes it to the store at most every 10 s, and restores the newest one when the instance becomes coordinator. It does nothing where ServiceEstimates.active() is false. FleetSlotClient gets the replicator as an argument, so FleetSlotClientTest passes one.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
@@ -83,7 +83,8 @@
       InstantSource clock,
       EventLog log,
       RequestQuota quota,
-      SchedulingSettings scheduling) {
+      SchedulingSettings scheduling,
+      LearnedStateReplicator learned) {
     this.fleet = fleet;
     this.transport = transport;
     this.directory = directory;
@@ -101,6 +102,7 @@
             log,
             quota,
             scheduling,
+            learned,
             this::answeredHere);
     transport.onMessage(this::onMessageReceived);
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetView.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetView.java
@@ -218,6 +218,15 @@
     return ranked(key, now).indexOf(self);
   }
 
+  /**
+   * Returns the position of a process in the order for a key, from 0, also if it is suspected to be
+   * unresponsive; that of an unlisted process is after all others.
+   */
+  int listedRank(String key, String name) {
+    GatewayInstance instance = instances.get(name);
+    return instance == null ? instances.size() : order(key).indexOf(instance);
+  }
+
   private boolean dataCentreSuspected(GatewayInstance instance, Instant now) {
     String dataCentre = instance.dataCentre();
     if (dataCentre.equals(self.dataCentre())) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/LocalCoordinators.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/LocalCoordinators.java
@@ -40,6 +40,7 @@
   private final EventLog log;
   private final RequestQuota quota;
   private final SlotSettings settings;
+  private final LearnedStateReplicator learned;
   private final Consumer<SlotAnswer> onOwnAnswer;
   private final Map<String, SlotCoordinator> coordinators = new HashMap<>();
 
@@ -64,6 +65,7 @@
       EventLog log,
       RequestQuota quota,
       SchedulingSettings scheduling,
+      LearnedStateReplicator learned,
       Consumer<SlotAnswer> onOwnAnswer) {
     this.fleet = fleet;
     this.transport = transport;
@@ -73,12 +75,13 @@
     this.log = log;
     this.quota = quota;
     this.settings = SlotSettings.builder().scheduling(scheduling).build();
+    this.learned = learned;
     this.onOwnAnswer = onOwnAnswer;
   }
 
   /** Handles a request for a slot. */
   void request(SlotRequest request) {
-    deliver(of(request.service()).request(request, clock.instant()));
+    deliver(serving(request.service()).request(request, clock.instant()));
     scheduleTick();
   }
 
@@ -99,7 +102,7 @@
 
   /** Renews the leases of a holder. */
   void renew(String service, String holder, List<SlotUse> uses) {
-    of(service).renew(holder, uses, clock.instant());
+    serving(service).renew(holder, uses, clock.instant());
     scheduleTick();
   }
 
@@ -120,9 +123,18 @@
     } else if (message instanceof PeerMessage.Renew renew) {
       senders.put(renew.holder(), envelope.sender());
       renew(renew.service(), renew.holder(), renew.uses());
+    } else if (message instanceof PeerMessage.Learned received) {
+      learned.onMessage(envelope.sender(), received);
     }
   }
 
+  /** Returns the coordinator of a service for which other processes take this process. */
+  private SlotCoordinator serving(String service) {
+    SlotCoordinator coordinator = of(service);
+    learned.serving(service, coordinator.learned(), clock.instant());
+    return coordinator;
+  }
+
   private SlotCoordinator of(String service) {
     return coordinators.computeIfAbsent(
         service,
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -11,6 +11,7 @@
 import io.hawthornlb.gateway.job.JobFormat;
 import io.hawthornlb.gateway.job.JobParts;
 import io.hawthornlb.gateway.job.JobRunners;
+import io.hawthornlb.gateway.learned.LearnedStateStore;
 import io.hawthornlb.gateway.loop.ThreadTimes;
 import io.hawthornlb.gateway.loop.WorkReport;
 import io.hawthornlb.gateway.metric.GatewayMetrics;
@@ -20,6 +21,7 @@
 import io.hawthornlb.gateway.peer.FleetQuota;
 import io.hawthornlb.gateway.peer.FleetSlotClient;
 import io.hawthornlb.gateway.peer.FleetView;
+import io.hawthornlb.gateway.peer.LearnedStateReplicator;
 import io.hawthornlb.gateway.peer.PeerHoldNotices;
 import io.hawthornlb.gateway.peer.PeerTransport;
 import io.hawthornlb.gateway.peer.UdpPeerTransport;
@@ -99,7 +101,7 @@
     RelayingHttpCaller caller = relayingCaller(direct, relayTransport, fleet);
     LogStore store = new CountedLogStore(access.client().apply(caller), metrics);
     PeerTransport transport = peerTransport();
-    FleetSlotClient slots = slotClient(fleet, transport);
+    FleetSlotClient slots = slotClient(fleet, transport, store);
     EndpointPool pool = new EndpointPool(loop, names, clock, metrics);
     directory.onRemoval(endpoint -> pool.forget(endpoint.incarnation()));
     directory.onRestart(pool::onRestart);
@@ -184,10 +186,13 @@
         log);
   }
 
-  private FleetSlotClient slotClient(FleetView fleet, PeerTransport transport) {
+  private FleetSlotClient slotClient(FleetView fleet, PeerTransport transport, LogStore store) {
     FleetQuota quota = new FleetQuota(fleet, transport, config, loop, clock);
+    LearnedStateStore learned = new LearnedStateStore(store, loop, clock, log);
+    LearnedStateReplicator replicator =
+        new LearnedStateReplicator(fleet, transport, directory, learned, loop, clock, log);
     return new FleetSlotClient(
-        fleet, transport, directory, loop, clock, log, quota, settings.scheduling());
+        fleet, transport, directory, loop, clock, log, quota, settings.scheduling(), replicator);
   }
 
   private PeerTransport peerTransport() {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotCoordinator.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.slot;
 
+import io.hawthornlb.core.learned.LearnedStateSource;
 import io.hawthornlb.gateway.wire.ReportedLoad;
 import java.time.Instant;
 import java.util.List;
@@ -47,6 +48,9 @@
    */
   List<SlotAnswer> tick(Instant now);
 
+  /** Returns what this coordinator has learned about its service. */
+  LearnedStateSource learned();
+
   /**
    * Returns whether any request waits or any slot is in use, so that {@link #tick} must be called.
    */
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.slot.support;
 
+import io.hawthornlb.core.learned.LearnedStateSource;
 import io.hawthornlb.core.work.WorkSize;
 import io.hawthornlb.core.workspace.LimitDecision;
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
@@ -219,6 +220,11 @@
     return !leases.isEmpty() || !waiting.isEmpty();
   }
 
+  @Override
+  public LearnedStateSource learned() {
+    return estimates;
+  }
+
   private void recordCrash(long fingerprint, Instant now) {
     crashes.recordCrash(fingerprint, now);
     if (crashes.blocked(fingerprint, now)) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/ServiceEstimates.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/ServiceEstimates.java
@@ -2,6 +2,8 @@
 
 import io.hawthornlb.core.demand.DemandForecast;
 import io.hawthornlb.core.demand.support.RecentDemandForecast;
+import io.hawthornlb.core.learned.LearnedState;
+import io.hawthornlb.core.learned.LearnedStateSource;
 import io.hawthornlb.core.pace.PaceTable;
 import io.hawthornlb.core.pace.support.UniformPaceTable;
 import io.hawthornlb.core.work.WorkEstimator;
@@ -18,7 +20,7 @@
  * <p>Nothing safe depends on these estimates. They are in effect only if the deployment's settings
  * or the endpoints' reports call for them; see {@link #active()}.
  */
-final class ServiceEstimates {
+final class ServiceEstimates implements LearnedStateSource {
 
   private final SchedulingSettings settings;
   private final WorkEstimator work = new MeanWorkEstimator();
@@ -29,11 +31,20 @@
     this.settings = settings;
   }
 
-  /** Returns whether decisions use the estimates of work and demand. */
-  boolean active() {
+  @Override
+  public boolean active() {
     return settings.contended() || paces.active();
   }
 
+  /** Returns no figures: the baselines learn none that would help a successor. */
+  @Override
+  public LearnedState export(Instant now) {
+    return LearnedState.EMPTY;
+  }
+
+  @Override
+  public void restore(LearnedState state, Duration age) {}
+
   /** Returns the time for which a whole request uses a slot of an endpoint of usual pace. */
   Duration wholeWork(SlotRequest request) {
     return work.estimate(request.size(), request.workspace());
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
@@ -8,11 +8,13 @@
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
+import io.hawthornlb.gateway.learned.LearnedStateStore;
 import io.hawthornlb.gateway.slot.RequestQuota;
 import io.hawthornlb.gateway.slot.SchedulingSettings;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotOutcome;
 import io.hawthornlb.gateway.slot.SlotRequest;
+import io.hawthornlb.gateway.store.support.InMemoryLogStore;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -59,7 +61,15 @@
               time,
               new RecordingEventLog(),
               RequestQuota.UNLIMITED,
-              SchedulingSettings.DEFAULT);
+              SchedulingSettings.DEFAULT,
+              replicator());
+    }
+
+    private LearnedStateReplicator replicator() {
+      RecordingEventLog log = new RecordingEventLog();
+      LearnedStateStore store =
+          new LearnedStateStore(new InMemoryLogStore(time.loop(), 1), time.loop(), time, log);
+      return new LearnedStateReplicator(fleet, this, directory, store, time.loop(), time, log);
     }
 
     private void connectToAll() {
