--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
@@ -87,7 +87,8 @@
       EventLog log,
       RequestQuota quota,
       SchedulingSettings scheduling,
-      GatewayMetrics metrics) {
+      GatewayMetrics metrics,
+      LearnedStateReplicator learned) {
     this.fleet = fleet;
     this.transport = transport;
     this.directory = directory;
@@ -106,6 +107,7 @@
             quota,
             scheduling,
             new PaceObservation(log, metrics),
+            learned,
             this::answeredHere);
     transport.onMessage(this::onMessageReceived);
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/LocalCoordinators.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/LocalCoordinators.java
@@ -41,6 +41,7 @@
   private final RequestQuota quota;
   private final SlotSettings settings;
   private final PaceObservation paces;
+  private final LearnedStateReplicator learned;
   private final Consumer<SlotAnswer> onOwnAnswer;
   private final Map<String, SlotCoordinator> coordinators = new HashMap<>();
 
@@ -66,6 +67,7 @@
       RequestQuota quota,
       SchedulingSettings scheduling,
       PaceObservation paces,
+      LearnedStateReplicator learned,
       Consumer<SlotAnswer> onOwnAnswer) {
     this.fleet = fleet;
     this.transport = transport;
@@ -76,12 +78,13 @@
     this.quota = quota;
     this.settings = SlotSettings.builder().scheduling(scheduling).build();
     this.paces = paces;
+    this.learned = learned;
     this.onOwnAnswer = onOwnAnswer;
   }
 
   /** Handles a request for a slot. */
   void request(SlotRequest request) {
-    deliver(of(request.service()).request(request, clock.instant()));
+    deliver(serving(request.service()).request(request, clock.instant()));
     scheduleTick();
   }
 
@@ -102,7 +105,7 @@
 
   /** Renews the leases of a holder. */
   void renew(String service, String holder, List<SlotUse> uses) {
-    of(service).renew(holder, uses, clock.instant());
+    serving(service).renew(holder, uses, clock.instant());
     scheduleTick();
   }
 
@@ -123,9 +126,18 @@
     } else if (message instanceof PeerMessage.Renew renew) {
       senders.put(renew.holder(), envelope.sender());
       renew(renew.service(), renew.holder(), renew.uses());
+    } else if (message instanceof PeerMessage.Learned received) {
+      learned.onMessage(envelope.sender(), received);
     }
   }
 
+  /** Returns the coordinator of a service for which other processes take this process. */
+  private SlotCoordinator serving(String service) {
+    SlotCoordinator coordinator = of(service);
+    learned.serving(service, coordinator.learned(), clock.instant());
+    return coordinator;
+  }
+
   private SlotCoordinator of(String service) {
     return coordinators.computeIfAbsent(
         service,
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -12,6 +12,7 @@
 import io.hawthornlb.gateway.job.JobFormat;
 import io.hawthornlb.gateway.job.JobParts;
 import io.hawthornlb.gateway.job.JobRunners;
+import io.hawthornlb.gateway.learned.LearnedStateStore;
 import io.hawthornlb.gateway.loop.ThreadTimes;
 import io.hawthornlb.gateway.loop.WorkReport;
 import io.hawthornlb.gateway.metric.GatewayMetrics;
@@ -21,6 +22,7 @@
 import io.hawthornlb.gateway.peer.FleetQuota;
 import io.hawthornlb.gateway.peer.FleetSlotClient;
 import io.hawthornlb.gateway.peer.FleetView;
+import io.hawthornlb.gateway.peer.LearnedStateReplicator;
 import io.hawthornlb.gateway.peer.PeerHoldNotices;
 import io.hawthornlb.gateway.peer.PeerTransport;
 import io.hawthornlb.gateway.peer.UdpPeerTransport;
@@ -100,7 +102,7 @@
     RelayingHttpCaller caller = relayingCaller(direct, relayTransport, fleet);
     LogStore store = new CountedLogStore(access.client().apply(caller), metrics);
     PeerTransport transport = peerTransport();
-    FleetSlotClient slots = slotClient(fleet, transport);
+    FleetSlotClient slots = slotClient(fleet, transport, store);
     EndpointPool pool = new EndpointPool(loop, names, clock, metrics);
     directory.onRemoval(endpoint -> pool.forget(endpoint.incarnation()));
     directory.onRestart(pool::onRestart);
@@ -185,10 +187,22 @@
         log);
   }
 
-  private FleetSlotClient slotClient(FleetView fleet, PeerTransport transport) {
+  private FleetSlotClient slotClient(FleetView fleet, PeerTransport transport, LogStore store) {
     FleetQuota quota = new FleetQuota(fleet, transport, config, loop, clock);
+    LearnedStateStore learned = new LearnedStateStore(store, loop, clock, log);
+    LearnedStateReplicator replicator =
+        new LearnedStateReplicator(fleet, transport, directory, learned, loop, clock, log);
     return new FleetSlotClient(
-        fleet, transport, directory, loop, clock, log, quota, settings.scheduling(), metrics);
+        fleet,
+        transport,
+        directory,
+        loop,
+        clock,
+        log,
+        quota,
+        settings.scheduling(),
+        metrics,
+        replicator);
   }
 
   private PeerTransport peerTransport() {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.slot.support;
 
+import io.hawthornlb.core.learned.LearnedStateSource;
 import io.hawthornlb.core.pace.PaceListener;
 import io.hawthornlb.core.pace.PaceSummary;
 import io.hawthornlb.core.work.WorkSize;
@@ -82,7 +83,7 @@
     this.penalties = new Penalties(settings);
     this.outliers = new OutlierDetector(settings);
     this.refusedCallers = new RefusedCallers(settings);
-    this.estimates = new ServiceEstimates(settings.scheduling());
+    this.estimates = new ServiceEstimates(settings.scheduling(), directory);
     this.leases = new SlotLeases(directory);
     this.lateItems = new LateItems(leases, waiting);
     this.search =
@@ -247,6 +248,11 @@
     return !leases.isEmpty() || !waiting.isEmpty();
   }
 
+  @Override
+  public LearnedStateSource learned() {
+    return estimates;
+  }
+
   private void recordCrash(long fingerprint, Instant now) {
     crashes.recordCrash(fingerprint, now);
     if (crashes.blocked(fingerprint, now)) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/ServiceEstimates.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/ServiceEstimates.java
@@ -2,8 +2,11 @@
 
 import io.hawthornlb.core.demand.DemandForecast;
 import io.hawthornlb.core.demand.support.RecentDemandForecast;
+import io.hawthornlb.core.learned.LearnedState;
+import io.hawthornlb.core.learned.LearnedStateSource;
 import io.hawthornlb.core.pace.support.ObservedPaceTable;
 import io.hawthornlb.core.work.support.LearningWorkEstimator;
+import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.slot.SchedulingSettings;
 import io.hawthornlb.gateway.slot.SlotRequest;
 import java.time.Duration;
@@ -16,22 +19,41 @@
  * <p>Nothing safe depends on these estimates. They are in effect only if the deployment's settings
  * or the endpoints' reports call for them; see {@link #active()}.
  */
-final class ServiceEstimates {
+final class ServiceEstimates implements LearnedStateSource {
 
   private final SchedulingSettings settings;
+  private final EndpointDirectory directory;
   private final LearningWorkEstimator work = new LearningWorkEstimator();
   private final ObservedPaceTable paces = new ObservedPaceTable();
   private final DemandForecast demand = new RecentDemandForecast();
 
-  ServiceEstimates(SchedulingSettings settings) {
+  /**
+   * Creates estimates that have learned nothing.
+   *
+   * @param directory tells which incarnation of an endpoint a pace belongs to
+   */
+  ServiceEstimates(SchedulingSettings settings, EndpointDirectory directory) {
     this.settings = settings;
+    this.directory = directory;
   }
 
-  /** Returns whether decisions use the estimates of work and demand. */
-  boolean active() {
+  @Override
+  public boolean active() {
     return settings.contended() || paces.active();
   }
 
+  /** Returns no figures: the baselines learn none that would help a successor. */
+  @Override
+  public LearnedState export(Instant now) {
+    return EstimateSnapshots.of(work.export(), paces.export(), directory).build();
+  }
+
+  @Override
+  public void restore(LearnedState state, Duration age, Instant now) {
+    EstimateSnapshots.work(state, work.export()).ifPresent(work::restore);
+    paces.restore(EstimateSnapshots.paces(state), now);
+  }
+
   /** Returns the time for which a whole request uses a slot of an endpoint of usual pace. */
   Duration wholeWork(SlotRequest request) {
     return work.estimate(request.size(), request.workspace());
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetSlotClientTest.java
@@ -8,6 +8,7 @@
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
+import io.hawthornlb.gateway.learned.LearnedStateStore;
 import io.hawthornlb.gateway.metric.GatewayMetrics;
 import io.hawthornlb.gateway.metric.MetricsText;
 import io.hawthornlb.gateway.slot.RequestQuota;
@@ -15,6 +16,7 @@
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotOutcome;
 import io.hawthornlb.gateway.slot.SlotRequest;
+import io.hawthornlb.gateway.store.support.InMemoryLogStore;
 import io.hawthornlb.gateway.wire.ReportedLoad;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -65,7 +67,15 @@
               new RecordingEventLog(),
               RequestQuota.UNLIMITED,
               SchedulingSettings.DEFAULT,
-              metrics);
+              metrics,
+              replicator());
+    }
+
+    private LearnedStateReplicator replicator() {
+      RecordingEventLog log = new RecordingEventLog();
+      LearnedStateStore store =
+          new LearnedStateStore(new InMemoryLogStore(time.loop(), 1), time.loop(), time, log);
+      return new LearnedStateReplicator(fleet, this, directory, store, time.loop(), time, log);
     }
 
     private void connectToAll() {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/ServiceEstimatesTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/ServiceEstimatesTest.java
@@ -5,6 +5,7 @@
 
 import io.hawthornlb.core.work.LearnedWork;
 import io.hawthornlb.core.work.WorkSize;
+import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.slot.SchedulingSettings;
 import io.hawthornlb.gateway.slot.SlotKey;
@@ -17,7 +18,8 @@
   private static final Instant NOW = Instant.parse("2026-01-01T00:00:00Z");
   private static final WorkSize SIZE = new WorkSize(450, 4_000, 200);
 
-  private final ServiceEstimates estimates = new ServiceEstimates(new SchedulingSettings(true));
+  private final ServiceEstimates estimates =
+      new ServiceEstimates(new SchedulingSettings(true), new EndpointDirectory());
 
   @Test
   void learnsFromWholeUses() {
@@ -51,7 +53,8 @@
   /** Guards against a deployment without the settings that decides by other figures than before. */
   @Test
   void learnsNothingWhereThePartIsNotInEffect() {
-    ServiceEstimates inactive = new ServiceEstimates(SchedulingSettings.DEFAULT);
+    ServiceEstimates inactive =
+        new ServiceEstimates(SchedulingSettings.DEFAULT, new EndpointDirectory());
     LearnedWork before = inactive.work().export();
     inactive.answered(lease(false, true), NOW);
     assertEquals(before, inactive.work().export());
