Reverse the charge of requests that no endpoint has run

A request that was granted a slot, was turned away by the endpoints and ended with 503 kept its charge against the limit of its workspace. Its process now takes the charge back before it refuses the request; other ledgers learn of it with the next report, also if this process does not coordinate the service.

WorkspaceKeyTest.countsNoRequestThatAllEndpointsTurnAway failed before (503 expected, 429 seen) and passes now, as do the tests of the peers, forwarding and the ledger, and FleetQuotaTest.takesBackWhatAnotherProcessDidNotRun.

--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/workspace/support/TokenLedger.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/workspace/support/TokenLedger.java
@@ -80,6 +80,18 @@
     }
   }
 
+  /**
+   * Takes back a request that another ledger may have allowed. The others learn of it from {@link
+   * #takeAllowed}, even if this ledger does not know the workspace.
+   */
+  public void refundElsewhere(WorkspaceId workspace) {
+    Bucket bucket = buckets.get(workspace);
+    if (bucket != null) {
+      bucket.tokens++;
+    }
+    allowed.merge(workspace, -1, TokenLedger::sumOrNull);
+  }
+
   /** Takes the tokens of requests that another ledger has allowed; a negative count gives back. */
   public void recordAllowedElsewhere(
       WorkspaceId workspace, WorkspaceLimit limit, int count, Instant now) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -57,6 +57,8 @@
   private final SilenceWatch watch;
   private @Nullable ScheduledFuture<?> timer;
   private @Nullable SlotKey slot;
+  private @Nullable SlotRequest lastRequest;
+  private @Nullable SlotRequest chargedRequest;
   private @Nullable EndpointCall call;
   private @Nullable EndpointIncarnation endpoint;
   private Instant requestedAt = Instant.MIN;
@@ -205,6 +207,7 @@
             .charged(runs == 0 && rejections == 0)
             .size(relay.lastEventId() < 0 ? request.size() : WorkSize.NONE)
             .build();
+    lastRequest = wanted;
     parts.slots().acquire(wanted, this::onSlot);
   }
 
@@ -217,6 +220,10 @@
       return;
     }
     if (answer instanceof SlotAnswer.Granted granted) {
+      SlotRequest asked = lastRequest;
+      if (asked != null && asked.charged()) {
+        chargedRequest = asked;
+      }
       parts.metrics().time("requests.slot", route.name(), Duration.ofMillis(time.sinceArrival()));
       send(granted.incarnation());
     } else if (answer instanceof SlotAnswer.OverLimit over) {
@@ -343,7 +350,10 @@
         .with("retryMillis", retryAfter.toMillis())
         .write();
     switch (step) {
-      case REFUSE -> responder.sendStatus(503, retryAfter);
+      case REFUSE -> {
+        refund();
+        responder.sendStatus(503, retryAfter);
+      }
       case FAIL -> responder.sendStatus(502, null);
       default -> responder.breakOff();
     }
@@ -359,12 +369,24 @@
     line("request.timeout").with("endpoint", endpointId()).with("runs", runs).write();
     if (relay.headSent()) {
       responder.breakOff();
+    } else if (sent || runs > 0) {
+      responder.sendStatus(504, null);
     } else {
-      responder.sendStatus(sent || runs > 0 ? 504 : 503, sent || runs > 0 ? null : REJECTED_RETRY);
+      refund();
+      responder.sendStatus(503, REJECTED_RETRY);
     }
     finish(abandonedOutcome());
   }
 
+  /** Takes back the charge of a request that got a slot but was run by no endpoint. */
+  private void refund() {
+    SlotRequest charged = chargedRequest;
+    chargedRequest = null;
+    if (charged != null) {
+      parts.slots().refund(charged);
+    }
+  }
+
   /**
    * Returns the outcome of the slot's use when nobody waits for the response any more.
    *
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetQuota.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetQuota.java
@@ -107,6 +107,15 @@
     }
   }
 
+  @Override
+  public void refundElsewhere(SlotRequest request, Instant now) {
+    WorkspaceId workspace = request.workspace();
+    if (workspace != null && request.charged() && limit(workspace) != null) {
+      ledger.refundElsewhere(workspace);
+      scheduleReport();
+    }
+  }
+
   private @Nullable WorkspaceLimit limit(WorkspaceId workspace) {
     return config
         .current()
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
@@ -62,6 +62,7 @@
   private final InstantSource clock;
   private final EventLog log;
   private final SchedulingSettings scheduling;
+  private final RequestQuota quota;
   private final LocalCoordinators coordinators;
   private final Map<SlotKey, Pending> pending = new HashMap<>();
 
@@ -91,6 +92,7 @@
     this.clock = clock;
     this.log = log;
     this.scheduling = scheduling;
+    this.quota = quota;
     this.coordinators =
         new LocalCoordinators(
             fleet,
@@ -150,6 +152,11 @@
     }
   }
 
+  @Override
+  public void refund(SlotRequest request) {
+    quota.refundElsewhere(request, clock.instant());
+  }
+
   @Override
   public void reportLoad(SlotKey key, ReportedLoad load) {
     Pending held = pending.get(key);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/RequestQuota.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/RequestQuota.java
@@ -25,4 +25,11 @@
 
   /** Takes back the charge of a request that got no slot. */
   void refund(SlotRequest request, Instant now);
+
+  /**
+   * Takes back the charge of a request that another process may have charged, and that has not run.
+   */
+  default void refundElsewhere(SlotRequest request, Instant now) {
+    refund(request, now);
+  }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotClient.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotClient.java
@@ -22,6 +22,12 @@
    */
   void suspect(SlotKey key);
 
+  /**
+   * Takes back the charge against the limit of its workspace of a request that was granted a slot,
+   * but that no endpoint has run.
+   */
+  void refund(SlotRequest request);
+
   /** Passes on the load that the endpoint of a slot reported, if it concerns the coordinator. */
   void reportLoad(SlotKey key, ReportedLoad load);
 
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/WorkspaceKeyTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/WorkspaceKeyTest.java
@@ -27,6 +27,8 @@
 
   private static final String HEAD = "HTTP/1.1 200 OK\r\nTest-Id: {id}\r\nTest-Signature: s\r\n";
   private static final String OK = HEAD + "Content-Length: 4\r\n\r\nbody";
+  private static final String FULL =
+      "HTTP/1.1 503 Full\r\nTest-Id: {id}\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
   private static final String CHUNKED = HEAD + "Transfer-Encoding: chunked\r\n\r\n";
   private static final String EVENT_1 = "11\r\nid: 1\ndata: aaa\n\n\r\n";
   private static final String EVENT_2 = "11\r\nid: 2\ndata: bbb\n\n\r\n";
@@ -138,6 +140,21 @@
     assertTrue(gateway.log().events().contains("front.limit.exceeded"));
   }
 
+  /** Guards against a limit that is used up by requests that no endpoint has run. */
+  @Test
+  void countsNoRequestThatAllEndpointsTurnAway() throws IOException {
+    gateway.limit(new WorkspaceLimit(0.1, 2)).keys(Map.of("key-a", "farm"));
+    gateway.route(RouteKind.ONCE, 1, false, endpoint);
+    for (int i = 0; i < 4; i++) {
+      endpoint.then(FULL, KEEP);
+      assertEquals(503, gateway.callWith(KEY, "/a/", "x").status());
+    }
+    endpoint.then(OK, KEEP).then(OK, KEEP);
+    assertEquals(200, gateway.callWith(KEY, "/a/", "x").status());
+    assertEquals(200, gateway.callWith(KEY, "/a/", "x").status());
+    assertEquals(429, gateway.callWith(KEY, "/a/", "x").status());
+  }
+
   /** Guards against a key that stays valid on a connection on which it was valid once. */
   @Test
   void refusesARevokedKeyOnAKeptConnection() throws IOException {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
@@ -145,6 +145,9 @@
     @Override
     public void suspect(SlotKey key) {}
 
+    @Override
+    public void refund(SlotRequest request) {}
+
     @Override
     public void reportLoad(SlotKey key, ReportedLoad load) {}
 
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetQuotaTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetQuotaTest.java
@@ -203,6 +203,29 @@
     }
   }
 
+  /**
+   * Guards against a charge that stays because another process than the coordinator knows that the
+   * request has not run, and against a charge that is taken back twice.
+   */
+  @Test
+  void takesBackWhatAnotherProcessDidNotRun() {
+    Node other = nodes.values().stream().filter(node -> !isFirst(node)).findFirst().orElseThrow();
+    for (int tenths = 0; tenths < 50; tenths++) {
+      for (int i = 0; i < BURST / 2; i++) {
+        SlotRequest request = request("engine", other.self.boot());
+        Node coordinator = coordinator("engine");
+        assertTrue(coordinator.quota.charge(request, time.instant()).allowed());
+        other.quota.refundElsewhere(request, time.instant());
+      }
+      time.advance(Duration.ofMillis(100));
+    }
+    int allowed = 0;
+    while (ask("engine").allowed()) {
+      allowed++;
+    }
+    assertTrue(allowed <= BURST, allowed + " allowed");
+  }
+
   /** Guards against refused callers that are all told to return at the same moment. */
   @Test
   void spreadsTheReturnOfRefusedCallers() {
