--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
@@ -63,6 +63,7 @@
   private final InstantSource clock;
   private final EventLog log;
   private final SchedulingSettings scheduling;
+  private final RequestQuota quota;
   private final LocalCoordinators coordinators;
   private final Map<SlotKey, Pending> pending = new HashMap<>();
 
@@ -96,6 +97,7 @@
     this.clock = clock;
     this.log = log;
     this.scheduling = scheduling;
+    this.quota = quota;
     this.coordinators =
         new LocalCoordinators(
             fleet,
@@ -157,6 +159,11 @@
     }
   }
 
+  @Override
+  public void refund(SlotRequest request) {
+    quota.refundElsewhere(request, clock.instant());
+  }
+
   @Override
   public void reportLoad(SlotKey key, ReportedLoad load) {
     Pending held = pending.get(key);
