Forecast the demand of online requests from load cycles

Cause: load of the contended deployment is cyclic, and the coordinator knows only the demand of the last second, so it foresees neither the start nor the end of a peak. What it has learned can be exported and restored.

--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/demand/DemandForecast.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/demand/DemandForecast.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 
 /** Forecasts the slots of one service that online requests will use in the next seconds. */
 public interface DemandForecast {
@@ -21,4 +22,17 @@
    * they already do.
    */
   Duration untilRoom(double slots, Instant now);
+
+  /** Returns the present phase of the load cycle; empty unless a cycle is recognized. */
+  default Optional<DemandPhase> phase(Instant now) {
+    return Optional.empty();
+  }
+
+  /** Returns the load cycle that has been learned; empty unless one is recognized. */
+  default Optional<LearnedDemand> export(Instant now) {
+    return Optional.empty();
+  }
+
+  /** Starts from a load cycle that another instance has learned. */
+  default void restore(LearnedDemand learned) {}
 }
