Show the forecast of demand in metrics and log its phases

Cause: an operator can't see what the coordinator expects. Change: gauges demand.actual and demand.forecast by service, at most 200 series, and the line demand.phase when a phase of a load cycle is recognized. Measured: DemandMonitorTest and the tests of metrics and peers pass.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/metric/GatewayMetrics.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/metric/GatewayMetrics.java
@@ -3,10 +3,11 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.LongAdder;
 
 /**
- * Counters and latencies of a gateway.
+ * Counters, latencies and gauges of a gateway.
  *
  * <p>Recording a value costs one addition. The registry that formats the metrics is created at the
  * first scrape, because it would add about 50 ms to each start.
@@ -14,8 +15,8 @@
 public final class GatewayMetrics {
 
   /**
-   * Maximum number of series of counters, and of latencies; a configuration has tens of routes, and
-   * a caller cannot add any.
+   * Maximum number of series of counters, of latencies and of gauges; a configuration has tens of
+   * routes, and a caller cannot add any.
    */
   private static final int MAX_SERIES = 200;
 
@@ -23,6 +24,7 @@
 
   private final Map<Series, LongAdder> counters = new ConcurrentHashMap<>();
   private final Map<Series, LatencyHistogram> latencies = new ConcurrentHashMap<>();
+  private final Map<Series, AtomicLong> gauges = new ConcurrentHashMap<>();
 
   /**
    * Identifies a series.
@@ -59,6 +61,12 @@
     latencies.computeIfAbsent(series, any -> new LatencyHistogram()).record(time);
   }
 
+  /** Sets the present value of a gauge. */
+  public void gauge(String name, String label, long value) {
+    Series series = bounded(gauges, name, label);
+    gauges.computeIfAbsent(series, any -> new AtomicLong()).set(value);
+  }
+
   Map<Series, LongAdder> counters() {
     return counters;
   }
@@ -67,6 +75,10 @@
     return latencies;
   }
 
+  Map<Series, AtomicLong> gauges() {
+    return gauges;
+  }
+
   private static <T> Series bounded(Map<Series, T> known, String name, String label) {
     Series series = new Series(name, label);
     boolean room = known.size() < MAX_SERIES || known.containsKey(series);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/metric/MetricsText.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/metric/MetricsText.java
@@ -1,11 +1,13 @@
 package io.hawthornlb.gateway.metric;
 
 import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.LongAdder;
 import org.jspecify.annotations.Nullable;
 
@@ -44,6 +46,11 @@
         bind(open, latency.getKey(), latency.getValue());
       }
     }
+    for (Map.Entry<GatewayMetrics.Series, AtomicLong> gauge : metrics.gauges().entrySet()) {
+      if (bound.add(gauge.getKey())) {
+        bind(open, gauge.getKey(), gauge.getValue());
+      }
+    }
     return open.scrape();
   }
 
@@ -54,6 +61,13 @@
         .register(registry);
   }
 
+  private static void bind(
+      PrometheusMeterRegistry registry, GatewayMetrics.Series series, AtomicLong value) {
+    Gauge.builder(series.name(), value, AtomicLong::get)
+        .tag(LABEL, series.label())
+        .register(registry);
+  }
+
   private static void bind(
       PrometheusMeterRegistry registry, GatewayMetrics.Series series, LatencyHistogram value) {
     for (int bucket = 0; bucket < LatencyHistogram.bucketCount(); bucket++) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetSlotClient.java
@@ -4,6 +4,7 @@
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.event.EventLog;
+import io.hawthornlb.gateway.slot.DemandReport;
 import io.hawthornlb.gateway.slot.RequestQuota;
 import io.hawthornlb.gateway.slot.SchedulingSettings;
 import io.hawthornlb.gateway.slot.SlotAnswer;
@@ -25,6 +26,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -105,6 +107,11 @@
     transport.onMessage(this::onMessageReceived);
   }
 
+  /** Sets the receiver of the demand of each service that this process coordinates. */
+  public void onDemand(BiConsumer<String, DemandReport> receiver) {
+    coordinators.onDemand(receiver);
+  }
+
   @Override
   public SlotKey nextKey() {
     nextNumber++;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/LocalCoordinators.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/LocalCoordinators.java
@@ -2,6 +2,7 @@
 
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.event.EventLog;
+import io.hawthornlb.gateway.slot.DemandReport;
 import io.hawthornlb.gateway.slot.RequestQuota;
 import io.hawthornlb.gateway.slot.SchedulingSettings;
 import io.hawthornlb.gateway.slot.SlotAnswer;
@@ -21,6 +22,7 @@
 import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 /**
@@ -48,6 +50,7 @@
    */
   private final Map<String, String> senders = new HashMap<>();
 
+  private BiConsumer<String, DemandReport> onDemand = (service, report) -> {};
   private boolean ticking;
 
   /**
@@ -76,6 +79,11 @@
     this.onOwnAnswer = onOwnAnswer;
   }
 
+  /** Sets the receiver of the demand of each service whose decisions use its forecast. */
+  void onDemand(BiConsumer<String, DemandReport> receiver) {
+    onDemand = receiver;
+  }
+
   /** Handles a request for a slot. */
   void request(SlotRequest request) {
     deliver(of(request.service()).request(request, clock.instant()));
@@ -165,8 +173,10 @@
     ticking = false;
     Instant now = clock.instant();
     boolean busy = false;
-    for (SlotCoordinator coordinator : List.copyOf(coordinators.values())) {
+    for (Map.Entry<String, SlotCoordinator> each : List.copyOf(coordinators.entrySet())) {
+      SlotCoordinator coordinator = each.getValue();
       deliver(coordinator.tick(now));
+      coordinator.demand(now).ifPresent(report -> onDemand.accept(each.getKey(), report));
       busy |= coordinator.busy();
     }
     if (busy) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -17,6 +17,7 @@
 import io.hawthornlb.gateway.metric.MetricsText;
 import io.hawthornlb.gateway.metric.TrafficLog;
 import io.hawthornlb.gateway.peer.CountedPeerTransport;
+import io.hawthornlb.gateway.peer.DemandMonitor;
 import io.hawthornlb.gateway.peer.FleetQuota;
 import io.hawthornlb.gateway.peer.FleetSlotClient;
 import io.hawthornlb.gateway.peer.FleetView;
@@ -186,8 +187,11 @@
 
   private FleetSlotClient slotClient(FleetView fleet, PeerTransport transport) {
     FleetQuota quota = new FleetQuota(fleet, transport, config, loop, clock);
-    return new FleetSlotClient(
-        fleet, transport, directory, loop, clock, log, quota, settings.scheduling());
+    FleetSlotClient slots =
+        new FleetSlotClient(
+            fleet, transport, directory, loop, clock, log, quota, settings.scheduling());
+    slots.onDemand(new DemandMonitor(log, metrics)::report);
+    return slots;
   }
 
   private PeerTransport peerTransport() {
