Report why a request is refused and the work ahead of it

Cause: a gateway could not tell a refusal of a hot workspace from one of a full service, so neither its log nor its metrics showed who was refused.

Change: a refusal of a contended service carries its cause, the size class of the request and the expected work ahead as optional trailing fields; without contention the datagram is unchanged. The gateway of the caller counts slots.refused by cause, data centre and size class, and logs the cause and the work ahead with slot.refused.

Result: PeerCodecTest passes with a refusal of each form.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -6,6 +6,7 @@
 import io.hawthornlb.gateway.route.Route;
 import io.hawthornlb.gateway.route.RouteKind;
 import io.hawthornlb.gateway.route.RoutingConfig;
+import io.hawthornlb.gateway.slot.RefusalReason;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotKey;
 import io.hawthornlb.gateway.slot.SlotOutcome;
@@ -16,6 +17,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
@@ -242,8 +244,14 @@
 
   /** Logs the slot counts the coordinator reported and the time since the slot was requested. */
   private void logNoSlot(SlotAnswer.Refused refused) {
-    line("slot.refused")
-        .with("slots", refused.seen().slots())
+    EventLine line = line("slot.refused");
+    RefusalReason reason = refused.reason();
+    if (reason.isKnown()) {
+      String cause = reason.cause() + " " + parts.dataCentre() + " " + reason.size();
+      parts.metrics().count("slots.refused", cause.toLowerCase(Locale.ROOT));
+      line.with("why", reason.cause().name()).with("aheadMillis", reason.workAhead().toMillis());
+    }
+    line.with("slots", refused.seen().slots())
         .with("used", refused.seen().used())
         .with("waiting", refused.seen().waiting())
         .with("excluded", excluded.size())
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
@@ -5,6 +5,9 @@
 import io.hawthornlb.gateway.decode.MessageReader;
 import io.hawthornlb.gateway.decode.UnreadableException;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
+import io.hawthornlb.gateway.slot.RefusalCause;
+import io.hawthornlb.gateway.slot.RefusalReason;
+import io.hawthornlb.gateway.slot.SizeClass;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotKey;
 import io.hawthornlb.gateway.slot.SlotOutcome;
@@ -169,6 +172,7 @@
       packer.packLong(refused.retryAfter().toMillis());
       SlotAnswer.Load seen = refused.seen();
       packer.packInt(seen.slots()).packInt(seen.used()).packInt(seen.waiting());
+      packReason(packer, refused.reason());
     } else if (answer instanceof SlotAnswer.OverLimit over) {
       packKey(packer.packInt(OVER_LIMIT), answer.key());
       packer.packLong(over.retryAfter().toMillis());
@@ -177,6 +181,14 @@
     }
   }
 
+  /** Appends the reason of a refusal; without one the datagram is that of former versions. */
+  private static void packReason(MessagePacker packer, RefusalReason reason) throws IOException {
+    if (reason.isKnown()) {
+      packer.packInt(reason.cause().ordinal()).packInt(reason.size().ordinal());
+      packer.packLong(reason.workAhead().toMillis());
+    }
+  }
+
   private static void packRenew(MessagePacker packer, PeerMessage.Renew renew) throws IOException {
     packer.packString(renew.service()).packString(renew.holder());
     packer.packArrayHeader(renew.uses().size());
@@ -235,7 +247,20 @@
             reader.number("slots", -1, MAX_COUNT),
             reader.number("used", -1, MAX_COUNT),
             reader.number("waiting", -1, MAX_COUNT));
-    return new SlotAnswer.Refused(key, retryAfter, seen);
+    RefusalReason reason = reader.hasMore() ? unpackReason(reader) : RefusalReason.UNKNOWN;
+    return new SlotAnswer.Refused(key, retryAfter, seen, reason);
+  }
+
+  private static RefusalReason unpackReason(MessageReader reader) throws IOException {
+    // A later version may know further causes; a refusal is understood without them.
+    int cause = reader.number("cause", 0, MAX_COUNT);
+    RefusalCause[] causes = RefusalCause.values();
+    SizeClass[] sizes = SizeClass.values();
+    SizeClass size = sizes[reader.number("size", 0, sizes.length - 1)];
+    Duration workAhead = reader.millis("workAhead", MAX_TIME);
+    return cause < causes.length
+        ? new RefusalReason(causes[cause], size, workAhead)
+        : RefusalReason.UNKNOWN;
   }
 
   private static PeerMessage unpackRelease(MessageReader reader) throws IOException {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotAnswer.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotAnswer.java
@@ -39,8 +39,16 @@
    *
    * @param retryAfter time after which a slot is likely to be free
    * @param seen load on which the coordinator based the refusal
+   * @param reason why the request was refused; stated only where the service is contended
    */
-  record Refused(SlotKey key, Duration retryAfter, Load seen) implements SlotAnswer {}
+  record Refused(SlotKey key, Duration retryAfter, Load seen, RefusalReason reason)
+      implements SlotAnswer {
+
+    /** Creates a refusal that does not state its reason. */
+    public Refused(SlotKey key, Duration retryAfter, Load seen) {
+      this(key, retryAfter, seen, RefusalReason.UNKNOWN);
+    }
+  }
 
   /**
    * The request exceeds the limit of its workspace.
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
@@ -7,6 +7,9 @@
 import io.hawthornlb.core.work.WorkSize;
 import io.hawthornlb.gateway.decode.UnreadableException;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
+import io.hawthornlb.gateway.slot.RefusalCause;
+import io.hawthornlb.gateway.slot.RefusalReason;
+import io.hawthornlb.gateway.slot.SizeClass;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotKey;
 import io.hawthornlb.gateway.slot.SlotOutcome;
@@ -25,6 +28,13 @@
 
   private static final SlotKey KEY = new SlotKey("holder~1", 42);
 
+  private static final SlotAnswer REFUSED_WITH_REASON =
+      new SlotAnswer.Refused(
+          KEY,
+          Duration.ofMillis(250),
+          SlotAnswer.Load.UNKNOWN,
+          new RefusalReason(RefusalCause.QUEUE_SHARE, SizeClass.LARGE, Duration.ofMillis(4_100)));
+
   static List<PeerMessage> messages() {
     return List.of(
         new PeerMessage.Ask(
@@ -44,6 +54,7 @@
         new PeerMessage.Answer(new SlotAnswer.Waiting(KEY, Duration.ofMillis(150))),
         new PeerMessage.Answer(
             new SlotAnswer.Refused(KEY, Duration.ofMillis(250), new SlotAnswer.Load(48, 48, 3))),
+        new PeerMessage.Answer(REFUSED_WITH_REASON),
         new PeerMessage.Ask(
             SlotRequest.builder(KEY, "engine")
                 .rank(1)
