Keep the averages of the queue shares current between peaks

Cause: the averages decayed only when shares were computed, so the first computation at a peak dropped the arrivals just before it.

Change: they decay with each arrival, at intervals.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Contention.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Contention.java
@@ -57,7 +57,7 @@
     if (active) {
       double units = units(request);
       weights.arrived(request.dataCentre(), units, now);
-      shares.arrived(Flow.of(request), units);
+      shares.arrived(Flow.of(request), units, now);
     }
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/QueueShares.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/QueueShares.java
@@ -25,7 +25,7 @@
   /** Time constant of the average; several times the wait of a request, so that bursts even out. */
   private static final double WINDOW_MILLIS = 500;
 
-  /** Time between two computations of the shares. */
+  /** Time between two computations of the averages and the shares. */
   private static final Duration UPDATE_INTERVAL = Duration.ofMillis(20);
 
   /** Demand in units below which a flow is forgotten. */
@@ -36,13 +36,15 @@
   private final Map<Flow, Double> waiting = new HashMap<>();
   private final Map<String, Double> levels = new HashMap<>();
   private Instant updated = Instant.EPOCH;
+  private Instant computed = Instant.EPOCH;
 
   QueueShares(DataCentreWeights weights) {
     this.weights = weights;
   }
 
   /** Records the arrival of an online request with its work in units of the usual work. */
-  void arrived(Flow flow, double units) {
+  void arrived(Flow flow, double units, Instant now) {
+    decay(now);
     demands.merge(flow, units, Double::sum);
   }
 
@@ -74,7 +76,8 @@
     return own + units > level * longest.toMillis() / WINDOW_MILLIS;
   }
 
-  private void update(double perMilli, Instant now) {
+  /** Lets the averages decay, if the last time is some while ago. */
+  private void decay(Instant now) {
     Duration passed = Duration.between(updated, now);
     if (passed.compareTo(UPDATE_INTERVAL) < 0 && !passed.isNegative()) {
       return;
@@ -83,6 +86,14 @@
     double kept = Math.exp(-Math.max(0, passed.toMillis()) / WINDOW_MILLIS);
     demands.replaceAll((flow, demand) -> demand * kept);
     demands.values().removeIf(demand -> demand < FORGOTTEN);
+  }
+
+  private void update(double perMilli, Instant now) {
+    decay(now);
+    if (computed.equals(updated)) {
+      return;
+    }
+    computed = updated;
     Map<String, List<MaxMinLevel.Demand>> flows = new HashMap<>();
     Map<String, Double> sums = new HashMap<>();
     demands.forEach(
