Run the items of jobs that can complete in time first

Cause: in a burst of jobs items ran by due time alone, also those of jobs that can no longer complete.

Change: where callers compete, items of jobs that can complete in full in time go first, those of begun jobs before others, at the holder and in the rank sent to the coordinator.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -46,6 +46,12 @@
    */
   private static final Duration SLOT_WAIT = Duration.ofSeconds(2);
 
+  /**
+   * Time for which a rank stays valid. All waiting items of a partition, thousands after an outage,
+   * are compared each time that a request is sent.
+   */
+  private static final Duration RANK_INTERVAL = Duration.ofMillis(100);
+
   /** Pause before the next slot request after a refusal or a failure. */
   private static final Duration PAUSE = Duration.ofMillis(100);
 
@@ -69,6 +75,8 @@
   private @Nullable SlotKey slot;
   private @Nullable EndpointCall call;
   private Instant lastEventAt;
+  private Instant rankedAt = Instant.EPOCH;
+  private long completionRank;
   private boolean requesting;
   private boolean stopped;
 
@@ -133,9 +141,22 @@
 
   @Override
   public long rank() {
+    if (parts.scheduling().contended()) {
+      return completionRank();
+    }
     return estimate.rank(due, output.lastEventId(), parts.clock().instant());
   }
 
+  /** Returns the rank by the completion of the job, computed at intervals. */
+  private long completionRank() {
+    Instant now = parts.clock().instant();
+    if (!now.isBefore(rankedAt.plus(RANK_INTERVAL))) {
+      rankedAt = now;
+      completionRank = JobCompletionOrder.rank(job, due, estimate, now);
+    }
+    return completionRank;
+  }
+
   @Override
   public void requestSlot() {
     Optional<Route> route = route();
@@ -151,7 +172,7 @@
     SlotRequest wanted =
         SlotRequest.builder(key, route.get().service(0))
             .batch(true)
-            .rank(due.toEpochMilli())
+            .rank(parts.scheduling().contended() ? completionRank() : due.toEpochMilli())
             .work(estimate.remaining(output.lastEventId()))
             .dataCentre(parts.dataCentre())
             .maxWait(SLOT_WAIT)
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobParts.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobParts.java
@@ -4,6 +4,7 @@
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.metric.GatewayMetrics;
 import io.hawthornlb.gateway.route.ConfigHolder;
+import io.hawthornlb.gateway.slot.SchedulingSettings;
 import io.hawthornlb.gateway.slot.SlotClient;
 import io.hawthornlb.gateway.store.LogStore;
 import io.hawthornlb.gateway.wire.EndpointPool;
@@ -27,6 +28,7 @@
  * @param clock source of the current time
  * @param log log of decisions
  * @param metrics metrics of this process
+ * @param scheduling determines how items are ordered
  */
 public record JobParts(
     ConfigHolder config,
@@ -40,4 +42,5 @@
     ScheduledExecutorService executor,
     InstantSource clock,
     EventLog log,
-    GatewayMetrics metrics) {}
+    GatewayMetrics metrics,
+    SchedulingSettings scheduling) {}
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -210,7 +210,8 @@
         loop,
         clock,
         log,
-        metrics);
+        metrics,
+        settings.scheduling());
   }
 
   /**
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
@@ -11,6 +11,7 @@
 import io.hawthornlb.gateway.route.RouteKind;
 import io.hawthornlb.gateway.route.RoutingConfig;
 import io.hawthornlb.gateway.route.ServiceShare;
+import io.hawthornlb.gateway.slot.SchedulingSettings;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotClient;
 import io.hawthornlb.gateway.slot.SlotKey;
@@ -90,7 +91,8 @@
         loop,
         clock,
         new RecordingEventLog(),
-        new GatewayMetrics());
+        new GatewayMetrics(),
+        SchedulingSettings.DEFAULT);
   }
 
   /** Notices that are not sent to any process. */
