Bound the reported work ahead and the shortened retry time

Cause: a refusal whose work ahead exceeds six hours could not be decoded, so its caller would have waited in vain; a request with little time left was told to retry at once.

Change: the reported work is bounded by what a decoder accepts, and a retry time is shortened to no less than 100 ms. The log field of slot.refused is named cause, as in other lines.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -249,7 +249,7 @@
     if (reason.isKnown()) {
       String cause = reason.cause() + " " + parts.dataCentre() + " " + reason.size();
       parts.metrics().count("slots.refused", cause.toLowerCase(Locale.ROOT));
-      line.with("why", reason.cause().name()).with("aheadMillis", reason.workAhead().toMillis());
+      line.with("cause", reason.cause().name()).with("aheadMillis", reason.workAhead().toMillis());
     }
     line.with("slots", refused.seen().slots())
         .with("used", refused.seen().used())
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
@@ -185,7 +185,7 @@
   private static void packReason(MessagePacker packer, RefusalReason reason) throws IOException {
     if (reason.isKnown()) {
       packer.packInt(reason.cause().ordinal()).packInt(reason.size().ordinal());
-      packer.packLong(reason.workAhead().toMillis());
+      packer.packLong(Math.min(reason.workAhead().toMillis(), MAX_TIME.toMillis()));
     }
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotRequest.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotRequest.java
@@ -15,7 +15,8 @@
  * @param batch whether this is a batch item, which may be preempted (true), or an online request,
  *     for which a caller waits (false)
  * @param rank position among the waiting requests; the lowest rank goes first. The priority of the
- *     route for online requests, the due time for batch items
+ *     route for online requests; the due time for batch items, which is put off by minutes where
+ *     items of other jobs go first
  * @param work time for which a batch item still has to run; zero for online requests
  * @param dataCentre data centre of the gateway
  * @param maxWait longest time that the request may wait for a slot
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/RetryReservations.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/RetryReservations.java
@@ -38,6 +38,9 @@
    */
   private static final int MAX_RETRY_PART = 3;
 
+  /** Shortest time to which an announced time is reduced; no slot is free before it. */
+  private static final Duration MIN_TOLD = Duration.ofMillis(100);
+
   private final Map<Key, Entry> entries = new HashMap<>();
 
   /** Number of reservations by the time from which they are valid, in units of their validity. */
@@ -94,7 +97,8 @@
   public Duration refused(
       SlotRequest request, Duration retryAfter, Duration waited, ExpectedRoom room, Instant now) {
     Duration latest = request.patience().minus(waited).dividedBy(MAX_RETRY_PART);
-    Duration told = retryAfter.compareTo(latest) > 0 && !latest.isNegative() ? latest : retryAfter;
+    boolean tooLate = retryAfter.compareTo(latest) > 0 && latest.compareTo(MIN_TOLD) >= 0;
+    Duration told = tooLate ? latest : retryAfter;
     clean(now);
     if (request.fingerprint() != 0 && entries.size() < MAX_REMEMBERED) {
       remove(key(request));
