--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/ItemHeadroom.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/ItemHeadroom.java
@@ -17,8 +17,9 @@
 
   /**
    * Time before a peak from which on its slots stay free. A preempted item resumes after its last
-   * event and loses its prompt only, some 100 ms, so slots that stay idle for longer cost more: if
-   * they stayed free for the whole run time of an item, a tenth of the items would be late.
+   * event and loses its prompt only, so slots that stay idle for longer cost more: if they stayed
+   * free for the whole run time of an item, half of the items would be late in ContendedReplay when
+   * a fifth of the endpoints is lost.
    */
   private static final Duration LOOKAHEAD = Duration.ofMillis(500);
 
