Learn paces without bias by plain requests, and stay in the data centre

A request left its data centre if all free endpoints there had just turned slow. Change: a single use counts within a ratio of 50 either way, and the last 100 instead of 50 uses count.

--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/pace/support/EndpointPace.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/pace/support/EndpointPace.java
@@ -10,10 +10,10 @@
   private static final long REPORT_VALID_MILLIS = 600;
 
   /**
-   * Least weight of a completed use; about the last 50 count. At 6 uses a second and endpoint these
-   * are 8 s, in which the spells of 600 ms and the unequal lengths of requests average out.
+   * Least weight of a completed use; about the last 100 count. At 6 uses a second and endpoint
+   * these are 16 s, in which the spells of 600 ms and the unequal lengths of requests average out.
    */
-  private static final double MIN_WEIGHT = 0.02;
+  private static final double MIN_WEIGHT = 0.01;
 
   /**
    * Number of uses that the initial value counts for, so that the first use of a new endpoint does
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/pace/support/ObservedPaceTable.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/pace/support/ObservedPaceTable.java
@@ -28,6 +28,13 @@
   private static final double MIN_FACTOR = 0.2;
   private static final double MAX_FACTOR = 10;
 
+  /**
+   * Largest ratio at which a single use counts, so that one of absurd length changes little. Wide
+   * enough for plain requests of a thirtieth of the usual time: if they all counted alike, the
+   * factors of fast and slow endpoints would come out closer together than they are.
+   */
+  private static final double MAX_USE_RATIO = 50;
+
   /** Factors from here to {@link #MAX_USUAL} count as usual. */
   private static final double MIN_USUAL = 0.7;
 
@@ -83,8 +90,7 @@
     double ratio = (double) actual.toNanos() / estimated.toNanos();
     boolean first = pace.completions() == 0;
     boolean any = medianAt.isAfter(Instant.MIN);
-    // Bounded like the factors, so that a single use of absurd length counts little.
-    double counted = any ? medianRatio * bounded(ratio / medianRatio) : ratio;
+    double counted = any ? medianRatio * boundedUse(ratio / medianRatio) : ratio;
     pace.completed(counted, any ? medianRatio : ratio, now);
     if (first || medianIsOld(now)) {
       updateMedian(now);
@@ -203,6 +209,10 @@
     }
   }
 
+  private static double boundedUse(double ratio) {
+    return Math.max(1 / MAX_USE_RATIO, Math.min(MAX_USE_RATIO, ratio));
+  }
+
   private static double bounded(double factor) {
     return Math.max(MIN_FACTOR, Math.min(MAX_FACTOR, factor));
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/PacePlacement.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/PacePlacement.java
@@ -9,21 +9,21 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Prefers endpoints that have not just turned slow, among those the ones in the data centre of the
- * gateway, and among those the one that is expected to complete a request first.
+ * Prefers endpoints in the data centre of the gateway, among those the ones that have not just
+ * turned slow, and among those the one that is expected to complete a request first.
  *
  * <p>It addresses a service whose endpoints differ in pace and turn slow for a fraction of a second
  * at a time. While no endpoint of the service has reported a pace, another placement decides.
  *
- * <p>A request goes to another data centre rather than to an endpoint of its own that has just
- * turned slow. In the replay of such a service this made first events late in 2.4% instead of 2.6%
- * of the requests, and 16% instead of 10% of the requests left their data centre.
+ * <p>A request goes to an endpoint of its data centre that has just turned slow rather than to
+ * another data centre. The reverse made first events late in 2.5% instead of 2.6% of the requests
+ * of a replay, but 17% instead of 10% of the requests left their data centre.
  */
 final class PacePlacement implements Placement {
 
   /**
-   * Expected slowdown from which on an endpoint gets a request only if no other is free. A machine
-   * that turned 2.5 times as slow counts for the first 400 ms after its report.
+   * Expected slowdown from which on an endpoint gets a request only if no other of its data centre
+   * is free. A machine that turned 2.5 times as slow counts for the first 400 ms after its report.
    */
   private static final double SLOW = 1.5;
 
@@ -74,8 +74,8 @@
 
   /** Returns the rank of an endpoint; one of a lower rank is chosen first. */
   private int rank(EndpointRecord endpoint, String dataCentre, double factor) {
-    int distance = endpoint.dataCentre().equals(dataCentre) ? 0 : 1;
-    return distance + (turnedSlow(endpoint, factor) ? 2 : 0);
+    int distance = endpoint.dataCentre().equals(dataCentre) ? 0 : 2;
+    return distance + (turnedSlow(endpoint, factor) ? 1 : 0);
   }
 
   private boolean turnedSlow(EndpointRecord endpoint, double factor) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSearch.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSearch.java
@@ -168,7 +168,10 @@
     return matching(endpoints, endpoint -> placement.prefers(endpoint, dataCentre, now));
   }
 
-  /** Returns the endpoints that match a condition; a stream would take twice the time. */
+  /**
+   * Returns the endpoints that match a condition. A loop, because streams took a quarter of the
+   * time of a decision at 62 endpoints.
+   */
   private static List<EndpointRecord> matching(
       List<EndpointRecord> endpoints, Predicate<EndpointRecord> condition) {
     List<EndpointRecord> matching = new ArrayList<>(endpoints.size());
