Let the trial run of a build reach the decisions under contention

Cause: the class archive is written by a trial without contention, so that each instance of a deployment whose callers compete would load and link these classes from the jar while callers wait. Change: the trial makes each kind of decision of a contended coordinator once. Measured: SchedulingTrialTest reaches all kinds of answers; the gain in processor time was not measured apart.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/TrialRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/TrialRun.java
@@ -10,6 +10,7 @@
 import io.hawthornlb.gateway.job.JobFormat;
 import io.hawthornlb.gateway.loop.AccountedEventLoop;
 import io.hawthornlb.gateway.peer.GatewayInstance;
+import io.hawthornlb.gateway.slot.support.SchedulingTrial;
 import io.hawthornlb.gateway.store.LogStore.AppendCall;
 import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
 import io.hawthornlb.gateway.store.support.InMemoryLogStore;
@@ -99,6 +100,7 @@
           .apply(settings.self().name())
           .forEach(call -> statuses.add(status(caller, settings.front(), call)));
     }
+    SchedulingTrial.run();
     processes.forEach(GatewayProcess::stop);
     loop.shutdownGracefully();
     return statuses;
