--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Retries.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Retries.java
@@ -13,7 +13,7 @@
     NEW,
     /** It was refused before; it goes behind new requests, and may wait longer. */
     RETURNING,
-    /** It was refused before and has a reservation: it goes with new ones, and may wait longer. */
+    /** It was refused before and has a reservation; it is ordered like a returning one. */
     RESERVED
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/RetryReservations.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/RetryReservations.java
@@ -14,12 +14,10 @@
 /**
  * Reservations of refused requests for the time at which their callers were told to retry.
  *
- * <p>A caller retries once. If it comes when it was told and then goes behind all new requests, it
- * is refused for good in a peak that outlasts the forecast; if it gained by resending early,
- * callers that respect Retry-After would be served less than others. So a refused request goes with
- * the new ones from the announced time until shortly after it, and is refused with the remaining
- * time before it. Refusals beyond the bound on reservations are remembered too, but go behind new
- * requests.
+ * <p>A caller retries once. If it gained by resending early, callers that respect Retry-After would
+ * be served less than others. So a refused request may wait for longer from the announced time
+ * until shortly after it, and before it gets a slot only if one is free. Refusals beyond the bound
+ * on reservations are remembered too.
  */
 final class RetryReservations implements Retries {
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Waiter.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Waiter.java
@@ -37,8 +37,7 @@
   static final Comparator<Waiter> ORDER = Waiter::compareInQueue;
 
   // Comparators built from accessors would box each value, which took most of the time of a
-  // decision
-  // with hundreds of waiting requests.
+  // decision with hundreds of waiting requests.
   private static int compareClass(Waiter one, Waiter other) {
     int order = Boolean.compare(one.request.batch(), other.request.batch());
     if (order == 0) {
@@ -66,9 +65,12 @@
         : order;
   }
 
-  /** Returns whether the request goes behind new ones. */
+  /**
+   * Returns whether the request goes behind new ones, with or without a reservation. Its answer is
+   * late already; before a new request, it would make that one late as well.
+   */
   boolean returning() {
-    return standing == Retries.Standing.RETURNING;
+    return standing != Retries.Standing.NEW;
   }
 
   /** Returns this request with another position among the batch items. */
