Log the software version of endpoints and each continuation of a stream

The record of the incident cannot tell whether streams went on at another version within a response or by their callers' further attempts, since no line names a version or a continuation. The version of an entry is kept, and named by endpoint.offered, request.sent and item.sent; stream.continued tells the way, the attempt that began the stream and the version that goes on. No decision uses them yet.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/endpoint/EndpointRecord.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/endpoint/EndpointRecord.java
@@ -14,6 +14,8 @@
  * @param leaving whether the endpoint accepts no new requests
  * @param born Unix time of its start in milliseconds; {@link EndpointIncarnation#UNKNOWN} if not
  *     reported
+ * @param version version of its software; endpoints of several versions may serve side by side, and
+ *     what two versions write does not fit together
  */
 public record EndpointRecord(
     String id,
@@ -22,7 +24,11 @@
     String dataCentre,
     int slots,
     boolean leaving,
-    long born) {
+    long born,
+    String version) {
+
+  /** Version of the endpoints of a service that has just one. */
+  public static final String ONLY_VERSION = "";
 
   /** Checks the arguments. */
   public EndpointRecord {
@@ -31,6 +37,18 @@
     Checks.isTrue(slots > 0, "slots must be positive");
   }
 
+  /** Creates the entry of an endpoint of a service that has just one version. */
+  public EndpointRecord(
+      String id,
+      String service,
+      InetSocketAddress address,
+      String dataCentre,
+      int slots,
+      boolean leaving,
+      long born) {
+    this(id, service, address, dataCentre, slots, leaving, born, ONLY_VERSION);
+  }
+
   /** Creates the entry of an endpoint that does not report its start. */
   public EndpointRecord(
       String id,
@@ -58,7 +76,8 @@
         && dataCentre.equals(entry.dataCentre)
         && slots == entry.slots
         && leaving == entry.leaving
-        && born == entry.born;
+        && born == entry.born
+        && version.equals(entry.version);
   }
 
   @Override
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardedRequest.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardedRequest.java
@@ -6,6 +6,7 @@
 import io.hawthornlb.core.workspace.Workspace;
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.route.Route;
+import io.hawthornlb.gateway.route.RouteKind;
 import io.hawthornlb.gateway.wire.HeaderNames;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -17,6 +18,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 
 /** A caller's request on its route: what coordinators and endpoints get to know of it. */
@@ -39,6 +41,16 @@
     return request.headers().get(names.requestId(), "");
   }
 
+  /** Returns whether the caller resumes a stream, of which it has events already. */
+  boolean resumesStream() {
+    return route.kind() == RouteKind.STREAM && request.headers().contains(names.lastEventId());
+  }
+
+  /** Returns the id of the attempt that began the stream that the caller resumes; empty if none. */
+  Optional<String> begunBy() {
+    return Optional.ofNullable(request.headers().get(names.resumes())).map(String::trim);
+  }
+
   /** Returns when the request was complete. */
   Instant arrived() {
     return request.arrived();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -284,9 +284,11 @@
         .with("id", request.id())
         .with("route", route.name())
         .with("endpoint", incarnation.id())
+        .with("version", target.get().version())
         .with("runs", runs)
         .with("millis", time.sinceArrival())
         .write();
+    logContinuation(target.get());
     call =
         parts
             .pool()
@@ -298,6 +300,25 @@
     watch.start();
   }
 
+  /**
+   * Logs and counts that a stream is continued, within this response or for a caller that has it.
+   */
+  private void logContinuation(EndpointRecord target) {
+    boolean within = relay.lastEventId() >= 0;
+    if (!within && !request.resumesStream()) {
+      return;
+    }
+    String way = within ? "within a response" : "by a caller";
+    parts.metrics().count("streams.continued", way);
+    line("stream.continued")
+        .with("way", way)
+        .with("begunBy", request.begunBy().orElse(within ? request.id() : ""))
+        .with("after", relay.lastEventId())
+        .with("endpoint", target.id())
+        .with("version", target.version())
+        .write();
+  }
+
   /** Reports a silent endpoint to the coordinator, so that other requests are placed elsewhere. */
   @Override
   public void suspicious(Duration silence) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -253,6 +253,7 @@
     sentWhole = output.lastEventId() < 0;
     logLine("item.sent")
         .with("endpoint", incarnation.id())
+        .with("version", target.get().version())
         .with("after", output.lastEventId())
         .write();
     call =
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/EndpointSource.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/EndpointSource.java
@@ -102,6 +102,7 @@
       log.important("endpoint", entry.leaving() ? "leaving" : "offered")
           .with("endpoint", entry.id())
           .with("service", entry.service())
+          .with("version", entry.version())
           .write();
     }
     if (previous.isPresent() && entry.incarnation().follows(previous.get().incarnation())) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/HeaderNames.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/HeaderNames.java
@@ -11,6 +11,8 @@
  * @param notRun response header: the endpoint did not run the request
  * @param signature response header: proof that an endpoint created the response
  * @param lastEventId last event of a stream that the caller has received
+ * @param resumes id of the attempt that brought the caller the first event of a stream that it
+ *     resumes
  * @param apiKey API key of a caller; never forwarded
  * @param workspace name of the workspace for which a request is made; set by the gateway only
  * @param load reads the load that a response reports
@@ -23,6 +25,7 @@
     String notRun,
     String signature,
     String lastEventId,
+    String resumes,
     String apiKey,
     String workspace,
     LoadFormat load,
@@ -36,6 +39,7 @@
       String notRun,
       String signature,
       String lastEventId,
+      String resumes,
       String apiKey,
       String workspace,
       LoadFormat load) {
@@ -46,6 +50,7 @@
         notRun,
         signature,
         lastEventId,
+        resumes,
         apiKey,
         workspace,
         load,
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
@@ -66,6 +66,7 @@
           "Test-Not-Run",
           "Test-Signature",
           "Last-Event-Id",
+          "Test-Resumes",
           "Test-Key",
           "Test-Workspace",
           headers -> Optional.empty());
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
@@ -42,6 +42,7 @@
           "Test-Not-Run",
           "Test-Signature",
           "Last-Event-Id",
+          "Test-Resumes",
           "Test-Key",
           "Test-Workspace",
           headers -> Optional.empty());
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/wire/ConnectionCountsTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/wire/ConnectionCountsTest.java
@@ -100,6 +100,7 @@
         "Test-Not-Run",
         "Test-Signature",
         "Last-Event-Id",
+        "Test-Resumes",
         "Test-Key",
         "Test-Workspace",
         headers -> Optional.empty());
