--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
@@ -8,6 +8,7 @@
 import io.hawthornlb.gateway.RecordingEventLog;
 import io.hawthornlb.gateway.ScriptedEndpoint;
 import io.hawthornlb.gateway.decode.UnreadableException;
+import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.job.JobCall;
 import io.hawthornlb.gateway.job.JobFormat;
@@ -86,6 +87,7 @@
   private Duration timeout = Duration.ofMillis(1_500);
   private @Nullable WorkspaceRegistry workspaces;
   private List<Route> routes = List.of();
+  private List<String> versions = List.of();
   private @Nullable WorkspaceLimit limit;
 
   /** Log store that stops answering reads when the test asks for it. */
@@ -269,6 +271,19 @@
     put(formats.configTopic(), formats.configKey(), name);
   }
 
+  /** Sets the software versions of the endpoints that are offered next, in their order. */
+  GatewayFixture versions(String... each) {
+    versions = List.of(each);
+    return this;
+  }
+
+  /** Removes an endpoint from the list, and waits until the gateway has read that. */
+  void remove(String id) {
+    store.append(
+        new AppendCall(formats.endpointTopic(), 0, List.of(new KeyedRecord(id, null)), null));
+    Awaitility.await().until(() -> log.events().contains("endpoint.removed"));
+  }
+
   /** Puts a configuration in force whose only route needs no key. */
   GatewayFixture openRoute(RouteKind kind, ScriptedEndpoint to) {
     return route(kind, 1, false, true, to);
@@ -287,7 +302,11 @@
       ScriptedEndpoint... to) {
     for (int i = 0; i < to.length; i++) {
       String id = "e" + i;
-      formats.endpoints.put(id, new EndpointRecord(id, SERVICE, to[i].address(), "a", 8, false));
+      String version = i < versions.size() ? versions.get(i) : EndpointRecord.ONLY_VERSION;
+      formats.endpoints.put(
+          id,
+          new EndpointRecord(
+              id, SERVICE, to[i].address(), "a", 8, false, EndpointIncarnation.UNKNOWN, version));
       put(formats.endpointTopic(), id, id);
     }
     Route route =
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
@@ -80,10 +80,20 @@
       InstantSource clock,
       ConfigHolder config,
       EndpointDirectory directory) {
+    return parts(store, loop, clock, config, directory, new FreeSlots());
+  }
+
+  static JobParts parts(
+      LogStore store,
+      EventLoop loop,
+      InstantSource clock,
+      ConfigHolder config,
+      EndpointDirectory directory,
+      SlotClient slots) {
     return new JobParts(
         config,
         directory,
-        new FreeSlots(),
+        slots,
         new ItemEstimates(SchedulingSettings.DEFAULT),
         new EndpointPool(loop, NAMES, clock, new GatewayMetrics()),
         NAMES,
