Keep a stream at the software version that began it

Callers got streams with events of two versions: an instance that was sent a stream to resume placed it like a new one, and so did the instance that held a response when its endpoint failed. Class of fault: a state that one side of a continuation depends on is known to neither the one who continues nor to the one who places.

The first event fixes service and version (StreamVersion). Before it goes out, the instance tells three others, in different data centres and selected by the id of the attempt (FleetStreamOrigins); whoever resumes the stream asks up to two instances of each data centre for 60 ms at most. Nobody knows: 503 at once, not run. The coordinator places the request only at endpoints of the version, and refuses if none is listed; the instance checks the grant again, since coordinators of the former version of this program ignore the field. An endpoint that restarts under its id is judged by its entry when its first event comes and again before a continuation.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
@@ -42,6 +42,7 @@
   private boolean headSent;
   private long lastEventId = -1;
   private boolean eventSeen;
+  private boolean admitted;
   private Instant lastHeard;
   private @Nullable Instant firstForwarded;
 
@@ -79,6 +80,7 @@
     response = null;
     mode = null;
     eventSeen = false;
+    admitted = false;
     lastHeard = clock.instant();
   }
 
@@ -92,6 +94,11 @@
     return firstForwarded == null ? clock.instant() : firstForwarded;
   }
 
+  /** Sets the last event that the caller has from earlier attempts; negative if it has none. */
+  void resumeAfter(long eventId) {
+    lastEventId = eventId;
+  }
+
   boolean headSent() {
     return headSent;
   }
@@ -202,6 +209,12 @@
 
   private void forwardAll(List<StreamEvent> events) {
     for (StreamEvent event : events) {
+      admitted = admitted || forwarding.admitsEvents();
+      if (!admitted) {
+        mode = Mode.UNUSABLE;
+        forwarding.onSequenceBreak("the events are those of another version");
+        return;
+      }
       if (breaksSequence(event)) {
         mode = Mode.UNUSABLE;
         forwarding.onSequenceBreak("event " + event.id() + " follows event " + lastEventId);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardedRequest.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardedRequest.java
@@ -7,6 +7,7 @@
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.route.Route;
 import io.hawthornlb.gateway.route.RouteKind;
+import io.hawthornlb.gateway.stream.StreamId;
 import io.hawthornlb.gateway.wire.HeaderNames;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -46,9 +47,32 @@
     return route.kind() == RouteKind.STREAM && request.headers().contains(names.lastEventId());
   }
 
-  /** Returns the id of the attempt that began the stream that the caller resumes; empty if none. */
+  /**
+   * Returns the id of the attempt that began the stream: the one that the caller names if it
+   * resumes a stream, else this one. Empty if the caller names none.
+   */
   Optional<String> begunBy() {
-    return Optional.ofNullable(request.headers().get(names.resumes())).map(String::trim);
+    return resumesStream()
+        ? Optional.ofNullable(request.headers().get(names.resumes())).map(String::trim)
+        : Optional.of(id());
+  }
+
+  /**
+   * Returns the stream that the request begins or resumes; empty if its caller does not name it.
+   */
+  Optional<StreamId> stream() {
+    return begunBy().map(attempt -> StreamId.of(workspace(), attempt));
+  }
+
+  /** Returns the last event that the caller has; negative if it has none or names no number. */
+  long lastEventId() {
+    String last = resumesStream() ? request.headers().get(names.lastEventId()) : "";
+    try {
+      return Math.max(-1, Long.parseLong(last.trim()));
+    } catch (NumberFormatException e) {
+      // The endpoint decides about a value that is no number; it is passed on as it is.
+      return -1;
+    }
   }
 
   /** Returns when the request was complete. */
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -7,6 +7,7 @@
 import io.hawthornlb.gateway.route.Route;
 import io.hawthornlb.gateway.route.RouteKind;
 import io.hawthornlb.gateway.route.RoutingConfig;
+import io.hawthornlb.gateway.slot.RefusalCause;
 import io.hawthornlb.gateway.slot.RefusalReason;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotKey;
@@ -52,7 +53,7 @@
   private final Route route;
   private final ForwardedRequest request;
   private final Responder responder;
-  private final String service;
+  private final StreamContinuation continuation;
   private final RequestTime time;
   private final Set<EndpointIncarnation> excluded = new HashSet<>();
   private final AnswerRelay relay;
@@ -64,6 +65,7 @@
   private @Nullable EndpointCall call;
   private @Nullable EndpointIncarnation endpoint;
   private Instant requestedAt = Instant.MIN;
+  private String service;
   private int runs;
   private int rejections;
   private boolean done;
@@ -77,6 +79,7 @@
     this.service = route.service(ThreadLocalRandom.current().nextDouble());
     this.time =
         new RequestTime(route, request.arrived(), this.request.timeAllowed(), parts.clock());
+    this.continuation = new StreamContinuation(parts, route, this.request);
     boolean streaming = route.kind() == RouteKind.STREAM;
     this.relay = new AnswerRelay(this, parts, responder, streaming);
     SilenceWatch.Limits limits =
@@ -88,7 +91,29 @@
   void start() {
     long millis = Math.max(0, time.left().toMillis());
     timer = parts.executor().schedule(this::onTimeout, millis, TimeUnit.MILLISECONDS);
-    acquire();
+    if (request.resumesStream()) {
+      relay.resumeAfter(request.lastEventId());
+      continuation.find(new OriginReceiver());
+    } else {
+      acquire();
+    }
+  }
+
+  /** Places a request that resumes a stream once it is known where the stream began. */
+  private final class OriginReceiver implements StreamContinuation.Receiver {
+
+    @Override
+    public void onKnown(String knownService) {
+      if (!done) {
+        service = knownService;
+        acquire();
+      }
+    }
+
+    @Override
+    public void onUnknown(String cause) {
+      end(AttemptRules.finalStep(state()), StreamContinuation.UNKNOWN_RETRY, cause);
+    }
   }
 
   @Override
@@ -158,6 +183,11 @@
     }
   }
 
+  /** Returns whether the first event of the current endpoint may be forwarded. */
+  boolean admitsEvents() {
+    return continuation.admitsFirstEvent();
+  }
+
   /** Called when a resumed stream does not continue where the previous one broke off. */
   void onSequenceBreak(String cause) {
     EndpointCall other = call;
@@ -193,7 +223,8 @@
   }
 
   private void acquire() {
-    Duration maxWait = time.maxWait(relay.headSent() || runs > 0, rejections > 0);
+    boolean lateAllowed = rejections > 0 || request.resumesStream();
+    Duration maxWait = time.maxWait(relay.headSent() || runs > 0, lateAllowed);
     SlotKey key = parts.slots().nextKey();
     slot = key;
     requestedAt = parts.clock().instant();
@@ -208,6 +239,7 @@
             .workspace(request.workspace())
             .charged(runs == 0 && rejections == 0)
             .size(relay.lastEventId() < 0 ? request.size() : WorkSize.NONE)
+            .version(continuation.requiredVersion())
             .build();
     lastRequest = wanted;
     parts.slots().acquire(wanted, this::onSlot);
@@ -254,6 +286,9 @@
   private void logNoSlot(SlotAnswer.Refused refused) {
     EventLine line = line("slot.refused");
     RefusalReason reason = refused.reason();
+    if (reason.cause() == RefusalCause.VERSION_GONE) {
+      continuation.versionGone();
+    }
     if (reason.isKnown()) {
       String cause = reason.cause() + " " + parts.dataCentre() + " " + reason.size();
       parts.metrics().count("slots.refused", cause.toLowerCase(Locale.ROOT));
@@ -270,6 +305,13 @@
   private void send(EndpointIncarnation incarnation) {
     endpoint = incarnation;
     Optional<EndpointRecord> target = parts.directory().find(incarnation.id());
+    if (target.isPresent() && !continuation.accepts(target.get())) {
+      // The coordinator runs a former version of this program, or its list differs.
+      rejections++;
+      excludeCurrent(SlotOutcome.ABANDONED);
+      proceed(AttemptRules.afterNotRun(state()), "the endpoint has another version");
+      return;
+    }
     if (target.isEmpty() || target.get().leaving()) {
       // The coordinator's list of endpoints is older than that of this process.
       rejections++;
@@ -288,7 +330,7 @@
         .with("runs", runs)
         .with("millis", time.sinceArrival())
         .write();
-    logContinuation(target.get());
+    continuation.sentTo(target.get());
     call =
         parts
             .pool()
@@ -300,25 +342,6 @@
     watch.start();
   }
 
-  /**
-   * Logs and counts that a stream is continued, within this response or for a caller that has it.
-   */
-  private void logContinuation(EndpointRecord target) {
-    boolean within = relay.lastEventId() >= 0;
-    if (!within && !request.resumesStream()) {
-      return;
-    }
-    String way = within ? "within a response" : "by a caller";
-    parts.metrics().count("streams.continued", way);
-    line("stream.continued")
-        .with("way", way)
-        .with("begunBy", request.begunBy().orElse(within ? request.id() : ""))
-        .with("after", relay.lastEventId())
-        .with("endpoint", target.id())
-        .with("version", target.version())
-        .write();
-  }
-
   /** Reports a silent endpoint to the coordinator, so that other requests are placed elsewhere. */
   @Override
   public void suspicious(Duration silence) {
@@ -359,10 +382,11 @@
   }
 
   private void proceed(NextStep step, String cause) {
-    if (step == NextStep.SEND_AGAIN || step == NextStep.RESUME) {
+    boolean again = step == NextStep.SEND_AGAIN || step == NextStep.RESUME;
+    if (again && continuation.mayContinue()) {
       acquire();
     } else {
-      end(step, REJECTED_RETRY, cause);
+      end(again ? AttemptRules.finalStep(state()) : step, REJECTED_RETRY, cause);
     }
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardingHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardingHandler.java
@@ -7,6 +7,7 @@
 import io.hawthornlb.gateway.route.Route;
 import io.hawthornlb.gateway.route.RoutingConfig;
 import io.hawthornlb.gateway.slot.SlotClient;
+import io.hawthornlb.gateway.stream.StreamOrigins;
 import io.hawthornlb.gateway.wire.EndpointPool;
 import io.hawthornlb.gateway.wire.HeaderNames;
 import java.time.Duration;
@@ -42,6 +43,7 @@
    * @param revocation decides whether known keys are accepted while the configuration is old
    * @param directory endpoints
    * @param slots client that acquires slots
+   * @param origins where streams began that callers may resume
    * @param pool connections to endpoints
    * @param names names of headers
    * @param jobs handler of requests about jobs
@@ -57,6 +59,7 @@
       RevocationPolicy revocation,
       EndpointDirectory directory,
       SlotClient slots,
+      StreamOrigins origins,
       EndpointPool pool,
       HeaderNames names,
       JobRequestHandler jobs,
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetView.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetView.java
@@ -45,6 +45,9 @@
    */
   private static final int MAX_CACHED_ORDERS = 100;
 
+  /** Number of orders among which {@link #spread} divides all keys. */
+  private static final int SPREADS = 64;
+
   private static final Comparator<GatewayInstance> BY_SIZE =
       Comparator.comparingDouble(GatewayInstance::cores).reversed();
 
@@ -55,6 +58,7 @@
   private final Map<String, GatewayInstance> lastKnown = new HashMap<>();
   private final Map<String, Suspicion> suspicions = new HashMap<>();
   private final Map<String, List<GatewayInstance>> orders = new HashMap<>();
+  private final Map<Long, List<GatewayInstance>> spreads = new HashMap<>();
   private @Nullable RendezvousHash hash;
   private @Nullable Map<String, List<GatewayInstance>> byDataCentre;
 
@@ -96,6 +100,7 @@
     hash = null;
     byDataCentre = null;
     orders.clear();
+    spreads.clear();
   }
 
   /** Returns a process by its name; null if the list does not contain it. */
@@ -191,21 +196,35 @@
   }
 
   private List<GatewayInstance> newOrder(String key) {
+    List<GatewayInstance> order = hashed(Hashing.wyhashFinal4().hashCharsToLong(key));
+    // The sort is stable, so processes of equal size keep the order given by the key.
+    order.sort(BY_SIZE);
+    return List.copyOf(order);
+  }
+
+  /**
+   * Returns all listed processes in an order that depends on a hash alone, not on their sizes, so
+   * that hashes spread over all of them.
+   */
+  List<GatewayInstance> spread(long hash) {
+    return spreads.computeIfAbsent(
+        Math.floorMod(hash, (long) SPREADS), group -> List.copyOf(hashed(group)));
+  }
+
+  private List<GatewayInstance> hashed(long key) {
     RendezvousHash current = hash;
     if (current == null) {
       current = new RendezvousHash(instances.keySet().stream().map(FleetView::id).toList());
       hash = current;
     }
     List<GatewayInstance> order = new ArrayList<>();
-    for (InstanceId id : current.ranked(Hashing.wyhashFinal4().hashCharsToLong(key))) {
+    for (InstanceId id : current.ranked(key)) {
       GatewayInstance instance = instances.get(id.stableName());
       if (instance != null) {
         order.add(instance);
       }
     }
-    // The sort is stable, so processes of equal size keep the order given by the key.
-    order.sort(BY_SIZE);
-    return List.copyOf(order);
+    return order;
   }
 
   /** Returns the responsive processes except this one, in the order in which they serve a key. */
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
@@ -13,6 +13,8 @@
 import io.hawthornlb.gateway.slot.SlotOutcome;
 import io.hawthornlb.gateway.slot.SlotRequest;
 import io.hawthornlb.gateway.slot.SlotUse;
+import io.hawthornlb.gateway.stream.StreamId;
+import io.hawthornlb.gateway.stream.StreamOrigin;
 import io.hawthornlb.gateway.wire.ReportedLoad;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -46,6 +48,9 @@
   private static final int PING = 14;
   private static final int PONG = 15;
   private static final int LEARNED = 16;
+  private static final int BEGAN = 17;
+  private static final int FIND_ORIGIN = 18;
+  private static final int ORIGIN = 19;
 
   /**
    * Longest duration that a message may contain; batch items wait for minutes at most. A longer
@@ -126,6 +131,17 @@
       packer.packInt(PONG);
     } else if (message instanceof PeerMessage.Learned learned) {
       packLearned(packer.packInt(LEARNED), learned);
+    } else if (message instanceof PeerMessage.Began began) {
+      packStream(packer.packInt(BEGAN), began.stream());
+      packOrigin(packer, began.origin());
+    } else if (message instanceof PeerMessage.FindOrigin asked) {
+      packStream(packer.packInt(FIND_ORIGIN), asked.stream());
+    } else if (message instanceof PeerMessage.Origin answer) {
+      packStream(packer.packInt(ORIGIN), answer.stream());
+      packer.packBoolean(answer.known());
+      if (answer.origin() != null) {
+        packOrigin(packer, answer.origin());
+      }
     } else if (message instanceof PeerMessage.Renew renew) {
       packRenew(packer.packInt(RENEW), renew);
     }
@@ -144,15 +160,27 @@
     }
     WorkspaceId workspace = request.workspace();
     WorkSize size = request.size();
+    String version = request.version();
     if (workspace != null) {
       packer.packString(workspace.value()).packBoolean(request.charged());
-    } else if (size.isStated()) {
+    } else if (size.isStated() || version != null) {
       packer.packString(NO_WORKSPACE).packBoolean(false);
     }
-    if (size.isStated()) {
+    if (size.isStated() || version != null) {
       packer.packInt(size.promptTokens()).packInt(size.maxOutputTokens());
       packer.packInt(size.hintedOutputTokens());
     }
+    if (version != null) {
+      packer.packString(version);
+    }
+  }
+
+  private static void packStream(MessagePacker packer, StreamId stream) throws IOException {
+    packer.packLong(stream.high()).packLong(stream.low());
+  }
+
+  private static void packOrigin(MessagePacker packer, StreamOrigin origin) throws IOException {
+    packer.packString(origin.service()).packString(origin.version());
   }
 
   private static void packAllowed(MessagePacker packer, PeerMessage.Allowed allowed)
@@ -218,7 +246,7 @@
   }
 
   private static PeerMessage unpack(MessageReader reader) throws IOException {
-    int type = reader.number("type", ASK, LEARNED);
+    int type = reader.number("type", ASK, ORIGIN);
     return switch (type) {
       case ASK -> new PeerMessage.Ask(unpackRequest(reader));
       case GRANTED ->
@@ -246,6 +274,11 @@
               reader.number("version", 0L, Long.MAX_VALUE),
               reader.millis("age", MAX_TIME),
               reader.bytes());
+      case BEGAN -> new PeerMessage.Began(unpackStream(reader), unpackOrigin(reader));
+      case FIND_ORIGIN -> new PeerMessage.FindOrigin(unpackStream(reader));
+      case ORIGIN ->
+          new PeerMessage.Origin(
+              unpackStream(reader), reader.flag(), reader.hasMore() ? unpackOrigin(reader) : null);
       case HELD ->
           new PeerMessage.Held(
               reader.number("partition", 0, Integer.MAX_VALUE),
@@ -320,11 +353,12 @@
       excluded.add(unpackIncarnation(reader));
     }
     // Requests of anonymous callers, and those of former versions, end with the excluded endpoints;
-    // those that state no size end with the workspace.
+    // those that state no size end with the workspace; those of any version end with the size.
     String workspace = reader.hasMore() ? reader.text() : NO_WORKSPACE;
     boolean anonymous = workspace.equals(NO_WORKSPACE);
     boolean charged = reader.hasMore() && reader.flag();
     WorkSize size = reader.hasMore() ? unpackSize(reader) : WorkSize.NONE;
+    String version = reader.hasMore() ? reader.text() : null;
     return SlotRequest.builder(key, service)
         .batch(batch)
         .rank(rank)
@@ -337,9 +371,18 @@
         .workspace(anonymous ? null : new WorkspaceId(workspace))
         .charged(charged && !anonymous)
         .size(size)
+        .version(version)
         .build();
   }
 
+  private static StreamId unpackStream(MessageReader reader) throws IOException {
+    return new StreamId(reader.number(), reader.number());
+  }
+
+  private static StreamOrigin unpackOrigin(MessageReader reader) throws IOException {
+    return new StreamOrigin(reader.text(), reader.text());
+  }
+
   private static WorkSize unpackSize(MessageReader reader) throws IOException {
     int promptTokens = unpackTokens(reader);
     int maxOutputTokens = unpackTokens(reader);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerMessage.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerMessage.java
@@ -6,11 +6,14 @@
 import io.hawthornlb.gateway.slot.SlotOutcome;
 import io.hawthornlb.gateway.slot.SlotRequest;
 import io.hawthornlb.gateway.slot.SlotUse;
+import io.hawthornlb.gateway.stream.StreamId;
+import io.hawthornlb.gateway.stream.StreamOrigin;
 import io.hawthornlb.gateway.wire.ReportedLoad;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 
 /** A message between processes of the fleet, sent as one datagram that may be lost. */
 public sealed interface PeerMessage {
@@ -72,6 +75,21 @@
     }
   }
 
+  /** Tells an instance that keeps a copy where a stream began. */
+  record Began(StreamId stream, StreamOrigin origin) implements PeerMessage {}
+
+  /** Asks an instance where a stream began. */
+  record FindOrigin(StreamId stream) implements PeerMessage {}
+
+  /**
+   * Answers a {@link FindOrigin}.
+   *
+   * @param known whether the sender has a record of the stream
+   * @param origin where the stream began; null if that is not known or ambiguous
+   */
+  record Origin(StreamId stream, boolean known, @Nullable StreamOrigin origin)
+      implements PeerMessage {}
+
   /** Reports all uses of a holder to a coordinator. */
   record Renew(String service, String holder, List<SlotUse> uses) implements PeerMessage {}
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -22,6 +22,7 @@
 import io.hawthornlb.gateway.peer.DemandMonitor;
 import io.hawthornlb.gateway.peer.FleetQuota;
 import io.hawthornlb.gateway.peer.FleetSlotClient;
+import io.hawthornlb.gateway.peer.FleetStreamOrigins;
 import io.hawthornlb.gateway.peer.FleetView;
 import io.hawthornlb.gateway.peer.LearnedStateReplicator;
 import io.hawthornlb.gateway.peer.PeerHoldNotices;
@@ -132,6 +133,7 @@
                 settings.revocation(),
                 directory,
                 slots,
+                new FleetStreamOrigins(fleet, transport, loop, clock, log, metrics),
                 pool,
                 names,
                 jobs.router(),
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/RefusalCause.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/RefusalCause.java
@@ -13,5 +13,7 @@
   /** The caller came back before the time that it was told. */
   EARLY_RETRY,
   /** The request crashed endpoints. */
-  CRASHES
+  CRASHES,
+  /** The request continues a stream, and no endpoint of its version is listed. */
+  VERSION_GONE
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/RefusalReason.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/RefusalReason.java
@@ -15,6 +15,10 @@
   public static final RefusalReason UNKNOWN =
       new RefusalReason(RefusalCause.UNKNOWN, SizeClass.MEDIUM, Duration.ZERO);
 
+  /** No endpoint of the version of a stream is listed. */
+  public static final RefusalReason VERSION_GONE =
+      new RefusalReason(RefusalCause.VERSION_GONE, SizeClass.MEDIUM, Duration.ZERO);
+
   /** Returns whether the coordinator stated the reason. */
   public boolean isKnown() {
     return cause != RefusalCause.UNKNOWN;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotRequest.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/SlotRequest.java
@@ -30,6 +30,8 @@
  * @param charged whether the request counts against the limit of its workspace; false for batch
  *     items and for further attempts at a request that was counted
  * @param size token counts that the request states; {@link WorkSize#NONE} if it states none
+ * @param version software version of the endpoint, since the request continues a stream that this
+ *     version began; null if any will do
  */
 public record SlotRequest(
     SlotKey key,
@@ -44,7 +46,8 @@
     Set<EndpointIncarnation> excluded,
     @Nullable WorkspaceId workspace,
     boolean charged,
-    WorkSize size) {
+    WorkSize size,
+    @Nullable String version) {
 
   /**
    * Returns a builder of an online request without a workspace, which may not wait.
@@ -58,20 +61,28 @@
 
   /** Returns this request without the token counts that it states. */
   public SlotRequest withoutSize() {
-    return new SlotRequest(
-        key,
-        service,
-        batch,
-        rank,
-        work,
-        dataCentre,
-        maxWait,
-        patience,
-        fingerprint,
-        excluded,
-        workspace,
-        charged,
-        WorkSize.NONE);
+    return toBuilder().size(WorkSize.NONE).build();
+  }
+
+  /** Returns this request for an endpoint of any version. */
+  public SlotRequest withoutVersion() {
+    return toBuilder().version(null).build();
+  }
+
+  private Builder toBuilder() {
+    return builder(key, service)
+        .batch(batch)
+        .rank(rank)
+        .work(work)
+        .dataCentre(dataCentre)
+        .maxWait(maxWait)
+        .patience(patience)
+        .fingerprint(fingerprint)
+        .excluded(excluded)
+        .workspace(workspace)
+        .charged(charged)
+        .size(size)
+        .version(version);
   }
 
   /** Builds a request. */
@@ -90,6 +101,7 @@
     private @Nullable WorkspaceId workspace;
     private boolean charged = false;
     private WorkSize size = WorkSize.NONE;
+    private @Nullable String version;
 
     private Builder(SlotKey key, String service) {
       this.key = key;
@@ -162,6 +174,12 @@
       return this;
     }
 
+    /** Sets the software version that the endpoint must have; null if any will do. */
+    public Builder version(@Nullable String value) {
+      version = value;
+      return this;
+    }
+
     /** Returns the request. Its patience is its longest wait unless it was set. */
     public SlotRequest build() {
       return new SlotRequest(
@@ -177,7 +195,8 @@
           excluded,
           workspace,
           charged,
-          size);
+          size,
+          version);
     }
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Contention.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/Contention.java
@@ -105,6 +105,9 @@
    * @param unitsAhead work ahead of the request
    */
   RefusalReason reason(SlotRequest request, RefusalCause cause, double unitsAhead) {
+    if (cause == RefusalCause.VERSION_GONE) {
+      return RefusalReason.VERSION_GONE;
+    }
     if (!active || request.batch()) {
       return RefusalReason.UNKNOWN;
     }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/DefaultSlotCoordinator.java
@@ -41,6 +41,12 @@
  */
 public final class DefaultSlotCoordinator implements SlotCoordinator {
 
+  /**
+   * Retry-After of a request whose version has no endpoint. One that crashed is back after about
+   * two seconds; one that was replaced is not.
+   */
+  private static final Duration VERSION_RETRY = Duration.ofMillis(500);
+
   private final EndpointDirectory directory;
   private final SlotSettings settings;
   private final LongConsumer onBlocked;
@@ -132,6 +138,9 @@
     if (crashes.blocked(request.fingerprint(), now)) {
       return List.of(refused(request, crashes.blockTime(), RefusalCause.CRASHES, 0));
     }
+    if (!search.serves(request)) {
+      return List.of(refused(request, VERSION_RETRY, RefusalCause.VERSION_GONE, 0));
+    }
     LimitDecision limit = quota.charge(request, now);
     if (!limit.allowed()) {
       return List.of(new SlotAnswer.OverLimit(request.key(), limit.retryAfter()));
@@ -405,7 +414,7 @@
       if (tryGrant(request, now, answers)) {
         next.remove();
         turns.served(waiter);
-      } else if (request.excluded().isEmpty()) {
+      } else if (request.excluded().isEmpty() && request.version() == null) {
         failed.add(scope);
       }
     }
@@ -425,7 +434,8 @@
     String from = request.dataCentre();
     List<EndpointRecord> candidates = search.candidates(request, now);
     List<EndpointRecord> notAvoided = search.withoutAvoided(candidates, from, now);
-    if (request.batch() && !headroom.allows(request, search.free(notAvoided, now), now)) {
+    if (request.batch()
+        && !headroom.allows(request, search.freeForItem(request, notAvoided, now), now)) {
       return false;
     }
     Optional<EndpointRecord> found = search.withFreeSlot(notAvoided, from, now);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSearch.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSearch.java
@@ -101,6 +101,21 @@
     return free;
   }
 
+  /**
+   * Returns the number of free slots by which an item is admitted: those of all versions, since
+   * online requests may use all of them. An item that continues at a rare version would otherwise
+   * never find enough of them free.
+   *
+   * @param candidates endpoints that the item may get
+   */
+  int freeForItem(SlotRequest item, List<EndpointRecord> candidates, Instant now) {
+    if (item.version() == null) {
+      return free(candidates, now);
+    }
+    List<EndpointRecord> ofAnyVersion = candidates(item.withoutVersion(), now);
+    return free(withoutAvoided(ofAnyVersion, item.dataCentre(), now), now);
+  }
+
   /** Returns the endpoints that may get a request, including avoided ones. */
   List<EndpointRecord> candidates(SlotRequest request, Instant now) {
     return withoutFailing(reachable(request, now), request.dataCentre(), now);
@@ -116,7 +131,9 @@
     return matching(
         directory.usable(service),
         endpoint ->
-            !excluded(request, endpoint) && penalties.allows(endpoint, request.dataCentre(), now));
+            matchesVersion(request, endpoint)
+                && !excluded(request, endpoint)
+                && penalties.allows(endpoint, request.dataCentre(), now));
   }
 
   /**
@@ -132,6 +149,23 @@
     return atLeastHalf(failing, candidates.size()) ? candidates : rest;
   }
 
+  /** Returns whether a request may get any listed endpoint at all by its version. */
+  boolean serves(SlotRequest request) {
+    if (request.version() == null) {
+      return true;
+    }
+    for (EndpointRecord endpoint : directory.usable(service)) {
+      if (matchesVersion(request, endpoint)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static boolean matchesVersion(SlotRequest request, EndpointRecord endpoint) {
+    return request.version() == null || request.version().equals(endpoint.version());
+  }
+
   /** Returns whether a request excludes the current incarnation of an endpoint or a later one. */
   private static boolean excluded(SlotRequest request, EndpointRecord endpoint) {
     // Fast path: called for each endpoint in each decision, mostly with nothing excluded.
