Continue the text of an item only at the version that wrote it

An item that lost its endpoint, or whose partition was handed over, went on at any endpoint with the last event id, so that its text could hold events of two versions. The version is kept with the output and in the records of progress, under a key kind of its own: a former version of this program passes over them, and this one passes over records that name no version, so that both begin the item anew. An item also begins anew when no listed endpoint has its version.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemOutput.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemOutput.java
@@ -1,8 +1,10 @@
 package io.hawthornlb.gateway.job;
 
+import io.hawthornlb.gateway.stream.StreamOrigin;
 import io.hawthornlb.gateway.wire.EventSplitter;
 import io.hawthornlb.gateway.wire.StreamEvent;
 import java.util.Optional;
+import org.jspecify.annotations.Nullable;
 
 /** Output of an item so far, over all its attempts. */
 final class ItemOutput {
@@ -13,6 +15,7 @@
   private final String itemId;
   private final long epoch;
   private final StringBuilder text = new StringBuilder();
+  private @Nullable StreamOrigin origin;
   private long lastEventId;
   private ProgressLink recorded;
   private int recordedLength;
@@ -25,12 +28,35 @@
   ItemOutput(String itemId, ItemProgress earlier, long epoch) {
     this.itemId = itemId;
     this.epoch = epoch;
+    this.origin = earlier.origin();
     this.text.append(earlier.text());
     this.lastEventId = earlier.lastEventId();
     this.recorded = earlier.end();
     this.recordedLength = text.length();
   }
 
+  /** Returns what wrote the events; null before the first one, or if that is unclear. */
+  @Nullable StreamOrigin origin() {
+    return origin;
+  }
+
+  /** Sets what writes the events; null if that is unclear, so that they are not recorded. */
+  void writtenBy(@Nullable StreamOrigin writer) {
+    origin = writer;
+  }
+
+  /**
+   * Discards all events, because no endpoint can continue them. Records of the next attempt have
+   * another origin and are joined with none of the earlier ones.
+   */
+  void restart() {
+    origin = null;
+    text.setLength(0);
+    lastEventId = ProgressLink.START.eventId();
+    recorded = ProgressLink.START;
+    recordedLength = 0;
+  }
+
   /** Returns the number of the last event; -1 before the first event. */
   long lastEventId() {
     return lastEventId;
@@ -78,12 +104,13 @@
    * minEvents} events.
    */
   Optional<JobRecords.Progress> newProgress(long minEvents) {
-    if (lastEventId - recorded.eventId() < minEvents) {
+    StreamOrigin writer = origin;
+    if (lastEventId - recorded.eventId() < minEvents || writer == null) {
       return Optional.empty();
     }
     ProgressLink upTo = new ProgressLink(lastEventId, epoch);
     String added = text.substring(recordedLength);
-    JobRecords.Progress progress = new JobRecords.Progress(itemId, recorded, upTo, added);
+    JobRecords.Progress progress = new JobRecords.Progress(itemId, recorded, upTo, added, writer);
     recorded = upTo;
     recordedLength = text.length();
     return Optional.of(progress);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -11,6 +11,8 @@
 import io.hawthornlb.gateway.slot.SlotKey;
 import io.hawthornlb.gateway.slot.SlotOutcome;
 import io.hawthornlb.gateway.slot.SlotRequest;
+import io.hawthornlb.gateway.stream.StreamOrigin;
+import io.hawthornlb.gateway.stream.StreamVersion;
 import io.hawthornlb.gateway.wire.EndpointCall;
 import io.hawthornlb.gateway.wire.EndpointCallListener;
 import io.hawthornlb.gateway.wire.EventSplitter;
@@ -71,6 +73,7 @@
   private final SilenceWatch watch;
   private final RunEstimate estimate;
   private final ItemOutput output;
+  private final StreamVersion version;
   private final Set<EndpointIncarnation> excluded = new HashSet<>();
   private final WorkSize size;
   private Duration ran = Duration.ZERO;
@@ -96,6 +99,7 @@
       SlotRequestLimiter limiter,
       ItemOutcome outcome) {
     this.output = new ItemOutput(item.id(), job.progress(item.id()), epoch);
+    this.version = new StreamVersion(parts.directory(), output.origin());
     this.estimate = estimate;
     this.size = parts.names().workSize().read(item.headers()::get);
     this.failures = job.failures(item.id());
@@ -173,6 +177,7 @@
       retryAfter(SLOT_WAIT);
       return;
     }
+    beginAnewIfVersionGone(route.get().service(0));
     requesting = true;
     SlotKey key = parts.slots().nextKey();
     slot = key;
@@ -185,11 +190,26 @@
             .maxWait(SLOT_WAIT)
             .excluded(Set.copyOf(excluded))
             .size(output.lastEventId() < 0 ? size : WorkSize.NONE)
+            .version(version.origin().map(StreamOrigin::version).orElse(null))
             .build();
     excluded.clear();
     parts.slots().acquire(wanted, this::onSlot);
   }
 
+  /** Discards the output if no listed endpoint of the service may continue it. */
+  private void beginAnewIfVersionGone(String service) {
+    boolean listed = parts.directory().usable(service).stream().anyMatch(version::accepts);
+    if (output.lastEventId() >= 0 && !(version.mayContinue() && listed)) {
+      parts.metrics().count("items", "begun anew");
+      logLine("item.begun.anew")
+          .with("began", version.origin().map(StreamOrigin::version).orElse("unclear"))
+          .with("after", output.lastEventId())
+          .write();
+      output.restart();
+      version.reset();
+    }
+  }
+
   /** Returns the time for which the item still has to run. */
   private Duration remaining() {
     long events = output.lastEventId();
@@ -242,15 +262,17 @@
 
   private void send(EndpointIncarnation incarnation) {
     Optional<EndpointRecord> target = parts.directory().find(incarnation.id());
-    if (target.isEmpty() || target.get().leaving()) {
+    boolean otherVersion = target.isPresent() && !version.accepts(target.get());
+    if (target.isEmpty() || target.get().leaving() || otherVersion) {
       excluded.add(incarnation);
-      end(SlotOutcome.REPLACED);
+      end(otherVersion ? SlotOutcome.ABANDONED : SlotOutcome.REPLACED);
       retryAfter(PAUSE);
       return;
     }
     lastEventAt = parts.clock().instant();
     sentAt = lastEventAt;
     sentWhole = output.lastEventId() < 0;
+    version.sentTo(target.get());
     logLine("item.sent")
         .with("endpoint", incarnation.id())
         .with("version", target.get().version())
@@ -373,6 +395,7 @@
     private int status;
     private boolean notRun;
     private boolean begun;
+    private boolean admitted;
     private boolean outOfSequence;
     private boolean signed;
 
@@ -416,6 +439,11 @@
       if (outOfSequence) {
         return;
       }
+      if (!admitted && !admit()) {
+        outOfSequence = true;
+        onFailure(true, "the events are those of another version");
+        return;
+      }
       if (output.breaksSequence(event, !begun)) {
         outOfSequence = true;
         onFailure(true, "event " + event.id() + " does not follow event " + output.lastEventId());
@@ -427,6 +455,14 @@
       }
     }
 
+    private boolean admit() {
+      admitted = version.admitsFirstEvent();
+      if (admitted) {
+        output.writtenBy(version.origin().orElse(null));
+      }
+      return admitted;
+    }
+
     @Override
     public void onEnd() {
       if (notRun) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRecords.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRecords.java
@@ -5,6 +5,7 @@
 import io.hawthornlb.gateway.decode.MessageReader;
 import io.hawthornlb.gateway.decode.UnreadableException;
 import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
+import io.hawthornlb.gateway.stream.StreamOrigin;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.time.Instant;
@@ -35,13 +36,18 @@
   private static final String PART = "a";
   private static final String RESULT = "r";
   private static final String END = "e";
-  private static final String PROGRESS = "g";
+
+  /** Key kind of progress records, each of which names the version that wrote its text. */
+  private static final String PROGRESS = "v";
 
   /**
-   * Key kind of progress records of former versions. Such a record does not name the record that it
-   * extends, so it is never joined with others.
+   * Key kinds of progress records of former versions of this program. Such a record does not name
+   * the record that it extends, or the version that wrote its text, so it is never continued. A
+   * former version passes over the records of this one.
    */
-  private static final String FORMER_PROGRESS = "p";
+  private static final String UNLINKED_PROGRESS = "p";
+
+  private static final String UNVERSIONED_PROGRESS = "g";
 
   private static final String FAILURES = "n";
 
@@ -60,7 +66,8 @@
           Map.entry(RESULT, 3),
           Map.entry(END, 2),
           Map.entry(PROGRESS, 5),
-          Map.entry(FORMER_PROGRESS, 4),
+          Map.entry(UNLINKED_PROGRESS, 4),
+          Map.entry(UNVERSIONED_PROGRESS, 5),
           Map.entry(FAILURES, 4),
           Map.entry(FORMER_FAILURES, 3),
           Map.entry(OFFER, 3));
@@ -138,8 +145,10 @@
    *
    * @param after end of the text that this record extends
    * @param upTo end of this record's text, with the epoch of its writer
+   * @param origin what wrote the text
    */
-  record Progress(String itemId, ProgressLink after, ProgressLink upTo, String text) {
+  record Progress(
+      String itemId, ProgressLink after, ProgressLink upTo, String text, StreamOrigin origin) {
 
     /** Returns the point at which the text begins, with the epoch of its writer. */
     ProgressLink start() {
@@ -215,7 +224,8 @@
    */
   static boolean neededUntilResult(String key, String itemId) {
     String[] fields = key.split(String.valueOf(SEPARATOR));
-    boolean unfinishedOnly = List.of(PROGRESS, FORMER_PROGRESS, OFFER).contains(fields[0]);
+    boolean unfinishedOnly =
+        List.of(PROGRESS, UNVERSIONED_PROGRESS, UNLINKED_PROGRESS, OFFER).contains(fields[0]);
     return unfinishedOnly && fields.length > 2 && fields[2].equals(itemId);
   }
 
@@ -279,6 +289,7 @@
       packer.packLong(progress.after().eventId()).packLong(progress.after().epoch());
       packer.packLong(progress.upTo().eventId()).packLong(progress.upTo().epoch());
       packer.packString(progress.text());
+      packer.packString(progress.origin().service()).packString(progress.origin().version());
       return new KeyedRecord(progressKey(jobId, progress), packer.toByteArray());
     } catch (IOException e) {
       throw new UncheckedIOException("A buffer in memory failed", e);
@@ -294,7 +305,10 @@
           ProgressLink after = after(reader);
           long upTo = reader.number("upTo", after.eventId() + 1, MAX_LONG - 1);
           long epoch = reader.number("epoch", 0L, MAX_LONG);
-          return new Progress(itemId, after, new ProgressLink(upTo, epoch), reader.text());
+          ProgressLink end = new ProgressLink(upTo, epoch);
+          String text = reader.text();
+          StreamOrigin origin = new StreamOrigin(reader.text(), reader.text());
+          return new Progress(itemId, after, end, text, origin);
         });
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ProgressChain.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ProgressChain.java
@@ -11,9 +11,9 @@
  *
  * <p>A record of a former holder may arrive after the next holder has continued with another
  * attempt. The joined text would then mix the texts of two attempts. Therefore each record names
- * its writer and the record that it extends, and no record replaces another writer's. Only records
- * that extend one another are joined. Of all texts that result, the furthest one counts, in
- * whatever order the records arrived.
+ * its writer, the record that it extends and the version that wrote its text, and no record
+ * replaces another writer's. Only records of one version that extend one another are joined. Of all
+ * texts that result, the furthest one counts, in whatever order the records arrived.
  */
 final class ProgressChain {
 
@@ -50,7 +50,9 @@
     TreeMap<ProgressLink, JobRecords.Progress> reached = new TreeMap<>();
     // In the order of their start points, each record follows all records that it may extend.
     for (JobRecords.Progress each : recordsByStart.values()) {
-      if (each.after().equals(ProgressLink.START) || reached.containsKey(each.after())) {
+      JobRecords.Progress extended = reached.get(each.after());
+      boolean joins = extended != null && extended.origin().equals(each.origin());
+      if (each.after().equals(ProgressLink.START) || joins) {
         reached.putIfAbsent(each.upTo(), each);
       }
     }
@@ -69,6 +71,7 @@
       texts.addFirst(last.text());
       at = last.after();
     }
-    return new ItemProgress(end, texts.stream().collect(Collectors.joining()));
+    String text = texts.stream().collect(Collectors.joining());
+    return new ItemProgress(end, text, reached.get(end).origin());
   }
 }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/ForeignJobRecordsTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/ForeignJobRecordsTest.java
@@ -28,7 +28,7 @@
   private static final ProgressLink END = new ProgressLink(2, 1);
   private static final byte[] GARBAGE = {(byte) 0xff, 0, 7};
   private static final List<String> KINDS =
-      List.of("a", "r", "e", "g", "p", "n", "f", "o", "x", "");
+      List.of("a", "r", "e", "v", "g", "p", "n", "f", "o", "x", "");
   private static final List<String> TAILS =
       List.of(
           "",
@@ -70,7 +70,7 @@
         });
     Job job = read.find("good").orElseThrow();
     assertEquals(List.of(new JobResult("i1", true, "one")), job.page(0, 1_000));
-    assertEquals(new ItemProgress(END, "two"), job.progress("i2"));
+    assertEquals(new ItemProgress(END, "two", ItemRecorder.ORIGIN), job.progress("i2"));
     assertEquals(3, job.failures("i2"));
     assertTrue(job.ended());
   }
@@ -154,7 +154,7 @@
   void doesNotRestoreRecordsUnderKeysThatItNeverWrites() {
     records("j").forEach(table::apply);
     for (String key :
-        List.of("a/j/7", "r/j/00", "r/j/1", "p/j/i1/x", "g/j/i1/x/1", "e/k", "a/k/0")) {
+        List.of("a/j/7", "r/j/00", "r/j/1", "p/j/i1/x", "v/j/i1/x/1", "e/k", "a/k/0")) {
       table.apply(new KeyedRecord(key, GARBAGE));
     }
     assertEquals(List.of(), table.restorations());
@@ -184,10 +184,11 @@
    * a record is stored under the key of another.
    */
   @ParameterizedTest
-  @ValueSource(strings = {"g/j/i2/00000001/1", "g/j/i2/00000000/2", "g/j/i2/0/1", "g/j/i1/0/1"})
+  @ValueSource(strings = {"v/j/i2/00000001/1", "v/j/i2/00000000/2", "v/j/i2/0/1", "v/j/i1/0/1"})
   void progressUnderTheKeyOfAnotherPointIsIgnored(String key) {
     JobRecords.accepted(job("j")).forEach(table::apply);
-    JobRecords.Progress progress = new JobRecords.Progress("i2", ProgressLink.START, END, "two");
+    JobRecords.Progress progress =
+        new JobRecords.Progress("i2", ProgressLink.START, END, "two", ItemRecorder.ORIGIN);
     table.apply(new KeyedRecord(key, JobRecords.progress("j", progress).value()));
     assertEquals(ItemProgress.NONE, table.find("j").orElseThrow().progress("i2"));
     assertEquals(ItemProgress.NONE, table.find("j").orElseThrow().progress("i1"));
@@ -197,7 +198,9 @@
     List<KeyedRecord> records = new ArrayList<>(JobRecords.accepted(job(jobId)));
     records.add(JobRecords.result(jobId, 0, new JobResult("i1", true, "one")));
     records.add(
-        JobRecords.progress(jobId, new JobRecords.Progress("i2", ProgressLink.START, END, "two")));
+        JobRecords.progress(
+            jobId,
+            new JobRecords.Progress("i2", ProgressLink.START, END, "two", ItemRecorder.ORIGIN)));
     records.add(JobRecords.failures(jobId, new JobRecords.Failures("i2", 3), 1));
     records.add(JobRecords.end(jobId));
     return records;
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/ItemRecorder.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/ItemRecorder.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.gateway.job;
 
 import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
+import io.hawthornlb.gateway.stream.StreamOrigin;
 import io.hawthornlb.gateway.wire.StreamEvent;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
@@ -8,6 +9,9 @@
 /** Output and progress records of an item at one holder. */
 final class ItemRecorder {
 
+  /** What writes all texts. */
+  static final StreamOrigin ORIGIN = new StreamOrigin("engine", "v1");
+
   private final ItemOutput output;
 
   /** Creates an item that continues from the progress that its holder has loaded. */
@@ -21,6 +25,7 @@
 
   /** Appends events of one attempt, all with the same data. */
   void append(long first, long last, String data) {
+    output.writtenBy(ORIGIN);
     for (long number = first; number <= last; number++) {
       byte[] bytes =
           ("id: " + number + "\ndata: " + data + "\n\n").getBytes(StandardCharsets.UTF_8);
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobCompletionOrderTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobCompletionOrderTest.java
@@ -113,6 +113,6 @@
   private static void progress(Job job, JobItem item, int events) {
     ProgressLink after = job.progress(item.id()).end();
     ProgressLink upTo = new ProgressLink(events - 1, 1);
-    job.addProgress(new JobRecords.Progress(item.id(), after, upTo, "x"));
+    job.addProgress(new JobRecords.Progress(item.id(), after, upTo, "x", ItemRecorder.ORIGIN));
   }
 }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobTableTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobTableTest.java
@@ -29,6 +29,26 @@
 
   private static final Instant NOW = Instant.parse("2026-01-01T00:00:00Z");
 
+  /**
+   * Guards against a text of two versions: progress that a former version of this program recorded
+   * does not name the version that wrote it.
+   */
+  @Test
+  void passesOverProgressThatNamesNoVersion() throws IOException {
+    JobTable table = new JobTable();
+    JobRecords.accepted(job(10)).forEach(table::apply);
+    List<String> unreadable = new ArrayList<>();
+    table.onUnreadable((key, cause) -> unreadable.add(key));
+    String key = "g/j/i1/00000000/1";
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packer.packString("i1").packLong(-1).packLong(-1).packLong(3).packLong(1).packString("a");
+      table.apply(new KeyedRecord(key, packer.toByteArray()));
+    }
+    assertEquals(ItemProgress.NONE, table.find("j").orElseThrow().progress("i1"));
+    assertEquals(List.of(), unreadable);
+    assertTrue(JobRecords.neededUntilResult(key, "i1"));
+  }
+
   /**
    * Guards against processes that list the same results at different positions. One process has
    * read the log from its start; the other has read the newest records by key, some of them twice.
@@ -102,15 +122,18 @@
     ProgressLink third = new ProgressLink(3, 1);
     ProgressLink fifth = new ProgressLink(5, 1);
     KeyedRecord first =
-        JobRecords.progress("j", new JobRecords.Progress("i1", ProgressLink.START, third, "a\nb"));
+        JobRecords.progress(
+            "j",
+            new JobRecords.Progress("i1", ProgressLink.START, third, "a\nb", ItemRecorder.ORIGIN));
     KeyedRecord second =
-        JobRecords.progress("j", new JobRecords.Progress("i1", third, fifth, "\nc"));
+        JobRecords.progress(
+            "j", new JobRecords.Progress("i1", third, fifth, "\nc", ItemRecorder.ORIGIN));
     assertTrue(first.key().compareTo(second.key()) < 0);
     table.apply(first);
     table.apply(second);
     table.apply(second);
     Job job = table.find("j").orElseThrow();
-    assertEquals(new ItemProgress(fifth, "a\nb\nc"), job.progress("i1"));
+    assertEquals(new ItemProgress(fifth, "a\nb\nc", ItemRecorder.ORIGIN), job.progress("i1"));
     assertEquals(ItemProgress.NONE, job.progress("i2"));
     table.apply(JobRecords.result("j", 0, new JobResult("i1", true, "a\nb\nc")));
     assertEquals(ItemProgress.NONE, job.progress("i1"));
@@ -122,7 +145,9 @@
     JobRecords.accepted(job(10)).forEach(table::apply);
     ProgressLink third = new ProgressLink(3, 1);
     ProgressLink fifth = new ProgressLink(5, 1);
-    table.apply(JobRecords.progress("j", new JobRecords.Progress("i1", third, fifth, "\nc")));
+    table.apply(
+        JobRecords.progress(
+            "j", new JobRecords.Progress("i1", third, fifth, "\nc", ItemRecorder.ORIGIN)));
     assertEquals(ItemProgress.NONE, table.find("j").orElseThrow().progress("i1"));
   }
 
@@ -136,14 +161,18 @@
     JobRecords.accepted(job(10)).forEach(table::apply);
     ProgressLink third = new ProgressLink(3, 1);
     table.apply(
-        JobRecords.progress("j", new JobRecords.Progress("i1", ProgressLink.START, third, "a\nb")));
+        JobRecords.progress(
+            "j",
+            new JobRecords.Progress("i1", ProgressLink.START, third, "a\nb", ItemRecorder.ORIGIN)));
     List<String> unreadable = new ArrayList<>();
     table.onUnreadable((key, cause) -> unreadable.add(key));
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       packer.packString("i1").packLong(3).packLong(5).packString("\nc");
       table.apply(new KeyedRecord("p/j/i1/00000004", packer.toByteArray()));
     }
-    assertEquals(new ItemProgress(third, "a\nb"), table.find("j").orElseThrow().progress("i1"));
+    assertEquals(
+        new ItemProgress(third, "a\nb", ItemRecorder.ORIGIN),
+        table.find("j").orElseThrow().progress("i1"));
     assertEquals(List.of(), unreadable);
     assertTrue(table.keys("j").contains("p/j/i1/00000004"));
     assertTrue(JobRecords.neededUntilResult("p/j/i1/00000004", "i1"));
@@ -178,7 +207,8 @@
     String id = "i".repeat(JobRecords.MAX_ID);
     ProgressLink after = new ProgressLink(999_999_999_999_999_997L, 999_999_999_999_999_999L);
     ProgressLink upTo = new ProgressLink(999_999_999_999_999_998L, 999_999_999_999_999_999L);
-    KeyedRecord record = JobRecords.progress(id, new JobRecords.Progress(id, after, upTo, ""));
+    KeyedRecord record =
+        JobRecords.progress(id, new JobRecords.Progress(id, after, upTo, "", ItemRecorder.ORIGIN));
     assertTrue(record.key().length() <= 255, record.key());
     assertEquals(after, JobRecords.key(record.key()).start());
   }
@@ -259,7 +289,8 @@
   void countsOnlyTheBytesOfTheNewestRecords() {
     JobTable table = new JobTable();
     JobRecords.Progress added =
-        new JobRecords.Progress("i1", ProgressLink.START, new ProgressLink(5, 1), "text");
+        new JobRecords.Progress(
+            "i1", ProgressLink.START, new ProgressLink(5, 1), "text", ItemRecorder.ORIGIN);
     KeyedRecord progress = JobRecords.progress("j", added);
     table.apply(progress);
     table.apply(progress);
