--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/StreamVersionTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/StreamContinuationTest.java
@@ -16,7 +16,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Covers streams that are continued while endpoints of several software versions serve. */
-class StreamVersionTest {
+class StreamContinuationTest {
 
   private static final String CHUNKED =
       "HTTP/1.1 200 OK\r\nTest-Id: {id}\r\nTest-Signature: s\r\n"
@@ -30,7 +30,7 @@
   private final List<ScriptedEndpoint> endpoints;
   private GatewayFixture gateway;
 
-  StreamVersionTest() throws IOException {
+  StreamContinuationTest() throws IOException {
     endpoints = List.of(new ScriptedEndpoint(), new ScriptedEndpoint(), new ScriptedEndpoint());
   }
 
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
@@ -15,6 +15,8 @@
 import io.hawthornlb.gateway.slot.SlotOutcome;
 import io.hawthornlb.gateway.slot.SlotRequest;
 import io.hawthornlb.gateway.slot.SlotUse;
+import io.hawthornlb.gateway.stream.StreamId;
+import io.hawthornlb.gateway.stream.StreamOrigin;
 import io.hawthornlb.gateway.wire.ReportedLoad;
 import java.time.Duration;
 import java.util.List;
@@ -26,6 +28,8 @@
 
 class PeerCodecTest {
 
+  private static final StreamId STREAM = new StreamId(7L << 50, -3);
+  private static final StreamOrigin ORIGIN = new StreamOrigin("engine", "v1.2");
   private static final SlotKey KEY = new SlotKey("holder~1", 42);
 
   private static final SlotAnswer REFUSED_WITH_REASON =
@@ -73,6 +77,21 @@
                 .build()),
         new PeerMessage.Ask(
             SlotRequest.builder(KEY, "engine").size(new WorkSize(450, 300, 210)).build()),
+        new PeerMessage.Ask(SlotRequest.builder(KEY, "engine").version("v1.2").build()),
+        new PeerMessage.Ask(
+            SlotRequest.builder(KEY, "engine")
+                .workspace(new WorkspaceId("farm"))
+                .size(new WorkSize(450, 300, 210))
+                .version("v1.2")
+                .build()),
+        new PeerMessage.Answer(
+            new SlotAnswer.Refused(
+                KEY, Duration.ofMillis(500), SlotAnswer.Load.UNKNOWN, RefusalReason.VERSION_GONE)),
+        new PeerMessage.Began(STREAM, ORIGIN),
+        new PeerMessage.FindOrigin(STREAM),
+        new PeerMessage.Origin(STREAM, true, ORIGIN),
+        new PeerMessage.Origin(STREAM, true, null),
+        new PeerMessage.Origin(STREAM, false, null),
         new PeerMessage.Answer(new SlotAnswer.OverLimit(KEY, Duration.ofMillis(730))),
         new PeerMessage.Allowed(Map.of(new WorkspaceId("farm"), 7, new WorkspaceId("store"), -1)),
         new PeerMessage.Ping(),
