--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -38,6 +38,7 @@
 import io.hawthornlb.gateway.store.KeyedFollower;
 import io.hawthornlb.gateway.store.LogStore;
 import io.hawthornlb.gateway.store.support.CountedLogStore;
+import io.hawthornlb.gateway.stream.StreamOrigins;
 import io.hawthornlb.gateway.wire.EndpointPool;
 import io.hawthornlb.gateway.wire.HeaderNames;
 import io.netty.channel.EventLoop;
@@ -125,23 +126,8 @@
     KeyedFollower routes = follow(store, formats.configTopic(), wait, configs);
     caller.onStoreRecovered(routes::readNow);
     ConfigFreshness check = new ConfigFreshness(routes, settings.changeTime(), loop);
-    handler =
-        new ForwardingHandler(
-            new ForwardingHandler.Parts(
-                config,
-                check,
-                settings.revocation(),
-                directory,
-                slots,
-                new FleetStreamOrigins(fleet, transport, loop, clock, log, metrics),
-                pool,
-                names,
-                jobs.router(),
-                settings.self().dataCentre(),
-                loop,
-                clock,
-                log,
-                metrics));
+    StreamOrigins origins = new FleetStreamOrigins(fleet, transport, loop, clock, log, metrics);
+    handler = new ForwardingHandler(forwardingParts(check, slots, origins, pool, names));
     front = new FrontServer(handler, config, check, clock, log);
     caller.onStoreRecovered(follow(store, formats.endpointTopic(), wait, endpoints)::readNow);
     caller.onStoreRecovered(
@@ -217,6 +203,29 @@
     return new CountedPeerTransport(transport, metrics);
   }
 
+  private ForwardingHandler.Parts forwardingParts(
+      ConfigFreshness check,
+      FleetSlotClient slots,
+      StreamOrigins origins,
+      EndpointPool pool,
+      HeaderNames names) {
+    return new ForwardingHandler.Parts(
+        config,
+        check,
+        settings.revocation(),
+        directory,
+        slots,
+        origins,
+        pool,
+        names,
+        jobs.router(),
+        settings.self().dataCentre(),
+        loop,
+        clock,
+        log,
+        metrics);
+  }
+
   private JobParts jobParts(
       FleetSlotClient slots, EndpointPool pool, HeaderNames names, LogStore store) {
     return new JobParts(
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
@@ -7,16 +7,11 @@
 import io.hawthornlb.core.workspace.support.DefaultWorkspaceRegistry;
 import io.hawthornlb.gateway.RecordingEventLog;
 import io.hawthornlb.gateway.ScriptedEndpoint;
-import io.hawthornlb.gateway.decode.UnreadableException;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
-import io.hawthornlb.gateway.job.JobCall;
-import io.hawthornlb.gateway.job.JobFormat;
-import io.hawthornlb.gateway.job.JobResult;
 import io.hawthornlb.gateway.peer.GatewayInstance;
 import io.hawthornlb.gateway.process.GatewayProcess;
 import io.hawthornlb.gateway.process.GatewaySettings;
-import io.hawthornlb.gateway.process.SourceFormats;
 import io.hawthornlb.gateway.process.StoreAccess;
 import io.hawthornlb.gateway.route.CallerLimits;
 import io.hawthornlb.gateway.route.Route;
@@ -44,7 +39,6 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -80,7 +74,7 @@
   private final EventLoop loop =
       (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
   private final UnresponsiveStore store = new UnresponsiveStore(loop);
-  private final Formats formats = new Formats();
+  private final NamedFormats formats = new NamedFormats();
   private final RecordingEventLog log = new RecordingEventLog();
   private final GatewaySettings settings;
   private final GatewayProcess process;
@@ -125,59 +119,6 @@
     }
   }
 
-  /** Formats that look objects up by name instead of decoding bytes. */
-  private static final class Formats implements SourceFormats, JobFormat {
-
-    private final Map<String, RoutingConfig> configs = new HashMap<>();
-    private final Map<String, EndpointRecord> endpoints = new HashMap<>();
-
-    @Override
-    public String configTopic() {
-      return "config";
-    }
-
-    @Override
-    public String configKey() {
-      return "config";
-    }
-
-    @Override
-    public String endpointTopic() {
-      return "endpoints";
-    }
-
-    @Override
-    public RoutingConfig config(byte[] value) {
-      return configs.get(new String(value, StandardCharsets.UTF_8));
-    }
-
-    @Override
-    public EndpointRecord endpoint(String id, byte[] value) {
-      return endpoints.get(id);
-    }
-
-    @Override
-    public Optional<JobCall> call(FrontRequest request) {
-      // Every request to a host that accepts jobs is parsed as a job.
-      throw new UnreadableException("body", "not a job");
-    }
-
-    @Override
-    public boolean namesJob(FrontRequest request) {
-      return false;
-    }
-
-    @Override
-    public byte[] results(int total, int after, List<JobResult> results) {
-      return new byte[0];
-    }
-
-    @Override
-    public String resultsType() {
-      return "text/plain";
-    }
-  }
-
   /**
    * A response as a caller received it.
    *
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/ForeignDatagramPropertyTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/ForeignDatagramPropertyTest.java
@@ -6,6 +6,7 @@
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import net.jqwik.api.ForAll;
@@ -24,7 +25,8 @@
   @Property(tries = 3_000, seed = ForeignBytes.SEED)
   void decodesADatagramOrReportsItUnreadable(@ForAll long seed) {
     Random random = new Random(seed);
-    List<PeerMessage> messages = PeerCodecTest.messages();
+    List<PeerMessage> messages = new ArrayList<>(PeerCodecTest.messages());
+    messages.addAll(PeerCodecTest.versionMessages());
     PeerMessage message = messages.get(random.nextInt(messages.size()));
     byte[] good = PeerCodec.encode(new PeerCodec.Envelope("a1", message));
     byte[] bytes = ForeignBytes.of(good, random);
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
@@ -77,21 +77,6 @@
                 .build()),
         new PeerMessage.Ask(
             SlotRequest.builder(KEY, "engine").size(new WorkSize(450, 300, 210)).build()),
-        new PeerMessage.Ask(SlotRequest.builder(KEY, "engine").version("v1.2").build()),
-        new PeerMessage.Ask(
-            SlotRequest.builder(KEY, "engine")
-                .workspace(new WorkspaceId("farm"))
-                .size(new WorkSize(450, 300, 210))
-                .version("v1.2")
-                .build()),
-        new PeerMessage.Answer(
-            new SlotAnswer.Refused(
-                KEY, Duration.ofMillis(500), SlotAnswer.Load.UNKNOWN, RefusalReason.VERSION_GONE)),
-        new PeerMessage.Began(STREAM, ORIGIN),
-        new PeerMessage.FindOrigin(STREAM),
-        new PeerMessage.Origin(STREAM, true, ORIGIN),
-        new PeerMessage.Origin(STREAM, true, null),
-        new PeerMessage.Origin(STREAM, false, null),
         new PeerMessage.Answer(new SlotAnswer.OverLimit(KEY, Duration.ofMillis(730))),
         new PeerMessage.Allowed(Map.of(new WorkspaceId("farm"), 7, new WorkspaceId("store"), -1)),
         new PeerMessage.Ping(),
@@ -113,8 +98,28 @@
                 new SlotUse(2, "e2", false, 0))));
   }
 
+  /** Returns messages about streams that are continued at the version that began them. */
+  static List<PeerMessage> versionMessages() {
+    return List.of(
+        new PeerMessage.Ask(SlotRequest.builder(KEY, "engine").version("v1.2").build()),
+        new PeerMessage.Ask(
+            SlotRequest.builder(KEY, "engine")
+                .workspace(new WorkspaceId("farm"))
+                .size(new WorkSize(450, 300, 210))
+                .version("v1.2")
+                .build()),
+        new PeerMessage.Answer(
+            new SlotAnswer.Refused(
+                KEY, Duration.ofMillis(500), SlotAnswer.Load.UNKNOWN, RefusalReason.VERSION_GONE)),
+        new PeerMessage.Began(STREAM, ORIGIN),
+        new PeerMessage.FindOrigin(STREAM),
+        new PeerMessage.Origin(STREAM, true, ORIGIN),
+        new PeerMessage.Origin(STREAM, true, null),
+        new PeerMessage.Origin(STREAM, false, null));
+  }
+
   @ParameterizedTest
-  @MethodSource("messages")
+  @MethodSource({"messages", "versionMessages"})
   void decodesWhatItEncoded(PeerMessage message) {
     PeerCodec.Envelope envelope = new PeerCodec.Envelope("a1", message);
     assertEquals(envelope, PeerCodec.decode(PeerCodec.encode(envelope)));
