Continue an unnamed stream where only one version can have begun it

A stream that nobody knows is now continued if its route leads to one service, if the list of endpoints has shown one version for two timeouts of the route, also among those that have left, and if that list was read after the request came. A process that has just started, or that does not reach the store, cannot show this and refuses.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/endpoint/EndpointDirectory.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/endpoint/EndpointDirectory.java
@@ -124,6 +124,11 @@
     return Optional.ofNullable(records.get(id));
   }
 
+  /** Returns all entries, including those of endpoints that are leaving. */
+  public List<EndpointRecord> all() {
+    return List.copyOf(records.values());
+  }
+
   /** Returns the endpoints of a service that accept new requests. */
   public List<EndpointRecord> usable(String service) {
     // Cached, because each decision about a slot needs the list, which changes a few times a
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ConfigFreshness.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ConfigFreshness.java
@@ -57,6 +57,15 @@
     this.executor = executor;
   }
 
+  /**
+   * Returns a check that takes a list for current at a moment only if it was read since.
+   *
+   * @param proof reports up to which moment the list is known to be complete
+   */
+  public static ConfigFreshness ofList(LogFreshness proof, ScheduledExecutorService executor) {
+    return new ConfigFreshness(proof, MARGIN, executor);
+  }
+
   /** Returns the moment up to which all changes of the configuration are known. */
   Instant freshAsOf() {
     return proof.freshAsOf();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardingHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardingHandler.java
@@ -44,6 +44,7 @@
    * @param directory endpoints
    * @param slots client that acquires slots
    * @param origins where streams began that callers may resume
+   * @param single shows which version began a stream that nobody knows
    * @param pool connections to endpoints
    * @param names names of headers
    * @param jobs handler of requests about jobs
@@ -60,6 +61,7 @@
       EndpointDirectory directory,
       SlotClient slots,
       StreamOrigins origins,
+      SingleVersion single,
       EndpointPool pool,
       HeaderNames names,
       JobRequestHandler jobs,
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/StreamContinuation.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/StreamContinuation.java
@@ -51,10 +51,17 @@
 
   /** Finds where the stream began that the caller resumes. */
   void find(Receiver receiver) {
+    Runnable unknown = () -> findOnlyVersion(receiver);
     Consumer<Optional<StreamOrigin>> found =
-        origin -> origin.ifPresentOrElse(each -> onFound(each, receiver), () -> refuse(receiver));
-    request.stream()
-        .ifPresentOrElse(stream -> parts.origins().find(stream, found), () -> refuse(receiver));
+        origin -> origin.ifPresentOrElse(each -> onFound(each, receiver), unknown);
+    request.stream().ifPresentOrElse(stream -> parts.origins().find(stream, found), unknown);
+  }
+
+  /** Continues a stream that nobody knows if only one version can have begun it. */
+  private void findOnlyVersion(Receiver receiver) {
+    Consumer<Optional<StreamOrigin>> found =
+        only -> only.ifPresentOrElse(each -> onFound(each, receiver), () -> refuse(receiver));
+    parts.single().find(route, request.arrived(), found);
   }
 
   private void refuse(Receiver receiver) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/EndpointSource.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/EndpointSource.java
@@ -4,6 +4,7 @@
 import io.hawthornlb.gateway.decode.UnreadableRecords;
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
+import io.hawthornlb.gateway.endpoint.VersionHistory;
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.store.KeyedFollower;
 import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
@@ -28,6 +29,7 @@
 
   private final SourceFormats formats;
   private final EndpointDirectory directory;
+  private final VersionHistory versions;
   private final ScheduledExecutorService executor;
   private final InstantSource clock;
   private final EventLog log;
@@ -37,11 +39,13 @@
   EndpointSource(
       SourceFormats formats,
       EndpointDirectory directory,
+      VersionHistory versions,
       ScheduledExecutorService executor,
       InstantSource clock,
       EventLog log) {
     this.formats = formats;
     this.directory = directory;
+    this.versions = versions;
     this.executor = executor;
     this.clock = clock;
     this.log = log;
@@ -62,6 +66,7 @@
       }
     }
     directory.replaceAll(entries, clock.instant());
+    versions.restart();
     loaded = true;
     scheduleExpiry();
     log.important("endpoint", "list.loaded").with("entries", directory.size()).write();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -1,11 +1,13 @@
 package io.hawthornlb.gateway.process;
 
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
+import io.hawthornlb.gateway.endpoint.VersionHistory;
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.event.PeriodicLines;
 import io.hawthornlb.gateway.front.ConfigFreshness;
 import io.hawthornlb.gateway.front.ForwardingHandler;
 import io.hawthornlb.gateway.front.FrontServer;
+import io.hawthornlb.gateway.front.SingleVersion;
 import io.hawthornlb.gateway.http.HttpCaller;
 import io.hawthornlb.gateway.http.NettyHttpCaller;
 import io.hawthornlb.gateway.job.ItemEstimates;
@@ -77,6 +79,7 @@
   private final GatewayMetrics metrics = new GatewayMetrics();
   private final ConfigHolder config = new ConfigHolder();
   private final EndpointDirectory directory = new EndpointDirectory();
+  private final VersionHistory versions;
   private final EndpointSource endpoints;
   private final InstanceSource instances;
   private final ForwardingHandler handler;
@@ -109,7 +112,8 @@
     EndpointPool pool = new EndpointPool(loop, names, clock, metrics);
     directory.onRemoval(endpoint -> pool.forget(endpoint.incarnation()));
     directory.onRestart(pool::onRestart);
-    endpoints = new EndpointSource(formats, directory, loop, clock, log);
+    versions = new VersionHistory(directory, clock);
+    endpoints = new EndpointSource(formats, directory, versions, loop, clock, log);
     instances = new InstanceSource(fleet, store, loop, clock, log);
     jobs =
         new JobRunners(
@@ -126,10 +130,12 @@
     KeyedFollower routes = follow(store, formats.configTopic(), wait, configs);
     caller.onStoreRecovered(routes::readNow);
     ConfigFreshness check = new ConfigFreshness(routes, settings.changeTime(), loop);
+    KeyedFollower list = follow(store, formats.endpointTopic(), wait, endpoints);
+    caller.onStoreRecovered(list::readNow);
+    SingleVersion single = new SingleVersion(versions, ConfigFreshness.ofList(list, loop));
     StreamOrigins origins = new FleetStreamOrigins(fleet, transport, loop, clock, log, metrics);
-    handler = new ForwardingHandler(forwardingParts(check, slots, origins, pool, names));
+    handler = new ForwardingHandler(forwardingParts(check, slots, origins, single, pool, names));
     front = new FrontServer(handler, config, check, clock, log);
-    caller.onStoreRecovered(follow(store, formats.endpointTopic(), wait, endpoints)::readNow);
     caller.onStoreRecovered(
         follow(store, InstanceSource.TOPIC, KeyedFollower.RELAXED_WAIT, instances)::readNow);
     instances.announce();
@@ -207,6 +213,7 @@
       ConfigFreshness check,
       FleetSlotClient slots,
       StreamOrigins origins,
+      SingleVersion single,
       EndpointPool pool,
       HeaderNames names) {
     return new ForwardingHandler.Parts(
@@ -216,6 +223,7 @@
         directory,
         slots,
         origins,
+        single,
         pool,
         names,
         jobs.router(),
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/LoopbackEndpoint.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/LoopbackEndpoint.java
@@ -77,7 +77,7 @@
       head.headers().set(names.requestId(), request.headers().get(names.requestId(), ""));
       head.headers().set(names.signature(), "loopback");
       ctx.write(head);
-      writeFrom(ctx, 1);
+      writeFrom(ctx, request.headers().getInt(names.lastEventId(), 0) + 1);
     }
 
     private void writeFrom(ChannelHandlerContext ctx, int id) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/stream/StreamOrigin.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/stream/StreamOrigin.java
@@ -21,4 +21,18 @@
   public boolean matches(EndpointRecord endpoint) {
     return service.equals(endpoint.service()) && version.equals(endpoint.version());
   }
+
+  // Written by hand, because the JVM links the generated methods at run time, which takes some
+  // milliseconds.
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof StreamOrigin origin
+        && service.equals(origin.service)
+        && version.equals(origin.version);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * service.hashCode() + version.hashCode();
+  }
 }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/StreamContinuationTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/StreamContinuationTest.java
@@ -10,6 +10,7 @@
 import io.hawthornlb.gateway.front.GatewayFixture.Answer;
 import io.hawthornlb.gateway.route.RouteKind;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -103,6 +104,30 @@
     assertEquals(0, endpoints.get(0).requests().size() + endpoints.get(1).requests().size());
   }
 
+  /** Guards against a caller without a name for its stream that is refused for no reason. */
+  @Test
+  void resumesAnUnnamedStreamWhereOneVersionHasServedForLong() throws Exception {
+    endpoints.get(0).then(REST, KEEP);
+    Duration timeout = Duration.ofMillis(300);
+    gateway.timeout(timeout);
+    offer(3, "v1", "v1");
+    assertRefused(gateway.callWith("Last-Event-Id: 1\r\n", "/a/", "x"));
+    Thread.sleep(timeout.multipliedBy(3).toMillis());
+    assertEquals(200, gateway.callWith("Last-Event-Id: 1\r\n", "/a/", "x").status());
+  }
+
+  /** Guards against a stream of a version that this instance has not seen, as its list is old. */
+  @Test
+  void refusesAnUnnamedStreamIfTheListMayBeOld() throws Exception {
+    Duration timeout = Duration.ofMillis(1_000);
+    gateway.timeout(timeout);
+    offer(3, "v1", "v1");
+    Thread.sleep(timeout.multipliedBy(3).toMillis());
+    gateway.storeUnresponsive(true);
+    assertRefused(gateway.callWith("Last-Event-Id: 1\r\n", "/a/", "x"));
+    assertEquals(0, endpoints.get(0).requests().size());
+  }
+
   private GatewayFixture offer(int maxAttempts, String... versions) {
     ScriptedEndpoint[] offered =
         endpoints.subList(0, versions.length).toArray(ScriptedEndpoint[]::new);
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/process/EndpointSourceTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/process/EndpointSourceTest.java
@@ -7,6 +7,7 @@
 import io.hawthornlb.gateway.decode.UnreadableException;
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
+import io.hawthornlb.gateway.endpoint.VersionHistory;
 import io.hawthornlb.gateway.route.RoutingConfig;
 import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
 import java.net.InetSocketAddress;
@@ -23,7 +24,8 @@
   private final RecordingEventLog log = new RecordingEventLog();
   private final EndpointDirectory directory = new EndpointDirectory();
   private final EndpointSource source =
-      new EndpointSource(new Formats(), directory, time.loop(), time, log);
+      new EndpointSource(
+          new Formats(), directory, new VersionHistory(directory, time), time.loop(), time, log);
 
   private static final class Formats implements SourceFormats {
 
