Let the engine stand-in write differently by version

The stand-in of the product's own interface gets a software version, by which its text differs; empty, the default, keeps the text that the load tool expects. A new case of EntryStreamFailureTest replaces the engine under its id and address by one of another version in the middle of a stream: the entry ends the stream without its end marker, on the former code as well, since it resumes at the same process only.

EntryStreamFailureTest, EngineStandinTest, StreamStoreTest and TokenStreamTest pass.

--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/EntryStreamFailureTest.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/EntryStreamFailureTest.java
@@ -83,6 +83,17 @@
     assertFalse((firstLine + readRest(stream)).contains(END));
   }
 
+  /** Guards against a stream that goes on at an engine of another version under the same id. */
+  @Test
+  void streamGoesOnAtNoOtherVersion() throws Exception {
+    BufferedReader stream = open();
+    String firstLine = stream.readLine();
+
+    fleet.replaceEngine(engine, "engine-1", "v2");
+
+    assertFalse((firstLine + readRest(stream)).contains(END));
+  }
+
   private BufferedReader open() throws Exception {
     return new BufferedReader(
         new InputStreamReader(
--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/TestFleet.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/TestFleet.java
@@ -73,6 +73,23 @@
             EngineSettings.builder().identity(identity(id, CHAT_SERVICE)).build(), () -> {}));
   }
 
+  /** Closes an engine, and starts one of another software version at its address under its id. */
+  RunningStandin replaceEngine(RunningStandin former, String id, String version) {
+    int port = former.port();
+    former.close();
+    EngineSettings settings =
+        EngineSettings.builder()
+            .identity(identity(id, CHAT_SERVICE, port))
+            .version(version)
+            .build();
+    // The former engine may still hold its port for a moment.
+    return add(
+        Awaitility.await()
+            .atMost(TIMEOUT)
+            .ignoreExceptions()
+            .until(() -> EngineStandin.start(settings, () -> {}), engine -> true));
+  }
+
   RunningStandin addService(String id) {
     return add(
         ServiceStandin.start(
@@ -209,9 +226,14 @@
   }
 
   private StandinIdentity identity(String id, String service) {
+    return identity(id, service, 0);
+  }
+
+  private StandinIdentity identity(String id, String service, int port) {
     return StandinIdentity.builder()
         .id(id)
         .service(service)
+        .port(port)
         .dataCentre(DATA_CENTRE)
         .platform(platform.address())
         .announceMillis(200)
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/AnswerText.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/AnswerText.java
@@ -17,6 +17,18 @@
 
   private AnswerText() {}
 
+  /**
+   * Returns the hash from which an engine of a software version generates its text. Engines of two
+   * versions generate different texts for one prompt.
+   *
+   * @param version software version; empty for the text that the load tool expects
+   */
+  public static String hash(String promptHash, String version) {
+    return version.isEmpty()
+        ? promptHash
+        : String.format("%016x", seed(promptHash) ^ (version.hashCode() * GOLDEN_GAMMA));
+  }
+
   /** Returns the token at an index: the prompt hash at index 0, then words chosen by the hash. */
   public static String token(String promptHash, int index) {
     if (index == 0) {
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/EngineSettings.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/EngineSettings.java
@@ -17,6 +17,7 @@
  * @param memory the capacity of the engine
  * @param reports the delay and the completeness of the engine's reports
  * @param orders the settings for orders
+ * @param version the software version, by which the text of answers differs
  */
 @JsonDeserialize(builder = EngineSettings.Builder.class)
 public record EngineSettings(
@@ -25,7 +26,8 @@
     EngineTiming timing,
     EngineMemory memory,
     EngineReports reports,
-    EngineOrders orders) {
+    EngineOrders orders,
+    String version) {
 
   /** Validates the components. */
   public EngineSettings {
@@ -48,6 +50,7 @@
     private EngineMemory memory = EngineMemory.builder().build();
     private EngineReports reports = EngineReports.builder().build();
     private EngineOrders orders = EngineOrders.builder().build();
+    private String version = "";
 
     private Builder() {}
 
@@ -87,9 +90,15 @@
       return this;
     }
 
+    /** Sets the software version, by which the text of answers differs; empty by default. */
+    public Builder version(String value) {
+      version = value;
+      return this;
+    }
+
     /** Returns the settings after validation. */
     public EngineSettings build() {
-      return new EngineSettings(identity, models, timing, memory, reports, orders);
+      return new EngineSettings(identity, models, timing, memory, reports, orders, version);
     }
   }
 }
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/ChatWire.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/ChatWire.java
@@ -53,7 +53,7 @@
 
   /** Returns the body with the complete answer. */
   static Completion whole(TokenStream stream) {
-    String text = AnswerText.whole(stream.prompt().hash(), stream.total());
+    String text = AnswerText.whole(stream.textHash(), stream.total());
     return new Completion(
         id(stream),
         "chat.completion",
@@ -66,7 +66,7 @@
   /** Returns the chunk that carries a token. */
   static String token(TokenStream stream, int index) {
     String role = index == 0 ? "assistant" : null;
-    String text = AnswerText.token(stream.prompt().hash(), index);
+    String text = AnswerText.token(stream.textHash(), index);
     return chunk(stream, new DeltaChoice(0, new Delta(role, text), null), null, index);
   }
 
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/EngineEmulator.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/EngineEmulator.java
@@ -80,7 +80,12 @@
     checkSize(prompt, total);
     TokenStream stream =
         new TokenStream(
-            requestId, String.valueOf(request.model()), request.messages(), prompt, total);
+            requestId,
+            String.valueOf(request.model()),
+            request.messages(),
+            prompt,
+            AnswerText.hash(prompt.hash(), settings.version()),
+            total);
     if (!streams.add(stream)) {
       throw new EngineRefusalException(
           HttpStatus.CONFLICT, "request " + requestId + " runs already");
@@ -148,7 +153,12 @@
     checkModel(export.model());
     TokenStream stream =
         TokenStream.imported(
-            requestId, export.model(), export.messages(), export.maxTokens(), export.generated());
+            requestId,
+            export.model(),
+            export.messages(),
+            settings.version(),
+            export.maxTokens(),
+            export.generated());
     checkSize(stream.prompt(), stream.total());
     boolean consistent =
         export.generated() >= 0
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/TokenStream.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/TokenStream.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.standin.engine.support;
 
+import io.hawthornlb.standin.engine.AnswerText;
 import io.hawthornlb.standin.engine.ChatMessage;
 import io.hawthornlb.standin.engine.Prompt;
 import io.hawthornlb.standin.engine.StreamListener;
@@ -20,6 +21,7 @@
   private final String model;
   private final List<ChatMessage> messages;
   private final Prompt prompt;
+  private final String textHash;
   private final int total;
   // A listener whose reader has disconnected unsubscribes during the call that notifies it of a
   // token, while the stream iterates over this list.
@@ -29,7 +31,24 @@
   private Optional<Ending> ending = Optional.empty();
   private long lastReadNanos = System.nanoTime();
 
+  /** Creates a stream whose text depends on its prompt alone. */
   TokenStream(String id, String model, List<ChatMessage> messages, Prompt prompt, int total) {
+    this(id, model, messages, prompt, prompt.hash(), total);
+  }
+
+  /**
+   * Creates a stream.
+   *
+   * @param textHash the hash from which the text is generated
+   */
+  TokenStream(
+      String id,
+      String model,
+      List<ChatMessage> messages,
+      Prompt prompt,
+      String textHash,
+      int total) {
+    this.textHash = textHash;
     this.id = id;
     this.model = model;
     this.messages = List.copyOf(messages);
@@ -39,8 +58,15 @@
 
   /** Returns a stream that another engine has started and that can be resumed here. */
   static TokenStream imported(
-      String id, String model, List<ChatMessage> messages, int total, int generated) {
-    TokenStream stream = new TokenStream(id, model, messages, Prompt.of(messages), total);
+      String id,
+      String model,
+      List<ChatMessage> messages,
+      String version,
+      int total,
+      int generated) {
+    Prompt prompt = Prompt.of(messages);
+    String textHash = AnswerText.hash(prompt.hash(), version);
+    TokenStream stream = new TokenStream(id, model, messages, prompt, textHash, total);
     stream.generated = generated;
     stream.ending = Optional.of(generated == total ? Ending.COMPLETE : Ending.CANCELLED);
     return stream;
@@ -62,6 +88,10 @@
     return prompt;
   }
 
+  String textHash() {
+    return textHash;
+  }
+
   int total() {
     return total;
   }
