Test requests and grants between old and new builds of this program

A former coordinator ignores the version of a request and grants any endpoint; a request with a version begins with the bytes of one without.

--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/ItemVersionTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/ItemVersionTest.java
@@ -105,6 +105,25 @@
     assertBegunAnew();
   }
 
+  /** Guards against a coordinator of a former version, which grants endpoints of any version. */
+  @Test
+  void sendsNoItemToAnEndpointOfAnotherVersionThatWasGranted() throws Exception {
+    ItemRecorder earlier = new ItemRecorder("i1", ItemProgress.NONE, 1);
+    earlier.append(1, BROKEN_AFTER, "a");
+    store.append(new AppendCall(JobReplicas.TOPIC, 0, List.of(earlier.record("j")), null));
+    offer(JobFixture.ENDPOINT, next, "v2");
+    offer("e1", former, ItemRecorder.ORIGIN.version());
+    InstantSource clock = InstantSource.system();
+    JobParts parts =
+        JobFixture.parts(store, loop, clock, JobFixture.config(MAX_ATTEMPTS), directory);
+    PartitionRunner runner =
+        new PartitionRunner(parts, replica(), 0, 2, new JobFixture.SilentNotices(), refused -> {});
+    loop.execute(runner::start);
+    Thread.sleep(500);
+    loop.submit(runner::stop).syncUninterruptibly();
+    assertEquals(0, next.requests().size());
+  }
+
   private void assertBegunAnew() {
     assertFalse(next.requests().get(0).toLowerCase().contains("last-event-id"));
   }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.peer;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
@@ -19,9 +20,11 @@
 import io.hawthornlb.gateway.stream.StreamOrigin;
 import io.hawthornlb.gateway.wire.ReportedLoad;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -125,6 +128,19 @@
     assertEquals(envelope, PeerCodec.decode(PeerCodec.encode(envelope)));
   }
 
+  /** Guards against requests that instances of a former version cannot read. */
+  @Test
+  void formerVersionsReadARequestWithoutItsVersion() {
+    SlotRequest.Builder request = SlotRequest.builder(KEY, "engine").dataCentre("a");
+    byte[] former = encodeAsk(request.build());
+    byte[] extended = encodeAsk(request.version("v1.2").build());
+    assertArrayEquals(former, Arrays.copyOf(extended, former.length));
+  }
+
+  private static byte[] encodeAsk(SlotRequest request) {
+    return PeerCodec.encode(new PeerCodec.Envelope("a1", new PeerMessage.Ask(request)));
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"", "GET / HTTP/1.1", "\u0001\u0002"})
   void refusesForeignDatagrams(String text) {
