Lead explain from an attempt to the one that began its stream

With the id of any attempt, explain shows the lines of the attempt that began the stream and of those that resume it, so that a refusal leads to the version that began. ExplanationTest.

--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/explain/Explanation.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/explain/Explanation.java
@@ -11,8 +11,9 @@
 /**
  * Selects the log lines that explain what happened to one request, job or item.
  *
- * <p>These are the lines that name the id, and lines of the same instances from about the same time
- * that report a change of the instance's state or of an endpoint that the id's own lines name.
+ * <p>These are the lines that name the id or the attempt that began its stream, and lines of the
+ * same instances from about the same time that report a change of the instance's state or of an
+ * endpoint that the id's own lines name.
  */
 public final class Explanation {
 
@@ -30,6 +31,7 @@
           "config applied",
           "slot coordinator.silent",
           "slot answer.lost",
+          "stream origin.not.found",
           "job group.lost",
           "job group.regained",
           "job partition.held",
@@ -39,7 +41,9 @@
 
   /** Returns the lines that explain an id, ordered by time; empty if no line names the id. */
   public static List<LogEvent> of(String id, List<LogEvent> events) {
-    List<LogEvent> ownLines = events.stream().filter(event -> event.concerns(id)).toList();
+    Set<String> attempts = attempts(id, events);
+    List<LogEvent> ownLines =
+        events.stream().filter(event -> attempts.stream().anyMatch(event::concerns)).toList();
     if (ownLines.isEmpty()) {
       return List.of();
     }
@@ -62,6 +66,17 @@
     return lines;
   }
 
+  /** Returns the id, and the attempt that began its stream if it resumes one. */
+  private static Set<String> attempts(String id, List<LogEvent> events) {
+    Set<String> attempts = new HashSet<>(Set.of(id));
+    for (LogEvent event : events) {
+      if (event.concerns(id) && !event.begunBy().isEmpty()) {
+        attempts.add(event.begunBy());
+      }
+    }
+    return attempts;
+  }
+
   private static boolean isContext(LogEvent event, Set<String> endpoints) {
     boolean aboutEndpoint = event.fields().path("part").asText().equals("endpoint");
     String endpoint = event.fields().path("endpoint").asText();
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/explain/LogEvent.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/explain/LogEvent.java
@@ -17,8 +17,18 @@
     return fields.path("part").asText() + " " + fields.path("event").asText();
   }
 
-  /** Returns whether the line has the given id as its {@code id} or {@code job} field. */
+  /**
+   * Returns whether the line has the given id as its {@code id} or {@code job} field, or as the
+   * attempt that began its stream.
+   */
   boolean concerns(String id) {
-    return fields.path("id").asText().equals(id) || fields.path("job").asText().equals(id);
+    return fields.path("id").asText().equals(id)
+        || fields.path("job").asText().equals(id)
+        || begunBy().equals(id);
+  }
+
+  /** Returns the attempt that began the stream of the line; empty if it names none. */
+  String begunBy() {
+    return fields.path("begunBy").asText();
   }
 }
--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/explain/ExplanationTest.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/explain/ExplanationTest.java
@@ -45,6 +45,26 @@
             .toList());
   }
 
+  /** Guards against a refused stream of which nobody sees where it began. */
+  @Test
+  void leadsFromAnAttemptToTheOneThatBeganItsStream() throws IOException {
+    Path began =
+        write("a.log", line(1, "front", "request.sent", "\"id\":\"s1\",\"version\":\"v1\""));
+    Path resumed =
+        write(
+            "b.log",
+            line(2, "stream", "origin.not.found", "\"asked\":8"),
+            line(3, "front", "stream.refused", "\"id\":\"s2\",\"begunBy\":\"s1\""));
+    LogReader reader = new LogReader();
+    reader.read(began);
+    reader.read(resumed);
+    for (String id : List.of("s1", "s2")) {
+      assertEquals(
+          List.of("front request.sent", "stream origin.not.found", "front stream.refused"),
+          Explanation.of(id, reader.events()).stream().map(LogEvent::name).toList());
+    }
+  }
+
   @Test
   void returnsNothingForAnUnknownId() throws IOException {
     LogReader reader = new LogReader();
