Take a list without endpoints for no news of a version

A coordinator that has not read its list refused a stream as if its version had left, and an item lost its text while all entries were missing. Both wait now; two cases guard it. A blank last event id resumes nothing.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardedRequest.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardedRequest.java
@@ -44,7 +44,8 @@
 
   /** Returns whether the caller resumes a stream, of which it has events already. */
   boolean resumesStream() {
-    return route.kind() == RouteKind.STREAM && request.headers().contains(names.lastEventId());
+    String last = request.headers().get(names.lastEventId());
+    return route.kind() == RouteKind.STREAM && last != null && !last.isBlank();
   }
 
   /**
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -32,6 +32,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -198,8 +199,10 @@
 
   /** Discards the output if no listed endpoint of the service may continue it. */
   private void beginAnewIfVersionGone(String service) {
-    boolean listed = parts.directory().usable(service).stream().anyMatch(version::accepts);
-    if (output.lastEventId() >= 0 && !(version.mayContinue() && listed)) {
+    // A list without any endpoint tells nothing of the version, and none could begin the item anew.
+    List<EndpointRecord> usable = parts.directory().usable(service);
+    boolean gone = !usable.isEmpty() && usable.stream().noneMatch(version::accepts);
+    if (output.lastEventId() >= 0 && (gone || !version.mayContinue())) {
       parts.metrics().count("items", "begun anew");
       logLine("item.begun.anew")
           .with("began", version.origin().map(StreamOrigin::version).orElse("unclear"))
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSearch.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/slot/support/SlotSearch.java
@@ -149,12 +149,16 @@
     return atLeastHalf(failing, candidates.size()) ? candidates : rest;
   }
 
-  /** Returns whether a request may get any listed endpoint at all by its version. */
+  /**
+   * Returns whether a request may get a listed endpoint by its version. A list without any endpoint
+   * tells nothing of the version: it may not have been read yet.
+   */
   boolean serves(SlotRequest request) {
-    if (request.version() == null) {
+    List<EndpointRecord> listed = directory.usable(service);
+    if (request.version() == null || listed.isEmpty()) {
       return true;
     }
-    for (EndpointRecord endpoint : directory.usable(service)) {
+    for (EndpointRecord endpoint : listed) {
       if (matchesVersion(request, endpoint)) {
         return true;
       }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/CoordinatedSlots.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/CoordinatedSlots.java
@@ -10,24 +10,34 @@
 import io.hawthornlb.gateway.slot.support.DefaultSlotCoordinator;
 import io.hawthornlb.gateway.slot.support.SlotSettings;
 import io.hawthornlb.gateway.wire.ReportedLoad;
+import io.netty.channel.EventLoop;
 import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /** Slot client whose requests a coordinator in the same process decides. */
 final class CoordinatedSlots implements SlotClient {
 
+  private static final long TICK_MILLIS = 20;
+
   private final DefaultSlotCoordinator coordinator;
   private final InstantSource clock;
   private final Map<SlotKey, Listener> listeners = new HashMap<>();
   private long numbers;
 
-  CoordinatedSlots(String service, EndpointDirectory directory, InstantSource clock) {
+  CoordinatedSlots(
+      String service, EndpointDirectory directory, InstantSource clock, EventLoop loop) {
     this.coordinator =
         new DefaultSlotCoordinator(
             service, directory, SlotSettings.DEFAULT, RequestQuota.UNLIMITED, fingerprint -> {});
     this.clock = clock;
+    loop.scheduleAtFixedRate(
+        () -> deliver(coordinator.tick(clock.instant())),
+        TICK_MILLIS,
+        TICK_MILLIS,
+        TimeUnit.MILLISECONDS);
   }
 
   @Override
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/ItemVersionTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/ItemVersionTest.java
@@ -87,6 +87,21 @@
     assertTrue(next.requests().get(0).toLowerCase().contains("last-event-id: " + BROKEN_AFTER));
   }
 
+  /** Guards against an item that loses its text because all entries are missing for a moment. */
+  @Test
+  void keepsTheTextOfAnItemWhileNoEndpointIsListed() throws Exception {
+    former.then(HEAD + events(1, BROKEN_AFTER, "a"), After.CLOSE);
+    next.then(HEAD + events(BROKEN_AFTER + 1, EVENTS, "a") + "0\r\n\r\n", After.KEEP);
+    offer("e0", former, "v1");
+    JobReplica replica = replica();
+    start(replica, 1);
+    await().until(() -> former.requests().size() == 1);
+    withdraw("e0");
+    Thread.sleep(300);
+    offer("e1", next, "v1");
+    assertEquals(lines("a"), text(replica));
+  }
+
   /** Guards against a text of two versions, because the partition of an item was handed over. */
   @Test
   void continuesNoRecordedTextAtAnotherVersion() {
@@ -152,7 +167,7 @@
             clock,
             JobFixture.config(MAX_ATTEMPTS),
             directory,
-            new CoordinatedSlots("engine", directory, clock));
+            new CoordinatedSlots("engine", directory, clock, loop));
     PartitionRunner runner =
         new PartitionRunner(
             parts, replica, 0, epoch, new JobFixture.SilentNotices(), refused -> {});
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/VersionedSlotsTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/slot/support/VersionedSlotsTest.java
@@ -48,6 +48,15 @@
     assertEquals(RefusalReason.VERSION_GONE, refused.reason());
   }
 
+  /** Guards against a coordinator that has not read its list and takes a version for gone. */
+  @Test
+  void waitsIfNoEndpointIsListedAtAll() {
+    SlotRequest request = ask("v1");
+    assertInstanceOf(SlotAnswer.Waiting.class, answer(request).get(0));
+    offer("e1", 8, "v1");
+    assertEquals(List.of(new SlotAnswer.Granted(request.key(), "e1")), coordinator.tick(now));
+  }
+
   /** Guards against a stream that is refused because the endpoints of its version are busy. */
   @Test
   void waitsIfAllEndpointsOfTheVersionAreBusy() {
