Withdraw an origin that was told before a restart was known

An endpoint that restarts under its id with another version is known by its entry up to a second later. A stream that it began meanwhile was told to others with the old version; when the instance found out, it broke the response off, but the caller's next attempt went on at the old version. The instance now tells a second origin, which makes the stream ambiguous, so that nobody continues it.

StreamContinuationTest.resumesNoStreamWhoseEndpointHadRestartedUnnoticed: 200 in place of 503 without the change, passes with it.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/StreamContinuation.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/StreamContinuation.java
@@ -23,6 +23,9 @@
    */
   static final Duration UNKNOWN_RETRY = Duration.ofMillis(300);
 
+  /** Makes a version that no endpoint has. */
+  private static final String UNCLEAR_SUFFIX = "\0unclear";
+
   private final ForwardingHandler.Parts parts;
   private final Route route;
   private final ForwardedRequest request;
@@ -114,10 +117,17 @@
     boolean continued = version.mayContinue();
     if (!continued && before.isPresent()) {
       logRefused("the endpoint restarted with another version", before.get().version());
+      withdraw(before.get());
     }
     return continued;
   }
 
+  /** Makes an origin that was told ambiguous, so that no attempt of the caller relies on it. */
+  private void withdraw(StreamOrigin told) {
+    StreamOrigin other = new StreamOrigin(told.service(), told.version() + UNCLEAR_SUFFIX);
+    request.stream().ifPresent(stream -> parts.origins().began(stream, other));
+  }
+
   /** Logs that no endpoint of the version is listed. */
   void versionGone() {
     logRefused("version gone", version.origin().map(StreamOrigin::version).orElse(""));
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/StreamContinuationTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/StreamContinuationTest.java
@@ -10,8 +10,11 @@
 import io.hawthornlb.gateway.front.GatewayFixture.Answer;
 import io.hawthornlb.gateway.route.RouteKind;
 import java.io.IOException;
+import java.net.Socket;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -128,6 +131,25 @@
     assertEquals(0, endpoints.get(0).requests().size());
   }
 
+  /** Guards against a stream that goes on by a version that was told before a restart was known. */
+  @Test
+  void resumesNoStreamWhoseEndpointHadRestartedUnnoticed() throws Exception {
+    CountDownLatch restarted = new CountDownLatch(1);
+    endpoints.get(0).then(BEGINNING, restarted, "", RESET);
+    endpoints.get(1).then(REST, KEEP);
+    offer(3, "v1", "v1");
+    long start = System.currentTimeMillis();
+    Thread.sleep(20);
+    try (Socket caller = gateway.open("/a/", "x")) {
+      Awaitility.await().until(() -> endpoints.get(0).requests().size() == 1);
+      gateway.restart("e0", endpoints.get(0), start);
+      restarted.countDown();
+      assertFalse(GatewayFixture.read(caller).whole());
+    }
+    assertRefused(gateway.callWith(RESUMED, "/a/", "x"));
+    assertEquals(0, endpoints.get(1).requests().size());
+  }
+
   private GatewayFixture offer(int maxAttempts, String... versions) {
     ScriptedEndpoint[] offered =
         endpoints.subList(0, versions.length).toArray(ScriptedEndpoint[]::new);
