--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/ScriptedEndpoint.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/ScriptedEndpoint.java
@@ -15,8 +15,10 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
 
 /** Endpoint on loopback that answers requests as scripted by the test. */
 public final class ScriptedEndpoint implements AutoCloseable {
@@ -32,13 +34,16 @@
   private final List<String> requests = new CopyOnWriteArrayList<>();
   private final AtomicInteger connections = new AtomicInteger();
   private final CountDownLatch callerDisconnected = new CountDownLatch(1);
+  private volatile @Nullable Function<String, Step> standing;
 
   /** What the endpoint does with the connection after an answer. */
   public enum After {
     KEEP,
     CLOSE,
     RESET,
-    WAIT
+    WAIT,
+    /** Resets the connection and accepts no further one, as an endpoint whose process has ended. */
+    CRASH
   }
 
   /**
@@ -74,6 +79,23 @@
     return this;
   }
 
+  /**
+   * Lets each request that contains a text crash the endpoint as it begins to write its answer, and
+   * answers all others alike.
+   *
+   * @param text text of the requests that crash the endpoint
+   * @param head begin of the answer that the crash cuts off
+   * @param otherwise answer to all other requests
+   */
+  public ScriptedEndpoint crashingOn(String text, String head, String otherwise) {
+    standing =
+        request ->
+            request.contains(text)
+                ? new Step(head, new CountDownLatch(0), "", After.CRASH)
+                : new Step(otherwise, new CountDownLatch(0), "", After.KEEP);
+    return this;
+  }
+
   /** Returns the received requests so far, head and body. */
   public List<String> requests() {
     return requests;
@@ -119,7 +141,8 @@
           return;
         }
         requests.add(request);
-        Step step = steps.take();
+        Function<String, Step> always = standing;
+        Step step = always == null ? steps.take() : always.apply(request);
         Matcher id = REQUEST_ID.matcher(request);
         String answer = step.answer().replace(ID, id.find() ? id.group(1) : "");
         socket.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
@@ -140,9 +163,12 @@
 
   private boolean continueConnection(Socket socket, InputStream in, After after)
       throws IOException, InterruptedException {
-    if (after == After.RESET) {
+    if (after == After.RESET || after == After.CRASH) {
       // The answer must arrive before the reset.
       Thread.sleep(50);
+      if (after == After.CRASH) {
+        close();
+      }
       socket.setSoLinger(true, 0);
     } else if (after == After.WAIT) {
       while (in.read() >= 0) {
