Keep requests from endpoints that a part of their prompts crashes

Cause: a crash was counted for path and body of one request, in the memory of one coordinator; nothing knew the parts of a prompt. Change: each instance learns on which parts an endpoint ended before its answer had begun, shares that by datagram and in the store, and refuses requests, further attempts, resumed streams and items by one decision. An answer that begins clears its parts. An endpoint has ended if it accepts no connection any more. What Forwarding and ItemRun logged and built beside is in classes of its own.

--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/crash/PartSuspicions.java
@@ -0,0 +1,64 @@
+package io.hawthornlb.core.crash;
+
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Decides which requests must not reach endpoints because a part of their prompts crashes them.
+ *
+ * <p>Answers the load in which requests that share one part, and nothing else, come at any
+ * instance, each crashes the endpoint that begins to write its answer, and sound requests share all
+ * other parts with them. Confined to one thread.
+ */
+public interface PartSuspicions {
+
+  /**
+   * Records a crash. Parts on which an answer has begun here a short time ago are not suspected.
+   */
+  void crashed(EndpointCrash crash, Instant now);
+
+  /**
+   * Records that an answer has begun, which clears all parts of its request.
+   *
+   * @return parts that had been suspected
+   */
+  Set<String> began(PromptParts parts, Instant now);
+
+  /**
+   * Decides about a request that is about to be sent to an endpoint.
+   *
+   * @return why the request must not be sent; empty if it may
+   */
+  Optional<CrashBlock> check(PromptParts parts, Instant now);
+
+  /**
+   * Adds what another instance knows of a part.
+   *
+   * @return whether more is known than before
+   */
+  boolean merge(String part, PartEvidence evidence, Instant now);
+
+  /** Forgets what speaks against a part, because an answer has begun on it elsewhere. */
+  void clear(String part);
+
+  /** Returns what speaks against a part; empty if nothing does. */
+  Optional<PartEvidence> evidence(String part);
+
+  /** Returns the parts against which something speaks, with the evidence. */
+  Map<String, PartEvidence> suspected();
+
+  /**
+   * Returns the parts whose evidence this instance itself has added to since the last call, by a
+   * crash, a probe or a refused request.
+   */
+  Set<String> takeChanges();
+
+  /**
+   * Forgets parts that were not seen for a long time.
+   *
+   * @return parts that were forgotten
+   */
+  Set<String> expire(Instant now);
+}
--- /dev/null
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/crash/support/DefaultPartSuspicions.java
@@ -0,0 +1,224 @@
+package io.hawthornlb.core.crash.support;
+
+import io.hawthornlb.core.crash.CrashBlock;
+import io.hawthornlb.core.crash.EndpointCrash;
+import io.hawthornlb.core.crash.PartEvidence;
+import io.hawthornlb.core.crash.PartSuspicions;
+import io.hawthornlb.core.crash.PromptParts;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+
+/**
+ * Blocks a part after a number of crashes between which no answer has begun on it.
+ *
+ * <p>Sound requests share parts with crashing ones and are at the same endpoints when these crash.
+ * Two rules keep their parts from being blocked. An answer that begins clears all parts of its
+ * request. And of the parts that are suspected of the same crashes, the one that explains the most
+ * is blocked: a part whose crashes are all explained by another one is not, and parts that cannot
+ * be told apart block only requests that have all of them.
+ */
+public final class DefaultPartSuspicions implements PartSuspicions {
+
+  /** Number of crashes without a begun answer after which a part is blocked. */
+  public static final int BLOCKING_CRASHES = 3;
+
+  /** Time without a request with the part after which it is forgotten. */
+  static final Duration RETENTION = Duration.ofHours(1);
+
+  /** Interval at which requests that are refused prolong what is known of their parts. */
+  private static final Duration REFRESH_INTERVAL = Duration.ofMinutes(10);
+
+  /** Time after the last crash until the first probe; each further one takes six times as long. */
+  static final Duration FIRST_PROBE = Duration.ofMinutes(10);
+
+  private static final int PROBE_FACTOR = 6;
+
+  /** Maximum number of probes, each of which may crash an endpoint. */
+  static final int MAX_PROBES = 3;
+
+  /** Shortest time after which a blocked caller is told to return. */
+  private static final Duration MIN_RETRY = Duration.ofMinutes(1);
+
+  /** Maximum number of suspected parts; bounds the memory while callers make up parts. */
+  static final int MAX_SUSPECTED = 2_000;
+
+  private final int blockingCrashes;
+  private final Predicate<String> mayProbe;
+  private final Map<String, PartEvidence> suspected = new HashMap<>();
+  private final Set<String> changed = new HashSet<>();
+  private final BegunParts begun = new BegunParts();
+
+  /**
+   * Creates suspicions.
+   *
+   * @param mayProbe whether this instance lets through the probes of a part; true at one instance
+   */
+  public DefaultPartSuspicions(Predicate<String> mayProbe) {
+    this(BLOCKING_CRASHES, mayProbe);
+  }
+
+  DefaultPartSuspicions(int blockingCrashes, Predicate<String> mayProbe) {
+    this.blockingCrashes = blockingCrashes;
+    this.mayProbe = mayProbe;
+  }
+
+  @Override
+  public void crashed(EndpointCrash crash, Instant now) {
+    crash.suspects().stream()
+        .filter(part -> !begun.contains(part, now))
+        .filter(part -> merge(part, PartEvidence.of(crash.id(), now), now))
+        .forEach(changed::add);
+  }
+
+  @Override
+  public Set<String> began(PromptParts parts, Instant now) {
+    begun.add(parts, now);
+    if (suspected.isEmpty()) {
+      return Set.of();
+    }
+    return parts.ids().stream()
+        .filter(part -> suspected.remove(part) != null)
+        .collect(Collectors.toSet());
+  }
+
+  @Override
+  public Optional<CrashBlock> check(PromptParts parts, Instant now) {
+    if (suspected.isEmpty()) {
+      return Optional.empty();
+    }
+    for (String part : parts.ids()) {
+      PartEvidence evidence = suspected.get(part);
+      if (evidence != null && evidence.crashes().size() >= blockingCrashes && culprit(evidence)) {
+        Set<String> alike = explainingAlike(evidence);
+        if (parts.ids().containsAll(alike) && !probe(part, evidence, now)) {
+          prolong(part, evidence, now);
+          return Optional.of(block(alike, evidence, now));
+        }
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Returns whether no other part explains all these crashes and more. */
+  private boolean culprit(PartEvidence evidence) {
+    return suspected.values().stream()
+        .noneMatch(
+            other ->
+                other.crashes().size() > evidence.crashes().size()
+                    && other.crashes().containsAll(evidence.crashes()));
+  }
+
+  /** Returns the parts that are suspected of exactly the same crashes. */
+  private Set<String> explainingAlike(PartEvidence evidence) {
+    return suspected.entrySet().stream()
+        .filter(each -> each.getValue().crashes().equals(evidence.crashes()))
+        .map(Map.Entry::getKey)
+        .collect(Collectors.toSet());
+  }
+
+  /** Returns whether the request is let through to find out whether the part still crashes. */
+  private boolean probe(String part, PartEvidence evidence, Instant now) {
+    boolean due =
+        evidence.probes() < MAX_PROBES && !now.isBefore(evidence.tried().plus(pause(evidence)));
+    if (!due || !mayProbe.test(part)) {
+      return false;
+    }
+    suspected.put(part, evidence.probedAt(now));
+    changed.add(part);
+    return true;
+  }
+
+  /** Keeps a part known while requests with it come. */
+  private void prolong(String part, PartEvidence evidence, Instant now) {
+    if (now.isAfter(evidence.seen().plus(REFRESH_INTERVAL))) {
+      suspected.put(part, evidence.seenAt(now));
+      changed.add(part);
+    }
+  }
+
+  private static Duration pause(PartEvidence evidence) {
+    return FIRST_PROBE.multipliedBy((long) Math.pow(PROBE_FACTOR, evidence.probes()));
+  }
+
+  private CrashBlock block(Set<String> parts, PartEvidence evidence, Instant now) {
+    Duration untilProbe =
+        evidence.probes() < MAX_PROBES
+            ? Duration.between(now, evidence.tried().plus(pause(evidence)))
+            : RETENTION;
+    Duration retryAfter = untilProbe.compareTo(MIN_RETRY) < 0 ? MIN_RETRY : untilProbe;
+    return new CrashBlock(parts, evidence.crashes(), retryAfter);
+  }
+
+  @Override
+  public boolean merge(String part, PartEvidence other, Instant now) {
+    PartEvidence evidence = other.notAfter(now);
+    PartEvidence known = suspected.get(part);
+    PartEvidence merged = known == null ? evidence : known.merge(evidence);
+    if (merged.equals(known) || outdated(merged, now)) {
+      return false;
+    }
+    if (known == null && suspected.size() >= MAX_SUSPECTED) {
+      forgetLeastSuspected();
+    }
+    suspected.put(part, merged);
+    return known == null || !known.covers(evidence);
+  }
+
+  /** Makes room: parts with the most crashes, and of these the last seen ones, are kept. */
+  private void forgetLeastSuspected() {
+    suspected.entrySet().stream()
+        .min(
+            Comparator.comparingInt(
+                    (Map.Entry<String, PartEvidence> each) -> each.getValue().crashes().size())
+                .thenComparing(each -> each.getValue().seen()))
+        .map(Map.Entry::getKey)
+        .ifPresent(suspected::remove);
+  }
+
+  private static boolean outdated(PartEvidence evidence, Instant now) {
+    return evidence.seen().plus(RETENTION).isBefore(now);
+  }
+
+  @Override
+  public void clear(String part) {
+    suspected.remove(part);
+  }
+
+  @Override
+  public Optional<PartEvidence> evidence(String part) {
+    return Optional.ofNullable(suspected.get(part));
+  }
+
+  @Override
+  public Map<String, PartEvidence> suspected() {
+    return Map.copyOf(suspected);
+  }
+
+  @Override
+  public Set<String> takeChanges() {
+    Set<String> taken = Set.copyOf(changed);
+    changed.clear();
+    return taken;
+  }
+
+  @Override
+  public Set<String> expire(Instant now) {
+    Set<String> old = new HashSet<>();
+    suspected.forEach(
+        (part, evidence) -> {
+          if (outdated(evidence, now)) {
+            old.add(part);
+          }
+        });
+    old.forEach(suspected::remove);
+    return old;
+  }
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/CrashGuard.java
@@ -0,0 +1,36 @@
+package io.hawthornlb.gateway.crash;
+
+import io.hawthornlb.core.crash.CrashBlock;
+import io.hawthornlb.core.crash.PromptParts;
+import java.util.Optional;
+
+/**
+ * Decides for requests, their further attempts, resumed streams and batch items alike whether they
+ * may reach an endpoint, and learns from how their runs end.
+ */
+public interface CrashGuard {
+
+  /** Guard that allows every request. */
+  CrashGuard NONE =
+      new CrashGuard() {
+        @Override
+        public Optional<CrashBlock> check(PromptParts parts) {
+          return Optional.empty();
+        }
+
+        @Override
+        public void began(String requestId, PromptParts parts) {}
+
+        @Override
+        public void broken(BrokenRun run) {}
+      };
+
+  /** Returns why a request must not be sent to an endpoint; empty if it may. */
+  Optional<CrashBlock> check(PromptParts parts);
+
+  /** Records that an endpoint has begun to write its answer to a request. */
+  void began(String requestId, PromptParts parts);
+
+  /** Records that a connection broke before the answer had begun. */
+  void broken(BrokenRun run);
+}
--- /dev/null
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/GuardedRun.java
@@ -0,0 +1,53 @@
+package io.hawthornlb.gateway.crash;
+
+import io.hawthornlb.core.crash.CrashBlock;
+import io.hawthornlb.core.crash.PromptParts;
+import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+
+/** One request or batch item, at one endpoint after the other, as the guard sees it. */
+public final class GuardedRun {
+
+  private final CrashGuard guard;
+  private final String requestId;
+  private final PromptParts parts;
+  private @Nullable EndpointIncarnation endpoint;
+  private @Nullable InetSocketAddress address;
+  private boolean begun;
+
+  /** Creates a run that has not been sent yet. */
+  public GuardedRun(CrashGuard guard, String requestId, PromptParts parts) {
+    this.guard = guard;
+    this.requestId = requestId;
+    this.parts = parts;
+  }
+
+  /** Returns why the request must not be sent to an endpoint; empty if it may. */
+  public Optional<CrashBlock> check() {
+    return guard.check(parts);
+  }
+
+  /** Records that an endpoint is sent the request. */
+  public void sentTo(EndpointIncarnation to, InetSocketAddress at) {
+    endpoint = to;
+    address = at;
+    begun = false;
+  }
+
+  /** Records that the endpoint has begun to write its answer; only the first call counts. */
+  public void begun() {
+    if (!begun) {
+      begun = true;
+      guard.began(requestId, parts);
+    }
+  }
+
+  /** Records that the connection to the endpoint broke. */
+  public void broken() {
+    if (!begun && endpoint != null && address != null) {
+      guard.broken(new BrokenRun(requestId, parts, endpoint, address));
+    }
+  }
+}
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.front;
 
+import io.hawthornlb.gateway.crash.GuardedRun;
 import io.hawthornlb.gateway.loop.WorkKind;
 import io.hawthornlb.gateway.wire.EndpointCallListener;
 import io.hawthornlb.gateway.wire.EventSplitter;
@@ -31,6 +32,7 @@
   private static final int MAX_BUFFERED_BYTES = 65_536;
 
   private final Forwarding forwarding;
+  private final GuardedRun run;
   private final HeaderNames names;
   private final InstantSource clock;
   private final Responder responder;
@@ -62,10 +64,12 @@
 
   AnswerRelay(
       Forwarding forwarding,
+      GuardedRun run,
       ForwardingHandler.Parts parts,
       Responder responder,
       boolean streaming) {
     this.forwarding = forwarding;
+    this.run = run;
     this.names = parts.names();
     this.clock = parts.clock();
     this.lastHeard = clock.instant();
@@ -152,6 +156,7 @@
         forwarding.onAnswered(status);
       }
       default -> {
+        run.begun();
         responder.whole(status, ForwardedHeaders.toCaller(answer.headers()), buffer.toByteArray());
         forwarding.onAnswered(status);
       }
@@ -165,6 +170,9 @@
       // nothing.
       forwarding.onNotRun(response.status().code());
     } else {
+      if (sent) {
+        run.broken();
+      }
       forwarding.onFailed(sent, cause);
     }
   }
@@ -199,6 +207,7 @@
     content.readBytes(bytes);
     buffer.writeBytes(bytes);
     if (buffer.size() > MAX_BUFFERED_BYTES) {
+      run.begun();
       sendHead();
       mode = Mode.FORWARDED;
       responder.part(Unpooled.wrappedBuffer(buffer.toByteArray()));
@@ -208,6 +217,9 @@
   }
 
   private void forwardAll(List<StreamEvent> events) {
+    if (!events.isEmpty()) {
+      run.begun();
+    }
     for (StreamEvent event : events) {
       admitted = admitted || forwarding.admitsEvents();
       if (!admitted) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardedRequest.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardedRequest.java
@@ -1,9 +1,10 @@
 package io.hawthornlb.gateway.front;
 
-import com.dynatrace.hash4j.hashing.Hashing;
+import io.hawthornlb.core.crash.PromptParts;
 import io.hawthornlb.core.model.WorkspaceId;
 import io.hawthornlb.core.work.WorkSize;
 import io.hawthornlb.core.workspace.Workspace;
+import io.hawthornlb.gateway.crash.ContentHash;
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.route.Route;
 import io.hawthornlb.gateway.route.RouteKind;
@@ -29,12 +30,16 @@
   private final Route route;
   private final HeaderNames names;
   private final EventLog log;
+  private final long fingerprint;
+  private final PromptParts parts;
 
   ForwardedRequest(FrontRequest request, Route route, HeaderNames names, EventLog log) {
     this.request = request;
     this.route = route;
     this.names = names;
     this.log = log;
+    this.fingerprint = ContentHash.of(request.uri(), request.body());
+    this.parts = names.promptParts().read(request.headers()::get).withContent(fingerprint);
   }
 
   /** Returns the id that the caller gave this attempt. */
@@ -102,11 +107,12 @@
    * Returns a hash by which a request is recognized when its caller repeats it under another id.
    */
   long fingerprint() {
-    return Hashing.wyhashFinal4()
-        .hashStream()
-        .putString(request.uri())
-        .putBytes(request.body())
-        .getAsLong();
+    return fingerprint;
+  }
+
+  /** Returns what the request shares with other requests and with its own repeats. */
+  PromptParts parts() {
+    return parts;
   }
 
   /**
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -1,14 +1,14 @@
 package io.hawthornlb.gateway.front;
 
+import io.hawthornlb.core.crash.CrashBlock;
 import io.hawthornlb.core.work.WorkSize;
+import io.hawthornlb.gateway.crash.GuardedRun;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.event.EventLine;
 import io.hawthornlb.gateway.route.Route;
 import io.hawthornlb.gateway.route.RouteKind;
-import io.hawthornlb.gateway.route.RoutingConfig;
 import io.hawthornlb.gateway.slot.RefusalCause;
-import io.hawthornlb.gateway.slot.RefusalReason;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotKey;
 import io.hawthornlb.gateway.slot.SlotOutcome;
@@ -19,7 +19,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
@@ -56,6 +55,8 @@
   private final StreamContinuation continuation;
   private final RequestTime time;
   private final Set<EndpointIncarnation> excluded = new HashSet<>();
+  private final GuardedRun run;
+  private final RequestLines lines;
   private final AnswerRelay relay;
   private final SilenceWatch watch;
   private @Nullable ScheduledFuture<?> timer;
@@ -79,9 +80,11 @@
     this.service = route.service(ThreadLocalRandom.current().nextDouble());
     this.time =
         new RequestTime(route, request.arrived(), this.request.timeAllowed(), parts.clock());
+    this.lines = new RequestLines(parts, route, this.request, time);
     this.continuation = new StreamContinuation(parts, route, this.request);
     boolean streaming = route.kind() == RouteKind.STREAM;
-    this.relay = new AnswerRelay(this, parts, responder, streaming);
+    this.run = new GuardedRun(parts.crashes(), this.request.id(), this.request.parts());
+    this.relay = new AnswerRelay(this, run, parts, responder, streaming);
     SilenceWatch.Limits limits =
         new SilenceWatch.Limits(
             objectives(route, SUSPECT_OBJECTIVES), objectives(route, STALL_OBJECTIVES));
@@ -223,6 +226,9 @@
   }
 
   private void acquire() {
+    if (refusedForCrashes()) {
+      return;
+    }
     boolean lateAllowed = rejections > 0 || request.resumesStream();
     Duration maxWait = time.maxWait(relay.headSent() || runs > 0, lateAllowed);
     SlotKey key = parts.slots().nextKey();
@@ -245,6 +251,17 @@
     parts.slots().acquire(wanted, this::onSlot);
   }
 
+  /** Ends a request that would crash its endpoint; returns whether it did. */
+  private boolean refusedForCrashes() {
+    Optional<CrashBlock> block = run.check();
+    block.ifPresent(
+        found -> {
+          lines.blocked(found);
+          end(AttemptRules.finalStep(state()), found.retryAfter(), "a part crashes endpoints");
+        });
+    return block.isPresent();
+  }
+
   private static Duration objectives(Route route, double count) {
     return Duration.ofMillis((long) (route.objective().toMillis() * count));
   }
@@ -262,47 +279,23 @@
       send(granted.incarnation());
     } else if (answer instanceof SlotAnswer.OverLimit over) {
       slot = null;
-      refuseOverLimit(over.retryAfter());
+      lines.limitExceeded(over.retryAfter());
+      responder.sendStatus(429, over.retryAfter());
+      finish(SlotOutcome.ABANDONED);
     } else if (answer instanceof SlotAnswer.Refused refused) {
       slot = null;
-      logNoSlot(refused);
+      if (refused.reason().cause() == RefusalCause.VERSION_GONE) {
+        continuation.versionGone();
+      }
+      lines.slotRefused(refused, excluded.size(), requestedAt);
       end(AttemptRules.finalStep(state()), refused.retryAfter(), "no slot within the longest wait");
     }
   }
 
-  /** Refuses the request because its workspace has used up its limit. */
-  private void refuseOverLimit(Duration retryAfter) {
-    parts.metrics().count("requests.refused", "over limit");
-    line("limit.exceeded")
-        .with("workspace", String.valueOf(request.workspace()))
-        .with("config", parts.config().current().map(RoutingConfig::version).orElse(-1L))
-        .with("retryMillis", retryAfter.toMillis())
-        .write();
-    responder.sendStatus(429, retryAfter);
-    finish(SlotOutcome.ABANDONED);
-  }
-
-  /** Logs the slot counts the coordinator reported and the time since the slot was requested. */
-  private void logNoSlot(SlotAnswer.Refused refused) {
-    EventLine line = line("slot.refused");
-    RefusalReason reason = refused.reason();
-    if (reason.cause() == RefusalCause.VERSION_GONE) {
-      continuation.versionGone();
-    }
-    if (reason.isKnown()) {
-      String cause = reason.cause() + " " + parts.dataCentre() + " " + reason.size();
-      parts.metrics().count("slots.refused", cause.toLowerCase(Locale.ROOT));
-      line.with("cause", reason.cause().name()).with("aheadMillis", reason.workAhead().toMillis());
-    }
-    line.with("slots", refused.seen().slots())
-        .with("used", refused.seen().used())
-        .with("waiting", refused.seen().waiting())
-        .with("excluded", excluded.size())
-        .with("askedMillisAgo", Duration.between(requestedAt, parts.clock().instant()).toMillis())
-        .write();
-  }
-
   private void send(EndpointIncarnation incarnation) {
+    if (refusedForCrashes()) {
+      return;
+    }
     endpoint = incarnation;
     Optional<EndpointRecord> target = parts.directory().find(incarnation.id());
     if (target.isPresent() && !continuation.accepts(target.get())) {
@@ -331,6 +324,7 @@
         .with("millis", time.sinceArrival())
         .write();
     continuation.sentTo(target.get());
+    run.sentTo(incarnation, target.get().address());
     call =
         parts
             .pool()
@@ -486,11 +480,6 @@
   }
 
   private EventLine line(String event) {
-    return parts
-        .log()
-        .important("front", event)
-        .with("id", request.id())
-        .with("route", route.name())
-        .with("millis", time.sinceArrival());
+    return lines.line(event);
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardingHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardingHandler.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.front;
 
+import io.hawthornlb.gateway.crash.CrashGuard;
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.metric.GatewayMetrics;
@@ -45,6 +46,7 @@
    * @param slots client that acquires slots
    * @param origins where streams began that callers may resume
    * @param single shows which version began a stream that nobody knows
+   * @param crashes keeps requests that crash endpoints from reaching further ones
    * @param pool connections to endpoints
    * @param names names of headers
    * @param jobs handler of requests about jobs
@@ -62,6 +64,7 @@
       SlotClient slots,
       StreamOrigins origins,
       SingleVersion single,
+      CrashGuard crashes,
       EndpointPool pool,
       HeaderNames names,
       JobRequestHandler jobs,
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -1,7 +1,11 @@
 package io.hawthornlb.gateway.job;
 
+import io.hawthornlb.core.crash.CrashBlock;
+import io.hawthornlb.core.crash.PromptParts;
 import io.hawthornlb.core.model.WorkspaceId;
 import io.hawthornlb.core.work.WorkSize;
+import io.hawthornlb.gateway.crash.ContentHash;
+import io.hawthornlb.gateway.crash.GuardedRun;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.event.EventLine;
@@ -20,15 +24,8 @@
 import io.hawthornlb.gateway.wire.SilenceWatch;
 import io.hawthornlb.gateway.wire.StreamEvent;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpVersion;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
@@ -77,6 +74,7 @@
   private final StreamVersion version;
   private final Set<EndpointIncarnation> excluded = new HashSet<>();
   private final WorkSize size;
+  private final GuardedRun guarded;
   private Duration ran = Duration.ZERO;
   private Duration lastRan = Duration.ZERO;
   private boolean sentWhole;
@@ -103,6 +101,9 @@
     this.version = new StreamVersion(parts.directory(), output.origin());
     this.estimate = estimate;
     this.size = parts.names().workSize().read(item.headers()::get);
+    PromptParts prompt = parts.names().promptParts().read(item.headers()::get);
+    long content = ContentHash.of(item.path(), item.body());
+    this.guarded = new GuardedRun(parts.crashes(), item.id(), prompt.withContent(content));
     this.failures = job.failures(item.id());
     this.parts = parts;
     this.job = job;
@@ -178,6 +179,11 @@
       retryAfter(SLOT_WAIT);
       return;
     }
+    if (blockedForCrashes()) {
+      limiter.leave();
+      retryAfter(SLOT_WAIT);
+      return;
+    }
     beginAnewIfVersionGone(route.get().service(0));
     requesting = true;
     SlotKey key = parts.slots().nextKey();
@@ -197,6 +203,17 @@
     parts.slots().acquire(wanted, this::onSlot);
   }
 
+  /**
+   * Returns whether the item would crash its endpoint. Such an item waits until the part is cleared
+   * or its job is given up: no endpoint can complete it, and none has reported that it cannot.
+   */
+  private boolean blockedForCrashes() {
+    Optional<CrashBlock> block = guarded.check();
+    block.ifPresent(
+        found -> logLine("item.blocked").with("parts", String.join(" ", found.parts())).write());
+    return block.isPresent();
+  }
+
   /** Discards the output if no listed endpoint of the service may continue it. */
   private void beginAnewIfVersionGone(String service) {
     // A list without any endpoint tells nothing of the version, and none could begin the item anew.
@@ -264,6 +281,11 @@
   }
 
   private void send(EndpointIncarnation incarnation) {
+    if (blockedForCrashes()) {
+      end(SlotOutcome.ABANDONED);
+      retryAfter(SLOT_WAIT);
+      return;
+    }
     Optional<EndpointRecord> target = parts.directory().find(incarnation.id());
     boolean otherVersion = target.isPresent() && !version.accepts(target.get());
     if (target.isEmpty() || target.get().leaving() || otherVersion) {
@@ -276,6 +298,7 @@
     sentAt = lastEventAt;
     sentWhole = output.lastEventId() < 0;
     version.sentTo(target.get());
+    guarded.sentTo(incarnation, target.get().address());
     logLine("item.sent")
         .with("endpoint", incarnation.id())
         .with("version", target.get().version())
@@ -287,33 +310,11 @@
             .send(
                 incarnation,
                 target.get().address(),
-                outgoing(incarnation.id()),
+                ItemRequest.of(job, item, incarnation.id(), output.lastEventId(), parts.names()),
                 new ResponseListener(incarnation));
     watch.start();
   }
 
-  private FullHttpRequest outgoing(String endpointId) {
-    HttpHeaders headers = new DefaultHttpHeaders();
-    item.headers().forEach(headers::set);
-    headers.remove(parts.names().apiKey());
-    headers.remove(parts.names().workspace());
-    job.workspace().ifPresent(owner -> headers.set(parts.names().workspace(), owner.value()));
-    headers.set(HttpHeaderNames.HOST, job.host());
-    headers.set(parts.names().requestId(), item.id());
-    headers.set(parts.names().expectedEndpoint(), endpointId);
-    headers.set(HttpHeaderNames.CONTENT_LENGTH, item.body().length);
-    if (output.lastEventId() >= 0) {
-      headers.set(parts.names().lastEventId(), output.lastEventId());
-    }
-    return new DefaultFullHttpRequest(
-        HttpVersion.HTTP_1_1,
-        HttpMethod.POST,
-        item.path(),
-        Unpooled.wrappedBuffer(item.body()),
-        headers,
-        new DefaultHttpHeaders());
-  }
-
   @Override
   public void suspicious(Duration silence) {
     // A batch item can wait. Online requests detect whether the endpoint is silent.
@@ -439,6 +440,7 @@
     }
 
     private void take(StreamEvent event) {
+      guarded.begun();
       if (outOfSequence) {
         return;
       }
@@ -486,6 +488,9 @@
     @Override
     public void onFailure(boolean sent, String cause) {
       logLine("item.broken").with("endpoint", incarnation.id()).with("cause", cause).write();
+      if (sent) {
+        guarded.broken();
+      }
       excluded.add(incarnation);
       end(sent ? SlotOutcome.FAILED : SlotOutcome.UNREACHED);
       retryAfter(PAUSE);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobParts.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobParts.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.job;
 
+import io.hawthornlb.gateway.crash.CrashGuard;
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.metric.GatewayMetrics;
@@ -20,6 +21,7 @@
  * @param directory known endpoints
  * @param slots client that acquires slots
  * @param estimates estimates of the run times of items, shared by all partitions
+ * @param crashes keeps items that crash endpoints from reaching further ones
  * @param pool connections to endpoints
  * @param names names of headers
  * @param store log in which jobs are stored
@@ -36,6 +38,7 @@
     EndpointDirectory directory,
     SlotClient slots,
     ItemEstimates estimates,
+    CrashGuard crashes,
     EndpointPool pool,
     HeaderNames names,
     LogStore store,
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerCodec.java
@@ -1,7 +1,10 @@
 package io.hawthornlb.gateway.peer;
 
+import io.hawthornlb.core.crash.PartEvidence;
 import io.hawthornlb.core.model.WorkspaceId;
 import io.hawthornlb.core.work.WorkSize;
+import io.hawthornlb.gateway.crash.EvidenceCodec;
+import io.hawthornlb.gateway.crash.PartUpdate;
 import io.hawthornlb.gateway.decode.MessageReader;
 import io.hawthornlb.gateway.decode.UnreadableException;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
@@ -51,6 +54,7 @@
   private static final int BEGAN = 17;
   private static final int FIND_ORIGIN = 18;
   private static final int ORIGIN = 19;
+  private static final int PARTS = 20;
 
   /**
    * Longest duration that a message may contain; batch items wait for minutes at most. A longer
@@ -142,11 +146,36 @@
       if (answer.origin() != null) {
         packOrigin(packer, answer.origin());
       }
+    } else if (message instanceof PeerMessage.Parts parts) {
+      packParts(packer.packInt(PARTS), parts);
     } else if (message instanceof PeerMessage.Renew renew) {
       packRenew(packer.packInt(RENEW), renew);
     }
   }
 
+  private static void packParts(MessagePacker packer, PeerMessage.Parts parts) throws IOException {
+    packer.packArrayHeader(parts.updates().size());
+    for (PartUpdate update : parts.updates()) {
+      PartEvidence evidence = update.evidence();
+      packer.packString(update.part()).packBoolean(evidence != null);
+      if (evidence != null) {
+        byte[] encoded = EvidenceCodec.encode(evidence);
+        packer.packBinaryHeader(encoded.length).writePayload(encoded);
+      }
+    }
+  }
+
+  private static PeerMessage unpackParts(MessageReader reader) throws IOException {
+    List<PartUpdate> updates = new ArrayList<>();
+    int size = reader.listSize();
+    for (int i = 0; i < size; i++) {
+      String part = EvidenceCodec.part(reader.text());
+      updates.add(
+          new PartUpdate(part, reader.flag() ? EvidenceCodec.decode(reader.bytes()) : null));
+    }
+    return new PeerMessage.Parts(updates);
+  }
+
   private static void packRequest(MessagePacker packer, SlotRequest request) throws IOException {
     packKey(packer, request.key());
     packer.packString(request.service()).packBoolean(request.batch()).packLong(request.rank());
@@ -246,7 +275,7 @@
   }
 
   private static PeerMessage unpack(MessageReader reader) throws IOException {
-    int type = reader.number("type", ASK, ORIGIN);
+    int type = reader.number("type", ASK, PARTS);
     return switch (type) {
       case ASK -> new PeerMessage.Ask(unpackRequest(reader));
       case GRANTED ->
@@ -279,6 +308,7 @@
       case ORIGIN ->
           new PeerMessage.Origin(
               unpackStream(reader), reader.flag(), reader.hasMore() ? unpackOrigin(reader) : null);
+      case PARTS -> unpackParts(reader);
       case HELD ->
           new PeerMessage.Held(
               reader.number("partition", 0, Integer.MAX_VALUE),
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerMessage.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerMessage.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.gateway.peer;
 
 import io.hawthornlb.core.model.WorkspaceId;
+import io.hawthornlb.gateway.crash.PartUpdate;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotKey;
 import io.hawthornlb.gateway.slot.SlotOutcome;
@@ -90,6 +91,15 @@
   record Origin(StreamId stream, boolean known, @Nullable StreamOrigin origin)
       implements PeerMessage {}
 
+  /** Tells what the sender has learned of parts of prompts that may crash endpoints. */
+  record Parts(List<PartUpdate> updates) implements PeerMessage {
+
+    /** Copies the updates. */
+    public Parts {
+      updates = List.copyOf(updates);
+    }
+  }
+
   /** Reports all uses of a holder to a coordinator. */
   record Renew(String service, String holder, List<SlotUse> uses) implements PeerMessage {}
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -1,5 +1,10 @@
 package io.hawthornlb.gateway.process;
 
+import io.hawthornlb.core.crash.PartSuspicions;
+import io.hawthornlb.core.crash.support.DefaultPartSuspicions;
+import io.hawthornlb.gateway.crash.CrashGuard;
+import io.hawthornlb.gateway.crash.support.DefaultCrashGuard;
+import io.hawthornlb.gateway.crash.support.StoredEvidence;
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.endpoint.VersionHistory;
 import io.hawthornlb.gateway.event.EventLog;
@@ -27,6 +32,7 @@
 import io.hawthornlb.gateway.peer.FleetStreamOrigins;
 import io.hawthornlb.gateway.peer.FleetView;
 import io.hawthornlb.gateway.peer.LearnedStateReplicator;
+import io.hawthornlb.gateway.peer.PeerEvidence;
 import io.hawthornlb.gateway.peer.PeerHoldNotices;
 import io.hawthornlb.gateway.peer.PeerTransport;
 import io.hawthornlb.gateway.peer.UdpPeerTransport;
@@ -41,6 +47,7 @@
 import io.hawthornlb.gateway.store.LogStore;
 import io.hawthornlb.gateway.store.support.CountedLogStore;
 import io.hawthornlb.gateway.stream.StreamOrigins;
+import io.hawthornlb.gateway.wire.ConnectionProbe;
 import io.hawthornlb.gateway.wire.EndpointPool;
 import io.hawthornlb.gateway.wire.HeaderNames;
 import io.netty.channel.EventLoop;
@@ -110,6 +117,7 @@
     PeerTransport transport = peerTransport();
     FleetSlotClient slots = slotClient(fleet, transport, store);
     EndpointPool pool = new EndpointPool(loop, names, clock, metrics);
+    CrashGuard crashes = crashGuard(fleet, transport, store, caller);
     directory.onRemoval(endpoint -> pool.forget(endpoint.incarnation()));
     directory.onRestart(pool::onRestart);
     versions = new VersionHistory(directory, clock);
@@ -117,7 +125,7 @@
     instances = new InstanceSource(fleet, store, loop, clock, log);
     jobs =
         new JobRunners(
-            jobParts(slots, pool, names, store),
+            jobParts(slots, crashes, pool, names, store),
             jobFormat,
             new PeerHoldNotices(fleet, transport),
             new RelayJobPeers(fleet, relayTransport, clock),
@@ -134,7 +142,8 @@
     caller.onStoreRecovered(list::readNow);
     SingleVersion single = new SingleVersion(versions, ConfigFreshness.ofList(list, loop));
     StreamOrigins origins = new FleetStreamOrigins(fleet, transport, loop, clock, log, metrics);
-    handler = new ForwardingHandler(forwardingParts(check, slots, origins, single, pool, names));
+    handler =
+        new ForwardingHandler(forwardingParts(check, slots, origins, single, crashes, pool, names));
     front = new FrontServer(handler, config, check, clock, log);
     caller.onStoreRecovered(
         follow(store, InstanceSource.TOPIC, KeyedFollower.RELAXED_WAIT, instances)::readNow);
@@ -203,6 +212,22 @@
     return slots;
   }
 
+  /** Returns the guard against requests that crash endpoints, which shares what it learns. */
+  private CrashGuard crashGuard(
+      FleetView fleet, PeerTransport transport, LogStore store, RelayingHttpCaller caller) {
+    PartSuspicions suspicions =
+        new DefaultPartSuspicions(part -> fleet.rankOfSelf(part, clock.instant()) == 0);
+    DefaultCrashGuard guard =
+        new DefaultCrashGuard(suspicions, new ConnectionProbe(loop), loop, clock, log, metrics);
+    guard.addChannel(new PeerEvidence(fleet, transport, guard));
+    StoredEvidence stored = new StoredEvidence(suspicions, guard, store, loop, clock, log);
+    guard.addChannel(stored);
+    caller.onStoreRecovered(
+        follow(store, StoredEvidence.TOPIC, KeyedFollower.RELAXED_WAIT, stored)::readNow);
+    loop.execute(guard::start);
+    return guard;
+  }
+
   private PeerTransport peerTransport() {
     UdpPeerTransport transport =
         new UdpPeerTransport(loop, settings.self().address(), settings.self().name(), clock, log);
@@ -214,6 +239,7 @@
       FleetSlotClient slots,
       StreamOrigins origins,
       SingleVersion single,
+      CrashGuard crashes,
       EndpointPool pool,
       HeaderNames names) {
     return new ForwardingHandler.Parts(
@@ -224,6 +250,7 @@
         slots,
         origins,
         single,
+        crashes,
         pool,
         names,
         jobs.router(),
@@ -235,12 +262,17 @@
   }
 
   private JobParts jobParts(
-      FleetSlotClient slots, EndpointPool pool, HeaderNames names, LogStore store) {
+      FleetSlotClient slots,
+      CrashGuard crashes,
+      EndpointPool pool,
+      HeaderNames names,
+      LogStore store) {
     return new JobParts(
         config,
         directory,
         slots,
         new ItemEstimates(settings.scheduling()),
+        crashes,
         pool,
         names,
         store,
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/HeaderNames.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/HeaderNames.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.wire;
 
+import io.hawthornlb.core.crash.PromptParts;
 import io.hawthornlb.core.work.WorkSize;
 
 /**
@@ -17,6 +18,7 @@
  * @param workspace name of the workspace for which a request is made; set by the gateway only
  * @param load reads the load that a response reports
  * @param workSize reads the token counts that a request states
+ * @param promptParts reads the parts of its prompt that a request names
  */
 public record HeaderNames(
     String requestId,
@@ -29,9 +31,10 @@
     String apiKey,
     String workspace,
     LoadFormat load,
-    WorkSizeFormat workSize) {
+    WorkSizeFormat workSize,
+    PromptPartsFormat promptParts) {
 
-  /** Creates the names where requests do not state their size. */
+  /** Creates the names where requests state neither their size nor the parts of their prompts. */
   public HeaderNames(
       String requestId,
       String remainingMillis,
@@ -54,6 +57,7 @@
         apiKey,
         workspace,
         load,
-        header -> WorkSize.NONE);
+        header -> WorkSize.NONE,
+        header -> PromptParts.NONE);
   }
 }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/CrashingPartTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/CrashingPartTest.java
@@ -58,7 +58,9 @@
     assertTrue(refused.head().toLowerCase().contains("retry-after: "), refused.head());
   }
 
-  /** Guards against blaming a crash on the part that sound requests share with the crashing ones. */
+  /**
+   * Guards against blaming a crash on the part that sound requests share with the crashing ones.
+   */
   @Test
   void servesSoundRequestsWithTheSameFirstPart() throws IOException {
     for (int i = 0; i < ENDPOINTS - 2; i++) {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
@@ -1,6 +1,8 @@
 package io.hawthornlb.gateway.front;
 
+import io.hawthornlb.core.crash.PromptParts;
 import io.hawthornlb.core.model.WorkspaceId;
+import io.hawthornlb.core.work.WorkSize;
 import io.hawthornlb.core.workspace.Workspace;
 import io.hawthornlb.core.workspace.WorkspaceLimit;
 import io.hawthornlb.core.workspace.WorkspaceRegistry;
@@ -47,6 +49,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.UnaryOperator;
 import org.awaitility.Awaitility;
 import org.jspecify.annotations.Nullable;
 
@@ -64,7 +67,9 @@
           "Test-Resumes",
           "Test-Key",
           "Test-Workspace",
-          headers -> Optional.empty());
+          headers -> Optional.empty(),
+          header -> WorkSize.NONE,
+          GatewayFixture::parts);
 
   /** Time within which a change must be in force. */
   static final Duration CHANGE_TIME = Duration.ofSeconds(2);
@@ -336,6 +341,11 @@
         + body;
   }
 
+  private static PromptParts parts(UnaryOperator<String> header) {
+    String prompt = header.apply("Test-Parts");
+    return prompt == null ? PromptParts.NONE : PromptParts.ofPrompt(List.of(prompt.split(",")));
+  }
+
   Socket raw(String bytes) throws IOException {
     Socket socket = new Socket(settings.front().getAddress(), settings.front().getPort());
     socket.setSoTimeout(10_000);
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.gateway.job;
 
 import io.hawthornlb.gateway.RecordingEventLog;
+import io.hawthornlb.gateway.crash.CrashGuard;
 import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
 import io.hawthornlb.gateway.front.FrontRequest;
@@ -95,6 +96,7 @@
         directory,
         slots,
         new ItemEstimates(SchedulingSettings.DEFAULT),
+        CrashGuard.NONE,
         new EndpointPool(loop, NAMES, clock, new GatewayMetrics()),
         NAMES,
         store,
