Complete no stream by a run that brought no event

Callers saw, or could: a stream, or the text of an item, that ends as complete without its last events. Its first run broke off; the next one sent a head without length or chunks and closed. And streams without lengths were called broken if their events had no ids, or if a blank line followed the last one. Cause: an unframed stream counted as complete if an event of any run had come, told by the id of the last one; for items nothing was asked. Change: it is complete if the current run brought an event and did not end inside one. Comments are no part of an answer. Blank lines are no part of an event.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/GuardedRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/GuardedRun.java
@@ -44,6 +44,11 @@
     }
   }
 
+  /** Returns whether the endpoint has begun to write its answer. */
+  public boolean hasBegun() {
+    return begun;
+  }
+
   /** Records that the connection to the endpoint broke. */
   public void broken() {
     if (!begun && endpoint != null && address != null) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
@@ -2,6 +2,7 @@
 
 import io.hawthornlb.gateway.crash.GuardedRun;
 import io.hawthornlb.gateway.loop.WorkKind;
+import io.hawthornlb.gateway.wire.AnswerFraming;
 import io.hawthornlb.gateway.wire.EndpointCallListener;
 import io.hawthornlb.gateway.wire.EventSplitter;
 import io.hawthornlb.gateway.wire.HeaderNames;
@@ -12,7 +13,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
 import java.io.ByteArrayOutputStream;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -217,7 +217,7 @@
   }
 
   private void forwardAll(List<StreamEvent> events) {
-    if (!events.isEmpty()) {
+    if (events.stream().anyMatch(event -> !event.isComment())) {
       run.begun();
     }
     for (StreamEvent event : events) {
@@ -263,10 +263,11 @@
   }
 
   private void endEvents(HttpResponse answer) {
-    boolean framed =
-        HttpUtil.isContentLengthSet(answer) || HttpUtil.isTransferEncodingChunked(answer);
-    if (splitter.hasPartialEvent() || (!framed && lastEventId < 0)) {
-      forwarding.onFailed(true, "the stream ended inside an event");
+    // The end of an unframed response without events says nothing: the endpoint may have crashed.
+    boolean empty = !AnswerFraming.isFramed(answer) && !run.hasBegun();
+    if (splitter.hasPartialEvent() || empty) {
+      run.broken();
+      forwarding.onFailed(true, empty ? "no event came" : "the stream ended inside an event");
       return;
     }
     sendHead();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -17,6 +17,7 @@
 import io.hawthornlb.gateway.slot.SlotRequest;
 import io.hawthornlb.gateway.stream.StreamOrigin;
 import io.hawthornlb.gateway.stream.StreamVersion;
+import io.hawthornlb.gateway.wire.AnswerFraming;
 import io.hawthornlb.gateway.wire.EndpointCall;
 import io.hawthornlb.gateway.wire.EndpointCallListener;
 import io.hawthornlb.gateway.wire.EventSplitter;
@@ -173,13 +174,8 @@
   @Override
   public void requestSlot() {
     Optional<Route> route = route();
-    if (route.isEmpty()) {
-      // The configuration has no route for the item at present. A later configuration may have one.
-      limiter.leave();
-      retryAfter(SLOT_WAIT);
-      return;
-    }
-    if (blockedForCrashes()) {
+    if (route.isEmpty() || blockedForCrashes()) {
+      // A later configuration may have a route for the item, and the block may end.
       limiter.leave();
       retryAfter(SLOT_WAIT);
       return;
@@ -402,6 +398,7 @@
     private boolean admitted;
     private boolean outOfSequence;
     private boolean signed;
+    private boolean framed;
 
     private ResponseListener(EndpointIncarnation incarnation) {
       this.incarnation = incarnation;
@@ -419,6 +416,7 @@
       if (held != null) {
         parts.names().load().read(response.headers()).ifPresent(load -> reportLoad(held, load));
       }
+      framed = AnswerFraming.isFramed(response);
       notRun = response.headers().contains(parts.names().notRun()) || status == 421;
       signed =
           response.headers().contains(parts.names().signature())
@@ -470,11 +468,12 @@
 
     @Override
     public void onEnd() {
+      boolean whole = !splitter.hasPartialEvent() && (framed || guarded.hasBegun());
       if (notRun) {
         excluded.add(incarnation);
         end(status == 421 ? SlotOutcome.REPLACED : SlotOutcome.SHED);
         retryAfter(PAUSE);
-      } else if (status == 200 && signed && !splitter.hasPartialEvent()) {
+      } else if (status == 200 && signed && whole) {
         complete();
       } else if (status == 200) {
         onFailure(true, "the response is incomplete or not signed");
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
@@ -152,15 +152,11 @@
     }
     inAnswer = true;
     answered = true;
-    reusable &= HttpUtil.isKeepAlive(response) && hasLength(response);
+    reusable &= HttpUtil.isKeepAlive(response) && AnswerFraming.isFramed(response);
     readKeepAliveTimeout(response);
     current.listener().onResponse(response);
   }
 
-  private static boolean hasLength(HttpResponse response) {
-    return HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
-  }
-
   private void readKeepAliveTimeout(HttpResponse response) {
     String keepAlive = response.headers().get("Keep-Alive");
     if (keepAlive == null) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EventSplitter.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EventSplitter.java
@@ -55,9 +55,14 @@
     return new StreamEvent(id(whole), whole);
   }
 
-  /** Returns whether part of an event was received without its end. */
+  /** Returns whether part of an event was received without its end; blank lines are no part. */
   public boolean hasPartialEvent() {
-    return partial.size() > 0;
+    for (byte each : partial.toByteArray()) {
+      if (each != '\n' && each != '\r') {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** Discards a partial event. */
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/StreamEvent.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/StreamEvent.java
@@ -6,4 +6,12 @@
  * @param id number of the event; -1 if it has none
  * @param bytes the event as received, including the empty line at its end
  */
-public record StreamEvent(long id, byte[] bytes) {}
+public record StreamEvent(long id, byte[] bytes) {
+
+  private static final byte COMMENT = ':';
+
+  /** Returns whether this is a comment, such as a keep-alive, and no part of the answer. */
+  public boolean isComment() {
+    return bytes.length > 0 && bytes[0] == COMMENT;
+  }
+}
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/ScriptedEndpoint.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/ScriptedEndpoint.java
@@ -8,17 +8,18 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.Function;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import org.jspecify.annotations.Nullable;
 
 /** Endpoint on loopback that answers requests as scripted by the test. */
 public final class ScriptedEndpoint implements AutoCloseable {
@@ -34,7 +35,7 @@
   private final List<String> requests = new CopyOnWriteArrayList<>();
   private final AtomicInteger connections = new AtomicInteger();
   private final CountDownLatch callerDisconnected = new CountDownLatch(1);
-  private volatile @Nullable Function<String, Step> standing;
+  private final Map<String, Step> standing = Collections.synchronizedMap(new LinkedHashMap<>());
 
   /** What the endpoint does with the connection after an answer. */
   public enum After {
@@ -80,19 +81,13 @@
   }
 
   /**
-   * Lets each request that contains a text crash the endpoint as it begins to write its answer, and
-   * answers all others alike.
+   * Answers each request that contains a text in the same way, in place of the answers that were
+   * added one by one. The first text that a request contains counts.
    *
-   * @param text text of the requests that crash the endpoint
-   * @param head begin of the answer that the crash cuts off
-   * @param otherwise answer to all other requests
+   * @param text text in lower case; the case of the request does not matter
    */
-  public ScriptedEndpoint crashingOn(String text, String head, String otherwise) {
-    standing =
-        request ->
-            request.contains(text)
-                ? new Step(head, new CountDownLatch(0), "", After.CRASH)
-                : new Step(otherwise, new CountDownLatch(0), "", After.KEEP);
+  public ScriptedEndpoint whenever(String text, String answer, After after) {
+    standing.put(text, new Step(answer, new CountDownLatch(0), "", after));
     return this;
   }
 
@@ -141,8 +136,7 @@
           return;
         }
         requests.add(request);
-        Function<String, Step> always = standing;
-        Step step = always == null ? steps.take() : always.apply(request);
+        Step step = stepFor(request);
         Matcher id = REQUEST_ID.matcher(request);
         String answer = step.answer().replace(ID, id.find() ? id.group(1) : "");
         socket.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
@@ -161,6 +155,15 @@
     }
   }
 
+  private Step stepFor(String request) throws InterruptedException {
+    for (Map.Entry<String, Step> each : standing.entrySet()) {
+      if (request.toLowerCase(Locale.ROOT).contains(each.getKey())) {
+        return each.getValue();
+      }
+    }
+    return steps.take();
+  }
+
   private boolean continueConnection(Socket socket, InputStream in, After after)
       throws IOException, InterruptedException {
     if (after == After.RESET || after == After.CRASH) {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/CrashingPartTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/CrashingPartTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.hawthornlb.gateway.ScriptedEndpoint;
+import io.hawthornlb.gateway.ScriptedEndpoint.After;
 import io.hawthornlb.gateway.front.GatewayFixture.Answer;
 import io.hawthornlb.gateway.route.RouteKind;
 import java.io.IOException;
@@ -33,7 +34,10 @@
   void start() throws IOException {
     gateway = new GatewayFixture();
     for (int i = 0; i < ENDPOINTS; i++) {
-      endpoints[i] = new ScriptedEndpoint().crashingOn("bad:", HEAD, HEAD + EVENT);
+      endpoints[i] =
+          new ScriptedEndpoint()
+              .whenever("bad:", HEAD, After.CRASH)
+              .whenever("", HEAD + EVENT, After.KEEP);
     }
     gateway.route(RouteKind.STREAM, 1, true, endpoints);
   }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/ItemVersionTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/ItemVersionTest.java
@@ -25,7 +25,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-/** Covers items that are continued while endpoints of several software versions serve. */
+/** Covers items that are continued at another endpoint, also at one of another version. */
 class ItemVersionTest {
 
   private static final int MAX_ATTEMPTS = 3;
@@ -87,6 +87,22 @@
     assertTrue(next.requests().get(0).toLowerCase().contains("last-event-id: " + BROKEN_AFTER));
   }
 
+  /** Guards against an item that is complete without its last events, which no run has written. */
+  @Test
+  void completesNoItemByARunWithoutEvents() {
+    String unframed = HEAD.replace("Transfer-Encoding: chunked\r\n", "");
+    former.then(HEAD + events(1, BROKEN_AFTER, "a"), After.CLOSE);
+    next.then(unframed, After.CLOSE);
+    next.whenever("\0", "", After.KEEP);
+    former.whenever("last-event-id", HEAD + events(11, EVENTS, "a") + "0\r\n\r\n", After.KEEP);
+    offer("e0", former, "v1");
+    JobReplica replica = replica();
+    start(replica, 1);
+    await().until(() -> former.requests().size() == 1);
+    offer("e1", next, "v1");
+    assertEquals(lines("a"), text(replica));
+  }
+
   /** Guards against an item that loses its text because all entries are missing for a moment. */
   @Test
   void keepsTheTextOfAnItemWhileNoEndpointIsListed() throws Exception {
