Close connections unread while more come than can be served

Cause: 16 connections were accepted a round of the loop and the rest waited in the system's queue for longer than callers stay; what was read was mostly of callers that had left.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontServer.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontServer.java
@@ -24,6 +24,12 @@
   /** Length of the accept queue; all clients of a data centre may connect within a second. */
   private static final int BACKLOG = 1_024;
 
+  /**
+   * Connections that are accepted at once. Those that wait in the queue of the system grow old, and
+   * their callers leave.
+   */
+  private static final int ACCEPTED_AT_ONCE = 512;
+
   private final RequestHandler handler;
   private final ConfigHolder config;
   private final ConfigFreshness check;
@@ -54,8 +60,10 @@
             .group(loop)
             .channelFactory(NioServerSocketChannel::new)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.MAX_MESSAGES_PER_READ, ACCEPTED_AT_ONCE)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .handler(new AcceptHandler(new AcceptThrottle(loop, clock), log))
             .childHandler(new Pipeline())
             .bind(address)
             .syncUninterruptibly()
