--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetStreamOrigins.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/FleetStreamOrigins.java
@@ -7,6 +7,7 @@
 import io.hawthornlb.gateway.stream.StreamOrigins;
 import io.hawthornlb.gateway.stream.support.OriginTable;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -95,27 +96,39 @@
 
   /** Returns the other instances that keep the origin of a stream. */
   private List<GatewayInstance> copies(StreamId stream) {
-    List<GatewayInstance> responsive = new ArrayList<>();
+    Instant now = clock.instant();
+    List<GatewayInstance> chosen = new ArrayList<>(COPIES);
+    List<GatewayInstance> others = new ArrayList<>(COPIES);
     for (GatewayInstance each : fleet.spread(stream.low())) {
-      if (!each.equals(fleet.self()) && !fleet.seemsSilent(each.name(), clock.instant())) {
-        responsive.add(each);
+      if (chosen.size() == COPIES) {
+        break;
       }
-    }
-    List<GatewayInstance> chosen = firstOfEachDataCentre(responsive, 1, COPIES);
-    for (GatewayInstance each : responsive) {
-      if (chosen.size() < COPIES && !chosen.contains(each)) {
-        chosen.add(each);
+      if (each.equals(fleet.self()) || fleet.seemsSilent(each.name(), now)) {
+        continue;
+      }
+      List<GatewayInstance> list = hasDataCentre(chosen, each.dataCentre()) ? others : chosen;
+      if (list.size() < COPIES) {
+        list.add(each);
       }
     }
+    chosen.addAll(others.subList(0, Math.min(COPIES - chosen.size(), others.size())));
     return chosen;
   }
 
+  private static boolean hasDataCentre(List<GatewayInstance> instances, String dataCentre) {
+    for (GatewayInstance each : instances) {
+      if (each.dataCentre().equals(dataCentre)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Returns the instances to ask, also those that seem silent: a wrong suspicion costs a no. */
   private List<GatewayInstance> asked(StreamId stream) {
     List<GatewayInstance> others =
         fleet.spread(stream.low()).stream().filter(each -> !each.equals(fleet.self())).toList();
-    List<GatewayInstance> chosen =
-        firstOfEachDataCentre(others, ASKED_PER_DATA_CENTRE, Integer.MAX_VALUE);
+    List<GatewayInstance> chosen = firstOfEachDataCentre(others);
     for (GatewayInstance each : others.subList(0, Math.min(COPIES + 1, others.size()))) {
       if (!chosen.contains(each)) {
         chosen.add(each);
@@ -124,13 +137,11 @@
     return chosen;
   }
 
-  private static List<GatewayInstance> firstOfEachDataCentre(
-      List<GatewayInstance> order, int perDataCentre, int most) {
+  private static List<GatewayInstance> firstOfEachDataCentre(List<GatewayInstance> order) {
     Map<String, Integer> counts = new HashMap<>();
     List<GatewayInstance> chosen = new ArrayList<>();
     for (GatewayInstance each : order) {
-      if (chosen.size() < most
-          && counts.merge(each.dataCentre(), 1, Integer::sum) <= perDataCentre) {
+      if (counts.merge(each.dataCentre(), 1, Integer::sum) <= ASKED_PER_DATA_CENTRE) {
         chosen.add(each);
       }
     }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetStreamOriginsTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/FleetStreamOriginsTest.java
@@ -125,6 +125,15 @@
     assertEquals(first, second);
   }
 
+  /** Guards against work for each stream that grows with the fleet. */
+  @Test
+  void looksAtTheClockAsOftenForAStreamInALargeFleet() {
+    OriginFleet large = new OriginFleet(time, 89, 4);
+    large.nodes.get("g0").origins.began(stream(1), V1);
+    node(0).origins.began(stream(1), V1);
+    assertEquals(fleet.clockReadings, large.clockReadings);
+  }
+
   /** Returns an instance that has just started. */
   private OriginFleet.Node unaware() {
     fleet.start("g12", "d0");
