Lead explain from a blocked request to the crashes of its part

Change: explain adds the lines of all instances about the blocked part; a request finds the crash that it was in. Measured: ExplanationTest.leadsFromABlockedRequestToTheCrashesOfItsPart and the other tests of the class pass.

--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/explain/Explanation.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/explain/Explanation.java
@@ -13,7 +13,8 @@
  *
  * <p>These are the lines that name the id or the attempt that began its stream, and lines of the
  * same instances from about the same time that report a change of the instance's state or of an
- * endpoint that the id's own lines name.
+ * endpoint that the id's own lines name. If a part of its prompt was blocked, the lines of all
+ * instances about that part and its crashes are the evidence, whenever they were written.
  */
 public final class Explanation {
 
@@ -37,6 +38,10 @@
           "job partition.held",
           "job partition.dropped");
 
+  /** Events that report that a part of a prompt was blocked. */
+  private static final Set<String> BLOCK_EVENTS =
+      Set.of("front request.blocked", "job item.blocked");
+
   private Explanation() {}
 
   /** Returns the lines that explain an id, ordered by time; empty if no line names the id. */
@@ -56,7 +61,12 @@
     Instant from = time(ownLines, true).minus(CONTEXT_WINDOW);
     Instant to = time(ownLines, false).plus(CONTEXT_WINDOW);
     List<LogEvent> lines = new ArrayList<>(ownLines);
+    Set<String> blocked = blockedParts(ownLines);
     for (LogEvent event : events) {
+      if (!ownLines.contains(event) && isEvidence(event, blocked)) {
+        lines.add(event);
+        continue;
+      }
       boolean near = !event.time().isBefore(from) && !event.time().isAfter(to);
       if (near && sources.contains(event.source()) && isContext(event, endpoints)) {
         lines.add(event);
@@ -77,6 +87,22 @@
     return attempts;
   }
 
+  /** Returns the parts of prompts for which the request or item was refused. */
+  private static Set<String> blockedParts(List<LogEvent> ownLines) {
+    Set<String> parts = new HashSet<>();
+    for (LogEvent event : ownLines) {
+      if (BLOCK_EVENTS.contains(event.name())) {
+        parts.addAll(event.words("parts"));
+      }
+    }
+    return parts;
+  }
+
+  private static boolean isEvidence(LogEvent event, Set<String> blocked) {
+    return event.fields().path("part").asText().equals("crash")
+        && event.words("parts").stream().anyMatch(blocked::contains);
+  }
+
   private static boolean isContext(LogEvent event, Set<String> endpoints) {
     boolean aboutEndpoint = event.fields().path("part").asText().equals("endpoint");
     String endpoint = event.fields().path("endpoint").asText();
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/explain/LogEvent.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/explain/LogEvent.java
@@ -2,6 +2,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Instant;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 
 /**
  * One structured line of an instance's log.
@@ -18,15 +21,22 @@
   }
 
   /**
-   * Returns whether the line has the given id as its {@code id} or {@code job} field, or as the
-   * attempt that began its stream.
+   * Returns whether the line has the given id as its {@code id} or {@code job} field, among its
+   * {@code ids}, or as the attempt that began its stream.
    */
   boolean concerns(String id) {
     return fields.path("id").asText().equals(id)
         || fields.path("job").asText().equals(id)
+        || words("ids").contains(id)
         || begunBy().equals(id);
   }
 
+  /** Returns the words of a field that are separated by spaces; none if it is missing. */
+  Set<String> words(String field) {
+    String text = fields.path(field).asText();
+    return text.isEmpty() ? Set.of() : new HashSet<>(List.of(text.split(" ")));
+  }
+
   /** Returns the attempt that began the stream of the line; empty if it names none. */
   String begunBy() {
     return fields.path("begunBy").asText();
--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/explain/ExplanationTest.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/explain/ExplanationTest.java
@@ -65,6 +65,41 @@
     }
   }
 
+  /** Guards against a refusal whose evidence nobody finds, as it stands in the logs of others. */
+  @Test
+  void leadsFromABlockedRequestToTheCrashesOfItsPart() throws IOException {
+    Path other =
+        write(
+            "a.log",
+            line(
+                1,
+                "crash",
+                "endpoint.ended",
+                "\"endpoint\":\"e1\",\"ids\":\"s1 s2\",\"parts\":\"p q\""),
+            line(1, "crash", "part.cleared", "\"parts\":\"q\""),
+            line(2, "crash", "part.suspected", "\"parts\":\"p\",\"from\":\"here\""));
+    Path refusing =
+        write(
+            "b.log",
+            line(2, "crash", "part.suspected", "\"parts\":\"p\",\"from\":\"a\""),
+            line(90, "front", "request.blocked", "\"id\":\"s9\",\"parts\":\"p\""));
+    LogReader reader = new LogReader();
+    reader.read(other);
+    reader.read(refusing);
+    assertEquals(
+        List.of(
+            "a.log crash endpoint.ended",
+            "a.log crash part.suspected",
+            "b.log crash part.suspected",
+            "b.log front request.blocked"),
+        Explanation.of("s9", reader.events()).stream()
+            .map(event -> event.source() + " " + event.name())
+            .toList());
+    assertEquals(
+        List.of("crash endpoint.ended"),
+        Explanation.of("s2", reader.events()).stream().map(LogEvent::name).toList());
+  }
+
   @Test
   void returnsNothingForAnUnknownId() throws IOException {
     LogReader reader = new LogReader();
