--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/fault/ActiveFaults.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/fault/ActiveFaults.java
@@ -22,7 +22,8 @@
   /**
    * Creates an instance without active faults.
    *
-   * @param exit ends the process when a request triggers {@link FaultKind#CRASH_ON}
+   * @param exit ends the process when a request triggers {@link FaultKind#CRASH_ON} or {@link
+   *     FaultKind#CRASH_WRITING}
    */
   public ActiveFaults(InstantSource clock, Runnable exit) {
     this.clock = clock;
@@ -89,7 +90,7 @@
     leaving.set(true);
   }
 
-  /** Ends the process after a request has triggered {@link FaultKind#CRASH_ON}. */
+  /** Ends the process after a request has triggered a crash. */
   public void crash() {
     exit.run();
   }
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/fault/FaultKind.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/fault/FaultKind.java
@@ -20,6 +20,11 @@
   SILENT("silent"),
   /** The process ends without a response when a request body contains a given text. */
   CRASH_ON("crash-on"),
+  /**
+   * The process ends as it begins to write the answer to a request whose body contains a given
+   * text.
+   */
+  CRASH_WRITING("crash-writing"),
   /** The value of the fault replaces the configured age of an engine's load report. */
   LAG_REPORTS("lag-reports"),
   /** The stand-in reports itself as leaving in health and announcements, and keeps serving. */
@@ -31,6 +36,11 @@
     this.wireName = wireName;
   }
 
+  /** Returns whether an order of this kind must name a text. */
+  public boolean needsMatch() {
+    return this == CRASH_ON || this == CRASH_WRITING;
+  }
+
   /** Returns the name in the fault protocol. */
   public String wireName() {
     return wireName;
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/fault/FaultOrder.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/fault/FaultOrder.java
@@ -11,8 +11,8 @@
  * @param forMillis the duration of the fault in milliseconds; with 0, the fault lasts until it is
  *     deleted
  * @param value the delay in milliseconds of {@code slow} and {@code lag-reports}
- * @param match the text that the method and path, or for {@code crash-on} the body, must contain;
- *     an empty text matches all requests
+ * @param match the text that the method and path, or for {@code crash-on} and {@code crash-writing}
+ *     the body, must contain; an empty text matches all requests
  */
 @JsonDeserialize(builder = FaultOrder.Builder.class)
 public record FaultOrder(String kind, long forMillis, long value, String match) {
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/fault/support/FaultChannelHandler.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/fault/support/FaultChannelHandler.java
@@ -40,6 +40,7 @@
   private boolean controlRequest;
   private boolean answeringUnavailable;
   private boolean droppingResponse;
+  private boolean crashingAnswer;
   private boolean delaying;
 
   FaultChannelHandler(ActiveFaults faults) {
@@ -58,12 +59,14 @@
       ctx.read();
       return;
     }
-    if (crashes(message)) {
+    note(message);
+    if (completes(message, FaultKind.CRASH_ON)) {
       ReferenceCountUtil.release(message);
       faults.crash();
       ctx.close();
       return;
     }
+    crashingAnswer |= completes(message, FaultKind.CRASH_WRITING);
     if (answeringUnavailable) {
       discardAndAnswer(ctx, message);
     } else if (delaying) {
@@ -88,7 +91,12 @@
       // not silence the connection that activates it.
       connection = faults.nextConnection();
     }
-    if (isSilenced()) {
+    if (crashingAnswer && message instanceof HttpResponse) {
+      ReferenceCountUtil.release(message);
+      promise.tryFailure(new java.nio.channels.ClosedChannelException());
+      faults.crash();
+      ctx.close();
+    } else if (isSilenced()) {
       ReferenceCountUtil.release(message);
       promise.trySuccess();
     } else if (droppingResponse && message instanceof HttpResponse) {
@@ -121,6 +129,7 @@
     body.setLength(0);
     answeringUnavailable = false;
     droppingResponse = false;
+    crashingAnswer = false;
     if (controlRequest || isSilenced()) {
       return;
     }
@@ -146,15 +155,21 @@
     ctx.fireChannelReadComplete();
   }
 
-  private boolean crashes(Object message) {
-    if (controlRequest || !faults.active(FaultKind.CRASH_ON)) {
-      return false;
-    }
-    if (message instanceof HttpContent content && body.length() < MAX_SEARCHED_BODY_CHARS) {
+  /** Keeps the body of a request while a fault depends on it. */
+  private void note(Object message) {
+    boolean needed = faults.active(FaultKind.CRASH_ON) || faults.active(FaultKind.CRASH_WRITING);
+    if (needed
+        && message instanceof HttpContent content
+        && body.length() < MAX_SEARCHED_BODY_CHARS) {
       body.append(content.content().toString(StandardCharsets.UTF_8));
     }
-    return message instanceof LastHttpContent
-        && faults.findMatching(FaultKind.CRASH_ON, body.toString()).isPresent();
+  }
+
+  /** Returns whether a message completes a request whose body a fault of this kind matches. */
+  private boolean completes(Object message, FaultKind kind) {
+    return !controlRequest
+        && message instanceof LastHttpContent
+        && faults.findMatching(kind, body.toString()).isPresent();
   }
 
   private void discardAndAnswer(ChannelHandlerContext ctx, Object message) {
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/fault/support/FaultController.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/fault/support/FaultController.java
@@ -38,8 +38,8 @@
     if (kind.isEmpty()) {
       return WireJson.error(HttpStatus.BAD_REQUEST, "unknown kind " + order.kind());
     }
-    if (kind.get() == FaultKind.CRASH_ON && order.match().isEmpty()) {
-      return WireJson.error(HttpStatus.BAD_REQUEST, "crash-on needs match");
+    if (kind.get().needsMatch() && order.match().isEmpty()) {
+      return WireJson.error(HttpStatus.BAD_REQUEST, kind.get().wireName() + " needs match");
     }
     Duration duration =
         order.forMillis() <= 0 ? UNTIL_DELETED : Duration.ofMillis(order.forMillis());
--- a/hawthornlb-standin/src/test/java/io/hawthornlb/standin/fault/FaultsTest.java
+++ b/hawthornlb-standin/src/test/java/io/hawthornlb/standin/fault/FaultsTest.java
@@ -120,6 +120,15 @@
     assertEquals(1, calls.json("/standin/calls").path("total").asInt());
   }
 
+  @Test
+  void crashWritingEndsTheProcessAfterItHasRunTheRequest() throws IOException {
+    calls.fault("{\"kind\":\"crash-writing\",\"match\":\"poison\"}");
+    assertEquals(200, calls.post("/checkin", "{\"text\":\"fine\"}").statusCode());
+    assertThrows(IOException.class, () -> calls.post("/checkin", "{\"text\":\"poison\"}"));
+    assertTrue(exitCalls.get() >= 1);
+    assertTrue(calls.json("/standin/calls").path("total").asInt() >= 2);
+  }
+
   @Test
   void leavingIsReportedInHealthWhileCallsAreServed() throws IOException {
     calls.fault("{\"kind\":\"leaving\"}");
