Test the decision about parts, its message, its header and blocked items

Cause: CrashReplay and the sockets show the whole; parts that cannot be told apart, bounds, probes and items had no test of their own. Change: tests only.

--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
@@ -91,12 +91,23 @@
       ConfigHolder config,
       EndpointDirectory directory,
       SlotClient slots) {
+    return parts(store, loop, clock, config, directory, slots, CrashGuard.NONE);
+  }
+
+  static JobParts parts(
+      LogStore store,
+      EventLoop loop,
+      InstantSource clock,
+      ConfigHolder config,
+      EndpointDirectory directory,
+      SlotClient slots,
+      CrashGuard crashes) {
     return new JobParts(
         config,
         directory,
         slots,
         new ItemEstimates(SchedulingSettings.DEFAULT),
-        CrashGuard.NONE,
+        crashes,
         new EndpointPool(loop, NAMES, clock, new GatewayMetrics()),
         NAMES,
         store,
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
@@ -4,8 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.hawthornlb.core.crash.PartEvidence;
 import io.hawthornlb.core.model.WorkspaceId;
 import io.hawthornlb.core.work.WorkSize;
+import io.hawthornlb.gateway.crash.PartUpdate;
 import io.hawthornlb.gateway.decode.UnreadableException;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.slot.RefusalCause;
@@ -20,6 +22,7 @@
 import io.hawthornlb.gateway.stream.StreamOrigin;
 import io.hawthornlb.gateway.wire.ReportedLoad;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
@@ -42,8 +45,15 @@
           SlotAnswer.Load.UNKNOWN,
           new RefusalReason(RefusalCause.QUEUE_SHARE, SizeClass.LARGE, Duration.ofMillis(4_100)));
 
+  private static final Instant TRIED = Instant.ofEpochMilli(1_800_000_000_123L);
+
   static List<PeerMessage> messages() {
     return List.of(
+        new PeerMessage.Parts(
+            List.of(
+                new PartUpdate("5c1e07a2", null),
+                new PartUpdate(
+                    "bad0", new PartEvidence(Set.of("e1:-1", "e2:7"), TRIED, TRIED, 1)))),
         new PeerMessage.Ask(
             SlotRequest.builder(KEY, "engine")
                 .batch(true)
