Delete outdated records of parts once, not once an instance

Cause: found on reading the change again: all instances forget a part at about the same time, and each told all others and deleted its record: 390 times 389 datagrams; records of parts that were forgotten for room stayed for ever. Change: each instance drops an outdated part silently and deletes its record after a random time, if nobody has. Records that it cannot read stay. Measured: CrashReplayTest and CrashingPartTest pass.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/support/DefaultCrashGuard.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/support/DefaultCrashGuard.java
@@ -146,7 +146,7 @@
 
   private void expire() {
     Set<String> old = suspicions.expire(clock.instant());
-    publish(old.stream().map(part -> new PartUpdate(part, null)).toList());
+    channels.forEach(channel -> channel.expired(old));
     start();
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/support/StoredEvidence.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/support/StoredEvidence.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
@@ -46,6 +47,12 @@
   /** Pause before an append that failed is made again. */
   private static final Duration RETRY_DELAY = Duration.ofMillis(500);
 
+  /**
+   * Longest time until an outdated record is deleted. All instances notice it at about the same
+   * time, and the first one that deletes it spares the others the call.
+   */
+  private static final Duration MAX_DELETION_DELAY = Duration.ofMinutes(2);
+
   /** Maximum number of parts that wait to be written; bounds the memory during an outage. */
   private static final int MAX_WAITING = 2_000;
 
@@ -57,6 +64,7 @@
   private final UnreadableRecords unreadable;
   private final Map<String, PartUpdate> waiting = new LinkedHashMap<>();
   private final Set<String> contributed = new HashSet<>();
+  private final Set<String> outdated = new HashSet<>();
   private boolean appending;
 
   /** Creates a channel that does all its work on the executor. */
@@ -90,6 +98,27 @@
     append();
   }
 
+  @Override
+  public void expired(Set<String> parts) {
+    if (parts.isEmpty()) {
+      return;
+    }
+    outdated.addAll(parts);
+    long millis = ThreadLocalRandom.current().nextLong(MAX_DELETION_DELAY.toMillis());
+    executor.schedule(this::deleteOutdated, millis, TimeUnit.MILLISECONDS);
+  }
+
+  /** Deletes the records that no other instance has deleted, unless they speak of crashes again. */
+  private void deleteOutdated() {
+    List<PartUpdate> deletions =
+        outdated.stream()
+            .filter(part -> suspicions.evidence(part).isEmpty())
+            .map(part -> new PartUpdate(part, null))
+            .toList();
+    outdated.clear();
+    publish(deletions);
+  }
+
   private void append() {
     if (appending || waiting.isEmpty()) {
       return;
@@ -156,11 +185,15 @@
   private void apply(String part, byte @Nullable [] value) {
     if (value == null) {
       contributed.remove(part);
+      outdated.remove(part);
       receiver.receive("store", new PartUpdate(part, null));
       return;
     }
     PartEvidence stored = EvidenceCodec.decode(value);
     receiver.receive("store", new PartUpdate(part, stored));
+    if (suspicions.evidence(part).isEmpty()) {
+      expired(Set.of(part));
+    }
     if (contributed.contains(part)) {
       suspicions
           .evidence(part)
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerEvidence.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerEvidence.java
@@ -5,6 +5,7 @@
 import io.hawthornlb.gateway.crash.EvidenceReceiver;
 import io.hawthornlb.gateway.crash.PartUpdate;
 import java.util.List;
+import java.util.Set;
 
 /**
  * Tells evidence to all other instances by datagrams, which also arrive while the store is down.
@@ -32,6 +33,11 @@
         });
   }
 
+  @Override
+  public void expired(Set<String> parts) {
+    // The others notice it by themselves.
+  }
+
   @Override
   public void publish(List<PartUpdate> updates) {
     List<PartUpdate> told =
