Give a probe to the request that reaches an endpoint

Cause: found on reading the change again: a probe was used up by the check before the wait for a slot, and the check at the grant refused its request, so that no probe ever reached an endpoint and a wrong block did not end. Change: only the admission to an endpoint uses up a probe, and a request that its endpoint did not get keeps it. Measured: CrashingPartTest.sendsOneRequestAfterAWhileToFindOutWhetherThePartStillCrashes failed before (3 endpoints instead of 4) and passes; CrashReplayTest passes.

--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/crash/PartSuspicions.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/crash/PartSuspicions.java
@@ -27,12 +27,18 @@
   Set<String> began(PromptParts parts, Instant now);
 
   /**
-   * Decides about a request that is about to be sent to an endpoint.
+   * Decides about a request that has yet to wait for its endpoint.
    *
-   * @return why the request must not be sent; empty if it may
+   * @return why the request need not wait, as it will not be sent; empty if it may be
    */
   Optional<CrashBlock> check(PromptParts parts, Instant now);
 
+  /**
+   * Decides about a request that is about to be sent to an endpoint. A probe that is due is used up
+   * by the first request that is admitted.
+   */
+  Admission admit(PromptParts parts, Instant now);
+
   /**
    * Adds what another instance knows of a part.
    *
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/crash/support/DefaultPartSuspicions.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/crash/support/DefaultPartSuspicions.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.core.crash.support;
 
+import io.hawthornlb.core.crash.Admission;
 import io.hawthornlb.core.crash.CrashBlock;
 import io.hawthornlb.core.crash.EndpointCrash;
 import io.hawthornlb.core.crash.PartEvidence;
@@ -7,9 +8,11 @@
 import io.hawthornlb.core.crash.PromptParts;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -83,20 +86,46 @@
 
   @Override
   public Optional<CrashBlock> check(PromptParts parts, Instant now) {
+    for (String part : blocked(parts)) {
+      PartEvidence evidence = suspected.get(part);
+      if (!probeDue(evidence, now)) {
+        prolong(part, evidence, now);
+        return Optional.of(block(evidence, now));
+      }
+    }
+    return Optional.empty();
+  }
+
+  @Override
+  public Admission admit(PromptParts parts, Instant now) {
+    Optional<CrashBlock> block = check(parts, now);
+    if (block.isPresent()) {
+      return new Admission(block, false);
+    }
+    List<String> probed = blocked(parts);
+    for (String part : probed) {
+      suspected.put(part, suspected.get(part).probedAt(now));
+      changed.add(part);
+    }
+    return probed.isEmpty() ? Admission.FREE : new Admission(Optional.empty(), true);
+  }
+
+  /** Returns the parts of a request that are blocked, whether or not a probe of them is due. */
+  private List<String> blocked(PromptParts parts) {
     if (suspected.isEmpty()) {
-      return Optional.empty();
+      return List.of();
     }
+    List<String> blocked = new ArrayList<>();
     for (String part : parts.ids()) {
       PartEvidence evidence = suspected.get(part);
-      if (evidence != null && evidence.crashes().size() >= BLOCKING_CRASHES && culprit(evidence)) {
-        Set<String> alike = explainingAlike(evidence);
-        if (parts.ids().containsAll(alike) && !probe(part, evidence, now)) {
-          prolong(part, evidence, now);
-          return Optional.of(block(alike, evidence, now));
-        }
+      if (evidence != null
+          && evidence.crashes().size() >= BLOCKING_CRASHES
+          && culprit(evidence)
+          && parts.ids().containsAll(explainingAlike(evidence))) {
+        blocked.add(part);
       }
     }
-    return Optional.empty();
+    return blocked;
   }
 
   /** Returns whether no other part explains all these crashes and more. */
@@ -116,16 +145,9 @@
         .collect(Collectors.toSet());
   }
 
-  /** Returns whether the request is let through to find out whether the part still crashes. */
-  private boolean probe(String part, PartEvidence evidence, Instant now) {
-    boolean due =
-        evidence.probes() < MAX_PROBES && !now.isBefore(evidence.tried().plus(pause(evidence)));
-    if (!due) {
-      return false;
-    }
-    suspected.put(part, evidence.probedAt(now));
-    changed.add(part);
-    return true;
+  /** Returns whether a request may find out whether the part still crashes endpoints. */
+  private static boolean probeDue(PartEvidence evidence, Instant now) {
+    return evidence.probes() < MAX_PROBES && !now.isBefore(evidence.tried().plus(pause(evidence)));
   }
 
   /** Keeps a part known while requests with it come. */
@@ -143,13 +165,13 @@
     return evidence.crashes().size() < CERTAIN_CRASHES ? EARLY_PROBE : FIRST_PROBE;
   }
 
-  private CrashBlock block(Set<String> parts, PartEvidence evidence, Instant now) {
+  private CrashBlock block(PartEvidence evidence, Instant now) {
     Duration untilProbe =
         evidence.probes() < MAX_PROBES
             ? Duration.between(now, evidence.tried().plus(pause(evidence)))
             : RETENTION;
     Duration retryAfter = untilProbe.compareTo(MIN_RETRY) < 0 ? MIN_RETRY : untilProbe;
-    return new CrashBlock(parts, evidence.crashes(), retryAfter);
+    return new CrashBlock(explainingAlike(evidence), evidence.crashes(), retryAfter);
   }
 
   @Override
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/crash/support/DefaultPartSuspicionsTest.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/crash/support/DefaultPartSuspicionsTest.java
@@ -63,7 +63,8 @@
     crash("c3", "bad");
     int probes = 0;
     for (int minute = 0; minute < 24 * 60; minute++) {
-      if (!blocked("bad")) {
+      if (!blocked("bad") && suspicions.admit(new PromptParts(Set.of("bad")), now).probe()) {
+        assertTrue(blocked("bad"));
         probes++;
         crash("p" + probes, "bad");
       }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/CrashGuard.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/CrashGuard.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.crash;
 
+import io.hawthornlb.core.crash.Admission;
 import io.hawthornlb.core.crash.CrashBlock;
 import io.hawthornlb.core.crash.PromptParts;
 import java.util.Optional;
@@ -18,6 +19,11 @@
           return Optional.empty();
         }
 
+        @Override
+        public Admission admit(PromptParts parts) {
+          return Admission.FREE;
+        }
+
         @Override
         public void began(String requestId, PromptParts parts) {}
 
@@ -25,9 +31,12 @@
         public void broken(BrokenRun run) {}
       };
 
-  /** Returns why a request must not be sent to an endpoint; empty if it may. */
+  /** Returns why a request need not wait for an endpoint; empty if it may be sent to one. */
   Optional<CrashBlock> check(PromptParts parts);
 
+  /** Decides about a request that is about to be sent to an endpoint. */
+  Admission admit(PromptParts parts);
+
   /** Records that an endpoint has begun to write its answer to a request. */
   void began(String requestId, PromptParts parts);
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/GuardedRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/GuardedRun.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.crash;
 
+import io.hawthornlb.core.crash.Admission;
 import io.hawthornlb.core.crash.CrashBlock;
 import io.hawthornlb.core.crash.PromptParts;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
@@ -16,6 +17,7 @@
   private @Nullable EndpointIncarnation endpoint;
   private @Nullable InetSocketAddress address;
   private boolean begun;
+  private boolean probing;
 
   /** Creates a run that has not been sent yet. */
   public GuardedRun(CrashGuard guard, String requestId, PromptParts parts) {
@@ -24,9 +26,20 @@
     this.parts = parts;
   }
 
-  /** Returns why the request must not be sent to an endpoint; empty if it may. */
+  /** Returns why the request need not wait for an endpoint; empty if it may be sent to one. */
   public Optional<CrashBlock> check() {
-    return guard.check(parts);
+    return probing ? Optional.empty() : guard.check(parts);
+  }
+
+  /** Returns why the request must not be sent to an endpoint now; empty if it is sent. */
+  public Optional<CrashBlock> admit() {
+    if (probing) {
+      // The endpoint before has not got the request, so that the probe is still to be made.
+      return Optional.empty();
+    }
+    Admission admission = guard.admit(parts);
+    probing = admission.probe();
+    return admission.block();
   }
 
   /** Records that an endpoint is sent the request. */
@@ -51,6 +64,7 @@
 
   /** Records that the connection to the endpoint broke. */
   public void broken() {
+    probing = false;
     if (!begun && endpoint != null && address != null) {
       guard.broken(new BrokenRun(requestId, parts, endpoint, address));
     }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/support/DefaultCrashGuard.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/support/DefaultCrashGuard.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.crash.support;
 
+import io.hawthornlb.core.crash.Admission;
 import io.hawthornlb.core.crash.CrashBlock;
 import io.hawthornlb.core.crash.EndpointCrash;
 import io.hawthornlb.core.crash.PartEvidence;
@@ -74,6 +75,13 @@
     return block;
   }
 
+  @Override
+  public Admission admit(PromptParts parts) {
+    Admission admission = suspicions.admit(parts, clock.instant());
+    publishChanges();
+    return admission;
+  }
+
   @Override
   public void began(String requestId, PromptParts parts) {
     Set<String> cleared = suspicions.began(parts, clock.instant());
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -226,7 +226,7 @@
   }
 
   private void acquire() {
-    if (refusedForCrashes()) {
+    if (refused(run.check())) {
       return;
     }
     boolean lateAllowed = rejections > 0 || request.resumesStream();
@@ -252,8 +252,7 @@
   }
 
   /** Ends a request that would crash its endpoint; returns whether it did. */
-  private boolean refusedForCrashes() {
-    Optional<CrashBlock> block = run.check();
+  private boolean refused(Optional<CrashBlock> block) {
     block.ifPresent(
         found -> {
           lines.blocked(found);
@@ -293,7 +292,7 @@
   }
 
   private void send(EndpointIncarnation incarnation) {
-    if (refusedForCrashes()) {
+    if (refused(run.admit())) {
       return;
     }
     endpoint = incarnation;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -174,7 +174,7 @@
   @Override
   public void requestSlot() {
     Optional<Route> route = route();
-    if (route.isEmpty() || blockedForCrashes()) {
+    if (route.isEmpty() || blocked(guarded.check())) {
       // A later configuration may have a route for the item, and the block may end.
       limiter.leave();
       retryAfter(SLOT_WAIT);
@@ -203,8 +203,7 @@
    * Returns whether the item would crash its endpoint. Such an item waits until the part is cleared
    * or its job is given up: no endpoint can complete it, and none has reported that it cannot.
    */
-  private boolean blockedForCrashes() {
-    Optional<CrashBlock> block = guarded.check();
+  private boolean blocked(Optional<CrashBlock> block) {
     block.ifPresent(
         found -> logLine("item.blocked").with("parts", String.join(" ", found.parts())).write());
     return block.isPresent();
@@ -277,7 +276,7 @@
   }
 
   private void send(EndpointIncarnation incarnation) {
-    if (blockedForCrashes()) {
+    if (blocked(guarded.admit())) {
       end(SlotOutcome.ABANDONED);
       retryAfter(SLOT_WAIT);
       return;
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/crash/CrashReplay.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/crash/CrashReplay.java
@@ -118,7 +118,7 @@
     List<CrashFleet.Node> alive = fleet.alive();
     CrashFleet.Node from = alive.get(random.nextInt(alive.size()));
     boolean counted = !crashes && attempt == 1 && parts.ids().contains("first0");
-    if (from.guard.check(parts).isPresent()) {
+    if (from.guard.check(parts).isPresent() || from.guard.admit(parts).block().isPresent()) {
       offered += counted ? 1 : 0;
       refusedSound += crashes ? 0 : 1;
       return;
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/CrashingPartTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/CrashingPartTest.java
@@ -74,6 +74,21 @@
     assertTrue(crashed() <= MAX_CRASHED, crashed() + " endpoints ended");
   }
 
+  /**
+   * Guards against a block that no request can end, as each probe is refused at its second check.
+   */
+  @Test
+  void sendsOneRequestAfterAWhileToFindOutWhetherThePartStillCrashes() throws Exception {
+    for (int i = 0; i < MAX_CRASHED; i++) {
+      call("first:200,bad:50");
+    }
+    final long before = crashed();
+    Thread.sleep(3_200);
+    call("first:200,bad:50");
+    call("first:200,bad:50");
+    assertEquals(before + 1, crashed());
+  }
+
   private Answer call(String sharedParts) throws IOException {
     calls++;
     String headers = "Test-Parts: " + sharedParts + ",own" + calls + ":20\r\n";
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/BlockedItemTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/BlockedItemTest.java
@@ -3,6 +3,7 @@
 import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.hawthornlb.core.crash.Admission;
 import io.hawthornlb.core.crash.CrashBlock;
 import io.hawthornlb.core.crash.PromptParts;
 import io.hawthornlb.gateway.ScriptedEndpoint;
@@ -71,6 +72,11 @@
       return Optional.of(new CrashBlock(parts.ids(), Set.of("c1"), Duration.ofSeconds(1)));
     }
 
+    @Override
+    public Admission admit(PromptParts parts) {
+      return new Admission(check(parts), false);
+    }
+
     @Override
     public void began(String requestId, PromptParts parts) {}
 
