--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/CrowdedFrontTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/CrowdedFrontTest.java
@@ -4,7 +4,6 @@
 
 import io.hawthornlb.gateway.RecordingEventLog;
 import io.hawthornlb.gateway.route.ConfigHolder;
-import io.hawthornlb.gateway.store.LogFreshness;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -23,11 +22,8 @@
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -67,20 +63,6 @@
     return (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
   }
 
-  /** Proof of a log that has never been read. */
-  private static final class NoProof implements LogFreshness {
-
-    @Override
-    public Instant freshAsOf() {
-      return Instant.MIN;
-    }
-
-    @Override
-    public CompletionStage<Void> refresh() {
-      return CompletableFuture.failedFuture(new IllegalStateException("no log"));
-    }
-  }
-
   @BeforeEach
   void start() throws IOException {
     try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
@@ -89,7 +71,7 @@
     new FrontServer(
             this::answer,
             new ConfigHolder(),
-            new ConfigFreshness(new NoProof(), Duration.ofSeconds(2), loop),
+            new ConfigFreshness(new UnprovenLog(), Duration.ofSeconds(2), loop),
             InstantSource.system(),
             new RecordingEventLog())
         .bind(loop, address);
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/FrontServerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/FrontServerTest.java
@@ -4,7 +4,6 @@
 
 import io.hawthornlb.gateway.RecordingEventLog;
 import io.hawthornlb.gateway.route.ConfigHolder;
-import io.hawthornlb.gateway.store.LogFreshness;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -16,10 +15,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.time.Instant;
 import java.time.InstantSource;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -40,20 +36,6 @@
   private InetSocketAddress address;
   private FrontServer server;
 
-  /** Proof of a log that has never been read. */
-  private static final class NoProof implements LogFreshness {
-
-    @Override
-    public Instant freshAsOf() {
-      return Instant.MIN;
-    }
-
-    @Override
-    public CompletionStage<Void> refresh() {
-      return CompletableFuture.failedFuture(new IllegalStateException("no log"));
-    }
-  }
-
   @BeforeEach
   void start() throws IOException {
     try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
@@ -63,7 +45,7 @@
         new FrontServer(
             this::answer,
             new ConfigHolder(),
-            new ConfigFreshness(new NoProof(), Duration.ofSeconds(2), loop),
+            new ConfigFreshness(new UnprovenLog(), Duration.ofSeconds(2), loop),
             InstantSource.system(),
             new RecordingEventLog());
     server.bind(loop, address);
