Log the content of a single request only where two crashes speak against it

Cause: each crash suspects the content of up to eight requests, and each of thirteen instances logged each of them, and its clearing. Change: such a line is written from the second crash on; endpoint.ended names the requests in any case. Measured: CrashReplayTest and CrashingPartTest pass.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/support/DefaultCrashGuard.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/support/DefaultCrashGuard.java
@@ -135,8 +135,9 @@
   public void receive(String source, PartUpdate update) {
     PartEvidence evidence = update.evidence();
     if (evidence == null) {
-      if (suspicions.evidence(update.part()).isPresent()) {
-        suspicions.clear(update.part());
+      Optional<PartEvidence> known = suspicions.evidence(update.part());
+      suspicions.clear(update.part());
+      if (known.isPresent() && worthALine(update.part(), known.get())) {
         log.important("crash", "part.cleared")
             .with("parts", update.part())
             .with("from", source)
@@ -173,11 +174,17 @@
     }
   }
 
+  /** Returns whether a part is more than the content of one request that was beside a crash. */
+  private static boolean worthALine(String part, PartEvidence evidence) {
+    return !PromptParts.isContent(part) || evidence.crashes().size() > 1;
+  }
+
   /** Logs what speaks against a part, so that a refusal can be traced to its crashes. */
   private void logSuspected(String part, String source) {
     Instant now = clock.instant();
     suspicions
         .evidence(part)
+        .filter(evidence -> worthALine(part, evidence))
         .ifPresent(
             evidence ->
                 log.important("crash", "part.suspected")
