Tell others at once only of parts that two crashes speak against

Cause: found on reading the change again: each crash made each instance that had requests there send a datagram to all others for each two parts beside it, and each clearing as well: 91 times 90 for a part that all use. Nearly all of these parts never see a second crash. Change: what one crash suspects, and its clearing, goes through the store alone, the clearing after a random time unless another has done it; if the store takes nothing, the others are told.

--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/crash/PartSuspicions.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/crash/PartSuspicions.java
@@ -22,9 +22,9 @@
   /**
    * Records that an answer has begun, which clears all parts of its request.
    *
-   * @return parts that had been suspected
+   * @return parts that had been suspected, with what spoke against them
    */
-  Set<String> began(PromptParts parts, Instant now);
+  Map<String, PartEvidence> began(PromptParts parts, Instant now);
 
   /**
    * Decides about a request that has yet to wait for its endpoint.
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/crash/support/DefaultPartSuspicions.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/crash/support/DefaultPartSuspicions.java
@@ -74,14 +74,19 @@
   }
 
   @Override
-  public Set<String> began(PromptParts parts, Instant now) {
+  public Map<String, PartEvidence> began(PromptParts parts, Instant now) {
     begun.add(parts, now);
     if (suspected.isEmpty()) {
-      return Set.of();
+      return Map.of();
     }
-    return parts.ids().stream()
-        .filter(part -> suspected.remove(part) != null)
-        .collect(Collectors.toSet());
+    Map<String, PartEvidence> cleared = new HashMap<>();
+    for (String part : parts.ids()) {
+      PartEvidence evidence = suspected.remove(part);
+      if (evidence != null) {
+        cleared.put(part, evidence);
+      }
+    }
+    return cleared;
   }
 
   @Override
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/support/DefaultCrashGuard.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/support/DefaultCrashGuard.java
@@ -84,16 +84,18 @@
 
   @Override
   public void began(String requestId, PromptParts parts) {
-    Set<String> cleared = suspicions.began(parts, clock.instant());
+    Map<String, PartEvidence> cleared = suspicions.began(parts, clock.instant());
     if (cleared.isEmpty()) {
       return;
     }
     metrics.count("crashes", "part cleared");
     log.important("crash", "part.cleared")
-        .with("parts", String.join(" ", cleared))
+        .with("parts", String.join(" ", cleared.keySet()))
         .with("id", requestId)
         .write();
-    publish(cleared.stream().map(part -> new PartUpdate(part, null)).toList());
+    List<PartUpdate> updates =
+        cleared.keySet().stream().map(part -> new PartUpdate(part, null)).toList();
+    publish(updates, cleared.values().stream().anyMatch(DefaultCrashGuard::urgent));
   }
 
   @Override
@@ -160,23 +162,32 @@
   }
 
   private void publishChanges() {
-    List<PartUpdate> updates = new ArrayList<>();
+    List<PartUpdate> urgent = new ArrayList<>();
+    List<PartUpdate> others = new ArrayList<>();
     for (String part : suspicions.takeChanges()) {
-      suspicions.evidence(part).ifPresent(evidence -> updates.add(new PartUpdate(part, evidence)));
       logSuspected(part, "here");
+      suspicions
+          .evidence(part)
+          .ifPresent(
+              evidence -> (urgent(evidence) ? urgent : others).add(new PartUpdate(part, evidence)));
     }
-    publish(updates);
+    publish(urgent, true);
+    publish(others, false);
   }
 
-  private void publish(List<PartUpdate> updates) {
+  private void publish(List<PartUpdate> updates, boolean urgent) {
     if (!updates.isEmpty()) {
-      channels.forEach(channel -> channel.publish(updates));
+      channels.forEach(channel -> channel.publish(updates, urgent));
     }
   }
 
+  private static boolean urgent(PartEvidence evidence) {
+    return evidence.crashes().size() > 1;
+  }
+
   /** Returns whether a part is more than the content of one request that was beside a crash. */
   private static boolean worthALine(String part, PartEvidence evidence) {
-    return !PromptParts.isContent(part) || evidence.crashes().size() > 1;
+    return !PromptParts.isContent(part) || urgent(evidence);
   }
 
   /** Logs what speaks against a part, so that a refusal can be traced to its crashes. */
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/support/StoredEvidence.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/support/StoredEvidence.java
@@ -47,36 +47,44 @@
   /** Pause before an append that failed is made again. */
   private static final Duration RETRY_DELAY = Duration.ofMillis(500);
 
-  /**
-   * Longest time until an outdated record is deleted. All instances notice it at about the same
-   * time, and the first one that deletes it spares the others the call.
-   */
-  private static final Duration MAX_DELETION_DELAY = Duration.ofMinutes(2);
+  /** Longest time until the record of a part that nobody asks for is deleted. */
+  private static final Duration MAX_EXPIRY_DELAY = Duration.ofMinutes(2);
+
+  /** Longest time until the record of a cleared part against which one crash spoke is deleted. */
+  private static final Duration MAX_CLEARING_DELAY = Duration.ofMillis(800);
 
   /** Maximum number of parts that wait to be written; bounds the memory during an outage. */
   private static final int MAX_WAITING = 2_000;
 
   private final PartSuspicions suspicions;
   private final EvidenceReceiver receiver;
+  private final EvidenceChannel fallback;
   private final LogStore store;
   private final ScheduledExecutorService executor;
   private final EventLog log;
   private final UnreadableRecords unreadable;
   private final Map<String, PartUpdate> waiting = new LinkedHashMap<>();
   private final Set<String> contributed = new HashSet<>();
-  private final Set<String> outdated = new HashSet<>();
+  private final Set<String> obsolete = new HashSet<>();
+  private final Set<String> told = new HashSet<>();
   private boolean appending;
 
-  /** Creates a channel that does all its work on the executor. */
+  /**
+   * Creates a channel that does all its work on the executor.
+   *
+   * @param fallback tells updates that the store did not take
+   */
   public StoredEvidence(
       PartSuspicions suspicions,
       EvidenceReceiver receiver,
+      EvidenceChannel fallback,
       LogStore store,
       ScheduledExecutorService executor,
       InstantSource clock,
       EventLog log) {
     this.suspicions = suspicions;
     this.receiver = receiver;
+    this.fallback = fallback;
     this.store = store;
     this.executor = executor;
     this.log = log;
@@ -84,13 +92,25 @@
   }
 
   @Override
-  public void publish(List<PartUpdate> updates) {
+  public void publish(List<PartUpdate> updates, boolean urgent) {
+    if (urgent || updates.get(0).evidence() != null) {
+      write(updates);
+      return;
+    }
+    Set<String> cleared = new HashSet<>();
+    updates.forEach(update -> cleared.add(update.part()));
+    cleared.forEach(contributed::remove);
+    deleteLater(cleared, MAX_CLEARING_DELAY);
+  }
+
+  private void write(List<PartUpdate> updates) {
     for (PartUpdate update : updates) {
       if (update.evidence() == null) {
         contributed.remove(update.part());
       } else {
         contributed.add(update.part());
       }
+      told.remove(update.part());
       if (waiting.size() < MAX_WAITING || waiting.containsKey(update.part())) {
         waiting.put(update.part(), update);
       }
@@ -100,23 +120,30 @@
 
   @Override
   public void expired(Set<String> parts) {
-    if (parts.isEmpty()) {
-      return;
+    if (!parts.isEmpty()) {
+      deleteLater(parts, MAX_EXPIRY_DELAY);
     }
-    outdated.addAll(parts);
-    long millis = ThreadLocalRandom.current().nextLong(MAX_DELETION_DELAY.toMillis());
-    executor.schedule(this::deleteOutdated, millis, TimeUnit.MILLISECONDS);
   }
 
-  /** Deletes the records that no other instance has deleted, unless they speak of crashes again. */
-  private void deleteOutdated() {
-    List<PartUpdate> deletions =
-        outdated.stream()
-            .filter(part -> suspicions.evidence(part).isEmpty())
-            .map(part -> new PartUpdate(part, null))
-            .toList();
-    outdated.clear();
-    publish(deletions);
+  /**
+   * Deletes records after a random time, unless another instance has deleted them or they speak of
+   * crashes again. All instances notice at about the same time that a record is obsolete, and the
+   * first one that deletes it spares the others the call.
+   */
+  private void deleteLater(Set<String> parts, Duration longest) {
+    obsolete.addAll(parts);
+    long millis = ThreadLocalRandom.current().nextLong(longest.toMillis());
+    executor.schedule(() -> deleteNow(parts), millis, TimeUnit.MILLISECONDS);
+  }
+
+  private void deleteNow(Set<String> parts) {
+    List<PartUpdate> deletions = new ArrayList<>();
+    for (String part : parts) {
+      if (obsolete.remove(part) && suspicions.evidence(part).isEmpty()) {
+        deletions.add(new PartUpdate(part, null));
+      }
+    }
+    write(deletions);
   }
 
   private void append() {
@@ -136,12 +163,16 @@
     if (failure == null) {
       // An update of the same part may have come meanwhile.
       sent.forEach(waiting::remove);
+      sent.keySet().forEach(told::remove);
       append();
       return;
     }
     log.important("crash", "write.failed")
         .with("cause", String.valueOf(failure.getMessage()))
         .write();
+    List<PartUpdate> untold =
+        sent.values().stream().filter(update -> told.add(update.part())).toList();
+    fallback.publish(untold, true);
     executor.schedule(this::append, RETRY_DELAY.toMillis(), TimeUnit.MILLISECONDS);
   }
 
@@ -185,7 +216,7 @@
   private void apply(String part, byte @Nullable [] value) {
     if (value == null) {
       contributed.remove(part);
-      outdated.remove(part);
+      obsolete.remove(part);
       receiver.receive("store", new PartUpdate(part, null));
       return;
     }
@@ -198,7 +229,7 @@
       suspicions
           .evidence(part)
           .filter(known -> !stored.covers(known))
-          .ifPresent(known -> publish(List.of(new PartUpdate(part, known))));
+          .ifPresent(known -> write(List.of(new PartUpdate(part, known))));
     }
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerEvidence.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/PeerEvidence.java
@@ -8,7 +8,8 @@
 import java.util.Set;
 
 /**
- * Tells evidence to all other instances by datagrams, which also arrive while the store is down.
+ * Tells urgent evidence to all other instances by datagrams, which also arrive while the store is
+ * down.
  *
  * <p>What is known of the content of single requests is left to the store: each crash concerns the
  * content of several requests, most of which never return.
@@ -39,7 +40,10 @@
   }
 
   @Override
-  public void publish(List<PartUpdate> updates) {
+  public void publish(List<PartUpdate> updates, boolean urgent) {
+    if (!urgent) {
+      return;
+    }
     List<PartUpdate> told =
         updates.stream().filter(update -> !PromptParts.isContent(update.part())).toList();
     for (int from = 0; from < told.size(); from += UPDATES_PER_DATAGRAM) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -218,8 +218,9 @@
     PartSuspicions suspicions = new DefaultPartSuspicions();
     DefaultCrashGuard guard =
         new DefaultCrashGuard(suspicions, new ConnectionProbe(loop), loop, clock, log, metrics);
-    guard.addChannel(new PeerEvidence(fleet, transport, guard));
-    StoredEvidence stored = new StoredEvidence(suspicions, guard, store, loop, clock, log);
+    PeerEvidence peers = new PeerEvidence(fleet, transport, guard);
+    guard.addChannel(peers);
+    StoredEvidence stored = new StoredEvidence(suspicions, guard, peers, store, loop, clock, log);
     guard.addChannel(stored);
     caller.onStoreRecovered(
         follow(store, StoredEvidence.TOPIC, KeyedFollower.RELAXED_WAIT, stored)::readNow);
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/crash/CrashFleet.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/crash/CrashFleet.java
@@ -67,9 +67,11 @@
       RecordingEventLog log = new RecordingEventLog();
       DefaultCrashGuard sharing =
           new DefaultCrashGuard(suspicions, liveness, time.loop(), time, log, new GatewayMetrics());
-      sharing.addChannel(new PeerEvidence(fleet, this, sharing));
+      PeerEvidence peers = new PeerEvidence(fleet, this, sharing);
+      sharing.addChannel(peers);
       Store own = new Store();
-      StoredEvidence stored = new StoredEvidence(suspicions, sharing, own, time.loop(), time, log);
+      StoredEvidence stored =
+          new StoredEvidence(suspicions, sharing, peers, own, time.loop(), time, log);
       sharing.addChannel(stored);
       new KeyedFollower(
               own,
