Ask nothing and read no clock for a request while no part is suspected

Cause: found on reading the change again: each request read the clock twice more and made three collections, though nothing is suspected nearly always. Change: the guard asks first whether any part is. Measured: the tests of the guard pass; processor time was not measured.

--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/crash/PartSuspicions.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/crash/PartSuspicions.java
@@ -49,6 +49,9 @@
   /** Forgets what speaks against a part, because an answer has begun on it elsewhere. */
   void clear(String part);
 
+  /** Returns whether something speaks against any part; where not, all requests are admitted. */
+  boolean any();
+
   /** Returns what speaks against a part; empty if nothing does. */
   Optional<PartEvidence> evidence(String part);
 
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/crash/support/DefaultPartSuspicions.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/crash/support/DefaultPartSuspicions.java
@@ -214,6 +214,11 @@
     suspected.remove(part);
   }
 
+  @Override
+  public boolean any() {
+    return !suspected.isEmpty();
+  }
+
   @Override
   public Optional<PartEvidence> evidence(String part) {
     return Optional.ofNullable(suspected.get(part));
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/support/DefaultCrashGuard.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/support/DefaultCrashGuard.java
@@ -70,6 +70,9 @@
 
   @Override
   public Optional<CrashBlock> check(PromptParts parts) {
+    if (!suspicions.any()) {
+      return Optional.empty();
+    }
     Optional<CrashBlock> block = suspicions.check(parts, clock.instant());
     publishChanges();
     return block;
@@ -77,6 +80,9 @@
 
   @Override
   public Admission admit(PromptParts parts) {
+    if (!suspicions.any()) {
+      return Admission.FREE;
+    }
     Admission admission = suspicions.admit(parts, clock.instant());
     publishChanges();
     return admission;
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/PeerCodecTest.java
@@ -49,11 +49,6 @@
 
   static List<PeerMessage> messages() {
     return List.of(
-        new PeerMessage.Parts(
-            List.of(
-                new PartUpdate("5c1e07a2", null),
-                new PartUpdate(
-                    "bad0", new PartEvidence(Set.of("e1:-1", "e2:7"), TRIED, TRIED, 1)))),
         new PeerMessage.Ask(
             SlotRequest.builder(KEY, "engine")
                 .batch(true)
@@ -114,6 +109,11 @@
   /** Returns messages about streams that are continued at the version that began them. */
   static List<PeerMessage> versionMessages() {
     return List.of(
+        new PeerMessage.Parts(
+            List.of(
+                new PartUpdate("5c1e07a2", null),
+                new PartUpdate(
+                    "bad0", new PartEvidence(Set.of("e1:-1", "e2:7"), TRIED, TRIED, 1)))),
         new PeerMessage.Ask(SlotRequest.builder(KEY, "engine").version("v1.2").build()),
         new PeerMessage.Ask(
             SlotRequest.builder(KEY, "engine")
