Give the log line of a test a time that exists

Cause: ExplanationTest.leadsFromABlockedRequestToTheCrashesOfItsPart wrote a line of second 90, which the reader passes over; it never passed. Change: second 9, later than the other lines as before; what is asserted stays.

--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/explain/ExplanationTest.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/explain/ExplanationTest.java
@@ -82,7 +82,7 @@
         write(
             "b.log",
             line(2, "crash", "part.suspected", "\"parts\":\"p\",\"from\":\"a\""),
-            line(90, "front", "request.blocked", "\"id\":\"s9\",\"parts\":\"p\""));
+            line(9, "front", "request.blocked", "\"id\":\"s9\",\"parts\":\"p\""));
     LogReader reader = new LogReader();
     reader.read(other);
     reader.read(refusing);
