--- a/review/lib/Fleet.java
+++ b/review/lib/Fleet.java
@@ -14,6 +14,9 @@
   /** Path prefix of the batch route. */
   public static final String PATH = "/pule252/";
 
+  /** Longest time of a case; it leaves some seconds to end all processes. */
+  private static final long MAX_MILLIS = 112_000;
+
   private static final String BATCH_ROUTE =
       """
       {"Name":"r-lots","Host":"%s","PathPrefix":"%s","Kind":"batch","TimeoutMs":15000,
@@ -40,6 +43,18 @@
     this.store = store;
     this.folder = Files.createTempDirectory("review");
     Runtime.getRuntime().addShutdownHook(new Thread(this::close));
+    Daemon.start(Fleet::endInTime);
+  }
+
+  /** Ends a case that takes too long, as one that could not run. */
+  private static void endInTime() {
+    try {
+      Thread.sleep(MAX_MILLIS);
+      System.err.println("The case took too long");
+      System.exit(2);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 
   /** Writes a desired state with a batch route and a route of streams on the same host. */
