Tell in logs and metrics why an answer was dropped and why a read was refused

- answers.dropped counts answers of endpoints that reach no request, by the owner of the answer; endpoint answer.dropped names the request that waits, the id that the answer echoes, the endpoint, the status and how many requests the connection had carried.
- item.failed, and item.given.up for the attempt that ends an item, tell how many requests the connection had carried and how long after the request the answer came. item.given.up and item.broken are no routine lines any more.
- explain leads from a refused read to the version that refused it, and to a dropped answer from either id.

A field of EndpointHandler that was set and never read is gone.

--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/explain/Explanation.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/explain/Explanation.java
@@ -13,8 +13,10 @@
  *
  * <p>These are the lines that name the id or the attempt that began its stream, and lines of the
  * same instances from about the same time that report a change of the instance's state or of an
- * endpoint that the id's own lines name. If a part of its prompt was blocked, the lines of all
- * instances about that part and its crashes are the evidence, whenever they were written.
+ * endpoint that the id's own lines name. If the id was refused by a configuration, the line that
+ * put this version in force is among them, whenever it was written. If a part of its prompt was
+ * blocked, the lines of all instances about that part and its crashes are the evidence, whenever
+ * they were written.
  */
 public final class Explanation {
 
@@ -63,7 +65,8 @@
     List<LogEvent> lines = new ArrayList<>(ownLines);
     Set<String> blocked = blockedParts(ownLines);
     for (LogEvent event : events) {
-      if (!ownLines.contains(event) && isEvidence(event, blocked)) {
+      if (!ownLines.contains(event)
+          && (isEvidence(event, blocked) || isRefusingConfig(event, ownLines))) {
         lines.add(event);
         continue;
       }
@@ -103,6 +106,20 @@
         && event.words("parts").stream().anyMatch(blocked::contains);
   }
 
+  /** Returns whether a line put the configuration in force by which one of the lines refused. */
+  private static boolean isRefusingConfig(LogEvent event, List<LogEvent> ownLines) {
+    if (!event.name().equals("config applied")) {
+      return false;
+    }
+    String version = event.fields().path("version").asText();
+    return ownLines.stream()
+        .anyMatch(
+            line ->
+                line.source().equals(event.source())
+                    && line.name().equals("front request.refused")
+                    && line.fields().path("config").asText().equals(version));
+  }
+
   private static boolean isContext(LogEvent event, Set<String> endpoints) {
     boolean aboutEndpoint = event.fields().path("part").asText().equals("endpoint");
     String endpoint = event.fields().path("endpoint").asText();
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/explain/LogEvent.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/explain/LogEvent.java
@@ -22,11 +22,12 @@
 
   /**
    * Returns whether the line has the given id as its {@code id} or {@code job} field, among its
-   * {@code ids}, or as the attempt that began its stream.
+   * {@code ids}, as the attempt that began its stream, or as the id that a dropped answer named.
    */
   boolean concerns(String id) {
     return fields.path("id").asText().equals(id)
         || fields.path("job").asText().equals(id)
+        || fields.path("echoed").asText().equals(id)
         || words("ids").contains(id)
         || begunBy().equals(id);
   }
--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/explain/ExplanationTest.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/explain/ExplanationTest.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class ExplanationTest {
 
@@ -45,6 +47,33 @@
             .toList());
   }
 
+  /** Guards against a refused read of a job of which nobody sees which version refused it. */
+  @Test
+  void leadsFromARefusedReadToTheVersionThatRemovedTheRoute() throws IOException {
+    Path log =
+        write(
+            "a.log",
+            line(1, "config", "applied", "\"version\":1"),
+            line(2, "config", "applied", "\"version\":2,\"removed\":\"jobs\""),
+            line(9, "front", "request.refused", "\"job\":\"j1\",\"status\":404,\"config\":2"));
+    LogReader reader = new LogReader();
+    reader.read(log);
+    assertEquals(
+        List.of("config applied", "front request.refused"),
+        Explanation.of("j1", reader.events()).stream().map(LogEvent::name).toList());
+  }
+
+  /** Guards against an answer that is dropped as another's and of which neither id tells. */
+  @ParameterizedTest
+  @ValueSource(strings = {"r1", "r2"})
+  void showsADroppedAnswerForBothRequests(String id) throws IOException {
+    Path log =
+        write("a.log", line(1, "endpoint", "answer.dropped", "\"id\":\"r2\",\"echoed\":\"r1\""));
+    LogReader reader = new LogReader();
+    reader.read(log);
+    assertEquals(1, Explanation.of(id, reader.events()).size());
+  }
+
   /** Guards against a refused stream of which nobody sees where it began. */
   @Test
   void leadsFromAnAttemptToTheOneThatBeganItsStream() throws IOException {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardingHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardingHandler.java
@@ -77,7 +77,8 @@
   /** Creates a handler. */
   public ForwardingHandler(Parts parts) {
     this.parts = parts;
-    this.resolver = new RequestResolver(parts.names(), request -> parts.jobs().namesJob(request));
+    this.resolver =
+        new RequestResolver(parts.names(), request -> parts.jobs().namedJob(request).isPresent());
   }
 
   /**
@@ -194,6 +195,7 @@
         .log()
         .important("front", "request.refused")
         .with("id", request.headers().get(parts.names().requestId()))
+        .with("job", parts.jobs().namedJob(request).orElse(null))
         .with("status", status)
         .with("cause", cause)
         .with("config", parts.config().current().map(RoutingConfig::version).orElse(-1L))
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/JobRequestHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/JobRequestHandler.java
@@ -1,11 +1,13 @@
 package io.hawthornlb.gateway.front;
 
+import java.util.Optional;
+
 /** Handles callers' requests about jobs. */
 public interface JobRequestHandler extends RequestHandler {
 
   /**
-   * Returns whether a request concerns a job that was accepted earlier; such a request needs no
-   * route.
+   * Returns the id of the job that a request concerns if the job must have been accepted earlier;
+   * such a request needs no route.
    */
-  boolean namesJob(FrontRequest request);
+  Optional<String> namedJob(FrontRequest request);
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -370,10 +370,12 @@
     // If the route is missing at present, the item is not given up: a later configuration may have
     // the route again and may allow more attempts.
     int maxAttempts = route().map(Route::maxAttempts).orElse(Integer.MAX_VALUE);
+    boolean givenUp =
+        ItemRules.afterFailure(status, failures, maxAttempts) == ItemRules.Next.GIVE_UP;
+    logFailure(status, givenUp);
     end(SlotOutcome.ANSWERED);
     parts.metrics().count("items.failed", String.valueOf(status));
-    logLine("item.failed").with("status", status).with("failures", failures).write();
-    if (ItemRules.afterFailure(status, failures, maxAttempts) == ItemRules.Next.GIVE_UP) {
+    if (givenUp) {
       stopped = true;
       outcome.done(item, new JobResult(item.id(), false, ""));
     } else {
@@ -382,8 +384,28 @@
     }
   }
 
+  /** Logs a failed attempt with what shows whether its answer can be a late copy of another. */
+  private void logFailure(int status, boolean givenUp) {
+    EventLine line = givenUp ? importantLine("item.given.up") : logLine("item.failed");
+    EndpointCall failed = call;
+    Instant sent = sentAt;
+    if (failed != null && sent != null) {
+      line.with("carried", failed.carriedBefore())
+          .with("millis", Duration.between(sent, parts.clock().instant()).toMillis());
+    }
+    line.with("status", status).with("failures", failures).write();
+  }
+
   private EventLine logLine(String event) {
-    return parts.log().routine("job", event).with("id", item.id()).with("job", job.callerId());
+    return named(parts.log().routine("job", event));
+  }
+
+  private EventLine importantLine(String event) {
+    return named(parts.log().important("job", event));
+  }
+
+  private EventLine named(EventLine line) {
+    return line.with("id", item.id()).with("job", job.callerId());
   }
 
   /** Handles the response of one endpoint. */
@@ -485,7 +507,7 @@
 
     @Override
     public void onFailure(boolean sent, String cause) {
-      logLine("item.broken").with("endpoint", incarnation.id()).with("cause", cause).write();
+      importantLine("item.broken").with("endpoint", incarnation.id()).with("cause", cause).write();
       if (sent) {
         guarded.broken();
       }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobFormat.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobFormat.java
@@ -18,9 +18,10 @@
   Optional<JobCall> call(FrontRequest request);
 
   /**
-   * Returns whether method and path are those of a request about a job that was submitted before.
+   * Returns the id of the job that a request is about, if method and path are those of a request
+   * about a job that was submitted before.
    */
-  boolean namesJob(FrontRequest request);
+  Optional<String> namedJob(FrontRequest request);
 
   /**
    * Encodes a page of results.
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRequestRouter.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRequestRouter.java
@@ -117,8 +117,8 @@
   }
 
   @Override
-  public boolean namesJob(FrontRequest request) {
-    return format.namesJob(request);
+  public Optional<String> namedJob(FrontRequest request) {
+    return format.namedJob(request);
   }
 
   @Override
@@ -143,11 +143,15 @@
     try {
       call = format.call(request).map(parsed -> scoped(parsed, request));
     } catch (IllegalArgumentException e) {
-      log.important("job", "call.unreadable").with("cause", e.getMessage()).write();
+      log.important("job", "call.unreadable")
+          .with("job", format.namedJob(request).orElse(null))
+          .with("cause", e.getMessage())
+          .write();
       responder.sendStatus(400, null);
       return Optional.empty();
     }
     if (call.isEmpty()) {
+      log.important("job", "call.unreadable").with("cause", "not about a job").write();
       responder.sendStatus(404, null);
     }
     return call;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobService.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobService.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.gateway.job;
 
 import io.hawthornlb.core.workspace.Workspace;
+import io.hawthornlb.gateway.event.EventLine;
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.front.FrontRequest;
 import io.hawthornlb.gateway.front.Responder;
@@ -281,7 +282,7 @@
                 return;
               }
               if (failure != null) {
-                logStatus("job.unsure", wait.job().id(), 503);
+                logUnsure(wait.job().id(), failure);
                 wait.responder().sendStatus(503, STORE_RETRY);
               } else {
                 readLog(wait);
@@ -346,7 +347,7 @@
           if (found.isPresent()) {
             action.accept(found.get());
           } else if (failure != null || maybeAccepted(replica, jobId)) {
-            logStatus("job.unsure", jobId, 503);
+            logUnsure(jobId, failure);
             responder.sendStatus(503, STORE_RETRY);
           } else {
             logStatus("job.unknown", jobId, 404);
@@ -377,7 +378,25 @@
     return cause instanceof StoreException store ? store.kind() : StoreException.Kind.UNKNOWN;
   }
 
+  /**
+   * Logs why nobody can say yet whether a job or its next result exists.
+   *
+   * @param failure why the log could not be read; null if it was read and the job's records are
+   *     incomplete
+   */
+  private void logUnsure(String jobId, @Nullable Throwable failure) {
+    String cause = failure == null ? "its records are incomplete" : failure.toString();
+    statusLine("job.unsure", jobId, 503).with("cause", cause).write();
+  }
+
   private void logStatus(String event, String jobId, int status) {
-    log.important("job", event).with("id", JobScope.callerId(jobId)).with("status", status).write();
+    statusLine(event, jobId, status).write();
+  }
+
+  private EventLine statusLine(String event, String jobId, int status) {
+    return log.important("job", event)
+        .with("id", JobScope.callerId(jobId))
+        .with("status", status)
+        .with("partition", replicas.partition(jobId));
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -116,7 +116,7 @@
     LogStore store = new CountedLogStore(access.client().apply(caller), metrics);
     PeerTransport transport = peerTransport();
     FleetSlotClient slots = slotClient(fleet, transport, store);
-    EndpointPool pool = new EndpointPool(loop, names, clock, metrics);
+    EndpointPool pool = new EndpointPool(loop, names, clock, metrics, log);
     CrashGuard crashes = crashGuard(fleet, transport, store, caller);
     directory.onRemoval(endpoint -> pool.forget(endpoint.incarnation()));
     directory.onRestart(pool::onRestart);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/route/RoutingConfig.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/route/RoutingConfig.java
@@ -56,6 +56,14 @@
     return limits;
   }
 
+  /** Returns the names of all routes. */
+  public Set<String> routeNames() {
+    return routesByHost.values().stream()
+        .flatMap(List::stream)
+        .map(Route::name)
+        .collect(Collectors.toSet());
+  }
+
   /** Returns the names of all services that routes use. */
   public Set<String> services() {
     return services;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointCall.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointCall.java
@@ -8,4 +8,7 @@
 
   /** Suspends or resumes reading the response. */
   void setReading(boolean on);
+
+  /** Returns how many requests the connection carried before this one; zero for a new one. */
+  int carriedBefore();
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
@@ -49,11 +49,12 @@
   private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,9})");
 
   private final ConnectionCounts counts;
+  private final AnswerLines answers;
   private @Nullable PooledCall call;
   private @Nullable EndpointIncarnation idleEndpoint;
   private @Nullable EndpointPool pool;
   private @Nullable ScheduledFuture<?> idleTimer;
-  private boolean ignoring;
+  private int carried;
   private boolean inAnswer;
   private boolean answered;
   private boolean reusable = true;
@@ -65,8 +66,9 @@
   private Instant opened = Instant.MAX;
   private @Nullable EndpointIncarnation incarnation;
 
-  EndpointHandler(ConnectionCounts counts) {
+  EndpointHandler(ConnectionCounts counts, AnswerLines answers) {
     this.counts = counts;
+    this.answers = answers;
   }
 
   void opened(EndpointIncarnation endpoint, Instant when) {
@@ -92,15 +94,17 @@
     return opened;
   }
 
-  void begin(PooledCall next) {
+  /** Starts a request; returns how many the connection carried before. */
+  int begin(PooledCall next) {
     idleBefore = currentIdleTime();
     startNanos = next.pool().loop().ticker().nanoTime();
     stopIdleTimer();
     call = next;
     idleEndpoint = null;
-    ignoring = false;
     inAnswer = false;
     answered = false;
+    carried++;
+    return carried - 1;
   }
 
   /** Returns how long the connection has been idle; zero if it is new or in use. */
@@ -117,6 +121,9 @@
         ctx.channel(), current == null ? WorkKind.OTHER : current.listener().work());
     if (current == null || current.done() || message.decoderResult().isFailure()) {
       reusable = false;
+      if (current == null && message instanceof HttpResponse response) {
+        dropped(AnswerOwner.NOBODY, response, null);
+      }
       ctx.close();
       if (current != null) {
         current.failed("the response is not HTTP");
@@ -135,19 +142,18 @@
         // without a length. Such a response is not complete.
         onResponseEnd(ctx.channel(), current);
       }
-    } else if (message instanceof LastHttpContent) {
-      ignoring = false;
     }
   }
 
   private void onResponse(HttpResponse response, PooledCall current) {
     if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-      ignoring = true;
       return;
     }
-    if (!current.owns(response)) {
-      ignoring = true;
+    String echoed = response.headers().get(answers.requestIdName());
+    AnswerOwner owner = AnswerOwner.of(echoed, current.requestId());
+    if (owner == AnswerOwner.OTHER_REQUEST) {
       reusable = false;
+      dropped(owner, response, current);
       return;
     }
     inAnswer = true;
@@ -157,6 +163,18 @@
     current.listener().onResponse(response);
   }
 
+  private void dropped(AnswerOwner owner, HttpResponse response, @Nullable PooledCall waiting) {
+    EndpointIncarnation endpoint = incarnation;
+    answers.dropped(
+        new DroppedAnswer(
+            owner,
+            response.headers().get(answers.requestIdName()),
+            waiting == null ? null : waiting.requestId(),
+            endpoint == null ? null : endpoint.id(),
+            response.status().code(),
+            carried));
+  }
+
   private void readKeepAliveTimeout(HttpResponse response) {
     String keepAlive = response.headers().get("Keep-Alive");
     if (keepAlive == null) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointPool.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointPool.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.gateway.wire;
 
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
+import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.metric.GatewayMetrics;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -45,18 +46,24 @@
   private final HeaderNames names;
   private final InstantSource clock;
   private final ConnectionCounts counts;
+  private final AnswerLines answers;
   private final Map<EndpointIncarnation, Deque<Channel>> idle = new HashMap<>();
   private final Set<PooledCall> running = new HashSet<>();
   private final Bootstrap bootstrap;
 
   /** Creates a pool that does all its work on the event loop. */
   public EndpointPool(
-      EventLoop loop, HeaderNames names, InstantSource clock, GatewayMetrics metrics) {
+      EventLoop loop,
+      HeaderNames names,
+      InstantSource clock,
+      GatewayMetrics metrics,
+      EventLog log) {
     this.idleLimits = new IdleLimits(loop);
     this.loop = loop;
     this.clock = clock;
     this.names = names;
     this.counts = new ConnectionCounts(metrics);
+    this.answers = new AnswerLines(names, metrics, log);
     this.bootstrap =
         new Bootstrap()
             .group(loop)
@@ -199,7 +206,7 @@
     @Override
     protected void initChannel(Channel channel) {
       channel.pipeline().addLast(new HttpClientCodec());
-      channel.pipeline().addLast(new EndpointHandler(counts));
+      channel.pipeline().addLast(new EndpointHandler(counts, answers));
     }
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/PooledCall.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/PooledCall.java
@@ -4,7 +4,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import java.time.Instant;
 import org.jspecify.annotations.Nullable;
 
@@ -18,6 +17,7 @@
   private @Nullable FullHttpRequest request;
   private @Nullable Channel channel;
   private @Nullable ChannelFuture written;
+  private int carriedBefore;
   private boolean done;
 
   PooledCall(
@@ -44,7 +44,7 @@
     }
     channel = to;
     pool.began(this);
-    EndpointPool.handler(to).begin(this);
+    carriedBefore = EndpointPool.handler(to).begin(this);
     to.config().setAutoRead(true);
     written = to.writeAndFlush(outgoing);
   }
@@ -73,6 +73,11 @@
     }
   }
 
+  @Override
+  public int carriedBefore() {
+    return carriedBefore;
+  }
+
   EndpointPool pool() {
     return pool;
   }
@@ -94,10 +99,9 @@
     return listener;
   }
 
-  /** Returns whether a response belongs to this request, by the request id that endpoints echo. */
-  boolean owns(HttpResponse response) {
-    String echoed = response.headers().get(pool.names().requestId());
-    return echoed == null || echoed.equals(requestId);
+  /** Returns the id of the request; null if it has none. */
+  @Nullable String requestId() {
+    return requestId;
   }
 
   /**
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/ScriptedEndpoint.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/ScriptedEndpoint.java
@@ -40,6 +40,8 @@
   /** What the endpoint does with the connection after an answer. */
   public enum After {
     KEEP,
+    /** Keeps the connection, and sends the answer once more before the next answer on it. */
+    KEEP_AND_REPEAT,
     CLOSE,
     RESET,
     WAIT,
@@ -130,6 +132,7 @@
   private void serve(Socket socket) {
     try (socket) {
       InputStream in = socket.getInputStream();
+      String late = "";
       while (true) {
         String request = read(in);
         if (request.isEmpty()) {
@@ -139,8 +142,9 @@
         Step step = stepFor(request);
         Matcher id = REQUEST_ID.matcher(request);
         String answer = step.answer().replace(ID, id.find() ? id.group(1) : "");
-        socket.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
+        socket.getOutputStream().write((late + answer).getBytes(StandardCharsets.UTF_8));
         socket.getOutputStream().flush();
+        late = step.after() == After.KEEP_AND_REPEAT ? answer : "";
         step.until().await();
         socket.getOutputStream().write(step.rest().getBytes(StandardCharsets.UTF_8));
         socket.getOutputStream().flush();
@@ -179,7 +183,7 @@
       }
       callerDisconnected.countDown();
     }
-    return after == After.KEEP;
+    return after == After.KEEP || after == After.KEEP_AND_REPEAT;
   }
 
   private static String read(InputStream in) throws IOException {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/NamedFormats.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/NamedFormats.java
@@ -51,8 +51,8 @@
   }
 
   @Override
-  public boolean namesJob(FrontRequest request) {
-    return false;
+  public Optional<String> namedJob(FrontRequest request) {
+    return Optional.empty();
   }
 
   @Override
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/FixedJobFormat.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/FixedJobFormat.java
@@ -13,8 +13,8 @@
   }
 
   @Override
-  public boolean namesJob(FrontRequest request) {
-    return true;
+  public Optional<String> namedJob(FrontRequest request) {
+    return Optional.of(next.jobId());
   }
 
   @Override
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
@@ -108,7 +108,7 @@
         slots,
         new ItemEstimates(SchedulingSettings.DEFAULT),
         crashes,
-        new EndpointPool(loop, NAMES, clock, new GatewayMetrics()),
+        new EndpointPool(loop, NAMES, clock, new GatewayMetrics(), new RecordingEventLog()),
         NAMES,
         store,
         Duration.ofSeconds(120),
@@ -139,8 +139,8 @@
     }
 
     @Override
-    public boolean namesJob(FrontRequest request) {
-      return false;
+    public Optional<String> namedJob(FrontRequest request) {
+      return Optional.empty();
     }
 
     @Override
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/wire/ConnectionCountsTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/wire/ConnectionCountsTest.java
@@ -2,8 +2,10 @@
 
 import static io.hawthornlb.gateway.ScriptedEndpoint.After.CLOSE;
 import static io.hawthornlb.gateway.ScriptedEndpoint.After.KEEP;
+import static io.hawthornlb.gateway.ScriptedEndpoint.After.KEEP_AND_REPEAT;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.hawthornlb.gateway.RecordingEventLog;
 import io.hawthornlb.gateway.ScriptedEndpoint;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.loop.WorkKind;
@@ -38,9 +40,10 @@
   private final EventLoop loop =
       (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
   private final GatewayMetrics metrics = new GatewayMetrics();
+  private final RecordingEventLog log = new RecordingEventLog();
   private final MetricsText text = new MetricsText(metrics);
   private final EndpointPool pool =
-      new EndpointPool(loop, names(), InstantSource.system(), metrics);
+      new EndpointPool(loop, names(), InstantSource.system(), metrics, log);
   private int sent;
 
   @AfterEach
@@ -77,6 +80,18 @@
     }
   }
 
+  /** Guards against late answers of which neither logs nor metrics tell. */
+  @Test
+  void countsAnswersThatReachNoRequest() throws Exception {
+    try (ScriptedEndpoint endpoint = new ScriptedEndpoint()) {
+      endpoint.then(OK, KEEP_AND_REPEAT).then(OK, KEEP);
+      call(endpoint);
+      call(endpoint);
+      awaitCount("answers_dropped_total{by=\"other id\"} 1");
+      assertTrue(log.events().contains("endpoint.answer.dropped"));
+    }
+  }
+
   private void awaitCount(String line) {
     Awaitility.await().until(() -> text.write().contains(line));
     assertTrue(text.write().contains(line));
