Let the log of jobs alone say whether an accepted job exists

Cause: RequestResolver looked for a job route of the host before any process looked for the job. A configuration says where requests may go; it knows nothing of jobs accepted before it.

Now a request that names a job goes to the log of jobs whatever routes there are, and only a process that has read that log to its end answers 404. Who may know of a job follows from the caller's key: without a route, a caller whose key nobody holds is looked up as an anonymous one and gets 401, not 404, if it has no job. A job that is submitted again without a route is confirmed if the log has it, by a read of no results that the holder of the partition answers; a new one gets 404 as before.

The responder that hides statuses of unknown outcome became StatusMappingResponder.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardingHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardingHandler.java
@@ -124,7 +124,8 @@
     }
     RequestResolver.Resolution resolution = resolve(request);
     if (resolution instanceof RequestResolver.AboutJob job && mayServe(job.request())) {
-      return Optional.of(parts.jobs().handle(job.request(), responder));
+      Responder answering = job.stranger() ? strangerResponder(request, responder) : responder;
+      return Optional.of(parts.jobs().handle(job.request(), answering));
     }
     if (resolution instanceof RequestResolver.Forward forward && mayServe(forward.request())) {
       return Optional.of(forward(forward.route(), forward.request(), responder));
@@ -132,6 +133,23 @@
     return Optional.empty();
   }
 
+  /**
+   * Returns the responder of a caller without a known key. Only jobs of anonymous callers are
+   * looked up for it, so one that is not found may still exist.
+   */
+  private Responder strangerResponder(FrontRequest request, Responder responder) {
+    int unknownKey = RequestResolver.Rejected.UNKNOWN_KEY.status();
+    return new StatusMappingResponder(
+        responder,
+        status -> {
+          if (status != RequestResolver.Rejected.NO_ROUTE.status()) {
+            return status;
+          }
+          logRefused(request, unknownKey, RequestResolver.Rejected.UNKNOWN_KEY.cause());
+          return unknownKey;
+        });
+  }
+
   private boolean mayServe(FrontRequest request) {
     return parts.revocation().allows(request, parts.check().freshAsOf());
   }
@@ -171,11 +189,28 @@
   }
 
   private Handling refuseDisallowed(FrontRequest request, Responder responder) {
-    if (parts.check().isCurrentAt(request.arrived())
-        && resolve(request) instanceof RequestResolver.Rejected rejected) {
-      return refuse(request, responder, rejected.status(), rejected.cause(), null);
+    if (!parts.check().isCurrentAt(request.arrived())
+        || !(resolve(request) instanceof RequestResolver.Rejected rejected)) {
+      return refuse(request, responder, 503, "configuration may be old", ConfigFreshness.RETRY);
     }
-    return refuse(request, responder, 503, "configuration may be old", ConfigFreshness.RETRY);
+    Optional<FrontRequest> submission =
+        rejected == RequestResolver.Rejected.NO_ROUTE ? submission(request) : Optional.empty();
+    return submission
+        .map(again -> parts.jobs().confirm(again, responder))
+        .orElseGet(() -> refuse(request, responder, rejected.status(), rejected.cause(), null));
+  }
+
+  /**
+   * Returns a request that submits a job and has no route, with its workspace. The job may have
+   * been accepted while it had one, and its caller may not know that.
+   */
+  private Optional<FrontRequest> submission(FrontRequest request) {
+    RoutingConfig config = parts.config().current().orElseThrow();
+    return parts.jobs().submitsJob(request)
+            && resolver.resolveJob(config, request) instanceof RequestResolver.AboutJob job
+            && mayServe(job.request())
+        ? Optional.of(job.request())
+        : Optional.empty();
   }
 
   private Handling refuse(
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontRequest.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontRequest.java
@@ -63,6 +63,16 @@
     return new FrontRequest(method, uri, path, host, headers, body, arrived, holder);
   }
 
+  /** Returns a request of the same caller with another method and path, and without a body. */
+  public FrontRequest withCall(HttpMethod otherMethod, String otherPath, String otherUri) {
+    HttpHeaders withoutBody = new DefaultHttpHeaders().add(headers);
+    withoutBody.remove(HttpHeaderNames.CONTENT_LENGTH);
+    withoutBody.remove(HttpHeaderNames.CONTENT_TYPE);
+    withoutBody.remove(HttpHeaderNames.TRANSFER_ENCODING);
+    return new FrontRequest(
+        otherMethod, otherUri, otherPath, host, withoutBody, new byte[0], arrived, workspace);
+  }
+
   /**
    * Returns this request for a workspace, without the caller's key and without any workspace that
    * the caller named.
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/JobRequestHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/JobRequestHandler.java
@@ -10,4 +10,13 @@
    * such a request needs no route.
    */
   Optional<String> namedJob(FrontRequest request);
+
+  /** Returns whether a request submits a job. */
+  boolean submitsJob(FrontRequest request);
+
+  /**
+   * Answers a request that submits a job where no route accepts jobs any more: as accepted if the
+   * job was accepted earlier, else as one without a route.
+   */
+  Handling confirm(FrontRequest request, Responder responder);
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/RequestResolver.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/RequestResolver.java
@@ -9,8 +9,15 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
 
-/** Finds the route and the workspace of a request in one version of the configuration. */
+/**
+ * Finds the route and the workspace of a request in one version of the configuration.
+ *
+ * <p>A configuration says where requests may go, and nothing of jobs that were accepted before it.
+ * A request about such a job therefore needs no route: whether the job exists is for the log of
+ * jobs to say, and whether the caller may know of it follows from the caller's key.
+ */
 final class RequestResolver {
 
   private final HeaderNames names;
@@ -30,8 +37,10 @@
    * The request is about a job.
    *
    * @param request the request without its key
+   * @param stranger whether the caller has no key that a workspace holds, and no route says that it
+   *     needs none; it can have a job only if an earlier route needed no key
    */
-  record AboutJob(FrontRequest request) implements Resolution {}
+  record AboutJob(FrontRequest request, boolean stranger) implements Resolution {}
 
   /** The configuration does not allow the request. */
   record Rejected(int status, String cause) implements Resolution {
@@ -53,20 +62,41 @@
   /** Resolves a request. */
   Resolution resolve(RoutingConfig config, FrontRequest request) {
     Optional<Route> matched = config.match(request.host(), request.path());
-    Optional<Route> route =
-        matched.isPresent() || !namesJob.test(request) ? matched : config.jobRoute(request.host());
-    if (route.isEmpty()) {
-      return Rejected.NO_ROUTE;
+    if (matched.isEmpty()) {
+      return namesJob.test(request) ? resolveJob(config, request) : Rejected.NO_ROUTE;
     }
     Optional<WorkspaceRegistry> workspaces = config.workspaces();
     Optional<Workspace> holder = workspaces.flatMap(registry -> holder(registry, request));
-    if (holder.isEmpty() && workspaces.isPresent() && !route.get().anonymous()) {
+    if (holder.isEmpty() && workspaces.isPresent() && !matched.get().anonymous()) {
       return Rejected.UNKNOWN_KEY;
     }
     Workspace workspace = holder.orElse(null);
-    return route.get().kind() == RouteKind.JOB
-        ? new AboutJob(request.authenticated(workspace, names))
-        : new Forward(route.get(), request.withWorkspace(workspace));
+    return matched.get().kind() == RouteKind.JOB
+        ? new AboutJob(request.authenticated(workspace, names), false)
+        : new Forward(matched.get(), request.withWorkspace(workspace));
+  }
+
+  /** Resolves a request about a job that was accepted earlier, with or without a route by now. */
+  Resolution resolveJob(RoutingConfig config, FrontRequest request) {
+    Optional<WorkspaceRegistry> workspaces = config.workspaces();
+    if (workspaces.isEmpty()) {
+      return aboutJob(request, null, false);
+    }
+    Optional<Workspace> holder = holder(workspaces.get(), request);
+    if (holder.isPresent()) {
+      return aboutJob(request, holder.get(), false);
+    }
+    List<Route> routes = config.jobRoutes(request.host());
+    if (routes.isEmpty()) {
+      return aboutJob(request, null, true);
+    }
+    return routes.stream().anyMatch(Route::anonymous)
+        ? aboutJob(request, null, false)
+        : Rejected.UNKNOWN_KEY;
+  }
+
+  private AboutJob aboutJob(FrontRequest request, @Nullable Workspace holder, boolean stranger) {
+    return new AboutJob(request.authenticated(holder, names), stranger);
   }
 
   /**
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/UnknownOutcomeResponder.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/StatusMappingResponder.java
@@ -1,44 +1,45 @@
-package io.hawthornlb.gateway.job;
+package io.hawthornlb.gateway.front;
 
-import io.hawthornlb.gateway.front.NotRunStatuses;
-import io.hawthornlb.gateway.front.Responder;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
+import java.util.function.IntUnaryOperator;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Responder for a call that an earlier recipient may have carried out.
- *
- * <p>A response whose status says that the call was not carried out is replaced by a plain 502.
+ * Responder that replaces some statuses of complete responses. A replaced response has neither
+ * headers nor a body.
  */
-final class UnknownOutcomeResponder implements Responder {
-
-  private static final int UNKNOWN_OUTCOME_STATUS = 502;
+public final class StatusMappingResponder implements Responder {
 
   private final Responder caller;
+  private final IntUnaryOperator mapping;
 
-  UnknownOutcomeResponder(Responder caller) {
+  /**
+   * Creates a responder.
+   *
+   * @param mapping returns the status to send in place of a status, or that status itself
+   */
+  public StatusMappingResponder(Responder caller, IntUnaryOperator mapping) {
     this.caller = caller;
+    this.mapping = mapping;
   }
 
   @Override
   public void whole(int status, HttpHeaders headers, byte[] body) {
-    if (NotRunStatuses.contains(status)) {
-      caller.whole(UNKNOWN_OUTCOME_STATUS, new DefaultHttpHeaders(), new byte[0]);
-    } else {
+    int mapped = mapping.applyAsInt(status);
+    if (mapped == status) {
       caller.whole(status, headers, body);
+    } else {
+      caller.whole(mapped, new DefaultHttpHeaders(), new byte[0]);
     }
   }
 
   @Override
   public void sendStatus(int status, @Nullable Duration retryAfter) {
-    if (NotRunStatuses.contains(status)) {
-      caller.sendStatus(UNKNOWN_OUTCOME_STATUS, null);
-    } else {
-      caller.sendStatus(status, retryAfter);
-    }
+    int mapped = mapping.applyAsInt(status);
+    caller.sendStatus(mapped, mapped == status ? retryAfter : null);
   }
 
   @Override
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobFormat.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobFormat.java
@@ -23,6 +23,12 @@
    */
   Optional<String> namedJob(FrontRequest request);
 
+  /**
+   * Returns a request that reads no results of the job that another request submits. It is answered
+   * at once, and with success if the job exists.
+   */
+  FrontRequest existenceCheck(FrontRequest submission);
+
   /**
    * Encodes a page of results.
    *
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRequestRouter.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRequestRouter.java
@@ -4,7 +4,9 @@
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.front.FrontRequest;
 import io.hawthornlb.gateway.front.JobRequestHandler;
+import io.hawthornlb.gateway.front.NotRunStatuses;
 import io.hawthornlb.gateway.front.Responder;
+import io.hawthornlb.gateway.front.StatusMappingResponder;
 import io.hawthornlb.gateway.http.HttpCallException;
 import io.hawthornlb.gateway.http.HttpReply;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -69,6 +71,10 @@
   /** Retry delay that is sent to the caller while no holder is known. */
   private static final Duration NO_HOLDER_RETRY = Duration.ofMillis(400);
 
+  private static final int READ_STATUS = 200;
+  private static final int ACCEPTED_STATUS = 202;
+  private static final int UNKNOWN_OUTCOME_STATUS = 502;
+
   private final JobReplicas replicas;
   private final JobService service;
   private final JobFormat format;
@@ -121,6 +127,24 @@
     return format.namedJob(request);
   }
 
+  @Override
+  public boolean submitsJob(FrontRequest request) {
+    try {
+      return format.call(request).filter(JobCall.Submit.class::isInstance).isPresent();
+    } catch (IllegalArgumentException e) {
+      // A request without a route may be anything.
+      return false;
+    }
+  }
+
+  @Override
+  public Handling confirm(FrontRequest request, Responder responder) {
+    Responder confirming =
+        new StatusMappingResponder(
+            responder, status -> status == READ_STATUS ? ACCEPTED_STATUS : status);
+    return handle(format.existenceCheck(request), confirming);
+  }
+
   @Override
   public Handling handle(FrontRequest request, Responder responder) {
     parse(request, responder).ifPresent(call -> route(call, request, responder));
@@ -340,7 +364,10 @@
       Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
       boolean unsent = cause instanceof HttpCallException made && made.unsent();
       if (call instanceof JobCall.End && !unsent) {
-        responder = new UnknownOutcomeResponder(responder);
+        responder =
+            new StatusMappingResponder(
+                responder,
+                status -> NotRunStatuses.contains(status) ? UNKNOWN_OUTCOME_STATUS : status);
       }
     }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/route/RoutingConfig.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/route/RoutingConfig.java
@@ -86,6 +86,12 @@
     return routes.stream().filter(route -> route.kind() == RouteKind.JOB).findFirst();
   }
 
+  /** Returns all job routes of a host. */
+  public List<Route> jobRoutes(String host) {
+    List<Route> routes = routesByHost.getOrDefault(withoutPort(host), List.of());
+    return routes.stream().filter(route -> route.kind() == RouteKind.JOB).toList();
+  }
+
   private static Map<String, List<Route>> byHost(Collection<Route> routes) {
     Comparator<Route> longestFirst =
         Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed();
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/NamedFormats.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/NamedFormats.java
@@ -55,6 +55,11 @@
     return Optional.empty();
   }
 
+  @Override
+  public FrontRequest existenceCheck(FrontRequest submission) {
+    return submission;
+  }
+
   @Override
   public byte[] results(int total, int after, List<JobResult> results) {
     return new byte[0];
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/FixedJobFormat.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/FixedJobFormat.java
@@ -17,6 +17,11 @@
     return Optional.of(next.jobId());
   }
 
+  @Override
+  public FrontRequest existenceCheck(FrontRequest submission) {
+    return submission;
+  }
+
   @Override
   public byte[] results(int total, int after, List<JobResult> results) {
     return (results.size() + " of " + total + " from " + after).getBytes();
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
@@ -143,6 +143,11 @@
       return Optional.empty();
     }
 
+    @Override
+    public FrontRequest existenceCheck(FrontRequest submission) {
+      return submission;
+    }
+
     @Override
     public byte[] results(int total, int after, List<JobResult> results) {
       return new byte[0];
