Send each request id once on a connection to an endpoint

Cause: an answer belongs to the request whose id it echoes, and an item keeps its id over all its runs. An endpoint that sent the answer to the first run once more, late, sent it into the third run, which went out on the same kept connection. Evidence, with the new lines: the third answer came 0 ms after its request on a connection that had carried 14 others, and 32 ms later the run's own answer, 200, was dropped since no request waited. The item was counted once a run at its holder, so no run was counted twice by other means.

What a copy can name is then never the id of the request that waits, whoever sent the id again: an item, a caller, or the gateway itself. The idle connection stays for other requests; connections.opened "same id" counts the new ones.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/ConnectionCounts.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/ConnectionCounts.java
@@ -40,6 +40,15 @@
     use.open++;
   }
 
+  /**
+   * Counts a request that needs a new connection because each idle one has carried its id before.
+   */
+  void openedBesideIdle(EndpointIncarnation endpoint) {
+    metrics.count(REQUESTS, "opened");
+    metrics.count(OPENED, "same id");
+    use(endpoint).open++;
+  }
+
   /** Records that a request has ended and its connection is idle now. */
   void onIdle(EndpointIncarnation endpoint) {
     known(endpoint).ifPresent(use -> use.open--);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
@@ -24,9 +24,9 @@
  * Passes responses of an endpoint to the request that waits on a connection.
  *
  * <p>An endpoint may send a second response, or a late response to an earlier request. Such a
- * response carries another request id, or arrives while no request waits on the connection. The
- * handler ignores a response with another id, and does not reuse a connection that received
- * unexpected data.
+ * response carries another request id, or arrives while no request waits on the connection, since
+ * {@link CarriedIds a connection carries each id once}. The handler ignores a response with another
+ * id, and does not reuse a connection that received unexpected data.
  */
 final class EndpointHandler extends SimpleChannelInboundHandler<HttpObject> {
 
@@ -54,7 +54,7 @@
   private @Nullable EndpointIncarnation idleEndpoint;
   private @Nullable EndpointPool pool;
   private @Nullable ScheduledFuture<?> idleTimer;
-  private int carried;
+  private final CarriedIds carried = new CarriedIds();
   private boolean inAnswer;
   private boolean answered;
   private boolean reusable = true;
@@ -103,8 +103,17 @@
     idleEndpoint = null;
     inAnswer = false;
     answered = false;
-    carried++;
-    return carried - 1;
+    int before = carried.size();
+    carried.add(next.requestId());
+    return before;
+  }
+
+  /**
+   * Returns whether a request with an id may be sent on this connection, so that no late copy of an
+   * earlier answer can be taken for its own.
+   */
+  boolean mayCarry(@Nullable String requestId) {
+    return !carried.contains(requestId);
   }
 
   /** Returns how long the connection has been idle; zero if it is new or in use. */
@@ -172,7 +181,7 @@
             waiting == null ? null : waiting.requestId(),
             endpoint == null ? null : endpoint.id(),
             response.status().code(),
-            carried));
+            carried.size()));
   }
 
   private void readKeepAliveTimeout(HttpResponse response) {
@@ -193,7 +202,12 @@
       current.failed("the connection was reset" + cause);
       return;
     }
-    boolean keep = reusable && !current.done() && current.isFullyWritten() && channel.isActive();
+    boolean keep =
+        reusable
+            && !carried.full()
+            && !current.done()
+            && current.isFullyWritten()
+            && channel.isActive();
     if (keep) {
       idleEndpoint = current.endpoint();
       pool = current.pool();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointPool.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointPool.java
@@ -20,6 +20,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -41,6 +42,8 @@
    */
   private static final int CONNECT_MILLIS = 120;
 
+  private static final Deque<Channel> NO_CHANNELS = new ArrayDeque<>();
+
   private final IdleLimits idleLimits;
   private final EventLoop loop;
   private final HeaderNames names;
@@ -84,13 +87,17 @@
       FullHttpRequest request,
       EndpointCallListener listener) {
     PooledCall call = new PooledCall(this, endpoint, request, listener);
-    Channel idleChannel = takeIdle(endpoint);
+    Channel idleChannel = takeIdle(endpoint, call.requestId());
     if (idleChannel != null) {
       counts.reused(endpoint);
       call.write(idleChannel);
       return call;
     }
-    counts.opened(endpoint);
+    if (idle.getOrDefault(endpoint, NO_CHANNELS).isEmpty()) {
+      counts.opened(endpoint);
+    } else {
+      counts.openedBesideIdle(endpoint);
+    }
     bootstrap
         .connect(address)
         .addListener(
@@ -178,14 +185,18 @@
     }
   }
 
-  private @Nullable Channel takeIdle(EndpointIncarnation endpoint) {
-    Deque<Channel> channels = idle.get(endpoint);
-    while (channels != null && !channels.isEmpty()) {
-      Channel channel = channels.pop();
-      if (channel.isActive() && mayReuse(channel)) {
+  /** Takes the idle connection that was used last of those that may carry a request. */
+  private @Nullable Channel takeIdle(EndpointIncarnation endpoint, @Nullable String requestId) {
+    Iterator<Channel> channels = idle.getOrDefault(endpoint, NO_CHANNELS).iterator();
+    while (channels.hasNext()) {
+      Channel channel = channels.next();
+      if (!channel.isActive() || !mayReuse(channel)) {
+        channels.remove();
+        close(channel, ConnectionEnd.FORGOTTEN);
+      } else if (handler(channel).mayCarry(requestId)) {
+        channels.remove();
         return channel;
       }
-      close(channel, ConnectionEnd.FORGOTTEN);
     }
     return null;
   }
--- /dev/null
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/HolderFixture.java
@@ -0,0 +1,71 @@
+package io.hawthornlb.gateway.job;
+
+import static org.awaitility.Awaitility.await;
+
+import io.hawthornlb.gateway.ScriptedEndpoint;
+import io.hawthornlb.gateway.route.ConfigHolder;
+import io.hawthornlb.gateway.store.LogStore.AppendCall;
+import io.hawthornlb.gateway.store.support.InMemoryLogStore;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** The holder of a partition with one job, and the only endpoint. */
+final class HolderFixture implements AutoCloseable {
+
+  private static final String JOB = "j";
+
+  private final EventLoop loop =
+      (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+  private final InMemoryLogStore store = new InMemoryLogStore(loop, 1);
+  private final ScriptedEndpoint endpoint = new ScriptedEndpoint();
+  private final JobReplica replica =
+      new JobReplica(store, JobReplicas.TOPIC, 0, new LoadLimiter(), loop);
+
+  /** Writes a job with one item to the log; nobody runs it yet. */
+  HolderFixture() throws IOException {
+    JobItem item = new JobItem("i1", "/jobs/1", Map.of(), new byte[0]);
+    Job job = new Job(JOB, "h", InstantSource.system().instant(), List.of(item));
+    store.append(new AppendCall(JobReplicas.TOPIC, 0, JobRecords.accepted(job), null));
+  }
+
+  /** Returns the endpoint; its answers must be added before the holder starts. */
+  ScriptedEndpoint endpoint() {
+    return endpoint;
+  }
+
+  /** Starts the holder. */
+  void start(ConfigHolder config) {
+    start(
+        JobFixture.parts(
+            store, loop, InstantSource.system(), config, JobFixture.directory(endpoint.address())));
+  }
+
+  private void start(JobParts parts) {
+    PartitionRunner runner =
+        new PartitionRunner(parts, replica, 0, 1, new JobFixture.SilentNotices(), refused -> {});
+    loop.execute(runner::start);
+  }
+
+  /** Waits until the item is listed, and returns its result. */
+  JobResult result() {
+    await().until(() -> !page().isEmpty());
+    return page().get(0);
+  }
+
+  /** Returns the results that are listed so far. */
+  List<JobResult> page() {
+    return replica.table().find(JOB).map(job -> job.page(0, 1_000)).orElse(List.of());
+  }
+
+  @Override
+  public void close() throws IOException {
+    endpoint.close();
+    loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+}
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/wire/ConnectionCountsTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/wire/ConnectionCountsTest.java
@@ -80,6 +80,19 @@
     }
   }
 
+  /** Guards against connections that carry an id twice, or that are closed for the second one. */
+  @Test
+  void opensAConnectionBesideAnIdleOneForAnIdThatItHasCarried() throws Exception {
+    try (ScriptedEndpoint endpoint = new ScriptedEndpoint()) {
+      endpoint.then(OK, KEEP).then(OK, KEEP).then(OK, KEEP);
+      call(endpoint, "r1");
+      call(endpoint, "r1");
+      call(endpoint, "r2");
+      awaitCount("connections_opened_total{by=\"same id\"} 1");
+      awaitCount("connections_requests_total{by=\"kept\"} 1");
+    }
+  }
+
   /** Guards against late answers of which neither logs nor metrics tell. */
   @Test
   void countsAnswersThatReachNoRequest() throws Exception {
@@ -98,11 +111,15 @@
   }
 
   private void call(ScriptedEndpoint endpoint) throws Exception {
+    sent++;
+    call(endpoint, "r" + sent);
+  }
+
+  private void call(ScriptedEndpoint endpoint, String id) throws Exception {
     CompletableFuture<Void> ended = new CompletableFuture<>();
     FullHttpRequest request =
         new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/a");
-    sent++;
-    request.headers().set("Test-Id", "r" + sent).set("Content-Length", 0);
+    request.headers().set("Test-Id", id).set("Content-Length", 0);
     loop.execute(() -> pool.send(INCARNATION, endpoint.address(), request, new Ended(ended)));
     ended.get(5, TimeUnit.SECONDS);
   }
