End items with their route, and run them by no route of a former version

What callers saw: a job whose route had been removed stayed open for ever, since its waiting items were neither run nor listed; a caller that waits for results got none.

Cause: an item without a route asked again every two seconds and nothing else looked at it; the retention after which items are given up comes with the route.

Now an item whose route is missing waits five seconds for a version that has it again, counted up to the moment as of which the configuration is known to be complete, and is then listed as given up. Only the holder of the partition decides, so instances with other versions have no say. An item on which an endpoint still works may complete.

The same look at routes, taken once for slot, send and end (ItemRoute), mends three more: a slot that came after a change led to an endpoint of the removed or former service; items ran on any route that their path matches, also one that takes no jobs; time due and retention were those of the first job route of the host.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -8,7 +8,6 @@
 import io.hawthornlb.gateway.crash.GuardedRun;
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.endpoint.EndpointRecord;
-import io.hawthornlb.gateway.event.EventLine;
 import io.hawthornlb.gateway.loop.WorkKind;
 import io.hawthornlb.gateway.route.Route;
 import io.hawthornlb.gateway.slot.SlotAnswer;
@@ -66,15 +65,15 @@
   private final JobParts parts;
   private final Job job;
   private final JobItem item;
-  private final Instant due;
+  private final ItemRoute route;
+  private final ItemLines lines;
   private final ItemOutcome outcome;
   private final SlotRequestLimiter limiter;
   private final SilenceWatch watch;
-  private final RunEstimate estimate;
+  private final ItemRunTime runTime;
   private final ItemOutput output;
   private final StreamVersion version;
   private final Set<EndpointIncarnation> excluded = new HashSet<>();
-  private final WorkSize size;
   private final GuardedRun guarded;
   private Duration ran = Duration.ZERO;
   private Duration lastRan = Duration.ZERO;
@@ -94,14 +93,11 @@
       Job job,
       JobItem item,
       long epoch,
-      Instant due,
       RunEstimate estimate,
       SlotRequestLimiter limiter,
       ItemOutcome outcome) {
     this.output = new ItemOutput(item.id(), job.progress(item.id()), epoch);
     this.version = new StreamVersion(parts.directory(), output.origin());
-    this.estimate = estimate;
-    this.size = parts.names().workSize().read(item.headers()::get);
     PromptParts prompt = parts.names().promptParts().read(item.headers()::get);
     long content = ContentHash.of(item.path(), item.body());
     this.guarded = new GuardedRun(parts.crashes(), item.id(), prompt.withContent(content));
@@ -109,7 +105,11 @@
     this.parts = parts;
     this.job = job;
     this.item = item;
-    this.due = due;
+    this.route = new ItemRoute(parts.config(), job, item);
+    this.lines = new ItemLines(parts, job, item);
+    WorkSize size = parts.names().workSize().read(item.headers()::get);
+    WorkspaceId workspace = job.workspace().orElse(null);
+    this.runTime = new ItemRunTime(parts.estimates(), estimate, route, size, workspace);
     this.outcome = outcome;
     this.limiter = limiter;
     this.lastEventAt = parts.clock().instant();
@@ -134,6 +134,26 @@
     return !stopped;
   }
 
+  /** Returns the route of the item. */
+  ItemRoute route() {
+    return route;
+  }
+
+  /** Returns whether an endpoint works on the item. */
+  boolean executing() {
+    return call != null;
+  }
+
+  /** Stops the run because the item is given up. */
+  void giveUp(String cause) {
+    lines.givenUp(cause, failures);
+    stop();
+  }
+
+  JobItem item() {
+    return item;
+  }
+
   /** Returns the job to which the item belongs. */
   Job job() {
     return job;
@@ -158,7 +178,8 @@
     if (parts.scheduling().contended()) {
       return completionRank();
     }
-    return RunEstimate.rank(due, remaining(), parts.clock().instant());
+    return RunEstimate.rank(
+        route.due(), runTime.remaining(output.lastEventId()), parts.clock().instant());
   }
 
   /** Returns the rank by the completion of the job, computed at intervals. */
@@ -166,33 +187,36 @@
     Instant now = parts.clock().instant();
     if (!now.isBefore(rankedAt.plus(RANK_INTERVAL))) {
       rankedAt = now;
-      completionRank = JobCompletionOrder.rank(job, due, estimate, now);
+      completionRank = JobCompletionOrder.rank(job, route.due(), runTime.mean(), now);
     }
     return completionRank;
   }
 
   @Override
   public void requestSlot() {
-    Optional<Route> route = route();
-    if (route.isEmpty() || blocked(guarded.check())) {
+    Optional<Route> found = route.find();
+    if (found.isEmpty() || blocked(guarded.check())) {
       // A later configuration may have a route for the item, and the block may end.
+      if (found.isEmpty()) {
+        lines.routine("item.without.route").write();
+      }
       limiter.leave();
       retryAfter(SLOT_WAIT);
       return;
     }
-    beginAnewIfVersionGone(route.get().service(0));
+    beginAnewIfVersionGone(found.get().service(0));
     requesting = true;
     SlotKey key = parts.slots().nextKey();
     slot = key;
     SlotRequest wanted =
-        SlotRequest.builder(key, route.get().service(0))
+        SlotRequest.builder(key, found.get().service(0))
             .batch(true)
-            .rank(parts.scheduling().contended() ? completionRank() : due.toEpochMilli())
-            .work(remaining())
+            .rank(parts.scheduling().contended() ? completionRank() : route.due().toEpochMilli())
+            .work(runTime.remaining(output.lastEventId()))
             .dataCentre(parts.dataCentre())
             .maxWait(SLOT_WAIT)
             .excluded(Set.copyOf(excluded))
-            .size(output.lastEventId() < 0 ? size : WorkSize.NONE)
+            .size(output.lastEventId() < 0 ? runTime.size() : WorkSize.NONE)
             .version(version.origin().map(StreamOrigin::version).orElse(null))
             .build();
     excluded.clear();
@@ -205,7 +229,8 @@
    */
   private boolean blocked(Optional<CrashBlock> block) {
     block.ifPresent(
-        found -> logLine("item.blocked").with("parts", String.join(" ", found.parts())).write());
+        found ->
+            lines.routine("item.blocked").with("parts", String.join(" ", found.parts())).write());
     return block.isPresent();
   }
 
@@ -216,7 +241,8 @@
     boolean gone = !usable.isEmpty() && usable.stream().noneMatch(version::accepts);
     if (output.lastEventId() >= 0 && (gone || !version.mayContinue())) {
       parts.metrics().count("items", "begun anew");
-      logLine("item.begun.anew")
+      lines
+          .routine("item.begun.anew")
           .with("began", version.origin().map(StreamOrigin::version).orElse("unclear"))
           .with("after", output.lastEventId())
           .write();
@@ -225,30 +251,6 @@
     }
   }
 
-  /** Returns the time for which the item still has to run. */
-  private Duration remaining() {
-    long events = output.lastEventId();
-    return itemEstimate()
-        .map(each -> each.remaining(size, workspace(), events))
-        .orElseGet(() -> estimate.remaining(events));
-  }
-
-  private Optional<ItemEstimate> itemEstimate() {
-    // Checked first, because all waiting items of a partition are ranked for each request that is
-    // sent, and each search for the route would cost a lookup in the configuration.
-    return parts.estimates().inEffect()
-        ? route().flatMap(route -> parts.estimates().of(route.service(0)))
-        : Optional.empty();
-  }
-
-  private @Nullable WorkspaceId workspace() {
-    return job.workspace().orElse(null);
-  }
-
-  private Optional<Route> route() {
-    return parts.config().current().flatMap(config -> config.match(job.host(), item.path()));
-  }
-
   private void onSlot(SlotAnswer answer) {
     if (stopped) {
       return;
@@ -258,7 +260,7 @@
       send(granted.incarnation());
     } else if (answer instanceof SlotAnswer.Revoked) {
       parts.metrics().count("items", "gave way");
-      logLine("item.gave.way").write();
+      lines.routine("item.gave.way").write();
       slot = null;
       end(SlotOutcome.ABANDONED);
       acquire();
@@ -283,6 +285,12 @@
     }
     Optional<EndpointRecord> target = parts.directory().find(incarnation.id());
     boolean otherVersion = target.isPresent() && !version.accepts(target.get());
+    if (target.isPresent() && !route.leadsTo(target.get().service())) {
+      // The route was removed or led to another service while the item waited for its slot.
+      end(SlotOutcome.ABANDONED);
+      retryAfter(PAUSE);
+      return;
+    }
     if (target.isEmpty() || target.get().leaving() || otherVersion) {
       excluded.add(incarnation);
       end(otherVersion ? SlotOutcome.ABANDONED : SlotOutcome.REPLACED);
@@ -294,7 +302,8 @@
     sentWhole = output.lastEventId() < 0;
     version.sentTo(target.get());
     guarded.sentTo(incarnation, target.get().address());
-    logLine("item.sent")
+    lines
+        .routine("item.sent")
         .with("endpoint", incarnation.id())
         .with("version", target.get().version())
         .with("after", output.lastEventId())
@@ -317,7 +326,7 @@
 
   @Override
   public boolean stalled(Duration silence) {
-    logLine("item.stalled").with("after", output.lastEventId()).write();
+    lines.routine("item.stalled").with("after", output.lastEventId()).write();
     end(SlotOutcome.FAILED);
     retryAfter(PAUSE);
     return false;
@@ -349,32 +358,19 @@
   private void complete() {
     end(SlotOutcome.ANSWERED);
     stopped = true;
-    estimate.recordCompletion(ran, output.lastEventId());
-    itemEstimate().ifPresent(this::teach);
+    runTime.completed(ran, lastRan, sentWhole, output.lastEventId());
     parts.metrics().count("items", "completed");
     parts.metrics().time("items.run", "completed", ran);
-    logLine("item.completed").with("events", output.lastEventId()).write();
+    lines.routine("item.completed").with("events", output.lastEventId()).write();
     outcome.done(item, new JobResult(item.id(), true, output.text()));
   }
 
-  private void teach(ItemEstimate learning) {
-    if (sentWhole) {
-      learning.completed(size, workspace(), lastRan, output.lastEventId());
-    } else {
-      learning.completedInParts(size, workspace(), output.lastEventId());
-    }
-  }
-
   private void failWithStatus(int status) {
     failures += status == 500 ? 1 : 0;
-    // If the route is missing at present, the item is not given up: a later configuration may have
-    // the route again and may allow more attempts.
-    int maxAttempts = route().map(Route::maxAttempts).orElse(Integer.MAX_VALUE);
     boolean givenUp =
-        ItemRules.afterFailure(status, failures, maxAttempts) == ItemRules.Next.GIVE_UP;
-    logFailure(status, givenUp);
+        ItemRules.afterFailure(status, failures, route.maxAttempts()) == ItemRules.Next.GIVE_UP;
+    lines.failed(status, failures, givenUp, call, sentAt);
     end(SlotOutcome.ANSWERED);
-    parts.metrics().count("items.failed", String.valueOf(status));
     if (givenUp) {
       stopped = true;
       outcome.done(item, new JobResult(item.id(), false, ""));
@@ -384,30 +380,6 @@
     }
   }
 
-  /** Logs a failed attempt with what shows whether its answer can be a late copy of another. */
-  private void logFailure(int status, boolean givenUp) {
-    EventLine line = givenUp ? importantLine("item.given.up") : logLine("item.failed");
-    EndpointCall failed = call;
-    Instant sent = sentAt;
-    if (failed != null && sent != null) {
-      line.with("carried", failed.carriedBefore())
-          .with("millis", Duration.between(sent, parts.clock().instant()).toMillis());
-    }
-    line.with("status", status).with("failures", failures).write();
-  }
-
-  private EventLine logLine(String event) {
-    return named(parts.log().routine("job", event));
-  }
-
-  private EventLine importantLine(String event) {
-    return named(parts.log().important("job", event));
-  }
-
-  private EventLine named(EventLine line) {
-    return line.with("id", item.id()).with("job", job.callerId());
-  }
-
   /** Handles the response of one endpoint. */
   private final class ResponseListener implements EndpointCallListener {
 
@@ -446,7 +418,7 @@
 
     private void reportLoad(SlotKey held, ReportedLoad load) {
       if (load.hasPace()) {
-        route().ifPresent(route -> parts.estimates().paceReported(route.service(0)));
+        route.find().ifPresent(found -> parts.estimates().paceReported(found.service(0)));
       }
       parts.slots().reportLoad(held, load);
     }
@@ -507,7 +479,11 @@
 
     @Override
     public void onFailure(boolean sent, String cause) {
-      importantLine("item.broken").with("endpoint", incarnation.id()).with("cause", cause).write();
+      lines
+          .important("item.broken")
+          .with("endpoint", incarnation.id())
+          .with("cause", cause)
+          .write();
       if (sent) {
         guarded.broken();
       }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobParts.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobParts.java
@@ -7,6 +7,7 @@
 import io.hawthornlb.gateway.route.ConfigHolder;
 import io.hawthornlb.gateway.slot.SchedulingSettings;
 import io.hawthornlb.gateway.slot.SlotClient;
+import io.hawthornlb.gateway.store.LogFreshness;
 import io.hawthornlb.gateway.store.LogStore;
 import io.hawthornlb.gateway.wire.EndpointPool;
 import io.hawthornlb.gateway.wire.HeaderNames;
@@ -18,6 +19,7 @@
  * Collaborators and settings of the classes that run jobs.
  *
  * @param config configuration in force
+ * @param configFreshness tells up to which moment the configuration is known to be complete
  * @param directory known endpoints
  * @param slots client that acquires slots
  * @param estimates estimates of the run times of items, shared by all partitions
@@ -35,6 +37,7 @@
  */
 public record JobParts(
     ConfigHolder config,
+    LogFreshness configFreshness,
     EndpointDirectory directory,
     SlotClient slots,
     ItemEstimates estimates,
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -57,9 +57,6 @@
   /** Interval at which items are checked for being too old and jobs for being no longer needed. */
   private static final Duration SWEEP_INTERVAL = Duration.ofSeconds(5);
 
-  /** Time within which items are due if their route names none. */
-  private static final Duration DEFAULT_COMPLETION = Duration.ofSeconds(60);
-
   private final JobParts parts;
   private final JobReplica replica;
   private final int partition;
@@ -69,6 +66,7 @@
   private final RunEstimate estimate = new RunEstimate();
   private final SlotRequestLimiter limiter = new SlotRequestLimiter();
   private final JobAges ages;
+  private final RouteAbsences absences = new RouteAbsences();
   private final Map<String, ItemRun> runs = new HashMap<>();
   private final List<Finished> finished = new ArrayList<>();
   private final List<Finished> inFlight = new ArrayList<>();
@@ -195,8 +193,7 @@
           stopRun(job, item);
           finish(job, job.offered(item.id()).get());
         } else if (!job.listed(item.id()) && !runs.containsKey(runKey(job, item.id()))) {
-          ItemRun run =
-              new ItemRun(parts, job, item, epoch, due(job), estimate, limiter, new Outcomes(job));
+          ItemRun run = new ItemRun(parts, job, item, epoch, estimate, limiter, new Outcomes(job));
           runs.put(runKey(job, item.id()), run);
           run.start();
         }
@@ -211,17 +208,6 @@
     }
   }
 
-  private Instant due(Job job) {
-    Duration completion =
-        parts
-            .config()
-            .current()
-            .flatMap(config -> config.jobRoute(job.host()))
-            .map(Route::completion)
-            .orElse(DEFAULT_COMPLETION);
-    return job.accepted().plus(completion);
-  }
-
   /** Handles the outcome of the items of a job. */
   private final class Outcomes implements ItemOutcome {
 
@@ -291,30 +277,30 @@
       return;
     }
     ages.update(replica.table().all());
-    for (Job job : List.copyOf(replica.table().all())) {
-      giveUpOldItems(job);
-    }
+    absences.retain(runs.keySet());
+    Map.copyOf(runs).forEach(this::giveUpIfOver);
     deleteOldJobs();
     scheduleSweep();
   }
 
-  /** Gives up the unfinished items of a job that is older than the retention of its route. */
-  private void giveUpOldItems(Job job) {
-    Optional<Duration> retention =
-        parts
-            .config()
-            .current()
-            .flatMap(config -> config.jobRoute(job.host()))
-            .map(Route::retention);
-    if (retention.isEmpty() || job.ended() || !ages.olderThan(job, retention.get())) {
-      return;
-    }
-    for (JobItem item : job.items()) {
-      ItemRun run = runs.get(runKey(job, item.id()));
-      if (run != null && !job.listed(item.id()) && run.running()) {
-        run.stop();
-        finish(job, new JobResult(item.id(), false, ""));
-      }
+  /**
+   * Gives up an item whose route was removed for good, or whose job is older than the retention of
+   * its route. An item without a route on which an endpoint still works may complete.
+   */
+  private void giveUpIfOver(String key, ItemRun run) {
+    Instant now = parts.clock().instant();
+    Optional<Route> route = run.route().find();
+    absences.update(key, route.isPresent(), now);
+    boolean removed =
+        !run.executing() && absences.over(key, now, parts.configFreshness().freshAsOf());
+    boolean expired =
+        route
+            .map(Route::retention)
+            .filter(retention -> ages.olderThan(run.job(), retention))
+            .isPresent();
+    if ((removed || expired) && run.running()) {
+      run.giveUp(removed ? "route removed" : "retention over");
+      finish(run.job(), new JobResult(run.item().id(), false, ""));
     }
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -44,6 +44,7 @@
 import io.hawthornlb.gateway.relay.TcpRelayTransport;
 import io.hawthornlb.gateway.route.ConfigHolder;
 import io.hawthornlb.gateway.store.KeyedFollower;
+import io.hawthornlb.gateway.store.LogFreshness;
 import io.hawthornlb.gateway.store.LogStore;
 import io.hawthornlb.gateway.store.support.CountedLogStore;
 import io.hawthornlb.gateway.stream.StreamOrigins;
@@ -118,6 +119,10 @@
     FleetSlotClient slots = slotClient(fleet, transport, store);
     EndpointPool pool = new EndpointPool(loop, names, clock, metrics, log);
     CrashGuard crashes = crashGuard(fleet, transport, store, caller);
+    ConfigSource configs = new ConfigSource(formats, config, clock, log);
+    Duration wait = KeyedFollower.waitWithin(settings.changeTime());
+    KeyedFollower routes = follow(store, formats.configTopic(), wait, configs);
+    caller.onStoreRecovered(routes::readNow);
     directory.onRemoval(endpoint -> pool.forget(endpoint.incarnation()));
     directory.onRestart(pool::onRestart);
     versions = new VersionHistory(directory, clock);
@@ -125,7 +130,7 @@
     instances = new InstanceSource(fleet, store, loop, clock, log);
     jobs =
         new JobRunners(
-            jobParts(slots, crashes, pool, names, store),
+            jobParts(routes, slots, crashes, pool, names, store),
             jobFormat,
             new PeerHoldNotices(fleet, transport),
             new RelayJobPeers(fleet, relayTransport, clock),
@@ -133,10 +138,6 @@
             () -> rank(fleet));
     new RelayServer(direct, access.address(), caller::storeUnavailable, log)
         .bind(loop, settings.self().address(), new RelayedJobCalls(jobs.router(), names, clock));
-    ConfigSource configs = new ConfigSource(formats, config, clock, log);
-    Duration wait = KeyedFollower.waitWithin(settings.changeTime());
-    KeyedFollower routes = follow(store, formats.configTopic(), wait, configs);
-    caller.onStoreRecovered(routes::readNow);
     ConfigFreshness check = new ConfigFreshness(routes, settings.changeTime(), loop);
     KeyedFollower list = follow(store, formats.endpointTopic(), wait, endpoints);
     caller.onStoreRecovered(list::readNow);
@@ -262,6 +263,7 @@
   }
 
   private JobParts jobParts(
+      LogFreshness configFreshness,
       FleetSlotClient slots,
       CrashGuard crashes,
       EndpointPool pool,
@@ -269,6 +271,7 @@
       LogStore store) {
     return new JobParts(
         config,
+        configFreshness,
         directory,
         slots,
         new ItemEstimates(settings.scheduling()),
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/route/RoutingConfig.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/route/RoutingConfig.java
@@ -80,10 +80,9 @@
     return routes.stream().filter(route -> path.startsWith(route.pathPrefix())).findFirst();
   }
 
-  /** Returns the first job route of a host. */
-  public Optional<Route> jobRoute(String host) {
-    List<Route> routes = routesByHost.getOrDefault(withoutPort(host), List.of());
-    return routes.stream().filter(route -> route.kind() == RouteKind.JOB).findFirst();
+  /** Returns the job route on which an item with a path runs. */
+  public Optional<Route> matchItem(String host, String path) {
+    return match(host, path).filter(route -> route.kind() == RouteKind.JOB);
   }
 
   /** Returns all job routes of a host. */
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/HolderFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/HolderFixture.java
@@ -3,7 +3,9 @@
 import static org.awaitility.Awaitility.await;
 
 import io.hawthornlb.gateway.ScriptedEndpoint;
+import io.hawthornlb.gateway.endpoint.EndpointDirectory;
 import io.hawthornlb.gateway.route.ConfigHolder;
+import io.hawthornlb.gateway.slot.SlotClient;
 import io.hawthornlb.gateway.store.LogStore.AppendCall;
 import io.hawthornlb.gateway.store.support.InMemoryLogStore;
 import io.netty.channel.EventLoop;
@@ -39,14 +41,25 @@
     return endpoint;
   }
 
-  /** Starts the holder. */
+  EventLoop loop() {
+    return loop;
+  }
+
+  /** Runs an action on the event loop, and waits until it has run. */
+  void run(Runnable action) {
+    loop.submit(action).syncUninterruptibly();
+  }
+
+  /** Starts the holder, which gets a slot for each request immediately. */
   void start(ConfigHolder config) {
-    start(
-        JobFixture.parts(
-            store, loop, InstantSource.system(), config, JobFixture.directory(endpoint.address())));
+    start(config, JobFixture.freeSlots());
   }
 
-  private void start(JobParts parts) {
+  /** Starts the holder. */
+  void start(ConfigHolder config, SlotClient slots) {
+    EndpointDirectory directory = JobFixture.directory(endpoint.address());
+    InstantSource clock = InstantSource.system();
+    JobParts parts = JobFixture.parts(store, loop, clock, config, directory, slots);
     PartitionRunner runner =
         new PartitionRunner(parts, replica, 0, 1, new JobFixture.SilentNotices(), refused -> {});
     loop.execute(runner::start);
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
@@ -18,6 +18,7 @@
 import io.hawthornlb.gateway.slot.SlotKey;
 import io.hawthornlb.gateway.slot.SlotOutcome;
 import io.hawthornlb.gateway.slot.SlotRequest;
+import io.hawthornlb.gateway.store.LogFreshness;
 import io.hawthornlb.gateway.store.LogStore;
 import io.hawthornlb.gateway.wire.EndpointPool;
 import io.hawthornlb.gateway.wire.HeaderNames;
@@ -94,6 +95,18 @@
     return parts(store, loop, clock, config, directory, slots, CrashGuard.NONE);
   }
 
+  /** Returns the collaborators of a process whose configuration may be old. */
+  static JobParts parts(
+      LogStore store,
+      EventLoop loop,
+      InstantSource clock,
+      ConfigHolder config,
+      LogFreshness freshness,
+      SlotClient slots) {
+    return parts(
+        store, loop, clock, config, freshness, new EndpointDirectory(), slots, CrashGuard.NONE);
+  }
+
   static JobParts parts(
       LogStore store,
       EventLoop loop,
@@ -102,8 +115,21 @@
       EndpointDirectory directory,
       SlotClient slots,
       CrashGuard crashes) {
+    return parts(store, loop, clock, config, new CurrentLog(clock), directory, slots, crashes);
+  }
+
+  private static JobParts parts(
+      LogStore store,
+      EventLoop loop,
+      InstantSource clock,
+      ConfigHolder config,
+      LogFreshness freshness,
+      EndpointDirectory directory,
+      SlotClient slots,
+      CrashGuard crashes) {
     return new JobParts(
         config,
+        freshness,
         directory,
         slots,
         new ItemEstimates(SchedulingSettings.DEFAULT),
@@ -120,6 +146,16 @@
         SchedulingSettings.DEFAULT);
   }
 
+  /** Returns a slot client that grants each request immediately. */
+  static SlotClient freeSlots() {
+    return new FreeSlots();
+  }
+
+  /** Returns the grant of a slot at the only endpoint. */
+  static SlotAnswer granted(SlotKey key) {
+    return new SlotAnswer.Granted(key, ENDPOINT);
+  }
+
   /** Notices that are not sent to any process. */
   static final class SilentNotices implements HoldNotices {
 
@@ -166,7 +202,7 @@
 
     @Override
     public void acquire(SlotRequest request, Listener listener) {
-      listener.onAnswer(new SlotAnswer.Granted(request.key(), ENDPOINT));
+      listener.onAnswer(granted(request.key()));
     }
 
     @Override
