Pass on no answer that names no request

An answer without an id belonged to whoever waited on the connection, so an extra one could reach any caller and count for any item. Endpoints echo the id of each request; an answer without one is now dropped like another's, with a line and a count, and the attempt ends as failed, since nobody knows whether its own answer follows.

Weighed: waiting for the own answer. Then an endpoint that never names requests keeps each caller until the timeout (ForwardingFailureTest.neverForwardsAnUnsignedSuccess got 504 for 502).

ForeignAnswerTest.forwardsNoAnswerThatNamesNoRequest fails when such an answer is taken (200).

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
@@ -26,7 +26,8 @@
  * <p>An endpoint may send a second response, or a late response to an earlier request. Such a
  * response carries another request id, or arrives while no request waits on the connection, since
  * {@link CarriedIds a connection carries each id once}. The handler ignores a response with another
- * id, and does not reuse a connection that received unexpected data.
+ * id, and does not reuse a connection that received unexpected data. A response without an id may
+ * belong to anyone, and ends the request as failed.
  */
 final class EndpointHandler extends SimpleChannelInboundHandler<HttpObject> {
 
@@ -140,7 +141,7 @@
       return;
     }
     if (message instanceof HttpResponse response) {
-      onResponse(response, current);
+      onResponse(ctx.channel(), response, current);
     }
     if (message instanceof HttpContent content && inAnswer) {
       if (content.content().isReadable()) {
@@ -154,15 +155,20 @@
     }
   }
 
-  private void onResponse(HttpResponse response, PooledCall current) {
+  private void onResponse(Channel channel, HttpResponse response, PooledCall current) {
     if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       return;
     }
     String echoed = response.headers().get(answers.requestIdName());
     AnswerOwner owner = AnswerOwner.of(echoed, current.requestId());
-    if (owner == AnswerOwner.OTHER_REQUEST) {
+    if (owner != AnswerOwner.WAITING_REQUEST) {
       reusable = false;
       dropped(owner, response, current);
+      if (owner == AnswerOwner.UNNAMED) {
+        // Whether the answer of the request follows is unknown, so its caller is told at once.
+        current.failed("the answer names no request");
+        channel.close();
+      }
       return;
     }
     inAnswer = true;
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ForeignAnswerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ForeignAnswerTest.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.gateway.front;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.hawthornlb.gateway.ScriptedEndpoint;
 import io.hawthornlb.gateway.ScriptedEndpoint.After;
@@ -31,6 +32,19 @@
     }
   }
 
+  /** Guards against an answer of another request that names none and that whoever waits gets. */
+  @Test
+  void forwardsNoAnswerThatNamesNoRequest() throws IOException {
+    String unnamed = "HTTP/1.1 200 OK\r\nTest-Signature: s\r\nContent-Length: 4\r\n\r\nbody";
+    try (GatewayFixture gateway = new GatewayFixture();
+        ScriptedEndpoint endpoint = new ScriptedEndpoint()) {
+      endpoint.then(unnamed, After.KEEP);
+      gateway.route(RouteKind.ONCE, 1, false, endpoint);
+      assertEquals(502, gateway.call("/a/b", "hello").status());
+      assertTrue(gateway.log().events().contains("endpoint.answer.dropped"));
+    }
+  }
+
   /** Bytes on the peer port that are no peer message must end only the connection they came on. */
   @Test
   void keepsServingWhileForeignBytesReachThePeerPort() throws IOException {
