Pass on no answer of another request at the product's own entry

The client of endpoints took the next answer on a connection for its own and compared no id.

Now each sending carries an id of its own, which endpoints echo; an answer with another one is dropped in the pipeline of the connection, the own one follows, and the connection is closed. One id a sending, where the gateway's way is one id a connection, since this protocol is ours to extend. An endpoint that has never echoed the id is taken at its word.

Jobs of the product's own entry stay readable once the catalogue lacks their service.

--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/EntryJobTest.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/EntryJobTest.java
@@ -3,9 +3,15 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.hawthornlb.core.catalogue.Catalogue;
+import io.hawthornlb.core.catalogue.ServiceEntry;
+import io.hawthornlb.core.model.ServiceName;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
@@ -92,6 +98,39 @@
     }
   }
 
+  /** Guards against jobs that are unknown once the catalogue lacks the service of their items. */
+  @Test
+  void jobStaysReadableOnceItsServiceHasGone() {
+    String done = awaitAccepted(submit(first, "roster-5", items(5)));
+    awaitStatus(second, done, "completed");
+    String open = awaitAccepted(submit(first, "roster-6", items(2_000)));
+    removeService();
+    for (EntryProcess entry : List.of(first, second)) {
+      for (String job : List.of(done, open)) {
+        HttpResponse<String> read = fleet.send(TestFleet.get(entry, "/v1/jobs/" + job));
+        assertEquals(200, read.statusCode(), read.body());
+      }
+      assertEquals(5, results(entry, done).lines().count());
+    }
+  }
+
+  /** Guards against a refusal of an accepted job whose caller has not got the answer. */
+  @Test
+  void resentJobIsTheSameJobOnceItsServiceHasGone() {
+    String job = awaitAccepted(submit(first, "roster-7", items(5)));
+    removeService();
+    HttpResponse<String> resent = fleet.send(submit(second, "roster-7", items(5)));
+    assertEquals(202, resent.statusCode(), resent.body());
+    assertTrue(resent.body().contains(job), resent.body());
+  }
+
+  private void removeService() {
+    Catalogue catalogue = TestFleet.catalogue();
+    Map<ServiceName, ServiceEntry> services = new HashMap<>(catalogue.services());
+    services.remove(new ServiceName("brief-llm"));
+    fleet.putCatalogue(first, 0, new Catalogue(0, services, catalogue.workspaces()));
+  }
+
   private String awaitAccepted(HttpRequest request) {
     HttpResponse<String> answer =
         Awaitility.await()
--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/TestFleet.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/TestFleet.java
@@ -151,13 +151,18 @@
 
   /** Submits the test catalogue and waits until the entry instance has accepted it. */
   void putCatalogue(EntryProcess entry) {
+    putCatalogue(entry, -1, catalogue());
+  }
+
+  /** Submits a catalogue in place of a version, and waits until the entry instance accepts it. */
+  void putCatalogue(EntryProcess entry, long replaced, Catalogue catalogue) {
     HttpRequest put =
         HttpRequest.newBuilder(uri(entry, "/v1/catalogue"))
             .timeout(TIMEOUT)
             .header("Authorization", "Bearer " + OPERATOR_KEY)
-            .header("If-Match", "-1")
+            .header("If-Match", String.valueOf(replaced))
             .header("X-Author", "tester")
-            .PUT(HttpRequest.BodyPublishers.ofString(new CatalogueWriter().write(catalogue())))
+            .PUT(HttpRequest.BodyPublishers.ofString(new CatalogueWriter().write(catalogue)))
             .build();
     Awaitility.await().atMost(TIMEOUT).until(() -> send(put).statusCode() == 200);
   }
--- a/hawthornlb-net/src/main/java/io/hawthornlb/net/endpoint/support/HttpEndpointClient.java
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/endpoint/support/HttpEndpointClient.java
@@ -67,8 +67,8 @@
   public HttpEndpointClient(EndpointClientSettings settings) {
     this.settings = settings;
     for (TrafficKind kind : TrafficKind.values()) {
-      clients.put(kind, HttpClient.create(null, configuration()));
-      streamClients.put(kind, SseClient.create(null, configuration()));
+      clients.put(kind, ExchangeCheckedClient.create(configuration()));
+      streamClients.put(kind, ExchangeCheckedClient.create(configuration()));
     }
   }
 
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/fault/FaultKind.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/fault/FaultKind.java
@@ -25,6 +25,11 @@
    * text.
    */
   CRASH_WRITING("crash-writing"),
+  /**
+   * The stand-in sends each answer a second time, late: where the next answer on its connection is
+   * expected.
+   */
+  LATE_COPY("late-copy"),
   /** The value of the fault replaces the configured age of an engine's load report. */
   LAG_REPORTS("lag-reports"),
   /** The stand-in reports itself as leaving in health and announcements, and keeps serving. */
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/fault/support/FaultChannelHandler.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/fault/support/FaultChannelHandler.java
@@ -36,6 +36,7 @@
   private final ActiveFaults faults;
   private final Queue<Object> delayed = new ArrayDeque<>();
   private final StringBuilder body = new StringBuilder();
+  private final AnswerCopy copy = new AnswerCopy();
   private long connection;
   private boolean controlRequest;
   private boolean answeringUnavailable;
@@ -104,10 +105,23 @@
       promise.tryFailure(new java.nio.channels.ClosedChannelException());
       ctx.close();
     } else {
+      repeat(ctx, message);
       ctx.write(message, promise);
     }
   }
 
+  /** Sends the copy of the former answer before an answer, and keeps a copy of this one. */
+  private void repeat(ChannelHandlerContext ctx, Object message) {
+    if (controlRequest || !faults.active(FaultKind.LATE_COPY)) {
+      copy.clear();
+      return;
+    }
+    if (message instanceof HttpResponse) {
+      copy.send(ctx);
+    }
+    copy.add(message);
+  }
+
   @Override
   public void close(ChannelHandlerContext ctx, ChannelPromise promise) {
     // A silenced connection emulates one that an intermediary has dropped without notice, so the
@@ -121,6 +135,7 @@
   public void channelInactive(ChannelHandlerContext ctx) {
     delayed.forEach(ReferenceCountUtil::release);
     delayed.clear();
+    copy.clear();
     ctx.fireChannelInactive();
   }
 
--- a/hawthornlb-standin/src/test/java/io/hawthornlb/standin/fault/FaultsTest.java
+++ b/hawthornlb-standin/src/test/java/io/hawthornlb/standin/fault/FaultsTest.java
@@ -12,8 +12,11 @@
 import io.hawthornlb.standin.platform.PlatformStandin;
 import io.hawthornlb.standin.service.ServiceStandin;
 import java.io.IOException;
+import java.net.Socket;
 import java.net.http.HttpTimeoutException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
@@ -82,6 +85,28 @@
     assertTrue(System.nanoTime() - start >= Duration.ofMillis(200).toNanos());
   }
 
+  /** Late copies come before the next answer of their connection, and with all of their bytes. */
+  @Test
+  void lateCopyRepeatsEachAnswerBeforeTheNextOne() throws IOException {
+    calls.fault("{\"kind\":\"late-copy\"}");
+    String[] address = service.address().split(":");
+    try (Socket socket = new Socket(address[0], Integer.parseInt(address[1]))) {
+      socket.setSoTimeout(5_000);
+      for (String path : List.of("/first", "/second")) {
+        String request = "POST " + path + " HTTP/1.1\r\nHost: s\r\nContent-Length: 2\r\n\r\n{}";
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+      }
+      StringBuilder received = new StringBuilder();
+      byte[] buffer = new byte[4_096];
+      while (!received.toString().contains("/second\"")) {
+        int length = socket.getInputStream().read(buffer);
+        received.append(new String(buffer, 0, length, StandardCharsets.US_ASCII));
+      }
+      assertEquals(3, received.toString().split("HTTP/1.1 200", -1).length - 1);
+      assertEquals(2, received.toString().split("/first\"", -1).length - 1);
+    }
+  }
+
   @Test
   void loseAnswerRunsTheCallAndClosesTheConnection() throws IOException {
     calls.fault("{\"kind\":\"lose-answer\"}");
