List items whose route was removed within nine seconds

Routes are now looked at each second while the configuration has changed since, or some item has no route; otherwise that costs a comparison. What decides moved to ItemExpiry.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -1,12 +1,10 @@
 package io.hawthornlb.gateway.job;
 
-import io.hawthornlb.gateway.route.Route;
 import io.hawthornlb.gateway.store.LogStore.AppendCall;
 import io.hawthornlb.gateway.store.LogStore.FencedWriter;
 import io.hawthornlb.gateway.store.LogStore.KeyedRecord;
 import io.hawthornlb.gateway.store.StoreException;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -54,6 +52,9 @@
   /** Minimum number of new events for which a progress record is worth its bytes. */
   private static final int MIN_SAVED_EVENTS = 10;
 
+  /** Interval at which items are checked for having lost their route. */
+  private static final Duration ROUTE_CHECK_INTERVAL = Duration.ofSeconds(1);
+
   /** Interval at which items are checked for being too old and jobs for being no longer needed. */
   private static final Duration SWEEP_INTERVAL = Duration.ofSeconds(5);
 
@@ -66,7 +67,7 @@
   private final RunEstimate estimate = new RunEstimate();
   private final SlotRequestLimiter limiter = new SlotRequestLimiter();
   private final JobAges ages;
-  private final RouteAbsences absences = new RouteAbsences();
+  private final ItemExpiry expiry;
   private final Map<String, ItemRun> runs = new HashMap<>();
   private final List<Finished> finished = new ArrayList<>();
   private final List<Finished> inFlight = new ArrayList<>();
@@ -92,6 +93,7 @@
     this.epoch = epoch;
     this.onRefused = onRefused;
     this.ages = new JobAges(parts.clock());
+    this.expiry = new ItemExpiry(parts, ages);
   }
 
   /** Fences former holders, then reads the log and starts the items. */
@@ -149,6 +151,7 @@
                 scheduleRead();
                 scheduleSave();
                 scheduleSweep();
+                scheduleRouteCheck();
               } else {
                 onStoreFailure("read", failure, this::catchUp);
               }
@@ -195,6 +198,7 @@
         } else if (!job.listed(item.id()) && !runs.containsKey(runKey(job, item.id()))) {
           ItemRun run = new ItemRun(parts, job, item, epoch, estimate, limiter, new Outcomes(job));
           runs.put(runKey(job, item.id()), run);
+          expiry.added(runKey(job, item.id()), run);
           run.start();
         }
       }
@@ -277,31 +281,36 @@
       return;
     }
     ages.update(replica.table().all());
-    absences.retain(runs.keySet());
-    Map.copyOf(runs).forEach(this::giveUpIfOver);
+    giveUpExpiredItems();
     deleteOldJobs();
     scheduleSweep();
   }
 
-  /**
-   * Gives up an item whose route was removed for good, or whose job is older than the retention of
-   * its route. An item without a route on which an endpoint still works may complete.
-   */
-  private void giveUpIfOver(String key, ItemRun run) {
-    Instant now = parts.clock().instant();
-    Optional<Route> route = run.route().find();
-    absences.update(key, route.isPresent(), now);
-    boolean removed =
-        !run.executing() && absences.over(key, now, parts.configFreshness().freshAsOf());
-    boolean expired =
-        route
-            .map(Route::retention)
-            .filter(retention -> ages.olderThan(run.job(), retention))
-            .isPresent();
-    if ((removed || expired) && run.running()) {
-      run.giveUp(removed ? "route removed" : "retention over");
-      finish(run.job(), new JobResult(run.item().id(), false, ""));
+  private void scheduleRouteCheck() {
+    parts
+        .executor()
+        .schedule(this::checkRoutes, ROUTE_CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private void checkRoutes() {
+    if (stopped) {
+      return;
+    }
+    if (expiry.routesInDoubt()) {
+      giveUpExpiredItems();
     }
+    scheduleRouteCheck();
+  }
+
+  private void giveUpExpiredItems() {
+    expiry.retain(runs.keySet());
+    Map.copyOf(runs)
+        .forEach((key, run) -> expiry.cause(key, run).ifPresent(cause -> giveUp(run, cause)));
+  }
+
+  private void giveUp(ItemRun run, String cause) {
+    run.giveUp(cause);
+    finish(run.job(), new JobResult(run.item().id(), false, ""));
   }
 
   /** Deletes the records of finished jobs whose results no longer need to be readable. */
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/RouteAbsences.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/RouteAbsences.java
@@ -36,6 +36,11 @@
     }
   }
 
+  /** Returns whether all items have a route. */
+  boolean isEmpty() {
+    return missingSince.isEmpty();
+  }
+
   /** Forgets all items but the given ones. */
   void retain(Set<String> items) {
     missingSince.keySet().retainAll(items);
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/CurrentLog.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/CurrentLog.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.gateway.job;
 
 import io.hawthornlb.gateway.store.LogFreshness;
+import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.concurrent.CompletableFuture;
@@ -11,10 +12,21 @@
 final class CurrentLog implements LogFreshness {
 
   private final InstantSource clock;
+  private final Duration age;
   private volatile @Nullable Instant cutOffAt;
 
   CurrentLog(InstantSource clock) {
+    this(clock, Duration.ZERO);
+  }
+
+  /**
+   * Creates a log whose copy is somewhat old.
+   *
+   * @param age age of the moment up to which the copy is known to be complete
+   */
+  CurrentLog(InstantSource clock, Duration age) {
     this.clock = clock;
+    this.age = age;
   }
 
   /** Sets whether the log cannot be read from now on. */
@@ -31,7 +43,7 @@
   @Override
   public Instant freshAsOf() {
     Instant since = cutOffAt;
-    return since == null ? clock.instant() : since;
+    return (since == null ? clock.instant() : since).minus(age);
   }
 
   @Override
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/RouteChangeReplay.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/RouteChangeReplay.java
@@ -28,8 +28,11 @@
   private static final Duration STEP = Duration.ofMillis(100);
   private static final Duration CHANGES = Duration.ofSeconds(40);
 
-  /** Longest time that an item without a route may stay unlisted: two sweeps and the wait. */
-  private static final Duration LISTED_WITHIN = Duration.ofSeconds(16);
+  /** Longest time that an item without a route may stay unlisted. */
+  private static final Duration LISTED_WITHIN = Duration.ofSeconds(9);
+
+  /** Age of the proof that a configuration is complete, as it is while reads wait for changes. */
+  private static final Duration PROOF_AGE = Duration.ofMillis(1_500);
 
   private static final int JOBS = 6;
   private static final int ITEMS = 3;
@@ -85,7 +88,7 @@
   private final class Instance {
 
     private final ConfigHolder config = new ConfigHolder();
-    private final CurrentLog freshness = new CurrentLog(time);
+    private final CurrentLog freshness = new CurrentLog(time, PROOF_AGE);
     private final JobReplica replica =
         new JobReplica(store, JobReplicas.TOPIC, 0, new LoadLimiter(), time.loop());
     private PartitionRunner runner;
