Let further processes hold partitions while too few do

Cause: only processes whose rank is below the number of partitions join the group of holders. Ranks count listed instances, lost ones stay listed, and they are suspected only by requests for slots, which no item sends without a holder.

Now processes join in the order of their ranks while the store names less than half as many holders as there are partitions. Processes that are no members look the holders up, at most four times a second in a fleet of any size.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRunners.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRunners.java
@@ -4,11 +4,14 @@
 import io.hawthornlb.gateway.store.LogStore.GroupJoin;
 import io.hawthornlb.gateway.store.LogStore.GroupShare;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
+import java.util.Set;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
@@ -52,6 +55,7 @@
   private final long startEpoch;
   private final Supplier<OptionalInt> rank;
   private final HolderSelection selection;
+  private final JobPeers peers;
   private final Map<Integer, PartitionRunner> runners = new HashMap<>();
   private final Map<Integer, Long> epochOffsets = new HashMap<>();
   private final Map<Integer, Long> lastEpochs = new HashMap<>();
@@ -75,7 +79,8 @@
       Supplier<OptionalInt> rank) {
     this.parts = parts;
     this.rank = rank;
-    this.selection = new HolderSelection(partitions);
+    this.selection = new HolderSelection(partitions, peers.self());
+    this.peers = peers;
     this.notices = notices;
     notices.onHeld(this::onHeldElsewhere);
     this.name = peers.self();
@@ -94,7 +99,7 @@
             format,
             peers,
             runners::containsKey,
-            () -> parts.store().owners(GROUP, JobReplicas.TOPIC),
+            this::lookUpHolders,
             parts.executor(),
             parts.clock(),
             parts.log());
@@ -115,7 +120,11 @@
     if (leaving) {
       return;
     }
-    if (selection.member(rank.get().orElse(UNKNOWN_RANK), parts.clock().instant())) {
+    Instant now = parts.clock().instant();
+    if (selection.lookupDue(peers.instances(), now)) {
+      lookUpHolders();
+    }
+    if (selection.member(rank.get().orElse(UNKNOWN_RANK), now)) {
       member = true;
       join();
     } else {
@@ -124,6 +133,15 @@
     }
   }
 
+  /** Looks up the holders of the partitions, for callers' requests and for the own membership. */
+  private CompletionStage<Map<Integer, String>> lookUpHolders() {
+    CompletionStage<Map<Integer, String>> found = parts.store().owners(GROUP, JobReplicas.TOPIC);
+    found.thenAcceptAsync(
+        holders -> selection.holders(Set.copyOf(holders.values()), parts.clock().instant()),
+        parts.executor());
+    return found;
+  }
+
   private void scheduleJoin() {
     parts.executor().schedule(this::start, JOIN_EVERY.toMillis(), TimeUnit.MILLISECONDS);
   }
