Remove instances from the list that were lost without a stop signal

What followed from them: ranks, coordinators, keepers of origins, learned state and standbys are chosen from the list of instances. A lost one stayed in it for ever, and whoever asked it waited in vain, again every four seconds.

Before, nothing removed an entry but its own process.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -31,6 +31,7 @@
 import io.hawthornlb.gateway.peer.FleetSlotClient;
 import io.hawthornlb.gateway.peer.FleetStreamOrigins;
 import io.hawthornlb.gateway.peer.FleetView;
+import io.hawthornlb.gateway.peer.InstanceWatch;
 import io.hawthornlb.gateway.peer.LearnedStateReplicator;
 import io.hawthornlb.gateway.peer.PeerEvidence;
 import io.hawthornlb.gateway.peer.PeerHoldNotices;
@@ -149,6 +150,7 @@
     caller.onStoreRecovered(
         follow(store, InstanceSource.TOPIC, KeyedFollower.RELAXED_WAIT, instances)::readNow);
     instances.announce();
+    new InstanceWatch(fleet, transport, loop, clock, log, instances::remove).start();
     loop.execute(jobs::start);
     lines = lines();
     lines.start();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/InstanceSource.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/InstanceSource.java
@@ -100,6 +100,21 @@
             executor);
   }
 
+  /** Removes another process that was lost from the list. If it is alive, it registers again. */
+  void remove(GatewayInstance lost) {
+    KeyedRecord record = new KeyedRecord(lost.name(), null);
+    store
+        .append(new AppendCall(TOPIC, 0, List.of(record), null))
+        .whenCompleteAsync(
+            (done, failure) -> {
+              if (failure != null) {
+                // The watch that found it lost finds it again.
+                logFailure("remove.failed", failure);
+              }
+            },
+            executor);
+  }
+
   private void logFailure(String event, Throwable failure) {
     log.important("fleet", event).with("cause", String.valueOf(failure.getMessage())).write();
   }
