Exit with a clear error if an address cannot be listened on

Cause: the address was bound after the instance had registered, and the exception ended the main thread only; the event loop kept the process.

Now all addresses are bound before the instance registers.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontServer.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/FrontServer.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.gateway.front;
 
 import io.hawthornlb.gateway.event.EventLog;
+import io.hawthornlb.gateway.loop.Listening;
 import io.hawthornlb.gateway.route.CallerLimits;
 import io.hawthornlb.gateway.route.ConfigHolder;
 import io.hawthornlb.gateway.route.RoutingConfig;
@@ -55,7 +56,7 @@
 
   /** Binds an address and accepts connections there. */
   public void bind(EventLoopGroup loop, InetSocketAddress address) {
-    listening =
+    ServerBootstrap server =
         new ServerBootstrap()
             .group(loop)
             .channelFactory(NioServerSocketChannel::new)
@@ -64,10 +65,8 @@
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .handler(new AcceptHandler(new AcceptThrottle(loop, clock), log))
-            .childHandler(new Pipeline())
-            .bind(address)
-            .syncUninterruptibly()
-            .channel();
+            .childHandler(new Pipeline());
+    listening = Listening.await(server.bind(address), address, "callers");
   }
 
   /** Starts draining: each connection closes after the next response that ends on it. */
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/UdpPeerTransport.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/UdpPeerTransport.java
@@ -3,6 +3,7 @@
 import io.hawthornlb.gateway.decode.UnreadableException;
 import io.hawthornlb.gateway.decode.UnreadableRecords;
 import io.hawthornlb.gateway.event.EventLog;
+import io.hawthornlb.gateway.loop.Listening;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -37,14 +38,9 @@
     this.self = self;
     this.log = log;
     this.foreign = new UnreadableRecords(log, clock, "peer", "datagram.foreign", "from");
-    this.channel =
-        new Bootstrap()
-            .group(loop)
-            .channelFactory(NioDatagramChannel::new)
-            .handler(new Receiver())
-            .bind(address)
-            .syncUninterruptibly()
-            .channel();
+    Bootstrap socket =
+        new Bootstrap().group(loop).channelFactory(NioDatagramChannel::new).handler(new Receiver());
+    this.channel = Listening.await(socket.bind(address), address, "datagrams of other instances");
   }
 
   @Override
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -97,7 +97,12 @@
   private final PeriodicLines lines;
   private boolean stopping;
 
-  /** Starts a gateway on an event loop. */
+  /**
+   * Starts a gateway on an event loop.
+   *
+   * @throws io.hawthornlb.gateway.loop.ListenException if an address cannot be used; the instance
+   *     is not registered then
+   */
   public GatewayProcess(
       GatewaySettings settings,
       EventLoop loop,
@@ -149,13 +154,13 @@
     front = new FrontServer(handler, config, check, clock, log);
     caller.onStoreRecovered(
         follow(store, InstanceSource.TOPIC, KeyedFollower.RELAXED_WAIT, instances)::readNow);
+    front.bind(loop, settings.front());
+    bindReadiness();
     instances.announce();
     new InstanceWatch(fleet, transport, loop, clock, log, instances::remove).start();
     loop.execute(jobs::start);
     lines = lines();
     lines.start();
-    front.bind(loop, settings.front());
-    bindReadiness();
     log.important("process", "started").with("instance", settings.self().name()).write();
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/ReadyServer.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/ReadyServer.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.gateway.process;
 
 import io.hawthornlb.gateway.event.EventLog;
+import io.hawthornlb.gateway.loop.Listening;
 import io.hawthornlb.gateway.metric.MetricsText;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -40,13 +41,13 @@
   }
 
   void bind(EventLoopGroup loop, InetSocketAddress address) {
-    new ServerBootstrap()
-        .group(loop)
-        .channelFactory(NioServerSocketChannel::new)
-        .option(ChannelOption.SO_REUSEADDR, true)
-        .childHandler(new Pipeline())
-        .bind(address)
-        .syncUninterruptibly();
+    ServerBootstrap server =
+        new ServerBootstrap()
+            .group(loop)
+            .channelFactory(NioServerSocketChannel::new)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childHandler(new Pipeline());
+    Listening.await(server.bind(address), address, "readiness and metrics");
   }
 
   /** Sets up the channel pipeline of a connection. */
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayServer.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayServer.java
@@ -5,6 +5,7 @@
 import io.hawthornlb.gateway.http.HttpCallException;
 import io.hawthornlb.gateway.http.HttpCaller;
 import io.hawthornlb.gateway.http.HttpReply;
+import io.hawthornlb.gateway.loop.Listening;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
@@ -79,20 +80,20 @@
    * @param jobs answers calls about jobs
    */
   public void bind(EventLoopGroup loop, InetSocketAddress at, HttpCaller jobs) {
-    new ServerBootstrap()
-        .group(loop)
-        .channelFactory(NioServerSocketChannel::new)
-        .option(ChannelOption.SO_REUSEADDR, true)
-        .childOption(ChannelOption.TCP_NODELAY, true)
-        .childHandler(
-            new ChannelInitializer<Channel>() {
-              @Override
-              protected void initChannel(Channel channel) {
-                RelayChannels.setUp(channel, new Peer(jobs));
-              }
-            })
-        .bind(at)
-        .syncUninterruptibly();
+    ServerBootstrap server =
+        new ServerBootstrap()
+            .group(loop)
+            .channelFactory(NioServerSocketChannel::new)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    RelayChannels.setUp(channel, new Peer(jobs));
+                  }
+                });
+    Listening.await(server.bind(at), at, "links of other instances");
   }
 
   /** Link of one peer. */
