--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/process/ReloadSignalTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/process/ReloadSignalTest.java
@@ -20,4 +20,16 @@
     Signal.raise(new Signal("HUP"));
     Awaitility.await().until(() -> reloads.get() >= 1);
   }
+
+  /** Guards against a process that ends because its settings change while it starts. */
+  @Test
+  void keepsASignalThatComesBeforeItsAction() throws InterruptedException {
+    ReloadSignal.awaitAction();
+    Signal.raise(new Signal("HUP"));
+    // The runtime handles the signal on a thread of its own.
+    Thread.sleep(500);
+    AtomicInteger reloads = new AtomicInteger();
+    ReloadSignal.onReload(reloads::incrementAndGet);
+    Awaitility.await().until(() -> reloads.get() == 1);
+  }
 }
