Accept a job that is sent again after its service has left the catalogue

Cause: the items were checked against the catalogue before anything asked whether the job is known. Now an upload whose only faults are missing services, and that has a key of its caller, is looked up: with the same content it is the same job. Any other gets 400 as before.

Not covered: a job whose first sending is still being made durable at that moment.

--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/JobService.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/JobService.java
@@ -23,7 +23,6 @@
 import java.util.Comparator;
 import java.util.Optional;
 import java.util.UUID;
-import java.util.function.Supplier;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
@@ -36,6 +35,7 @@
   private final InstanceId self;
   private final PartitionContext context;
   private final JobHolderClient holderClient;
+  private final JobReader reader;
   private final ObjectMapper mapper;
   private final int partitions;
 
@@ -44,11 +44,13 @@
       InstanceId self,
       PartitionContext context,
       JobHolderClient holderClient,
+      JobReader reader,
       ObjectMapper mapper,
       int partitions) {
     this.self = self;
     this.context = context;
     this.holderClient = holderClient;
+    this.reader = reader;
     this.mapper = mapper;
     this.partitions = partitions;
   }
@@ -59,6 +61,9 @@
    * <p>Items are stored in the log while they arrive. Stored items have no effect until the holder
    * accepts the job. A submission that is refused or breaks off therefore leaves only records that
    * expire.
+   *
+   * <p>A job that was accepted before the catalogue lost a service of its items stays the same job
+   * if its caller sends it again.
    */
   public Mono<JobId> submit(
       WorkspaceId workspace,
@@ -80,10 +85,10 @@
         .then(
             Mono.defer(
                 () ->
-                    accept(
-                        upload,
-                        firstSend,
-                        () -> header(workspace, key, due, catalogue, submission, upload))));
+                    upload.findings().isEmpty()
+                        ? accept(
+                            header(workspace, key, due, catalogue, submission, upload), firstSend)
+                        : accepted(workspace, job, upload, firstSend)));
   }
 
   /** Cancels a job and returns the answer of the holder of its partition. */
@@ -103,21 +108,40 @@
         .onErrorMap(error -> new RefusalException(notDurable()));
   }
 
-  private Mono<JobId> accept(JobUpload upload, boolean firstSend, Supplier<JobHeader> header) {
-    if (!upload.findings().isEmpty()) {
-      return Mono.error(
-          new RefusalException(
-              Refusal.notRun(
-                      RefusalReason.INVALID_REQUEST,
-                      "the job has " + upload.findings().size() + " fault(s); nothing is run")
-                  .withFindings(upload.findings())));
-    }
-    JobHeader accepted = header.get();
+  private Mono<JobId> accept(JobHeader header, boolean firstSend) {
     return holderClient
-        .ask(JobIds.partition(accepted.id()), id -> new SubmitJob(self, id, accepted, firstSend))
+        .ask(JobIds.partition(header.id()), id -> new SubmitJob(self, id, header, firstSend))
         .map(JobAnswer::job);
   }
 
+  /** Returns the id of a job that was accepted earlier, or fails with the faults of the upload. */
+  private Mono<JobId> accepted(
+      WorkspaceId workspace, JobId job, JobUpload upload, boolean firstSend) {
+    RefusalException invalid = new RefusalException(invalid(upload));
+    if (firstSend || !upload.lacksOnlyServices()) {
+      return Mono.error(invalid);
+    }
+    String contentHash = upload.contentHash();
+    return reader
+        .status(workspace, job)
+        .filter(known -> known.header().contentHash().equals(contentHash))
+        .map(known -> known.header().id())
+        .switchIfEmpty(Mono.error(invalid))
+        .onErrorMap(JobService::isNotFound, error -> invalid);
+  }
+
+  private static boolean isNotFound(Throwable error) {
+    return error instanceof RefusalException refused
+        && refused.refusal().reason() == RefusalReason.NOT_FOUND;
+  }
+
+  private static Refusal invalid(JobUpload upload) {
+    return Refusal.notRun(
+            RefusalReason.INVALID_REQUEST,
+            "the job has " + upload.findings().size() + " fault(s); nothing is run")
+        .withFindings(upload.findings());
+  }
+
   private JobHeader header(
       WorkspaceId workspace,
       String key,
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/JobUpload.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/JobUpload.java
@@ -48,6 +48,7 @@
   private int line;
   private int items;
   private int chunks;
+  private boolean broken;
 
   /** Creates the upload of a job. */
   public JobUpload(JobId job, String submission, Catalogue catalogue, ObjectMapper mapper) {
@@ -74,7 +75,7 @@
   /** Ends the upload and returns the last chunk, if items are left. */
   public Optional<JobChunk> end() {
     if (line == 0 || (items == 0 && findings.isEmpty())) {
-      addFinding("", "the job has no item");
+      addFault("", "the job has no item");
     }
     return flush();
   }
@@ -84,6 +85,14 @@
     return List.copyOf(findings);
   }
 
+  /**
+   * Returns whether the catalogue lacks a service of the items and the upload has no other fault.
+   * Its content hash then is the one of the same job with the service.
+   */
+  public boolean lacksOnlyServices() {
+    return !findings.isEmpty() && !broken;
+  }
+
   /** Returns the number of items so far. */
   public int items() {
     return items;
@@ -103,30 +112,33 @@
     try {
       return mapper.readTree(text);
     } catch (JsonProcessingException e) {
-      addFinding("", "broken JSON: " + e.getOriginalMessage());
+      addFault("", "broken JSON: " + e.getOriginalMessage());
       return null;
     }
   }
 
   private boolean check(JsonNode root) {
-    int before = findings.size();
+    boolean brokenBefore = broken;
+    broken = false;
     String customId = root.path("custom_id").asText("");
     if (customId.isBlank()) {
-      addFinding("custom_id", "missing");
+      addFault("custom_id", "missing");
     } else if (!customIds.add(Fingerprint.of("custom_id", bytes(customId)).value())) {
-      addFinding("custom_id", "stands twice: " + customId);
+      addFault("custom_id", "stands twice: " + customId);
     }
     if (!"POST".equals(root.path("method").asText())) {
-      addFinding("method", "expected POST");
+      addFault("method", "expected POST");
     }
     if (!CHAT_URL.equals(root.path("url").asText())) {
-      addFinding("url", "expected " + CHAT_URL);
+      addFault("url", "expected " + CHAT_URL);
     }
     checkBody(root.path("body"));
     if (items >= MAX_ITEMS) {
-      addFinding("", "a job has " + MAX_ITEMS + " items at most");
+      addFault("", "a job has " + MAX_ITEMS + " items at most");
     }
-    return findings.size() == before && findings.size() < MAX_FINDINGS;
+    boolean wellFormed = !broken;
+    broken |= brokenBefore;
+    return wellFormed;
   }
 
   private void checkBody(JsonNode body) {
@@ -141,10 +153,10 @@
       addFinding("body.model", "no service named " + model);
     }
     if (!body.path("messages").isArray() || body.path("messages").isEmpty()) {
-      addFinding("body.messages", "expected an array of at least one message");
+      addFault("body.messages", "expected an array of at least one message");
     }
     if (body.path("stream").asBoolean(false)) {
-      addFinding("body.stream", "items of a job are not streamed");
+      addFault("body.stream", "items of a job are not streamed");
     }
   }
 
@@ -178,6 +190,11 @@
     return Optional.of(chunk);
   }
 
+  private void addFault(String path, String message) {
+    broken = true;
+    addFinding(path, message);
+  }
+
   private void addFinding(String path, String message) {
     if (findings.size() < MAX_FINDINGS) {
       findings.add(new Finding(SOURCE, line, path, message));
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/PartitionPlane.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/partition/PartitionPlane.java
@@ -77,8 +77,8 @@
             outward,
             loop,
             clock);
-    this.jobs = new JobService(self, context, holderClient, new ObjectMapper(), partitions);
     this.reader = new JobReader(hosts, context, partitions);
+    this.jobs = new JobService(self, context, holderClient, reader, new ObjectMapper(), partitions);
   }
 
   /** Registers the handlers of messages about partitions. */
