Let the load tool edit the catalogue and check that jobs stay known

An action of the load tool can now put the catalogue back without some services, and whole again. An accepted job that an entry answers 404 to breaks the run; until now the tool asked again and said nothing.

--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/support/JobCalls.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/support/JobCalls.java
@@ -21,10 +21,12 @@
   private static final Duration TIMEOUT = Duration.ofSeconds(10);
   private static final int OK = 200;
   private static final int ACCEPTED = 202;
+  private static final int NOT_FOUND = 404;
   private static final int PAGE_SIZE = 1_000;
 
   private final HttpCaller caller;
   private final JobFlow flow;
+  private boolean disowned;
 
   /** The status of a job and its numbers of ended items. */
   record Status(String status, int completed, int failed) {
@@ -42,6 +44,11 @@
     this.flow = flow;
   }
 
+  /** Returns whether a read or a cancellation of a job was answered with 404. */
+  boolean disowned() {
+    return disowned;
+  }
+
   /** Submits a job and returns its id; empty if the job was not accepted. */
   Optional<String> submit(String key, String lines, Optional<Instant> due) {
     Call call = call("POST", "/v1/jobs", lines).with("Idempotency-Key", key);
@@ -82,7 +89,9 @@
 
   private Optional<HttpResponse<String>> send(Call call) {
     try {
-      return Optional.of(caller.send(call, BodyHandlers.ofString()).join());
+      HttpResponse<String> answer = caller.send(call, BodyHandlers.ofString()).join();
+      disowned |= answer.statusCode() == NOT_FOUND;
+      return Optional.of(answer);
     } catch (CompletionException e) {
       return Optional.empty();
     }
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/support/JobRun.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/support/JobRun.java
@@ -190,6 +190,9 @@
   }
 
   private JobResult result(String id, Status status, long accepted, long done) {
+    if (calls.disowned()) {
+      faults.add("an entry answered 404 to the accepted job");
+    }
     double seconds = (done - accepted) / (double) TimeUnit.SECONDS.toNanos(1);
     return new JobResult(
         flow.name(),
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/support/LoadRun.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/support/LoadRun.java
@@ -64,7 +64,7 @@
     long end = TimeUnit.MILLISECONDS.toNanos(scenario.durationMillis() + scenario.drainMillis());
     List<Future<JobResult>> jobs = startJobs(caller, clock, end);
     Future<?> sending = workers.submit(pacer::run);
-    workers.submit(new FaultActions(scenario.actions(), clock, progress)::run);
+    workers.submit(new ScheduledActions(scenario.actions(), clock, progress)::run);
     awaitEnd(clock, pacer, sending, jobs, end);
     return result(startedAt, clock.nanos() / NANOS_PER_SECOND, results(jobs));
   }
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/support/ScheduledActions.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/load/support/ScheduledActions.java
@@ -14,8 +14,8 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-/** Switches faults of stand-ins on and off at the scheduled times. */
-final class FaultActions {
+/** Switches faults of stand-ins on and off and edits the catalogue, at the scheduled times. */
+final class ScheduledActions {
 
   private static final Duration TIMEOUT = Duration.ofSeconds(2);
 
@@ -23,8 +23,9 @@
   private final RunClock clock;
   private final PrintStream progress;
   private final HttpClient client = HttpClient.newBuilder().connectTimeout(TIMEOUT).build();
+  private final CatalogueEditor catalogue = new CatalogueEditor(client);
 
-  FaultActions(List<Action> actions, RunClock clock, PrintStream progress) {
+  ScheduledActions(List<Action> actions, RunClock clock, PrintStream progress) {
     this.actions = actions.stream().sorted(Comparator.comparingLong(Action::atMillis)).toList();
     this.clock = clock;
     this.progress = progress;
@@ -42,6 +43,21 @@
   }
 
   private void execute(Action action) {
+    String description = description(action) + " at " + action.address();
+    try {
+      int status =
+          action.catalogue() == null
+              ? switchFault(action)
+              : catalogue.apply(action.address(), action.catalogue());
+      progress.println("load: " + description + ", status " + status);
+    } catch (IOException e) {
+      progress.println("load: " + description + " failed: " + e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private int switchFault(Action action) throws IOException, InterruptedException {
     URI uri = URI.create("http://" + action.address() + "/standin/faults");
     HttpRequest.Builder request =
         HttpRequest.newBuilder(uri).timeout(TIMEOUT).header("Content-Type", "application/json");
@@ -50,15 +66,13 @@
     } else {
       request.POST(BodyPublishers.ofByteArray(WireJson.write(action.fault())));
     }
-    String description =
-        action.fault() == null ? "all faults off" : String.valueOf(action.fault().kind());
-    try {
-      int status = client.send(request.build(), BodyHandlers.discarding()).statusCode();
-      progress.println("load: " + description + " at " + action.address() + ", status " + status);
-    } catch (IOException e) {
-      progress.println("load: " + description + " at " + action.address() + " failed: " + e);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
+    return client.send(request.build(), BodyHandlers.discarding()).statusCode();
+  }
+
+  private static String description(Action action) {
+    if (action.catalogue() != null) {
+      return "catalogue without " + action.catalogue().without();
     }
+    return action.fault() == null ? "all faults off" : String.valueOf(action.fault().kind());
   }
 }
--- a/hawthornlb-standin/src/test/java/io/hawthornlb/standin/load/FakeEntry.java
+++ b/hawthornlb-standin/src/test/java/io/hawthornlb/standin/load/FakeEntry.java
@@ -41,7 +41,8 @@
     DOUBLES_ITEM,
     FAILS_ITEM,
     NEW_JOB_EACH_TIME,
-    GOES_ON_AFTER_CANCEL
+    GOES_ON_AFTER_CANCEL,
+    DISOWNS_JOB
   }
 
   private final Set<Flaw> flaws;
@@ -51,6 +52,8 @@
   private final Map<String, List<JsonNode>> jobs = new ConcurrentHashMap<>();
   private final AtomicInteger statusRequests = new AtomicInteger();
   private volatile boolean cancelled;
+  private volatile String catalogue = "services: {brief-llm: {}, checkin-app: {}}\n";
+  private final AtomicInteger revision = new AtomicInteger();
   private final AtomicInteger jobNumbers = new AtomicInteger();
   private final Map<String, String> jobIds = new ConcurrentHashMap<>();
 
@@ -62,6 +65,7 @@
     server.createContext("/services/", this::call);
     server.createContext("/standin/calls", x -> send(x, 200, json(counter.counts())));
     server.createContext("/v1/jobs", this::job);
+    server.createContext("/v1/catalogue", this::catalogue);
     server.start();
   }
 
@@ -69,6 +73,11 @@
     return "127.0.0.1:" + server.getAddress().getPort();
   }
 
+  /** Returns the catalogue that the last edit put in force. */
+  String catalogue() {
+    return catalogue;
+  }
+
   @Override
   public void close() {
     server.stop(0);
@@ -136,6 +145,18 @@
     send(exchange, 200, json(new Echo("s", "i", "POST", path, text, key, call, checksum)));
   }
 
+  private void catalogue(HttpExchange exchange) throws IOException {
+    String held = exchange.getRequestHeaders().getFirst("If-Match");
+    if (exchange.getRequestMethod().equals("GET")) {
+      send(exchange, 200, json(Map.of("revision", revision.get(), "yaml", catalogue)));
+    } else if (held.equals(String.valueOf(revision.get()))) {
+      catalogue = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+      send(exchange, 200, json(Map.of("revision", revision.incrementAndGet())));
+    } else {
+      send(exchange, 409, "{}");
+    }
+  }
+
   private void job(HttpExchange exchange) throws IOException {
     String path = exchange.getRequestURI().getPath();
     String id = path.length() > 9 ? path.substring(9).split("/")[0] : "";
@@ -148,6 +169,8 @@
     } else if (path.endsWith("/cancel")) {
       cancelled = true;
       send(exchange, 200, "{}");
+    } else if (has(Flaw.DISOWNS_JOB) && statusRequests.getAndIncrement() == 0) {
+      send(exchange, 404, "{}");
     } else {
       send(exchange, 200, status(jobs.get(id)));
     }
--- a/hawthornlb-standin/src/test/java/io/hawthornlb/standin/load/LoadToolTest.java
+++ b/hawthornlb-standin/src/test/java/io/hawthornlb/standin/load/LoadToolTest.java
@@ -205,7 +205,8 @@
     "LOSES_ITEM, jobs: 1 items without result",
     "DOUBLES_ITEM, jobs: second result of item-0",
     "FAILS_ITEM, jobs: item-0 failed",
-    "NEW_JOB_EACH_TIME, jobs: the same key got a second job"
+    "NEW_JOB_EACH_TIME, jobs: the same key got a second job",
+    "DISOWNS_JOB, jobs: an entry answered 404 to the accepted job"
   })
   void wrongAnswersAndRunsAreDetected(Flaw flaw, String finding) throws IOException {
     List<String> broken = failedChecksWith(flaw);
@@ -245,6 +246,34 @@
     }
   }
 
+  /** Guards against edits that rest on a former edit of the run and lose what it removed. */
+  @Test
+  void catalogueLosesServicesAndGetsThemBack() throws IOException {
+    try (FakeEntry entry = new FakeEntry()) {
+      measure(withEdits(entry, edit(entry, 0, "brief-llm")));
+      assertFalse(entry.catalogue().contains("brief-llm"), entry.catalogue());
+      assertTrue(entry.catalogue().contains("checkin-app"), entry.catalogue());
+    }
+    try (FakeEntry entry = new FakeEntry()) {
+      measure(withEdits(entry, edit(entry, 0, "brief-llm"), edit(entry, 100)));
+      assertTrue(entry.catalogue().contains("brief-llm"), entry.catalogue());
+    }
+  }
+
+  private static Scenario.Builder withEdits(FakeEntry entry, Action... edits) {
+    ChatFlow late =
+        chats("c").bursts(List.of(Burst.builder().atMillis(900).count(1).build())).build();
+    return scenario(entry.address())
+        .durationMillis(1_000)
+        .chats(List.of(late))
+        .actions(List.of(edits));
+  }
+
+  private static Action edit(FakeEntry entry, long atMillis, String... without) {
+    CatalogueEdit edit = CatalogueEdit.builder().key("k").without(List.of(without)).build();
+    return Action.builder().atMillis(atMillis).address(entry.address()).catalogue(edit).build();
+  }
+
   @Test
   void onlineLoadRunsFirstWithoutTheJobs() throws IOException {
     try (FakeEntry entry = new FakeEntry()) {
