Run items again that were given back while nobody could take them

Cause: an instance whose endpoint leaves gives its items back, and keeps and resends that report until their outcome is durable. Each second it also lists them as in progress. The holder frees an item for the report and assigns it to the same instance again for the list; the instance does not have it. Where other endpoints pull at once, the item is taken in between; while none may, nobody ever gets it.

Now the list has no items that are to run again, the holder settles such a report as it frees the item, and an item that is assigned again discards the older report. Items that arrive after their endpoint has left, or that cannot be read, are given back; before, they waited for a timeout that counted as an attempt, and a job could report "the instance that ran the item was lost".

--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/batch/BatchPlane.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/batch/BatchPlane.java
@@ -244,18 +244,27 @@
     }
     DispatcherRunner dispatcher = dispatchers.get(message.endpoint());
     if (dispatcher == null) {
+      giveBack(message, "the endpoint is no longer assigned");
       return;
     }
     loader
         .load(message)
         .subscribe(
             items -> loop.execute(() -> dispatcher.onItems(items)),
-            error ->
-                LOG.log(
-                    System.Logger.Level.WARNING,
-                    "batch: could not read the items of partition {0}: {1}",
-                    message.partition().value(),
-                    error.getMessage()));
+            error -> {
+              LOG.log(
+                  System.Logger.Level.WARNING,
+                  "batch: could not read the items of partition {0}: {1}",
+                  message.partition().value(),
+                  error.getMessage());
+              loop.execute(() -> giveBack(message, "the items cannot be read"));
+            });
+  }
+
+  private void giveBack(ItemsDispatched message, String cause) {
+    message
+        .items()
+        .forEach(item -> reports.giveBack(new ItemKey(item.job(), item.location().index()), cause));
   }
 
   private void onCancelled(ItemsCancelled message) {
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/batch/DispatcherRunner.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/batch/DispatcherRunner.java
@@ -70,6 +70,7 @@
   void onItems(List<LoadedItem> arrived) {
     List<BatchItem> added = new ArrayList<>();
     for (LoadedItem loaded : arrived) {
+      reports.assignedAgain(loaded.key());
       if (inProgress.putIfAbsent(loaded.batch().ref(), loaded) == null) {
         added.add(loaded.batch());
       }
--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/batch/ItemReporter.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/batch/ItemReporter.java
@@ -52,13 +52,28 @@
         loaded.key(), new ItemFailed(self, loaded.key(), loaded.content().customId(), kind, cause));
   }
 
+  /** Gives an item back to its holder that has not run. */
+  void giveBack(ItemKey key, String cause) {
+    keep(key, new ItemFailed(self, key, "", FailureKind.NOT_RUN, cause));
+  }
+
+  /** Discards the report that an item is to run again, since it was assigned again. */
+  void assignedAgain(ItemKey key) {
+    if (unsettled.containsKey(key) && !endsItem(unsettled.get(key))) {
+      unsettled.remove(key);
+    }
+  }
+
   void onSettled(ItemsSettled message) {
     message.items().forEach(index -> unsettled.remove(new ItemKey(message.job(), index)));
   }
 
   /**
    * Resends the reports that are not durable yet, and sends each holder the list of items in
-   * progress, including those whose report is not durable yet. Call this method once a second.
+   * progress, including those whose outcome is not durable yet. Call this method once a second.
+   *
+   * <p>Items that are to run again are not listed. The holder would assign a listed item to this
+   * instance again, which no longer has it, and the item would never run.
    *
    * <p>Each holder receives one list for all of its partitions. The holder dispatches again any
    * item that two consecutive lists omit. With one list for each partition, every list would omit
@@ -69,7 +84,12 @@
     Map<InstanceId, Set<ItemKey>> byHolder = new TreeMap<>();
     lastListed.forEach(holder -> byHolder.put(holder, new HashSet<>()));
     inProgress.forEach(key -> add(byHolder, key));
-    unsettled.keySet().forEach(key -> add(byHolder, key));
+    unsettled.forEach(
+        (key, report) -> {
+          if (endsItem(report)) {
+            add(byHolder, key);
+          }
+        });
     lastListed.clear();
     byHolder.forEach(this::sendList);
   }
@@ -84,6 +104,10 @@
     send(key, message);
   }
 
+  private static boolean endsItem(PeerMessage report) {
+    return !(report instanceof ItemFailed failed) || failed.kind() == FailureKind.PERMANENT;
+  }
+
   private void sendList(InstanceId holder, Set<ItemKey> keys) {
     if (!keys.isEmpty()) {
       lastListed.add(holder);
--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/EntryJobTest.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/EntryJobTest.java
@@ -124,6 +124,20 @@
     assertTrue(resent.body().contains(job), resent.body());
   }
 
+  /**
+   * Guards against items that never run again once their service left the catalogue for a while.
+   */
+  @Test
+  void jobEndsOnceItsServiceIsBack() {
+    String job = awaitAccepted(submit(first, "roster-8", items(800)));
+    Awaitility.await().atMost(TIMEOUT).until(() -> !results(second, job).isEmpty());
+    removeService();
+    Awaitility.await().pollDelay(Duration.ofSeconds(4)).until(() -> true);
+    fleet.putCatalogue(first, 1, TestFleet.catalogue());
+    awaitStatus(second, job, "completed");
+    assertEquals(800, results(second, job).lines().count());
+  }
+
   private void removeService() {
     Catalogue catalogue = TestFleet.catalogue();
     Map<ServiceName, ServiceEntry> services = new HashMap<>(catalogue.services());
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/job/ItemsHeld.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/ItemsHeld.java
@@ -13,7 +13,8 @@
  * counts as lost.
  *
  * @param steward the dispatcher
- * @param items the items of the partition that the dispatcher has in progress
+ * @param items the items of the partition that the dispatcher has in progress, and those whose
+ *     results it keeps; not the items that it gave back
  */
 public record ItemsHeld(InstanceId steward, List<ItemKey> items) implements JobEvent, PeerMessage {
 
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/job/ItemsSettled.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/ItemsSettled.java
@@ -5,8 +5,8 @@
 import java.util.List;
 
 /**
- * Tells a dispatcher that the outcomes of items are durable or no longer needed, so that it can
- * discard its reports.
+ * Tells a dispatcher that the outcomes of items are durable or no longer needed, or that the items
+ * will run again, so that it can discard its reports.
  *
  * <p>Until then, a dispatcher keeps each {@link ItemFinished} and {@link ItemFailed} and resends it
  * every second to the current holder of the partition. So no result is lost when a holder dies.
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/ItemScheduler.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/job/support/ItemScheduler.java
@@ -157,12 +157,18 @@
     settleEnded(report.steward(), report.item(), out);
     RunningJob runningJob = runningJobs.get(report.item().job());
     int index = report.item().index();
-    if (runningJob == null
-        || !runningJob.needsOutcome(index)
-        || !holds(runningJob, index, report.steward())) {
+    if (runningJob == null || !runningJob.needsOutcome(index)) {
+      return;
+    }
+    boolean held = holds(runningJob, index, report.steward());
+    boolean last = endsItem(report.kind(), runningJob);
+    if (!last && (held || !adopting)) {
+      // The dispatcher no longer has the item, and nothing of this report must outlast the holder.
+      settle(List.of(new OutcomeBuffer.Report(report.steward(), report.item())), out);
+    }
+    if (!held) {
       return;
     }
-    boolean last = report.kind() == FailureKind.PERMANENT || runningJob.header().atMostOnce();
     if (report.kind() == FailureKind.NOT_RUN) {
       runningJob.release(index);
     } else if (last) {
@@ -273,6 +279,11 @@
     return own || adoptable;
   }
 
+  private static boolean endsItem(FailureKind kind, RunningJob runningJob) {
+    return kind == FailureKind.PERMANENT
+        || (kind == FailureKind.TRANSIENT && runningJob.header().atMostOnce());
+  }
+
   private static boolean holds(RunningJob runningJob, int index, InstanceId dispatcher) {
     RunningJob.Assignment assignment = runningJob.assignment(index);
     return assignment != null && assignment.dispatcher().equals(dispatcher);
