--- a/hawthornlb-standin/src/test/java/io/hawthornlb/standin/load/FakeEntry.java
+++ b/hawthornlb-standin/src/test/java/io/hawthornlb/standin/load/FakeEntry.java
@@ -65,7 +65,7 @@
     server.createContext("/services/", this::call);
     server.createContext("/standin/calls", x -> send(x, 200, json(counter.counts())));
     server.createContext("/v1/jobs", this::job);
-    server.createContext("/v1/catalogue", this::catalogue);
+    server.createContext("/v1/catalogue", this::serveCatalogue);
     server.start();
   }
 
@@ -145,7 +145,7 @@
     send(exchange, 200, json(new Echo("s", "i", "POST", path, text, key, call, checksum)));
   }
 
-  private void catalogue(HttpExchange exchange) throws IOException {
+  private void serveCatalogue(HttpExchange exchange) throws IOException {
     String held = exchange.getRequestHeaders().getFirst("If-Match");
     if (exchange.getRequestMethod().equals("GET")) {
       send(exchange, 200, json(Map.of("revision", revision.get(), "yaml", catalogue)));
