Show the end of a job at once where it was acknowledged

What callers saw: an instance answers 200 to the end of a job and goes on giving out the bodies of its items.

Ruled out: a holder behind by one read, since the answers came from the instance itself.

Now records that an instance has written show in its replica, if that has the job. Results keep their positions, which do not depend on the end.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobService.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobService.java
@@ -149,6 +149,7 @@
         .whenCompleteAsync(
             (done, failure) -> {
               if (failure == null) {
+                applyToKnownJob(write);
                 logStatus("job.written", write.jobId(), write.status());
                 write.responder().sendStatus(write.status(), null);
               } else {
@@ -158,6 +159,17 @@
             executor);
   }
 
+  /**
+   * Applies written records to the replica, which may read them much later. A job that the replica
+   * does not contain is left out, since this process may not read its partition.
+   */
+  private void applyToKnownJob(Write write) {
+    JobReplica replica = replicas.of(write.jobId());
+    if (find(replica, write.jobId()).isPresent()) {
+      write.records().forEach(replica::apply);
+    }
+  }
+
   /**
    * Retries the append for {@link #APPEND_TIME}, then responds with an error.
    *
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobServiceTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobServiceTest.java
@@ -148,6 +148,21 @@
     assertEquals(200, found.status());
   }
 
+  /** Guards against the body of an item of a job whose end the same process has acknowledged. */
+  @Test
+  void returnsNoBodyOnceItHasAcknowledgedTheEnd() {
+    handle(new JobCall.Submit("j", ITEMS));
+    RecordingResponder running = handle(new JobCall.ReadBody("j", "i1"));
+    time.advance(Duration.ofMillis(10));
+    assertEquals(200, running.status());
+    RecordingResponder end = handle(new JobCall.End("j"));
+    time.advance(Duration.ofMillis(10));
+    assertEquals(200, end.status());
+    RecordingResponder ended = handle(new JobCall.ReadBody("j", "i1"));
+    time.advance(Duration.ofMillis(10));
+    assertEquals(404, ended.status());
+  }
+
   @Test
   void waitsForAResultThatArrivesInTime() {
     handle(new JobCall.Submit("j", ITEMS));
