Leave a connection alone once its call has given it back

Cause: an item whose attempt ends with 421, 500 or 503 aborts the call that has just ended. The connection was back in the pool by then, and was closed. The next request opened one, and had the connection been taken meanwhile, another request would have been cut; no caller waits between the two today.

Now a call forgets its connection when its answer is complete. What a late copy could do on such a connection is kept out by the ids that it has carried.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/PooledCall.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/PooledCall.java
@@ -111,9 +111,11 @@
     return written != null && written.isSuccess();
   }
 
+  /** Called when the answer is complete; the connection is then no longer this call's. */
   void ended() {
     if (!done) {
       end();
+      channel = null;
       listener.onEnd();
     }
   }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/wire/ConnectionCountsTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/wire/ConnectionCountsTest.java
@@ -93,6 +93,20 @@
     }
   }
 
+  /**
+   * Guards against a connection that closes although the call that is aborted has given it back.
+   */
+  @Test
+  void keepsTheConnectionOfAnEndedCallThatIsAborted() throws Exception {
+    try (ScriptedEndpoint endpoint = new ScriptedEndpoint()) {
+      endpoint.then(OK, KEEP).then(OK, KEEP);
+      EndpointCall ended = call(endpoint);
+      loop.submit(ended::abort).get(5, TimeUnit.SECONDS);
+      call(endpoint);
+      awaitCount("connections_requests_total{by=\"kept\"} 1");
+    }
+  }
+
   /** Guards against late answers of which neither logs nor metrics tell. */
   @Test
   void countsAnswersThatReachNoRequest() throws Exception {
@@ -110,18 +124,21 @@
     assertTrue(text.write().contains(line));
   }
 
-  private void call(ScriptedEndpoint endpoint) throws Exception {
+  private EndpointCall call(ScriptedEndpoint endpoint) throws Exception {
     sent++;
-    call(endpoint, "r" + sent);
+    return call(endpoint, "r" + sent);
   }
 
-  private void call(ScriptedEndpoint endpoint, String id) throws Exception {
+  private EndpointCall call(ScriptedEndpoint endpoint, String id) throws Exception {
     CompletableFuture<Void> ended = new CompletableFuture<>();
     FullHttpRequest request =
         new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/a");
     request.headers().set("Test-Id", id).set("Content-Length", 0);
-    loop.execute(() -> pool.send(INCARNATION, endpoint.address(), request, new Ended(ended)));
+    EndpointCall call =
+        loop.submit(() -> pool.send(INCARNATION, endpoint.address(), request, new Ended(ended)))
+            .get(5, TimeUnit.SECONDS);
     ended.get(5, TimeUnit.SECONDS);
+    return call;
   }
 
   private static HeaderNames names() {
