Remove a lost instance again if the store was away the first time

Found when the change was read once more. What an operator saw: an instance is lost while the store can't be written, and stays listed for ten minutes rather than for the 30 s of others, with its rank and duties.

Cause: the watch took note of the removal before the store had it, and one that is removed a second time counts as doubtful. Now it takes note once the store has it.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/InstanceWatch.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/peer/InstanceWatch.java
@@ -12,9 +12,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 
@@ -55,7 +56,7 @@
   private final ScheduledExecutorService executor;
   private final InstantSource clock;
   private final EventLog log;
-  private final Consumer<GatewayInstance> removal;
+  private final Function<GatewayInstance, CompletionStage<Void>> removal;
   private final Map<String, Answer> asked = new HashMap<>();
   private final Map<String, Instant> silentSince = new HashMap<>();
   private final Set<String> removedBoots = new HashSet<>();
@@ -71,7 +72,7 @@
   /**
    * Creates a watch.
    *
-   * @param removal removes an instance from the list
+   * @param removal removes an instance from the list; the stage fails if it may still be listed
    */
   public InstanceWatch(
       FleetView fleet,
@@ -79,7 +80,7 @@
       ScheduledExecutorService executor,
       InstantSource clock,
       EventLog log,
-      Consumer<GatewayInstance> removal) {
+      Function<GatewayInstance, CompletionStage<Void>> removal) {
     this.fleet = fleet;
     this.transport = transport;
     this.executor = executor;
@@ -173,12 +174,11 @@
   }
 
   private void remove(GatewayInstance instance, Duration silence) {
-    removedBoots.add(instance.boot());
     log.important("fleet", "instance.lost")
         .with("instance", instance.name())
         .with("silentMillis", silence.toMillis())
         .write();
-    removal.accept(instance);
+    removal.apply(instance).thenRunAsync(() -> removedBoots.add(instance.boot()), executor);
   }
 
   private void askWitnesses(List<GatewayInstance> neighbours) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/InstanceSource.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/InstanceSource.java
@@ -18,6 +18,7 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -100,19 +101,24 @@
             executor);
   }
 
-  /** Removes another process that was lost from the list. If it is alive, it registers again. */
-  void remove(GatewayInstance lost) {
+  /**
+   * Removes another process that was lost from the list. If it is alive, it registers again.
+   *
+   * @return a stage that fails if the process may still be listed
+   */
+  CompletionStage<Void> remove(GatewayInstance lost) {
     KeyedRecord record = new KeyedRecord(lost.name(), null);
-    store
+    return store
         .append(new AppendCall(TOPIC, 0, List.of(record), null))
         .whenCompleteAsync(
             (done, failure) -> {
               if (failure != null) {
-                // The watch that found it lost finds it again.
+                // The watch that found it lost removes it again.
                 logFailure("remove.failed", failure);
               }
             },
-            executor);
+            executor)
+        .thenApply(done -> null);
   }
 
   private void logFailure(String event, Throwable failure) {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/LostInstancesReplayTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/LostInstancesReplayTest.java
@@ -81,6 +81,18 @@
     assertTrue(fleet.removedAlive <= 4, fleet.removedAlive + " removals of one instance");
   }
 
+  /** Guards against a lost instance that stays listed since the store was away at its removal. */
+  @Test
+  void removesALostInstanceOnceTheStoreIsBack() {
+    WatchedFleet fleet = new WatchedFleet(time, 13, DATA_CENTRES);
+    fleet.storeAway = true;
+    fleet.nodes.get("g3").down = true;
+    time.advance(Duration.ofSeconds(60));
+    fleet.storeAway = false;
+    time.advance(Duration.ofSeconds(10));
+    assertEquals(11, WatchedFleet.listed(fleet.nodes.get("g0")).size());
+  }
+
   /** Guards against a cost that grows with the fleet. */
   @Test
   void asksOneInstanceAtATime() {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/WatchedFleet.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/peer/WatchedFleet.java
@@ -4,6 +4,8 @@
 import io.hawthornlb.gateway.VirtualLoop;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 
 /** Gateways that watch each other, with the list in which they are entered. */
@@ -17,6 +19,9 @@
   /** Names of the instances that were removed while they were alive, one for each time. */
   int removedAlive;
 
+  /** Whether the store refuses all writes. */
+  boolean storeAway;
+
   WatchedFleet(VirtualLoop time, int instances, int dataCentres) {
     super(time);
     startAll(instances, dataCentres);
@@ -62,10 +67,12 @@
       }
     }
 
-    private void removeUnlessDown(GatewayInstance lost) {
-      if (!down) {
-        remove(lost);
+    private CompletionStage<Void> removeUnlessDown(GatewayInstance lost) {
+      if (down || storeAway) {
+        return CompletableFuture.failedFuture(new IllegalStateException("no store"));
       }
+      remove(lost);
+      return CompletableFuture.completedFuture(null);
     }
   }
 }
