--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/JobFixture.java
@@ -16,13 +16,11 @@
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotClient;
 import io.hawthornlb.gateway.slot.SlotKey;
-import io.hawthornlb.gateway.slot.SlotOutcome;
 import io.hawthornlb.gateway.slot.SlotRequest;
 import io.hawthornlb.gateway.store.LogFreshness;
 import io.hawthornlb.gateway.store.LogStore;
 import io.hawthornlb.gateway.wire.EndpointPool;
 import io.hawthornlb.gateway.wire.HeaderNames;
-import io.hawthornlb.gateway.wire.ReportedLoad;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -196,31 +194,11 @@
   }
 
   /** Slot client that grants each request immediately. */
-  private static final class FreeSlots implements SlotClient {
-
-    private long numbers;
+  private static final class FreeSlots extends ForgetfulSlots {
 
     @Override
     public void acquire(SlotRequest request, Listener listener) {
       listener.onAnswer(granted(request.key()));
     }
-
-    @Override
-    public void release(SlotKey key, SlotOutcome outcome) {}
-
-    @Override
-    public void suspect(SlotKey key) {}
-
-    @Override
-    public void refund(SlotRequest request) {}
-
-    @Override
-    public void reportLoad(SlotKey key, ReportedLoad load) {}
-
-    @Override
-    public SlotKey nextKey() {
-      numbers++;
-      return new SlotKey("holder", numbers);
-    }
   }
 }
