--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/ScriptedEndpoint.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/ScriptedEndpoint.java
@@ -186,7 +186,8 @@
     return after == After.KEEP || after == After.KEEP_AND_REPEAT;
   }
 
-  private static String read(InputStream in) throws IOException {
+  /** Reads a request, head and body; returns an empty text at the end of the connection. */
+  public static String read(InputStream in) throws IOException {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     String text = "";
     while (!text.contains("\r\n\r\n")) {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
@@ -41,6 +41,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -246,13 +247,25 @@
       boolean resumable,
       boolean anonymous,
       ScriptedEndpoint... to) {
+    InetSocketAddress[] addresses =
+        Arrays.stream(to).map(ScriptedEndpoint::address).toArray(InetSocketAddress[]::new);
+    return route(kind, maxAttempts, resumable, anonymous, addresses);
+  }
+
+  /** Puts a configuration with one route in force, whose endpoints listen at the addresses. */
+  GatewayFixture route(
+      RouteKind kind,
+      int maxAttempts,
+      boolean resumable,
+      boolean anonymous,
+      InetSocketAddress... to) {
     for (int i = 0; i < to.length; i++) {
       String id = "e" + i;
       String version = i < versions.size() ? versions.get(i) : EndpointRecord.ONLY_VERSION;
       formats.endpoints.put(
           id,
           new EndpointRecord(
-              id, SERVICE, to[i].address(), "a", 8, false, EndpointIncarnation.UNKNOWN, version));
+              id, SERVICE, to[i], "a", 8, false, EndpointIncarnation.UNKNOWN, version));
       put(formats.endpointTopic(), id, id);
     }
     Route route =
