Take no status from an answer that breaks off in its head

Callers could get a success where the endpoint had answered with a failure: a copy of a success that breaks off in its head, and the failure right behind it, were decoded as one head with the status of the first and the id of the second. A head with a second status line, id or signature is refused, a byte that comes while no request waits closes the connection, and whether an answer has a body follows from the request that waits. A dropped answer without an end, or beside HEAD, ends the attempt. Each such end is logged and counted with its reason. Not run on this change: the other tests of the module and AnswerReplay.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/AnswerLines.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/AnswerLines.java
@@ -2,6 +2,7 @@
 
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.metric.GatewayMetrics;
+import org.jspecify.annotations.Nullable;
 
 /** Log lines and counts of the answers of endpoints that reached no request. */
 final class AnswerLines {
@@ -21,6 +22,24 @@
     return names.requestId();
   }
 
+  HeaderNames names() {
+    return names;
+  }
+
+  /**
+   * Logs and counts a connection that is closed since what comes next on it is in doubt.
+   *
+   * @param lastId id of the request that waits, or else was sent last, on the connection
+   */
+  void distrusted(Distrust reason, @Nullable String lastId, String endpoint) {
+    metrics.count("connections.distrusted", reason.label());
+    log.important("endpoint", "connection.distrusted")
+        .with("id", lastId)
+        .with("endpoint", endpoint)
+        .with("cause", reason.label())
+        .write();
+  }
+
   /** Logs and counts an answer that reached no request. */
   void dropped(DroppedAnswer answer) {
     metrics.count("answers.dropped", answer.owner().label());
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
@@ -56,6 +56,9 @@
   private @Nullable EndpointPool pool;
   private @Nullable ScheduledFuture<?> idleTimer;
   private final CarriedIds carried = new CarriedIds();
+  private final AnswerDecoder decoder = new AnswerDecoder(this);
+  private @Nullable String lastId;
+  private boolean carriedHead;
   private boolean inAnswer;
   private boolean answered;
   private boolean reusable = true;
@@ -72,6 +75,26 @@
     this.answers = answers;
   }
 
+  /** Returns the decoder of the connection, which stands before this handler in the pipeline. */
+  AnswerDecoder decoder() {
+    return decoder;
+  }
+
+  /** Returns whether a request waits for its answer. */
+  boolean waits() {
+    return call != null;
+  }
+
+  /** Returns whether a request waits whose answer has no body. */
+  boolean awaitsHeadOnly() {
+    return call != null && call.isHead();
+  }
+
+  /** Closes a connection on which bytes came while no request waited. */
+  void onStrayBytes(Channel channel) {
+    distrust(channel, Distrust.STRAY_BYTES, null);
+  }
+
   void opened(EndpointIncarnation endpoint, Instant when) {
     incarnation = endpoint;
     opened = when;
@@ -105,7 +128,9 @@
     inAnswer = false;
     answered = false;
     int before = carried.size();
-    carried.add(next.requestId());
+    lastId = next.requestId();
+    carriedHead |= next.isHead();
+    carried.add(lastId);
     return before;
   }
 
@@ -134,9 +159,10 @@
       if (current == null && message instanceof HttpResponse response) {
         dropped(AnswerOwner.NOBODY, response, null);
       }
-      ctx.close();
-      if (current != null) {
-        current.failed("the response is not HTTP");
+      if (current == null) {
+        ctx.close();
+      } else {
+        distrust(ctx.channel(), Distrust.NOT_HTTP, current);
       }
       return;
     }
@@ -156,6 +182,10 @@
   }
 
   private void onResponse(Channel channel, HttpResponse response, PooledCall current) {
+    if (!AnswerHead.isSingle(response, answers.names())) {
+      distrust(channel, Distrust.JOINED_HEADS, current);
+      return;
+    }
     if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       return;
     }
@@ -165,9 +195,11 @@
       reusable = false;
       dropped(owner, response, current);
       if (owner == AnswerOwner.UNNAMED) {
-        // Whether the answer of the request follows is unknown, so its caller is told at once.
-        current.failed("the answer names no request");
-        channel.close();
+        distrust(channel, Distrust.UNNAMED, current);
+      } else if (!AnswerFraming.isFramed(response)) {
+        distrust(channel, Distrust.UNFRAMED_COPY, current);
+      } else if (carriedHead) {
+        distrust(channel, Distrust.COPY_BESIDE_HEAD, current);
       }
       return;
     }
@@ -178,6 +210,19 @@
     current.listener().onResponse(response);
   }
 
+  /** Closes the connection, and tells the caller of the waiting request at once. */
+  private void distrust(Channel channel, Distrust reason, @Nullable PooledCall waiting) {
+    EndpointIncarnation endpoint = incarnation;
+    if (endpoint != null && (waiting == null || !waiting.done())) {
+      answers.distrusted(reason, lastId, endpoint.id());
+    }
+    reusable = false;
+    if (waiting != null) {
+      waiting.failed(reason.label());
+    }
+    channel.close();
+  }
+
   private void dropped(AnswerOwner owner, HttpResponse response, @Nullable PooledCall waiting) {
     EndpointIncarnation endpoint = incarnation;
     answers.dropped(
@@ -213,12 +258,15 @@
             && !carried.full()
             && !current.done()
             && current.isFullyWritten()
-            && channel.isActive();
+            && channel.isActive()
+            && !decoder.hasUnread();
     if (keep) {
       idleEndpoint = current.endpoint();
       pool = current.pool();
       current.pool().keep(current.endpoint(), channel);
       startIdleTimer(channel);
+    } else if (decoder.hasUnread()) {
+      onStrayBytes(channel);
     } else {
       EndpointPool.close(channel, ConnectionEnd.ANNOUNCED);
     }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointPool.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointPool.java
@@ -11,7 +11,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
@@ -216,8 +216,8 @@
 
     @Override
     protected void initChannel(Channel channel) {
-      channel.pipeline().addLast(new HttpClientCodec());
-      channel.pipeline().addLast(new EndpointHandler(counts, answers));
+      EndpointHandler handler = new EndpointHandler(counts, answers);
+      channel.pipeline().addLast(new HttpRequestEncoder(), handler.decoder(), handler);
     }
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/PooledCall.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/PooledCall.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
 import java.time.Instant;
 import org.jspecify.annotations.Nullable;
 
@@ -14,6 +15,7 @@
   private final EndpointIncarnation endpoint;
   private final EndpointCallListener listener;
   private final @Nullable String requestId;
+  private final boolean head;
   private @Nullable FullHttpRequest request;
   private @Nullable Channel channel;
   private @Nullable ChannelFuture written;
@@ -30,6 +32,7 @@
     this.request = request;
     this.listener = listener;
     this.requestId = request.headers().get(pool.names().requestId());
+    this.head = request.method().equals(HttpMethod.HEAD);
   }
 
   void write(Channel to) {
@@ -104,6 +107,11 @@
     return requestId;
   }
 
+  /** Returns whether the answer has no body since the request's method is HEAD. */
+  boolean isHead() {
+    return head;
+  }
+
   /**
    * Returns whether the complete request has been written, so that the connection may be reused.
    */
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/AnswerReplay.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/AnswerReplay.java
@@ -66,7 +66,8 @@
         method
             + " "
             + path
-            + " HTTP/1.1\r\nHost: h.example\r\nTest-Remaining: 6000\r\nConnection: close\r\nTest-Id: "
+            + " HTTP/1.1\r\nHost: h.example\r\nTest-Remaining: 6000\r\n"
+            + "Connection: close\r\nTest-Id: "
             + random.nextInt(IDS)
             + (body.isEmpty() ? "" : "\r\nContent-Length: " + body.length())
             + "\r\n\r\n"
