End an answer whose bytes make no event

Callers saw a stream held until its route's timeout, and the process could end with OutOfMemoryError: an endpoint that sends one event without end, or comments and empty lines in place of events, was read on, and each piece renewed the time at which it was heard last.

EventSplitter now counts the bytes since the last event. Only whole events renew the time that the silence watch looks at. Empty lines that come together are one event, as each byte of them was passed on as a chunk of its own. The line answer.ended names request, endpoint, part and bytes; answers.ended counts.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
@@ -3,6 +3,7 @@
 import io.hawthornlb.gateway.crash.GuardedRun;
 import io.hawthornlb.gateway.loop.WorkKind;
 import io.hawthornlb.gateway.wire.AnswerFraming;
+import io.hawthornlb.gateway.wire.AnswerPart;
 import io.hawthornlb.gateway.wire.EndpointCallListener;
 import io.hawthornlb.gateway.wire.EventSplitter;
 import io.hawthornlb.gateway.wire.HeaderNames;
@@ -125,10 +126,12 @@
 
   @Override
   public void onContent(ByteBuf content) {
-    lastHeard = clock.instant();
     if (mode == Mode.EVENTS) {
-      forwardAll(splitter.feed(content));
-    } else if (mode == Mode.FORWARDED) {
+      onEventBytes(content);
+      return;
+    }
+    lastHeard = clock.instant();
+    if (mode == Mode.FORWARDED) {
       responder.part(content.readRetainedSlice(content.readableBytes()));
       pauseIfCongested();
     } else if (mode == Mode.BUFFERED) {
@@ -202,6 +205,18 @@
     return headSent ? Mode.UNUSABLE : Mode.BUFFERED;
   }
 
+  private void onEventBytes(ByteBuf content) {
+    List<StreamEvent> events = splitter.feed(content);
+    if (!events.isEmpty()) {
+      // Bytes that complete no event are no progress: an endpoint may send them without end.
+      lastHeard = clock.instant();
+    }
+    forwardAll(events);
+    if (mode == Mode.EVENTS && splitter.tooLong()) {
+      forwarding.onTooLong(AnswerPart.EVENT, splitter.bytesWithoutEvent());
+    }
+  }
+
   private void keep(ByteBuf content) {
     byte[] bytes = new byte[content.readableBytes()];
     content.readBytes(bytes);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -13,6 +13,7 @@
 import io.hawthornlb.gateway.slot.SlotKey;
 import io.hawthornlb.gateway.slot.SlotOutcome;
 import io.hawthornlb.gateway.slot.SlotRequest;
+import io.hawthornlb.gateway.wire.AnswerPart;
 import io.hawthornlb.gateway.wire.EndpointCall;
 import io.hawthornlb.gateway.wire.ReportedLoad;
 import io.hawthornlb.gateway.wire.SilenceWatch;
@@ -186,6 +187,13 @@
     }
   }
 
+  /** Called when the endpoint sends too many bytes that are no answer: ends the attempt. */
+  void onTooLong(AnswerPart part, long bytes) {
+    if (call != null) {
+      call.endTooLong(part, bytes);
+    }
+  }
+
   /** Returns whether the first event of the current endpoint may be forwarded. */
   boolean admitsEvents() {
     return continuation.admitsFirstEvent();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/AnswerLines.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/AnswerLines.java
@@ -3,7 +3,7 @@
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.metric.GatewayMetrics;
 
-/** Log lines and counts of the answers of endpoints that reached no request. */
+/** Log lines and counts of the answers that reached no request or were ended for their size. */
 final class AnswerLines {
 
   private final HeaderNames names;
@@ -33,4 +33,15 @@
         .with("carried", answer.carried())
         .write();
   }
+
+  /** Logs and counts an answer that was ended because of its size. */
+  void ended(EndedAnswer answer) {
+    metrics.count("answers.ended", answer.part().label());
+    log.important("endpoint", "answer.ended")
+        .with("id", answer.requestId())
+        .with("endpoint", answer.endpoint())
+        .with("where", answer.part().label())
+        .with("bytes", answer.bytes())
+        .write();
+  }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/ConnectionEnd.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/ConnectionEnd.java
@@ -14,6 +14,8 @@
   ANNOUNCED,
   /** The request on the connection was aborted. */
   ABORTED,
+  /** The answer was ended because of its size. */
+  TOO_LONG,
   /** The connection failed, or received bytes that are no valid response. */
   BROKEN,
   /** The endpoint has left or has restarted. */
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointCall.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointCall.java
@@ -6,6 +6,13 @@
   /** Aborts the request and closes the connection, so that the endpoint stops working on it. */
   void abort();
 
+  /**
+   * Ends an answer that is too long: closes the connection, and fails the request.
+   *
+   * @param bytes bytes of the part so far
+   */
+  void endTooLong(AnswerPart part, long bytes);
+
   /** Suspends or resumes reading the response. */
   void setReading(boolean on);
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointPool.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointPool.java
@@ -165,6 +165,10 @@
     return names;
   }
 
+  AnswerLines answers() {
+    return answers;
+  }
+
   IdleLimits idleLimits() {
     return idleLimits;
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EventSplitter.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EventSplitter.java
@@ -21,30 +21,45 @@
   private static final String DATA_FIELD = "data:";
 
   private final ByteArrayOutputStream partial = new ByteArrayOutputStream(256);
+  private final ByteBudget withoutEvent = new ByteBudget(AnswerLimits.WITHOUT_EVENT_BYTES);
   private boolean lineEmpty = true;
+  private boolean blank = true;
 
   /** Consumes bytes of the stream and returns the events that they complete. */
   public List<StreamEvent> feed(ByteBuf content) {
     byte[] bytes = new byte[content.readableBytes()];
     content.readBytes(bytes);
+    withoutEvent.use(bytes.length);
     List<StreamEvent> events = new ArrayList<>(1);
     int start = 0;
     for (int at = 0; at < bytes.length; at++) {
       byte next = bytes[at];
       if (next == '\n') {
-        if (lineEmpty && partial.size() + at > start) {
-          events.add(event(bytes, start, at + 1));
+        boolean more = blank && isLineEnd(bytes, at + 1);
+        if (lineEmpty && partial.size() + at > start && !more) {
+          StreamEvent event = event(bytes, start, at + 1);
+          events.add(event);
           start = at + 1;
+          if (!blank && !event.isComment()) {
+            withoutEvent.restart(bytes.length - start);
+          }
+          blank = true;
         }
         lineEmpty = true;
       } else if (next != '\r') {
         lineEmpty = false;
+        blank = false;
       }
     }
     partial.write(bytes, start, bytes.length - start);
     return events;
   }
 
+  /** Returns whether empty lines go on at an index; those that come together are one event. */
+  private static boolean isLineEnd(byte[] bytes, int at) {
+    return at < bytes.length && (bytes[at] == '\n' || bytes[at] == '\r');
+  }
+
   private StreamEvent event(byte[] bytes, int from, int to) {
     byte[] whole = Arrays.copyOfRange(bytes, from, to);
     if (partial.size() > 0) {
@@ -65,10 +80,22 @@
     return false;
   }
 
+  /** Returns how many bytes were received since the last event that is no comment. */
+  public long bytesWithoutEvent() {
+    return withoutEvent.used();
+  }
+
+  /** Returns whether too many bytes were received since the last event that is no comment. */
+  public boolean tooLong() {
+    return withoutEvent.exceeded();
+  }
+
   /** Discards a partial event. */
   public void reset() {
     partial.reset();
+    withoutEvent.restart(0);
     lineEmpty = true;
+    blank = true;
   }
 
   /** Returns the data of an event, its lines joined by line feeds. */
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/PooledCall.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/PooledCall.java
@@ -66,6 +66,18 @@
     }
   }
 
+  @Override
+  public void endTooLong(AnswerPart part, long bytes) {
+    if (!done) {
+      end();
+      pool.answers().ended(new EndedAnswer(requestId, endpoint.id(), part, bytes));
+      if (channel != null) {
+        EndpointPool.close(channel, ConnectionEnd.TOO_LONG);
+      }
+      listener.onFailure(true, "the answer has no end: " + part.label());
+    }
+  }
+
   @Override
   public void setReading(boolean on) {
     if (channel != null) {
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/StreamEvent.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/StreamEvent.java
@@ -12,6 +12,10 @@
 
   /** Returns whether this is a comment, such as a keep-alive, and no part of the answer. */
   public boolean isComment() {
-    return bytes.length > 0 && bytes[0] == COMMENT;
+    int at = 0;
+    while (at < bytes.length && (bytes[at] == '\n' || bytes[at] == '\r')) {
+      at++;
+    }
+    return at < bytes.length && bytes[at] == COMMENT;
   }
 }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/ScriptedEndpoint.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/ScriptedEndpoint.java
@@ -8,6 +8,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -18,6 +19,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -30,10 +32,15 @@
   private static final Pattern LENGTH = Pattern.compile("content-length: (\\d+)");
   private static final Pattern REQUEST_ID = Pattern.compile("(?i)test-id: (\\S+)");
 
+  /** Bytes that an answer without end writes at once. */
+  private static final int PIECE_BYTES = 8_192;
+
   private final ServerSocket server;
   private final BlockingQueue<Step> steps = new LinkedBlockingQueue<>();
   private final List<String> requests = new CopyOnWriteArrayList<>();
   private final AtomicInteger connections = new AtomicInteger();
+  private final AtomicLong endlessBytes = new AtomicLong();
+  private volatile Duration endlessPause = Duration.ZERO;
   private final CountDownLatch callerDisconnected = new CountDownLatch(1);
   private final Map<String, Step> standing = Collections.synchronizedMap(new LinkedHashMap<>());
 
@@ -45,6 +52,8 @@
     CLOSE,
     RESET,
     WAIT,
+    /** Sends the rest of the answer again and again until the other side closes the connection. */
+    ENDLESS,
     /** Resets the connection and accepts no further one, as an endpoint whose process has ended. */
     CRASH
   }
@@ -93,6 +102,23 @@
     return this;
   }
 
+  /** Answers each request with bytes without end: a head, and then the same piece for ever. */
+  public ScriptedEndpoint endlessly(String head, String piece) {
+    standing.put("", new Step(head, new CountDownLatch(0), piece, After.ENDLESS));
+    return this;
+  }
+
+  /** Answers each request like {@link #endlessly}, with a pause after each piece. */
+  public ScriptedEndpoint trickling(String head, String piece, Duration pause) {
+    endlessPause = pause;
+    return endlessly(head, piece);
+  }
+
+  /** Returns how many bytes without end were written to sockets so far. */
+  public long endlessBytes() {
+    return endlessBytes.get();
+  }
+
   /** Returns the received requests so far, head and body. */
   public List<String> requests() {
     return requests;
@@ -148,6 +174,9 @@
         step.until().await();
         socket.getOutputStream().write(step.rest().getBytes(StandardCharsets.UTF_8));
         socket.getOutputStream().flush();
+        if (step.after() == After.ENDLESS) {
+          sendEndlessly(socket, step.rest().replace(ID, id.reset().find() ? id.group(1) : ""));
+        }
         if (!continueConnection(socket, in, step.after())) {
           return;
         }
@@ -159,6 +188,17 @@
     }
   }
 
+  private void sendEndlessly(Socket socket, String piece) throws IOException, InterruptedException {
+    Duration pause = endlessPause;
+    int times = pause.isZero() ? 1 + PIECE_BYTES / piece.length() : 1;
+    byte[] bytes = piece.repeat(times).getBytes(StandardCharsets.UTF_8);
+    while (true) {
+      Thread.sleep(pause.toMillis());
+      socket.getOutputStream().write(bytes);
+      endlessBytes.addAndGet(bytes.length);
+    }
+  }
+
   private Step stepFor(String request) throws InterruptedException {
     for (Map.Entry<String, Step> each : standing.entrySet()) {
       if (request.toLowerCase(Locale.ROOT).contains(each.getKey())) {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/wire/EventSplitterTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/wire/EventSplitterTest.java
@@ -13,6 +13,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class EventSplitterTest {
 
@@ -60,6 +62,19 @@
     assertEquals("data: x\n\n", new String(event.bytes(), StandardCharsets.UTF_8));
   }
 
+  /** Guards against bytes without an end that are kept, or that count as events. */
+  @ParameterizedTest
+  @ValueSource(strings = {"data: x", "data: x\n", ": x\n\n", "\n", "\r\n", "\n: x\n\n\n"})
+  void countsBytesThatMakeNoEvent(String piece) {
+    String bytes = piece.repeat(AnswerLimits.WITHOUT_EVENT_BYTES / piece.length());
+    splitter.feed(text("id: 1\ndata: a\n\n" + bytes));
+    assertFalse(splitter.tooLong());
+    splitter.feed(text(piece + piece));
+    assertTrue(splitter.tooLong());
+    splitter.feed(text("\n\nid: 2\ndata: b\n\n"));
+    assertFalse(splitter.tooLong());
+  }
+
   @Test
   void parsesFieldsWithoutNormalizingThem() {
     StreamEvent event = splitter.feed(text("data:\r\ndata:  a\rb\r\nid:  x\nid: 7\n\n")).get(0);
