End answers without end that nobody gets, that items get, or that come before an answer

Callers waited for the timeout of their route, and items for good, while an endpoint sent a body that nobody gets, comments in place of an item's events, or informational answers and answers of others without end; each piece counted as a sign of life, and an item's text and partial event could fill the heap. Now 64 KiB of a body that nobody gets, 256 KiB without an event, 1 MB of an item's output and 1 MiB before the answer end the attempt, its connection is closed, and the request goes on elsewhere where its route allows it. Only numbered events count as an item's progress.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
@@ -3,7 +3,9 @@
 import io.hawthornlb.gateway.crash.GuardedRun;
 import io.hawthornlb.gateway.loop.WorkKind;
 import io.hawthornlb.gateway.wire.AnswerFraming;
+import io.hawthornlb.gateway.wire.AnswerLimits;
 import io.hawthornlb.gateway.wire.AnswerPart;
+import io.hawthornlb.gateway.wire.ByteBudget;
 import io.hawthornlb.gateway.wire.EndpointCallListener;
 import io.hawthornlb.gateway.wire.EventSplitter;
 import io.hawthornlb.gateway.wire.HeaderNames;
@@ -39,6 +41,7 @@
   private final Responder responder;
   private final boolean streaming;
   private final EventSplitter splitter = new EventSplitter();
+  private final ByteBudget unused = new ByteBudget(AnswerLimits.UNUSED_BODY_BYTES);
   private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
   private @Nullable HttpResponse response;
   private @Nullable Mode mode;
@@ -81,6 +84,7 @@
   /** Resets the state for the response of another endpoint. */
   void begin() {
     splitter.reset();
+    unused.restart(0);
     buffer.reset();
     response = null;
     mode = null;
@@ -130,6 +134,14 @@
       onEventBytes(content);
       return;
     }
+    if (mode == Mode.UNUSABLE || mode == Mode.NOT_RUN) {
+      // Bytes that nobody gets are no progress: an endpoint may send them without end.
+      unused.use(content.readableBytes());
+      if (unused.exceeded()) {
+        forwarding.onTooLong(AnswerPart.BODY, unused.used());
+      }
+      return;
+    }
     lastHeard = clock.instant();
     if (mode == Mode.FORWARDED) {
       responder.part(content.readRetainedSlice(content.readableBytes()));
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemOutput.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemOutput.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.gateway.job;
 
 import io.hawthornlb.gateway.stream.StreamOrigin;
+import io.hawthornlb.gateway.wire.AnswerLimits;
 import io.hawthornlb.gateway.wire.EventSplitter;
 import io.hawthornlb.gateway.wire.StreamEvent;
 import java.util.Optional;
@@ -62,6 +63,11 @@
     return lastEventId;
   }
 
+  /** Returns whether the events are more than the output of an item can be. */
+  boolean tooLong() {
+    return text.length() > AnswerLimits.ITEM_OUTPUT_CHARS;
+  }
+
   /** Returns the data of all events, joined by line feeds. */
   String text() {
     return text.toString();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -17,6 +17,9 @@
 import io.hawthornlb.gateway.stream.StreamOrigin;
 import io.hawthornlb.gateway.stream.StreamVersion;
 import io.hawthornlb.gateway.wire.AnswerFraming;
+import io.hawthornlb.gateway.wire.AnswerLimits;
+import io.hawthornlb.gateway.wire.AnswerPart;
+import io.hawthornlb.gateway.wire.ByteBudget;
 import io.hawthornlb.gateway.wire.EndpointCall;
 import io.hawthornlb.gateway.wire.EndpointCallListener;
 import io.hawthornlb.gateway.wire.EventSplitter;
@@ -385,6 +388,7 @@
 
     private final EndpointIncarnation incarnation;
     private final EventSplitter splitter = new EventSplitter();
+    private final ByteBudget unused = new ByteBudget(AnswerLimits.UNUSED_BODY_BYTES);
     private int status;
     private boolean notRun;
     private boolean begun;
@@ -427,6 +431,29 @@
     public void onContent(ByteBuf content) {
       if (status == 200 && signed) {
         splitter.feed(content).forEach(this::take);
+        endIfTooLong();
+      } else {
+        unused.use(content.readableBytes());
+        if (unused.exceeded()) {
+          tooLong(AnswerPart.BODY, unused.used());
+        }
+      }
+    }
+
+    private void endIfTooLong() {
+      if (splitter.tooLong()) {
+        tooLong(AnswerPart.EVENT, splitter.bytesWithoutEvent());
+      } else if (output.tooLong()) {
+        output.restart();
+        version.reset();
+        tooLong(AnswerPart.BODY, AnswerLimits.ITEM_OUTPUT_CHARS);
+      }
+    }
+
+    private void tooLong(AnswerPart part, long bytes) {
+      EndpointCall current = call;
+      if (current != null) {
+        current.endTooLong(part, bytes);
       }
     }
 
@@ -446,7 +473,7 @@
         return;
       }
       begun |= event.id() >= 0;
-      if (output.append(event)) {
+      if (output.append(event) && event.id() >= 0) {
         lastEventAt = parts.clock().instant();
       }
     }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/AnswerDecoder.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/AnswerDecoder.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.wire;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -27,9 +28,12 @@
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
     boolean stray = !handler.waits();
+    int bytes = message instanceof ByteBuf content ? content.readableBytes() : 0;
     super.channelRead(ctx, message);
     if (stray) {
       handler.onStrayBytes(ctx.channel());
+    } else {
+      handler.onBytesRead(bytes);
     }
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/AnswerLimits.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/AnswerLimits.java
@@ -14,5 +14,14 @@
    */
   public static final int WITHOUT_EVENT_BYTES = 262_144;
 
+  /** Bytes of a body that nobody gets, up to which its connection is kept for other requests. */
+  public static final int UNUSED_BODY_BYTES = 65_536;
+
+  /** Characters of the output of an item; a result of a job is at most 1 MB. */
+  public static final int ITEM_OUTPUT_CHARS = 1_000_000;
+
+  /** Bytes before the answer of the request that waits: informational ones, and those of others. */
+  public static final int BEFORE_ANSWER_BYTES = 1_048_576;
+
   private AnswerLimits() {}
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/ByteBudget.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/ByteBudget.java
@@ -1,31 +1,33 @@
 package io.hawthornlb.gateway.wire;
 
 /** Counts bytes against a limit. */
-final class ByteBudget {
+public final class ByteBudget {
 
   private final long limit;
   private long used;
 
-  ByteBudget(long limit) {
+  /** Creates a budget of which nothing is used. */
+  public ByteBudget(long limit) {
     this.limit = limit;
   }
 
   /** Counts bytes. */
-  void use(long bytes) {
+  public void use(long bytes) {
     used += bytes;
   }
 
   /** Sets the count, as the bytes before were of use. */
-  void restart(long bytes) {
+  public void restart(long bytes) {
     used = bytes;
   }
 
   /** Returns whether more bytes than the limit were counted. */
-  boolean exceeded() {
+  public boolean exceeded() {
     return used > limit;
   }
 
-  long used() {
+  /** Returns how many bytes were counted. */
+  public long used() {
     return used;
   }
 }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
@@ -57,6 +57,7 @@
   private @Nullable ScheduledFuture<?> idleTimer;
   private final CarriedIds carried = new CarriedIds();
   private final AnswerDecoder decoder = new AnswerDecoder(this);
+  private final ByteBudget beforeAnswer = new ByteBudget(AnswerLimits.BEFORE_ANSWER_BYTES);
   private @Nullable String lastId;
   private boolean carriedHead;
   private boolean inAnswer;
@@ -95,6 +96,18 @@
     distrust(channel, Distrust.STRAY_BYTES, null);
   }
 
+  /** Ends a request whose answer has not begun although its endpoint has sent a lot. */
+  void onBytesRead(int bytes) {
+    PooledCall current = call;
+    if (current == null || answered) {
+      return;
+    }
+    beforeAnswer.use(bytes);
+    if (beforeAnswer.exceeded()) {
+      current.endTooLong(AnswerPart.BEFORE_ANSWER, beforeAnswer.used());
+    }
+  }
+
   void opened(EndpointIncarnation endpoint, Instant when) {
     incarnation = endpoint;
     opened = when;
@@ -127,6 +140,7 @@
     idleEndpoint = null;
     inAnswer = false;
     answered = false;
+    beforeAnswer.restart(0);
     int before = carried.size();
     lastId = next.requestId();
     carriedHead |= next.isHead();
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/ScriptedEndpoint.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/ScriptedEndpoint.java
@@ -108,6 +108,12 @@
     return this;
   }
 
+  /** Answers the next request with bytes without end. */
+  public ScriptedEndpoint endlesslyOnce(String head, String piece) {
+    steps.add(new Step(head, new CountDownLatch(0), piece, After.ENDLESS));
+    return this;
+  }
+
   /** Answers each request like {@link #endlessly}, with a pause after each piece. */
   public ScriptedEndpoint trickling(String head, String piece, Duration pause) {
     endlessPause = pause;
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/EndlessAnswerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/EndlessAnswerTest.java
@@ -60,6 +60,41 @@
     assertEnded();
   }
 
+  /** Guards against an answer that nobody gets and that is read on until the route's timeout. */
+  @ParameterizedTest
+  @CsvSource({
+    "200 OK,IDEMPOTENT",
+    "500 Failed,IDEMPOTENT",
+    "503 Full,IDEMPOTENT",
+    "421 Other,ONCE",
+    "200 OK,STREAM"
+  })
+  void readsNoAnswerOnThatNobodyGets(String status, RouteKind kind) throws Exception {
+    endless.endlessly("HTTP/1.1 " + status + "\r\nTest-Id: {id}\r\n\r\n", "x");
+    sound.whenever("", SIGNED + EVENT, After.CLOSE);
+    Answer answer = gateway.route(kind, 2, true, endless, sound).call("/a/", "x");
+    assertEquals(EVENT, answer.body());
+    assertEnded();
+  }
+
+  /** Guards against bytes without end before an answer, which no timer but the route's ends. */
+  @ParameterizedTest
+  @CsvSource({
+    "'',HTTP/1.1 100 Continue%r%n%r%n,answer.ended",
+    "HTTP/1.1 200 OK%r%nTest-Id: other%r%n%r%n,x,connection.distrusted",
+    "'',HTTP/1.1 200 OK%r%nTest-Id: other%r%nContent-Length: 1%r%n%r%nx,answer.ended",
+    "'',%r%n,connection.distrusted",
+    "HTTP/1.1 200 OK%r%n,Test-Other: x%r%n,connection.distrusted",
+    "HTTP/1.1 200 OK%r%nTest-Other: ,x,connection.distrusted"
+  })
+  void readsNoEndlessBytesBeforeAnAnswer(String head, String piece, String line) throws Exception {
+    endless.endlessly(lines(head), lines(piece));
+    sound.whenever("", WHOLE + "body", After.KEEP);
+    Answer answer = gateway.route(RouteKind.IDEMPOTENT, 2, false, endless, sound).call("/a/", "x");
+    assertEquals("body", answer.body());
+    assertEnded("endpoint." + line);
+  }
+
   /** Guards against an answer without end that its caller takes for a whole one. */
   @Test
   void breaksOffAnEndlessAnswerAtTheTimeoutOfItsRoute() throws Exception {
@@ -83,8 +118,12 @@
   }
 
   private void assertEnded() throws InterruptedException {
+    assertEnded("endpoint.answer.ended");
+  }
+
+  private void assertEnded(String line) throws InterruptedException {
     assertTrue(endless.callerDisconnected().await(2, TimeUnit.SECONDS));
-    assertTrue(gateway.log().events().contains("endpoint.answer.ended"));
+    assertTrue(gateway.log().events().contains(line));
     assertTrue(endless.endlessBytes() < IN_SOCKETS, () -> endless.endlessBytes() + " bytes");
   }
 
