Send items again under which endpoints crashed

An item under which several endpoints crashed in a burst was never sent again, or hours later: its own content counted as a part that crashes endpoints, of which three probes are made at most. A probe whose endpoint took no connection counted as made, too.

Crashes under items are now evidence for the items of that instance alone, which slows them down: a probe after 1, 2 and then each 3 s. An item also waits for parts that requests are suspected of, with probes that never end (3, 6, then each 30 s). Requests are no longer refused for crashes under items. A probe that reached nobody is not made. A comment in an item's stream is no begun answer.

--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/crash/PartEvidence.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/crash/PartEvidence.java
@@ -18,6 +18,9 @@
   /** Maximum number of crashes that are kept of one part. */
   public static final int MAX_CRASHES = 16;
 
+  /** Maximum number of probes that are counted. */
+  private static final int MAX_PROBES = 1_000;
+
   /** Copies the crashes, of which the first ones in order of their ids are kept. */
   public PartEvidence {
     crashes =
@@ -46,7 +49,7 @@
 
   /** Returns this evidence with one more probe. */
   public PartEvidence probedAt(Instant now) {
-    return new PartEvidence(crashes, now, later(seen, now), probes + 1);
+    return new PartEvidence(crashes, now, later(seen, now), Math.min(probes + 1, MAX_PROBES));
   }
 
   /** Returns this evidence without times that lie in the future by the clock of this instance. */
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/crash/PartSuspicions.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/crash/PartSuspicions.java
@@ -29,15 +29,24 @@
   /**
    * Decides about a request that has yet to wait for its endpoint.
    *
+   * @param schedule when the request may be a probe
    * @return why the request need not wait, as it will not be sent; empty if it may be
    */
-  Optional<CrashBlock> check(PromptParts parts, Instant now);
+  Optional<CrashBlock> check(PromptParts parts, ProbeSchedule schedule, Instant now);
 
   /**
    * Decides about a request that is about to be sent to an endpoint. A probe that is due is used up
    * by the first request that is admitted.
+   *
+   * @param schedule when the request may be a probe
+   */
+  Admission admit(PromptParts parts, ProbeSchedule schedule, Instant now);
+
+  /**
+   * Records that a probe of some parts reached no endpoint. It was not made, and another request
+   * with a part may be the probe at once.
    */
-  Admission admit(PromptParts parts, Instant now);
+  void unsent(Set<String> probed);
 
   /**
    * Adds what another instance knows of a part.
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/crash/PromptParts.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/crash/PromptParts.java
@@ -59,6 +59,13 @@
     return new PromptParts(all);
   }
 
+  /** Returns these parts without the identity of the request's content. */
+  public PromptParts withoutContent() {
+    Set<String> shared = new LinkedHashSet<>(ids);
+    shared.removeIf(PromptParts::isContent);
+    return new PromptParts(shared);
+  }
+
   /** Returns whether an id is the identity of a request's content. */
   public static boolean isContent(String id) {
     return id.startsWith(CONTENT_PREFIX);
--- a/hawthornlb-core/src/main/java/io/hawthornlb/core/crash/support/DefaultPartSuspicions.java
+++ b/hawthornlb-core/src/main/java/io/hawthornlb/core/crash/support/DefaultPartSuspicions.java
@@ -5,6 +5,7 @@
 import io.hawthornlb.core.crash.EndpointCrash;
 import io.hawthornlb.core.crash.PartEvidence;
 import io.hawthornlb.core.crash.PartSuspicions;
+import io.hawthornlb.core.crash.ProbeSchedule;
 import io.hawthornlb.core.crash.PromptParts;
 import java.time.Duration;
 import java.time.Instant;
@@ -17,6 +18,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Blocks a part after a number of crashes between which no answer has begun on it.
@@ -38,23 +40,6 @@
   /** Interval at which requests that are refused prolong what is known of their parts. */
   private static final Duration REFRESH_INTERVAL = Duration.ofMinutes(10);
 
-  /** Number of crashes from which on it is unlikely that a part is blamed for those of others. */
-  private static final int CERTAIN_CRASHES = 5;
-
-  /** Time after the last crash until the first probe of a part that is not certain. */
-  static final Duration EARLY_PROBE = Duration.ofSeconds(3);
-
-  /** Time after the last crash until the first probe of a part that is certain. */
-  static final Duration FIRST_PROBE = Duration.ofSeconds(30);
-
-  /** Time until the second probe; the third one takes six times as long. */
-  static final Duration LATER_PROBE = Duration.ofMinutes(10);
-
-  private static final int PROBE_FACTOR = 6;
-
-  /** Maximum number of probes, each of which may crash an endpoint. */
-  static final int MAX_PROBES = 3;
-
   /** Shortest time after which a blocked caller is told to return. */
   private static final Duration MIN_RETRY = Duration.ofSeconds(1);
 
@@ -64,6 +49,7 @@
   private final Map<String, PartEvidence> suspected = new HashMap<>();
   private final Set<String> changed = new HashSet<>();
   private final BegunParts begun = new BegunParts();
+  private final UnsentProbes unsent = new UnsentProbes();
 
   @Override
   public void crashed(EndpointCrash crash, Instant now) {
@@ -81,7 +67,7 @@
     }
     Map<String, PartEvidence> cleared = new HashMap<>();
     for (String part : parts.ids()) {
-      PartEvidence evidence = suspected.remove(part);
+      PartEvidence evidence = forget(part);
       if (evidence != null) {
         cleared.put(part, evidence);
       }
@@ -90,29 +76,37 @@
   }
 
   @Override
-  public Optional<CrashBlock> check(PromptParts parts, Instant now) {
+  public Optional<CrashBlock> check(PromptParts parts, ProbeSchedule schedule, Instant now) {
     for (String part : blocked(parts)) {
       PartEvidence evidence = suspected.get(part);
-      if (!probeDue(evidence, now)) {
+      Optional<Instant> due = nextProbe(part, evidence, schedule);
+      if (due.isEmpty() || now.isBefore(due.get())) {
         prolong(part, evidence, now);
-        return Optional.of(block(evidence, now));
+        Duration untilProbe = due.map(time -> Duration.between(now, time)).orElse(RETENTION);
+        return Optional.of(block(evidence, untilProbe));
       }
     }
     return Optional.empty();
   }
 
   @Override
-  public Admission admit(PromptParts parts, Instant now) {
-    Optional<CrashBlock> block = check(parts, now);
+  public Admission admit(PromptParts parts, ProbeSchedule schedule, Instant now) {
+    Optional<CrashBlock> block = check(parts, schedule, now);
     if (block.isPresent()) {
-      return new Admission(block, false);
+      return Admission.refused(block.get());
     }
     List<String> probed = blocked(parts);
     for (String part : probed) {
-      suspected.put(part, suspected.get(part).probedAt(now));
+      PartEvidence evidence = suspected.get(part);
+      suspected.put(part, unsent.grant(part, evidence, now));
       changed.add(part);
     }
-    return probed.isEmpty() ? Admission.FREE : new Admission(Optional.empty(), true);
+    return probed.isEmpty() ? Admission.FREE : new Admission(Optional.empty(), Set.copyOf(probed));
+  }
+
+  @Override
+  public void unsent(Set<String> probed) {
+    probed.stream().filter(suspected::containsKey).forEach(unsent::add);
   }
 
   /** Returns the parts of a request that are blocked, whether or not a probe of them is due. */
@@ -150,9 +144,10 @@
         .collect(Collectors.toSet());
   }
 
-  /** Returns whether a request may find out whether the part still crashes endpoints. */
-  private static boolean probeDue(PartEvidence evidence, Instant now) {
-    return evidence.probes() < MAX_PROBES && !now.isBefore(evidence.tried().plus(pause(evidence)));
+  /** Returns when a request may find out whether the part still crashes endpoints. */
+  private Optional<Instant> nextProbe(String part, PartEvidence evidence, ProbeSchedule schedule) {
+    PartEvidence made = unsent.without(part, evidence);
+    return schedule.pause(made.crashes().size(), made.probes()).map(made.tried()::plus);
   }
 
   /** Keeps a part known while requests with it come. */
@@ -163,18 +158,7 @@
     }
   }
 
-  private static Duration pause(PartEvidence evidence) {
-    if (evidence.probes() > 0) {
-      return LATER_PROBE.multipliedBy((long) Math.pow(PROBE_FACTOR, evidence.probes() - 1.0));
-    }
-    return evidence.crashes().size() < CERTAIN_CRASHES ? EARLY_PROBE : FIRST_PROBE;
-  }
-
-  private CrashBlock block(PartEvidence evidence, Instant now) {
-    Duration untilProbe =
-        evidence.probes() < MAX_PROBES
-            ? Duration.between(now, evidence.tried().plus(pause(evidence)))
-            : RETENTION;
+  private CrashBlock block(PartEvidence evidence, Duration untilProbe) {
     Duration retryAfter = untilProbe.compareTo(MIN_RETRY) < 0 ? MIN_RETRY : untilProbe;
     return new CrashBlock(explainingAlike(evidence), evidence.crashes(), retryAfter);
   }
@@ -202,7 +186,12 @@
                     (Map.Entry<String, PartEvidence> each) -> each.getValue().crashes().size())
                 .thenComparing(each -> each.getValue().seen()))
         .map(Map.Entry::getKey)
-        .ifPresent(suspected::remove);
+        .ifPresent(this::forget);
+  }
+
+  private @Nullable PartEvidence forget(String part) {
+    unsent.forget(part);
+    return suspected.remove(part);
   }
 
   private static boolean outdated(PartEvidence evidence, Instant now) {
@@ -211,7 +200,7 @@
 
   @Override
   public void clear(String part) {
-    suspected.remove(part);
+    forget(part);
   }
 
   @Override
@@ -245,7 +234,7 @@
             old.add(part);
           }
         });
-    old.forEach(suspected::remove);
+    old.forEach(this::forget);
     return old;
   }
 }
--- a/hawthornlb-core/src/test/java/io/hawthornlb/core/crash/support/DefaultPartSuspicionsTest.java
+++ b/hawthornlb-core/src/test/java/io/hawthornlb/core/crash/support/DefaultPartSuspicionsTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.hawthornlb.core.crash.EndpointCrash;
+import io.hawthornlb.core.crash.ProbeSchedule;
 import io.hawthornlb.core.crash.PromptParts;
 import java.time.Duration;
 import java.time.Instant;
@@ -13,6 +14,8 @@
 
 class DefaultPartSuspicionsTest {
 
+  private static final ProbeSchedule PROBES = new LimitedProbes();
+
   private final DefaultPartSuspicions suspicions = new DefaultPartSuspicions();
   private Instant now = Instant.parse("2026-01-01T00:00:00Z");
 
@@ -21,7 +24,12 @@
   }
 
   private boolean blocked(String... parts) {
-    return suspicions.check(new PromptParts(Set.of(parts)), now).isPresent();
+    return suspicions.check(new PromptParts(Set.of(parts)), PROBES, now).isPresent();
+  }
+
+  /** Returns whether a request with a part is sent as a probe. */
+  private boolean admit(String part) {
+    return !suspicions.admit(new PromptParts(Set.of(part)), PROBES, now).probed().isEmpty();
   }
 
   /** Guards against a block of one of two parts that cannot be told apart, which may be sound. */
@@ -63,14 +71,14 @@
     crash("c3", "bad");
     int probes = 0;
     for (int minute = 0; minute < 24 * 60; minute++) {
-      if (!blocked("bad") && suspicions.admit(new PromptParts(Set.of("bad")), now).probe()) {
+      if (!blocked("bad") && admit("bad")) {
         assertTrue(blocked("bad"));
         probes++;
         crash("p" + probes, "bad");
       }
       now = now.plus(Duration.ofMinutes(1));
     }
-    assertEquals(DefaultPartSuspicions.MAX_PROBES, probes);
+    assertEquals(LimitedProbes.MAX_PROBES, probes);
     assertEquals(Set.of(), suspicions.expire(now));
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/CrashGuard.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/CrashGuard.java
@@ -4,6 +4,7 @@
 import io.hawthornlb.core.crash.CrashBlock;
 import io.hawthornlb.core.crash.PromptParts;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Decides for requests, their further attempts, resumed streams and batch items alike whether they
@@ -24,6 +25,9 @@
           return Admission.FREE;
         }
 
+        @Override
+        public void unsent(Set<String> probed) {}
+
         @Override
         public void began(String requestId, PromptParts parts) {}
 
@@ -37,6 +41,9 @@
   /** Decides about a request that is about to be sent to an endpoint. */
   Admission admit(PromptParts parts);
 
+  /** Records that a probe of some parts reached no endpoint, so that another one may be sent. */
+  void unsent(Set<String> probed);
+
   /** Records that an endpoint has begun to write its answer to a request. */
   void began(String requestId, PromptParts parts);
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/GuardedRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/GuardedRun.java
@@ -6,6 +6,7 @@
 import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /** One request or batch item, at one endpoint after the other, as the guard sees it. */
@@ -17,7 +18,9 @@
   private @Nullable EndpointIncarnation endpoint;
   private @Nullable InetSocketAddress address;
   private boolean begun;
+  private Set<String> probed = Set.of();
   private boolean probing;
+  private boolean sent;
 
   /** Creates a run that has not been sent yet. */
   public GuardedRun(CrashGuard guard, String requestId, PromptParts parts) {
@@ -38,7 +41,9 @@
       return Optional.empty();
     }
     Admission admission = guard.admit(parts);
-    probing = admission.probe();
+    probed = admission.probed();
+    probing = !probed.isEmpty();
+    sent = false;
     return admission.block();
   }
 
@@ -47,6 +52,7 @@
     endpoint = to;
     address = at;
     begun = false;
+    sent = true;
   }
 
   /** Records that the endpoint has begun to write its answer; only the first call counts. */
@@ -62,6 +68,24 @@
     return begun;
   }
 
+  /** Records that no endpoint has begun to work on the request since it was admitted. */
+  public void notRun() {
+    sent = false;
+  }
+
+  /** Records that the request is not sent any more unless it is admitted again. */
+  public void end() {
+    if (probing && !sent) {
+      guard.unsent(probed);
+    }
+    probing = false;
+  }
+
+  /** Returns whether the request finds out whether a part still crashes endpoints. */
+  public boolean probing() {
+    return probing;
+  }
+
   /** Records that the connection to the endpoint broke. */
   public void broken() {
     probing = false;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/support/DefaultCrashGuard.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/crash/support/DefaultCrashGuard.java
@@ -5,13 +5,16 @@
 import io.hawthornlb.core.crash.EndpointCrash;
 import io.hawthornlb.core.crash.PartEvidence;
 import io.hawthornlb.core.crash.PartSuspicions;
+import io.hawthornlb.core.crash.ProbeSchedule;
 import io.hawthornlb.core.crash.PromptParts;
+import io.hawthornlb.core.crash.support.DefaultPartSuspicions;
+import io.hawthornlb.core.crash.support.EndlessProbes;
+import io.hawthornlb.core.crash.support.LimitedProbes;
 import io.hawthornlb.gateway.crash.BrokenRun;
 import io.hawthornlb.gateway.crash.CrashGuard;
 import io.hawthornlb.gateway.crash.EvidenceChannel;
 import io.hawthornlb.gateway.crash.EvidenceReceiver;
 import io.hawthornlb.gateway.crash.PartUpdate;
-import io.hawthornlb.gateway.endpoint.EndpointIncarnation;
 import io.hawthornlb.gateway.event.EventLog;
 import io.hawthornlb.gateway.metric.GatewayMetrics;
 import io.hawthornlb.gateway.wire.EndpointLiveness;
@@ -19,33 +22,32 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
-/**
- * Guard whose evidence all instances share.
- *
- * <p>A connection also breaks when it is reset on the way. Only an endpoint that accepts no further
- * connection either has crashed, so the guard tries one before it suspects anything.
- */
+/** Guard whose evidence all instances share, but for what batch items show. */
 public final class DefaultCrashGuard implements CrashGuard, EvidenceReceiver {
 
   private static final Duration EXPIRY_INTERVAL = Duration.ofMinutes(1);
 
+  private static final ProbeSchedule PROBES = new LimitedProbes();
+
   private final PartSuspicions suspicions;
-  private final EndpointLiveness liveness;
+  private final PartSuspicions itemSuspicions = new DefaultPartSuspicions();
+  private final CrashDetection detection;
   private final ScheduledExecutorService executor;
   private final InstantSource clock;
   private final EventLog log;
   private final GatewayMetrics metrics;
   private final List<EvidenceChannel> channels = new ArrayList<>();
-  private final Map<EndpointIncarnation, List<BrokenRun>> checked = new HashMap<>();
+  private final Consumer<EndpointCrash> requestCrash = this::onRequestCrash;
+  private final Consumer<EndpointCrash> itemCrash = this::onItemCrash;
+  private final CrashGuard items = new ItemCrashGuard(this);
 
   /** Creates a guard that does all its work on the executor. */
   public DefaultCrashGuard(
@@ -56,7 +58,7 @@
       EventLog log,
       GatewayMetrics metrics) {
     this.suspicions = suspicions;
-    this.liveness = liveness;
+    this.detection = new CrashDetection(liveness, log, metrics);
     this.executor = executor;
     this.clock = clock;
     this.log = log;
@@ -68,28 +70,57 @@
     channels.add(channel);
   }
 
+  /** Returns the guard of batch items. */
+  public CrashGuard forItems() {
+    return items;
+  }
+
   @Override
   public Optional<CrashBlock> check(PromptParts parts) {
+    return check(parts, PROBES);
+  }
+
+  Optional<CrashBlock> check(PromptParts parts, ProbeSchedule schedule) {
     if (!suspicions.any()) {
       return Optional.empty();
     }
-    Optional<CrashBlock> block = suspicions.check(parts, clock.instant());
+    Optional<CrashBlock> block = suspicions.check(parts, schedule, clock.instant());
     publishChanges();
     return block;
   }
 
   @Override
   public Admission admit(PromptParts parts) {
+    return admit(parts, PROBES);
+  }
+
+  Admission admit(PromptParts parts, ProbeSchedule schedule) {
     if (!suspicions.any()) {
       return Admission.FREE;
     }
-    Admission admission = suspicions.admit(parts, clock.instant());
+    Admission admission = suspicions.admit(parts, schedule, clock.instant());
     publishChanges();
     return admission;
   }
 
+  Optional<CrashBlock> checkItem(PromptParts parts) {
+    return itemSuspicions.check(parts, EndlessProbes.SUSPECTED_BY_ITEMS, clock.instant());
+  }
+
+  Admission admitItem(PromptParts parts) {
+    return itemSuspicions.admit(parts, EndlessProbes.SUSPECTED_BY_ITEMS, clock.instant());
+  }
+
+  @Override
+  public void unsent(Set<String> probed) {
+    suspicions.unsent(probed);
+    itemSuspicions.unsent(probed);
+    metrics.count("crashes", "probe unsent");
+  }
+
   @Override
   public void began(String requestId, PromptParts parts) {
+    itemSuspicions.began(parts, clock.instant());
     Map<String, PartEvidence> cleared = suspicions.began(parts, clock.instant());
     if (cleared.isEmpty()) {
       return;
@@ -106,37 +137,21 @@
 
   @Override
   public void broken(BrokenRun run) {
-    List<BrokenRun> others = checked.get(run.endpoint());
-    if (others != null) {
-      others.add(run);
-      return;
-    }
-    List<BrokenRun> runs = new ArrayList<>(List.of(run));
-    checked.put(run.endpoint(), runs);
-    liveness.check(
-        run.address(),
-        ended -> {
-          checked.remove(run.endpoint());
-          onChecked(run.endpoint(), ended, runs);
-        });
-  }
-
-  private void onChecked(EndpointIncarnation endpoint, boolean ended, List<BrokenRun> runs) {
-    Set<String> suspects = new HashSet<>();
-    runs.forEach(run -> suspects.addAll(run.parts().ids()));
-    metrics.count("crashes", ended ? "endpoint ended" : "endpoint alive");
-    log.important("crash", ended ? "endpoint.ended" : "endpoint.alive")
-        .with("endpoint", endpoint.id())
-        .with("ids", String.join(" ", runs.stream().map(BrokenRun::requestId).toList()))
-        .with("parts", String.join(" ", suspects))
-        .write();
-    if (ended) {
-      String id = endpoint.id() + ":" + endpoint.born();
-      if (id.length() <= EndpointCrash.MAX_ID_LENGTH) {
-        suspicions.crashed(new EndpointCrash(id, suspects), clock.instant());
-        publishChanges();
-      }
-    }
+    detection.check(run, requestCrash);
+  }
+
+  void itemBroken(BrokenRun run) {
+    detection.check(run, itemCrash);
+  }
+
+  private void onRequestCrash(EndpointCrash crash) {
+    suspicions.crashed(crash, clock.instant());
+    publishChanges();
+  }
+
+  private void onItemCrash(EndpointCrash crash) {
+    itemSuspicions.crashed(crash, clock.instant());
+    itemSuspicions.takeChanges();
   }
 
   @Override
@@ -145,6 +160,7 @@
     if (evidence == null) {
       Optional<PartEvidence> known = suspicions.evidence(update.part());
       suspicions.clear(update.part());
+      itemSuspicions.clear(update.part());
       if (known.isPresent() && worthALine(update.part(), known.get())) {
         log.important("crash", "part.cleared")
             .with("parts", update.part())
@@ -162,6 +178,7 @@
   }
 
   private void expire() {
+    itemSuspicions.expire(clock.instant());
     Set<String> old = suspicions.expire(clock.instant());
     channels.forEach(channel -> channel.expired(old));
     start();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
@@ -172,6 +172,8 @@
     } else {
       if (sent) {
         run.broken();
+      } else {
+        run.notRun();
       }
       forwarding.onFailed(sent, cause);
     }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -446,6 +446,7 @@
 
   private void finish(SlotOutcome outcome) {
     done = true;
+    run.end();
     if (timer != null) {
       timer.cancel(false);
     }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemLines.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemLines.java
@@ -1,5 +1,6 @@
 package io.hawthornlb.gateway.job;
 
+import io.hawthornlb.core.crash.CrashBlock;
 import io.hawthornlb.gateway.event.EventLine;
 import io.hawthornlb.gateway.wire.EndpointCall;
 import java.time.Duration;
@@ -49,6 +50,16 @@
     line.with("status", status).with("failures", failures).write();
   }
 
+  /** Logs that the item is held back, with the crashes that are the reason. */
+  void blocked(CrashBlock block) {
+    parts.metrics().count("items", "blocked");
+    routine("item.blocked")
+        .with("parts", String.join(" ", block.parts()))
+        .with("crashes", String.join(" ", block.crashes()))
+        .with("probeMillis", block.retryAfter().toMillis())
+        .write();
+  }
+
   /** Logs that the item is given up without another attempt. */
   void givenUp(String cause, int failures) {
     givenUpLine(cause).with("failures", failures).write();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -195,15 +195,17 @@
   @Override
   public void requestSlot() {
     Optional<Route> found = route.find();
-    if (found.isEmpty() || blocked(guarded.check())) {
-      // A later configuration may have a route for the item, and the block may end.
-      if (found.isEmpty()) {
-        lines.routine("item.without.route").write();
-      }
+    if (found.isEmpty()) {
+      // A later configuration may have a route for the item.
+      lines.routine("item.without.route").write();
       limiter.leave();
       retryAfter(SLOT_WAIT);
       return;
     }
+    if (heldBack(guarded.check())) {
+      limiter.leave();
+      return;
+    }
     beginAnewIfVersionGone(found.get().service(0));
     requesting = true;
     SlotKey key = parts.slots().nextKey();
@@ -224,13 +226,16 @@
   }
 
   /**
-   * Returns whether the item would crash its endpoint. Such an item waits until the part is cleared
-   * or its job is given up: no endpoint can complete it, and none has reported that it cannot.
+   * Returns whether the item waits, since endpoints crashed under it or under requests that share a
+   * part with it. It is owed all the same, and asks again until a probe of the parts is due.
    */
-  private boolean blocked(Optional<CrashBlock> block) {
+  private boolean heldBack(Optional<CrashBlock> block) {
     block.ifPresent(
-        found ->
-            lines.routine("item.blocked").with("parts", String.join(" ", found.parts())).write());
+        found -> {
+          lines.blocked(found);
+          Duration untilProbe = found.retryAfter();
+          retryAfter(untilProbe.compareTo(SLOT_WAIT) < 0 ? untilProbe : SLOT_WAIT);
+        });
     return block.isPresent();
   }
 
@@ -278,9 +283,8 @@
   }
 
   private void send(EndpointIncarnation incarnation) {
-    if (blocked(guarded.admit())) {
+    if (heldBack(guarded.admit())) {
       end(SlotOutcome.ABANDONED);
-      retryAfter(SLOT_WAIT);
       return;
     }
     Optional<EndpointRecord> target = parts.directory().find(incarnation.id());
@@ -307,6 +311,7 @@
         .with("endpoint", incarnation.id())
         .with("version", target.get().version())
         .with("after", output.lastEventId())
+        .with("probe", String.valueOf(guarded.probing()))
         .write();
     call =
         parts
@@ -343,6 +348,7 @@
       sentAt = null;
     }
     watch.stop();
+    guarded.end();
     if (call != null) {
       if (how != SlotOutcome.ANSWERED) {
         call.abort();
@@ -431,7 +437,9 @@
     }
 
     private void take(StreamEvent event) {
-      guarded.begun();
+      if (!event.isComment()) {
+        guarded.begun();
+      }
       if (outOfSequence) {
         return;
       }
@@ -463,6 +471,7 @@
     public void onEnd() {
       boolean whole = !splitter.hasPartialEvent() && (framed || guarded.hasBegun());
       if (notRun) {
+        guarded.notRun();
         excluded.add(incarnation);
         end(status == 421 ? SlotOutcome.REPLACED : SlotOutcome.SHED);
         retryAfter(PAUSE);
@@ -486,6 +495,8 @@
           .write();
       if (sent) {
         guarded.broken();
+      } else {
+        guarded.notRun();
       }
       excluded.add(incarnation);
       end(sent ? SlotOutcome.FAILED : SlotOutcome.UNREACHED);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/process/GatewayProcess.java
@@ -124,7 +124,7 @@
     PeerTransport transport = peerTransport();
     FleetSlotClient slots = slotClient(fleet, transport, store);
     EndpointPool pool = new EndpointPool(loop, names, clock, metrics, log);
-    CrashGuard crashes = crashGuard(fleet, transport, store, caller);
+    DefaultCrashGuard crashes = crashGuard(fleet, transport, store, caller);
     ConfigSource configs = new ConfigSource(formats, config, clock, log);
     Duration wait = KeyedFollower.waitWithin(settings.changeTime());
     KeyedFollower routes = follow(store, formats.configTopic(), wait, configs);
@@ -136,7 +136,7 @@
     instances = new InstanceSource(fleet, store, loop, clock, log);
     jobs =
         new JobRunners(
-            jobParts(routes, slots, crashes, pool, names, store),
+            jobParts(routes, slots, crashes.forItems(), pool, names, store),
             jobFormat,
             new PeerHoldNotices(fleet, transport),
             new RelayJobPeers(fleet, relayTransport, clock),
@@ -221,7 +221,7 @@
   }
 
   /** Returns the guard against requests that crash endpoints, which shares what it learns. */
-  private CrashGuard crashGuard(
+  private DefaultCrashGuard crashGuard(
       FleetView fleet, PeerTransport transport, LogStore store, RelayingHttpCaller caller) {
     PartSuspicions suspicions = new DefaultPartSuspicions();
     DefaultCrashGuard guard =
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/crash/CrashFleet.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/crash/CrashFleet.java
@@ -55,6 +55,7 @@
   final class Node extends VirtualFleet<Node>.Node {
 
     final CrashGuard guard;
+    CrashGuard items = CrashGuard.NONE;
     final Instant started = time.instant();
 
     private Node(String name, String dataCentre, int boot) {
@@ -83,6 +84,7 @@
               log,
               stored)
           .start();
+      items = sharing.forItems();
       return sharing;
     }
 
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/CrashingPartTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/CrashingPartTest.java
@@ -89,6 +89,23 @@
     assertEquals(before + 1, crashed());
   }
 
+  /** Guards against a probe that counts as made though no endpoint accepted its connection. */
+  @Test
+  void sendsAnotherProbeAfterOneThatReachedNoEndpoint() throws Exception {
+    for (int i = 0; i < MAX_CRASHED; i++) {
+      call("first:200,bad:50");
+    }
+    for (ScriptedEndpoint endpoint : endpoints) {
+      endpoint.close();
+    }
+    Thread.sleep(3_200);
+    assertEquals(503, call("first:200,bad:50").status());
+    try (ScriptedEndpoint well = new ScriptedEndpoint().whenever("", HEAD + EVENT, After.KEEP)) {
+      gateway.restart("e0", well);
+      assertEquals(200, call("first:200,bad:50").status());
+    }
+  }
+
   private Answer call(String sharedParts) throws IOException {
     calls++;
     String headers = "Test-Parts: " + sharedParts + ",own" + calls + ":20\r\n";
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/BlockedItemTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/BlockedItemTest.java
@@ -74,9 +74,12 @@
 
     @Override
     public Admission admit(PromptParts parts) {
-      return new Admission(check(parts), false);
+      return new Admission(check(parts), Set.of());
     }
 
+    @Override
+    public void unsent(Set<String> probed) {}
+
     @Override
     public void began(String requestId, PromptParts parts) {}
 
