--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemLines.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemLines.java
@@ -2,9 +2,11 @@
 
 import io.hawthornlb.core.crash.CrashBlock;
 import io.hawthornlb.gateway.event.EventLine;
+import io.hawthornlb.gateway.stream.StreamOrigin;
 import io.hawthornlb.gateway.wire.EndpointCall;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 
 /** Log lines and counts about one item. */
@@ -60,6 +62,20 @@
         .write();
   }
 
+  /** Logs that the events so far are discarded, as no endpoint can continue them. */
+  void begunAnew(Optional<StreamOrigin> began, long lastEventId) {
+    parts.metrics().count("items", "begun anew");
+    routine("item.begun.anew")
+        .with("began", began.map(StreamOrigin::version).orElse("unclear"))
+        .with("after", lastEventId)
+        .write();
+  }
+
+  /** Logs that an endpoint delivers no whole answer. */
+  void broken(String endpoint, String cause) {
+    important("item.broken").with("endpoint", endpoint).with("cause", cause).write();
+  }
+
   /** Logs that the item is given up without another attempt. */
   void givenUp(String cause, int failures) {
     givenUpLine(cause).with("failures", failures).write();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -17,12 +17,9 @@
 import io.hawthornlb.gateway.stream.StreamOrigin;
 import io.hawthornlb.gateway.stream.StreamVersion;
 import io.hawthornlb.gateway.wire.AnswerFraming;
-import io.hawthornlb.gateway.wire.AnswerLimits;
 import io.hawthornlb.gateway.wire.AnswerPart;
-import io.hawthornlb.gateway.wire.ByteBudget;
 import io.hawthornlb.gateway.wire.EndpointCall;
 import io.hawthornlb.gateway.wire.EndpointCallListener;
-import io.hawthornlb.gateway.wire.EventSplitter;
 import io.hawthornlb.gateway.wire.ReportedLoad;
 import io.hawthornlb.gateway.wire.SilenceWatch;
 import io.hawthornlb.gateway.wire.StreamEvent;
@@ -52,12 +49,6 @@
    */
   private static final Duration SLOT_WAIT = Duration.ofSeconds(2);
 
-  /**
-   * Time for which a rank stays valid. All waiting items of a partition, thousands after an outage,
-   * are compared each time that a request is sent.
-   */
-  private static final Duration RANK_INTERVAL = Duration.ofMillis(100);
-
   /** Pause before the next slot request after a refusal or a failure. */
   private static final Duration PAUSE = Duration.ofMillis(100);
 
@@ -75,6 +66,7 @@
   private final SilenceWatch watch;
   private final ItemRunTime runTime;
   private final ItemOutput output;
+  private final CompletionRank completionRank;
   private final StreamVersion version;
   private final Set<EndpointIncarnation> excluded = new HashSet<>();
   private final GuardedRun guarded;
@@ -86,8 +78,6 @@
   private @Nullable SlotKey slot;
   private @Nullable EndpointCall call;
   private Instant lastEventAt;
-  private Instant rankedAt = Instant.EPOCH;
-  private long completionRank;
   private boolean requesting;
   private boolean stopped;
 
@@ -113,6 +103,7 @@
     WorkSize size = parts.names().workSize().read(item.headers()::get);
     WorkspaceId workspace = job.workspace().orElse(null);
     this.runTime = new ItemRunTime(parts.estimates(), estimate, route, size, workspace);
+    this.completionRank = new CompletionRank(job, route, runTime, parts.clock());
     this.outcome = outcome;
     this.limiter = limiter;
     this.lastEventAt = parts.clock().instant();
@@ -179,22 +170,12 @@
   @Override
   public long rank() {
     if (parts.scheduling().contended()) {
-      return completionRank();
+      return completionRank.value();
     }
     return RunEstimate.rank(
         route.due(), runTime.remaining(output.lastEventId()), parts.clock().instant());
   }
 
-  /** Returns the rank by the completion of the job, computed at intervals. */
-  private long completionRank() {
-    Instant now = parts.clock().instant();
-    if (!now.isBefore(rankedAt.plus(RANK_INTERVAL))) {
-      rankedAt = now;
-      completionRank = JobCompletionOrder.rank(job, route.due(), runTime.mean(), now);
-    }
-    return completionRank;
-  }
-
   @Override
   public void requestSlot() {
     Optional<Route> found = route.find();
@@ -216,7 +197,10 @@
     SlotRequest wanted =
         SlotRequest.builder(key, found.get().service(0))
             .batch(true)
-            .rank(parts.scheduling().contended() ? completionRank() : route.due().toEpochMilli())
+            .rank(
+                parts.scheduling().contended()
+                    ? completionRank.value()
+                    : route.due().toEpochMilli())
             .work(runTime.remaining(output.lastEventId()))
             .dataCentre(parts.dataCentre())
             .maxWait(SLOT_WAIT)
@@ -248,12 +232,7 @@
     List<EndpointRecord> usable = parts.directory().usable(service);
     boolean gone = !usable.isEmpty() && usable.stream().noneMatch(version::accepts);
     if (output.lastEventId() >= 0 && (gone || !version.mayContinue())) {
-      parts.metrics().count("items", "begun anew");
-      lines
-          .routine("item.begun.anew")
-          .with("began", version.origin().map(StreamOrigin::version).orElse("unclear"))
-          .with("after", output.lastEventId())
-          .write();
+      lines.begunAnew(version.origin(), output.lastEventId());
       output.restart();
       version.reset();
     }
@@ -393,8 +372,7 @@
   private final class ResponseListener implements EndpointCallListener {
 
     private final EndpointIncarnation incarnation;
-    private final EventSplitter splitter = new EventSplitter();
-    private final ByteBudget unused = new ByteBudget(AnswerLimits.UNUSED_BODY_BYTES);
+    private final ItemAnswerBytes bytes = new ItemAnswerBytes();
     private int status;
     private boolean notRun;
     private boolean begun;
@@ -436,30 +414,20 @@
     @Override
     public void onContent(ByteBuf content) {
       if (status == 200 && signed) {
-        splitter.feed(content).forEach(this::take);
-        endIfTooLong();
+        bytes.feed(content).forEach(this::take);
       } else {
-        unused.use(content.readableBytes());
-        if (unused.exceeded()) {
-          tooLong(AnswerPart.BODY, unused.used());
-        }
+        bytes.discard(content);
       }
+      bytes.tooLong(output).ifPresent(this::endTooLong);
     }
 
-    private void endIfTooLong() {
-      if (splitter.tooLong()) {
-        tooLong(AnswerPart.EVENT, splitter.bytesWithoutEvent());
-      } else if (output.tooLong()) {
+    private void endTooLong(AnswerPart part) {
+      if (output.tooLong()) {
         output.restart();
         version.reset();
-        tooLong(AnswerPart.BODY, AnswerLimits.ITEM_OUTPUT_CHARS);
       }
-    }
-
-    private void tooLong(AnswerPart part, long bytes) {
-      EndpointCall current = call;
-      if (current != null) {
-        current.endTooLong(part, bytes);
+      if (call != null) {
+        call.endTooLong(part, bytes.count(part));
       }
     }
 
@@ -496,7 +464,7 @@
 
     @Override
     public void onEnd() {
-      boolean whole = !splitter.hasPartialEvent() && (framed || guarded.hasBegun());
+      boolean whole = !bytes.hasPartialEvent() && (framed || guarded.hasBegun());
       if (notRun) {
         guarded.notRun();
         excluded.add(incarnation);
@@ -515,11 +483,7 @@
 
     @Override
     public void onFailure(boolean sent, String cause) {
-      lines
-          .important("item.broken")
-          .with("endpoint", incarnation.id())
-          .with("cause", cause)
-          .write();
+      lines.broken(incarnation.id(), cause);
       if (sent) {
         guarded.broken();
       } else {
