Forward comments that come together as one part, and read on after a copy without a body

A late copy of a 204 or 304 ended the request that waited, since it has no length: found by the review, ForeignAnswerTest 2 of 2 red before, as such an answer has no body.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
@@ -42,6 +42,7 @@
   private final boolean streaming;
   private final EventSplitter splitter = new EventSplitter();
   private final ByteBudget unused = new ByteBudget(AnswerLimits.UNUSED_BODY_BYTES);
+  private final ByteArrayOutputStream comments = new ByteArrayOutputStream(0);
   private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
   private @Nullable HttpResponse response;
   private @Nullable Mode mode;
@@ -85,6 +86,7 @@
   void begin() {
     splitter.reset();
     unused.restart(0);
+    comments.reset();
     buffer.reset();
     response = null;
     mode = null;
@@ -262,7 +264,23 @@
         return;
       }
       eventSeen |= event.id() >= 0;
-      forward(event);
+      if (event.isComment()) {
+        comments.writeBytes(event.bytes());
+      } else {
+        forwardComments();
+        forward(event);
+      }
+    }
+    forwardComments();
+  }
+
+  /** Forwards comments that came together as one part, since an endpoint may send very many. */
+  private void forwardComments() {
+    if (comments.size() > 0) {
+      sendHead();
+      responder.part(Unpooled.wrappedBuffer(comments.toByteArray()));
+      comments.reset();
+      pauseIfCongested();
     }
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/AnswerLimits.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/AnswerLimits.java
@@ -17,7 +17,7 @@
   /** Bytes of a body that nobody gets, up to which its connection is kept for other requests. */
   public static final int UNUSED_BODY_BYTES = 65_536;
 
-  /** Characters of the output of an item; a result of a job is at most 1 MB. */
+  /** Characters of the output of an item, beyond what a model writes. */
   public static final int ITEM_OUTPUT_CHARS = 1_000_000;
 
   /** Bytes before the answer of the request that waits: informational ones, and those of others. */
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
@@ -210,7 +210,7 @@
       dropped(owner, response, current);
       if (owner == AnswerOwner.UNNAMED) {
         distrust(channel, Distrust.UNNAMED, current);
-      } else if (!AnswerFraming.isFramed(response)) {
+      } else if (!AnswerFraming.isFramed(response) && !AnswerFraming.isBodiless(response)) {
         distrust(channel, Distrust.UNFRAMED_COPY, current);
       } else if (carriedHead) {
         distrust(channel, Distrust.COPY_BESIDE_HEAD, current);
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ForeignAnswerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/ForeignAnswerTest.java
@@ -45,6 +45,23 @@
     }
   }
 
+  /**
+   * Guards against a request that fails for the copy of an answer that has no body by its status.
+   */
+  @ParameterizedTest
+  @ValueSource(strings = {"204 No Content", "304 Not Modified"})
+  void readsOnAfterACopyWithoutABody(String status) throws IOException {
+    String copy = "HTTP/1.1 " + status + "\r\nTest-Id: other\r\n\r\n";
+    String own =
+        "HTTP/1.1 200 OK\r\nTest-Id: {id}\r\nTest-Signature: s\r\nContent-Length: 4\r\n\r\nbody";
+    try (GatewayFixture gateway = new GatewayFixture();
+        ScriptedEndpoint endpoint = new ScriptedEndpoint()) {
+      endpoint.then(copy + own, After.KEEP);
+      gateway.route(RouteKind.ONCE, 1, false, endpoint);
+      assertEquals("body", gateway.call("/a/b", "hello").body());
+    }
+  }
+
   /** Bytes on the peer port that are no peer message must end only the connection they came on. */
   @Test
   void keepsServingWhileForeignBytesReachThePeerPort() throws IOException {
