Tell in logs for whom a request runs and when a holder learns of a job's end

Cause: on no line names the workspace of a request that was sent, or the version of the configuration by which its key was looked up, and a holder writes no line when it learns of an end.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardedRequest.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardedRequest.java
@@ -97,6 +97,12 @@
     return workspace == null ? null : workspace.id();
   }
 
+  /** Returns the name of the caller's workspace for log lines; null if the caller is anonymous. */
+  @Nullable String workspaceName() {
+    WorkspaceId workspace = workspace();
+    return workspace == null ? null : workspace.value();
+  }
+
   /** Returns the token counts that the request states. */
   WorkSize size() {
     return names.workSize().read(request.headers()::get);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/Forwarding.java
@@ -8,6 +8,7 @@
 import io.hawthornlb.gateway.event.EventLine;
 import io.hawthornlb.gateway.route.Route;
 import io.hawthornlb.gateway.route.RouteKind;
+import io.hawthornlb.gateway.route.RoutingConfig;
 import io.hawthornlb.gateway.slot.RefusalCause;
 import io.hawthornlb.gateway.slot.SlotAnswer;
 import io.hawthornlb.gateway.slot.SlotKey;
@@ -327,6 +328,8 @@
         .with("route", route.name())
         .with("endpoint", incarnation.id())
         .with("version", target.get().version())
+        .with("workspace", request.workspaceName())
+        .with("config", parts.config().current().map(RoutingConfig::version).orElse(-1L))
         .with("runs", runs)
         .with("millis", time.sinceArrival())
         .write();
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -189,27 +189,49 @@
       return;
     }
     for (Job job : List.copyOf(replica.table().all())) {
-      for (JobItem item : job.items()) {
-        if (job.ended()) {
-          stopRun(job, item);
-        } else if (job.offered(item.id()).isPresent()) {
-          stopRun(job, item);
-          finish(job, job.offered(item.id()).get());
-        } else if (!job.listed(item.id()) && !runs.containsKey(runKey(job, item.id()))) {
-          ItemRun run = new ItemRun(parts, job, item, epoch, estimate, limiter, new Outcomes(job));
-          runs.put(runKey(job, item.id()), run);
-          expiry.added(runKey(job, item.id()), run);
-          run.start();
-        }
+      if (job.ended()) {
+        stopRuns(job);
+      } else {
+        startItems(job);
       }
     }
   }
 
-  private void stopRun(Job job, JobItem item) {
+  private void startItems(Job job) {
+    for (JobItem item : job.items()) {
+      if (job.offered(item.id()).isPresent()) {
+        stopRun(job, item);
+        finish(job, job.offered(item.id()).get());
+      } else if (!job.listed(item.id()) && !runs.containsKey(runKey(job, item.id()))) {
+        ItemRun run = new ItemRun(parts, job, item, epoch, estimate, limiter, new Outcomes(job));
+        runs.put(runKey(job, item.id()), run);
+        expiry.added(runKey(job, item.id()), run);
+        run.start();
+      }
+    }
+  }
+
+  /** Stops the runs of a job that its caller has ended. */
+  private void stopRuns(Job job) {
+    long stopped = job.items().stream().filter(item -> stopRun(job, item)).count();
+    if (stopped > 0) {
+      parts
+          .log()
+          .important("job", "job.stopped")
+          .with("job", job.callerId())
+          .with("partition", partition)
+          .with("runs", stopped)
+          .write();
+    }
+  }
+
+  /** Stops the run of an item; returns whether it had one. */
+  private boolean stopRun(Job job, JobItem item) {
     ItemRun run = runs.remove(runKey(job, item.id()));
     if (run != null) {
       run.stop();
     }
+    return run != null;
   }
 
   /** Handles the outcome of the items of a job. */
