Run no request without the workspace of a key that may be new

What callers see: on a route that needs no key, an instance that cannot read the configuration runs a request with a key that only a later version has, and the endpoint is told no workspace.

Cause: a key that the local configuration does not know was taken for no key, however old that configuration was. For routes that need a key the same doubt leads to one more read, and else to 503.

Change: a request that names an unknown key is handled only by a configuration that is current when it arrives; else the instance reads once more, and answers 503 with a time to return if it can't. A caller without a key, and one with a known key, is served as before.

Evidence: WorkspaceKeyTest#runsNoRequestWithoutTheWorkspaceOfAKeyThatMayBeNew failed on (200 for 6 s, no workspace); now passes, with all 15 of WorkspaceKeyTest, RequestResolverTest and FrontServerTest.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardingHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/ForwardingHandler.java
@@ -116,12 +116,16 @@
 
   /**
    * Starts handling a request that the configuration allows, and any request while the process
-   * stops. Returns empty for a request without a route or with an unknown key.
+   * stops. Returns empty for a request without a route, with an unknown key where one is needed, or
+   * with a key that a version may know which this process has not read.
    */
   private Optional<Handling> handleIfAllowed(FrontRequest request, Responder responder) {
     if (stopping) {
       return Optional.of(refuse(request, responder, 503, "the process stops", STOPPING_RETRY));
     }
+    if (keyMayBeNew(request)) {
+      return Optional.empty();
+    }
     RequestResolver.Resolution resolution = resolve(request);
     if (resolution instanceof RequestResolver.AboutJob job && mayServe(job.request())) {
       Responder answering = job.stranger() ? strangerResponder(request, responder) : responder;
@@ -150,6 +154,11 @@
         });
   }
 
+  private boolean keyMayBeNew(FrontRequest request) {
+    return resolver.namesUnknownKey(parts.config().current().orElseThrow(), request)
+        && !parts.check().isCurrentAt(request.arrived());
+  }
+
   private boolean mayServe(FrontRequest request) {
     return parts.revocation().allows(request, parts.check().freshAsOf());
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/RequestResolver.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/RequestResolver.java
@@ -106,6 +106,14 @@
     return config.workspaces().map(registry -> holder(registry, request).isPresent()).orElse(true);
   }
 
+  /**
+   * Returns whether the caller names a key that the configuration does not know. A later version
+   * may know it: the request would run without the workspace that holds the key.
+   */
+  boolean namesUnknownKey(RoutingConfig config, FrontRequest request) {
+    return request.headers().contains(names.apiKey()) && !keyKnown(config, request);
+  }
+
   /** Returns the holder of the only key of a request. A request with several keys has no holder. */
   private Optional<Workspace> holder(WorkspaceRegistry registry, FrontRequest request) {
     List<String> keys = request.headers().getAll(names.apiKey());
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/WorkspaceKeyTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/WorkspaceKeyTest.java
@@ -257,4 +257,22 @@
         .atMost(GatewayFixture.CHANGE_TIME.multipliedBy(3))
         .until(() -> gateway.callWith("Test-Key: key-c\r\n", "/a/", "x").status() == 503);
   }
+
+  /**
+   * Guards against a request that runs for nobody on a route that needs no key, although a version
+   * that this process cannot read has its key.
+   */
+  @Test
+  void runsNoRequestWithoutTheWorkspaceOfAKeyThatMayBeNew() throws IOException {
+    endpoint.whenever("", OK, KEEP);
+    gateway.openRoute(RouteKind.ONCE, endpoint);
+    gateway.storeUnresponsive(true);
+    Awaitility.await()
+        .atMost(GatewayFixture.CHANGE_TIME.multipliedBy(3))
+        .until(() -> gateway.callWith("Test-Key: key-c\r\n", "/a/", "x").status() == 503);
+    assertEquals(200, gateway.call("/a/", "x").status());
+    assertEquals(200, gateway.callWith(KEY, "/a/", "x").status());
+    String last = endpoint.requests().get(endpoint.requests().size() - 1);
+    assertTrue(last.contains("Test-Workspace: farm\r\n"), last);
+  }
 }
