Start no item while the holder cannot read the end of its log but the store answers

What callers and endpoints see: a caller ends its job and gets 200; seconds later endpoints still get items of it (rule UNASKED: none later than CancelMs, three seconds, after the acknowledgement).

Cause: the holder of a partition learns of an end by one way only, its waiting read of the log, while any process may write and acknowledge the end. A read whose connection goes silent fails after 2.9 s and is then passed to up to two peers, 3 s each; nothing told the holder meanwhile that its copy may be old. The class of fault: acting on a copy whose age nobody asks.

Change: LogRecency, which does no I/O, notes when a read last reached the end and when the store last answered another call (a join of the group every 600 ms, an append). If the latter is more than 2.5 s later, the partition asks for no slot and uses none that is granted. A process that the store doesn't answer at all is cut off and goes on as before: no end is acknowledged through it. A run also asks, before each slot and each sending, whether its job still stands in the table without an end; so the process that acknowledges an end stops at once. partition.behind says so in the log. The next read is scheduled before its records are handled.

That the users' five cases are this is not shown.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -33,6 +33,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -62,6 +63,7 @@
   private final ItemRoute route;
   private final ItemLines lines;
   private final ItemOutcome outcome;
+  private final BooleanSupplier owed;
   private final SlotRequestLimiter limiter;
   private final SilenceWatch watch;
   private final ItemRunTime runTime;
@@ -81,6 +83,11 @@
   private boolean requesting;
   private boolean stopped;
 
+  /**
+   * Creates a run that has not begun.
+   *
+   * @param owed whether the log still has the item's job, and the job has not ended
+   */
   ItemRun(
       JobParts parts,
       Job job,
@@ -88,7 +95,9 @@
       long epoch,
       RunEstimate estimate,
       SlotRequestLimiter limiter,
-      ItemOutcome outcome) {
+      ItemOutcome outcome,
+      BooleanSupplier owed) {
+    this.owed = owed;
     this.output = new ItemOutput(item.id(), job.progress(item.id()), epoch);
     this.version = new StreamVersion(parts.directory(), output.origin());
     PromptParts prompt = parts.names().promptParts().read(item.headers()::get);
@@ -178,6 +187,10 @@
 
   @Override
   public void requestSlot() {
+    if (!owed.getAsBoolean()) {
+      limiter.leave();
+      return;
+    }
     Optional<Route> found = route.find();
     if (found.isEmpty()) {
       // A later configuration may have a route for the item.
@@ -265,6 +278,11 @@
   }
 
   private void send(EndpointIncarnation incarnation) {
+    if (!owed.getAsBoolean() || !limiter.isOpen()) {
+      end(SlotOutcome.ABANDONED);
+      acquire();
+      return;
+    }
     if (heldBack(guarded.admit())) {
       end(SlotOutcome.ABANDONED);
       return;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRunners.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobRunners.java
@@ -206,6 +206,7 @@
     if (leaving) {
       return;
     }
+    runners.values().forEach(PartitionRunner::onStoreAnswer);
     if (share.generation() != generation) {
       parts
           .log()
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -65,7 +65,8 @@
   private final HoldNotices notices;
   private final Consumer<PartitionRunner> onRefused;
   private final RunEstimate estimate = new RunEstimate();
-  private final SlotRequestLimiter limiter = new SlotRequestLimiter();
+  private final LogRecency recency;
+  private final SlotRequestLimiter limiter = new SlotRequestLimiter(() -> !behind());
   private final JobAges ages;
   private final ItemExpiry expiry;
   private final Map<String, ItemRun> runs = new HashMap<>();
@@ -92,6 +93,7 @@
     this.partition = partition;
     this.epoch = epoch;
     this.onRefused = onRefused;
+    this.recency = new LogRecency(parts.clock().instant());
     this.ages = new JobAges(parts.clock());
     this.expiry = new ItemExpiry(parts, ages);
   }
@@ -147,8 +149,7 @@
             (done, failure) -> {
               if (failure == null) {
                 replica.followed(true);
-                startItems();
-                scheduleRead();
+                onRead();
                 scheduleSave();
                 scheduleSweep();
                 scheduleRouteCheck();
@@ -159,6 +160,34 @@
             parts.executor());
   }
 
+  /** Handles what a read to the end of the log has brought. */
+  private void onRead() {
+    recency.onRead(parts.clock().instant());
+    scheduleRead();
+    startItems();
+    limiter.resume();
+  }
+
+  /** Takes note that the store has answered a call of this process other than a read. */
+  void onStoreAnswer() {
+    boolean before = behind();
+    recency.onAnswer(parts.clock().instant());
+    if (behind() && !before) {
+      parts.metrics().count("partitions", "behind");
+      parts
+          .log()
+          .important("job", "partition.behind")
+          .with("partition", partition)
+          .with("lagMillis", recency.lag().toMillis())
+          .write();
+    }
+  }
+
+  /** Returns whether items wait, since the end of their job may not have been read. */
+  private boolean behind() {
+    return recency.tooOld();
+  }
+
   private void scheduleRead() {
     readOn(replica.awaited() ? AWAITED_READ_WAIT : READ_WAIT);
   }
@@ -172,8 +201,7 @@
         .whenCompleteAsync(
             (done, failure) -> {
               if (failure == null) {
-                startItems();
-                scheduleRead();
+                onRead();
               } else {
                 // This read does not wait for records, so that it succeeds as soon as the store
                 // responds again.
@@ -197,13 +225,26 @@
     }
   }
 
+  private boolean owed(String jobId) {
+    return replica.table().find(jobId).filter(job -> !job.ended()).isPresent();
+  }
+
   private void startItems(Job job) {
     for (JobItem item : job.items()) {
       if (job.offered(item.id()).isPresent()) {
         stopRun(job, item);
         finish(job, job.offered(item.id()).get());
       } else if (!job.listed(item.id()) && !runs.containsKey(runKey(job, item.id()))) {
-        ItemRun run = new ItemRun(parts, job, item, epoch, estimate, limiter, new Outcomes(job));
+        ItemRun run =
+            new ItemRun(
+                parts,
+                job,
+                item,
+                epoch,
+                estimate,
+                limiter,
+                new Outcomes(job),
+                () -> owed(job.id()));
         runs.put(runKey(job, item.id()), run);
         expiry.added(runKey(job, item.id()), run);
         run.start();
@@ -480,6 +521,7 @@
   }
 
   private void onWritten(List<KeyedRecord> records) {
+    onStoreAnswer();
     sequence++;
     writing = false;
     inFlight.forEach(each -> resultDecided.remove(runKey(each.job(), each.result().itemId())));
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/SlotRequestLimiter.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/SlotRequestLimiter.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 
 /**
  * Bounds the number of a partition's items that have an open slot request. The items with the
@@ -20,6 +21,7 @@
   static final int MAX_REQUESTS = 16;
 
   private final List<Requester> waiting = new ArrayList<>();
+  private final BooleanSupplier open;
   private int openRequests;
   private boolean sending;
   private boolean closed;
@@ -34,6 +36,30 @@
     void requestSlot();
   }
 
+  /** Creates a limiter that sends requests at any time. */
+  SlotRequestLimiter() {
+    this(() -> true);
+  }
+
+  /**
+   * Creates a limiter.
+   *
+   * @param open whether requests may be sent; {@link #resume()} must be called once they may again
+   */
+  SlotRequestLimiter(BooleanSupplier open) {
+    this.open = open;
+  }
+
+  /** Sends the requests that waited until requests may be sent. */
+  void resume() {
+    sendNext();
+  }
+
+  /** Returns whether requests may be sent, and granted slots be used. */
+  boolean isOpen() {
+    return open.getAsBoolean();
+  }
+
   /** Adds an item that needs a slot. Its request is sent at once if the bound allows it. */
   void enter(Requester requester) {
     waiting.add(requester);
@@ -62,7 +88,7 @@
    * the running loop then handles it.
    */
   private void sendNext() {
-    if (sending || closed) {
+    if (sending || closed || !isOpen()) {
       return;
     }
     sending = true;
