Stop the runs of a job that the log no longer has

What endpoints see: items of a job that nobody can find, read or end any more, for ever. A holder that was frozen or cut off until another holder had deleted the ended job loads the list of newest records, which no longer has the job, and drops it from its table.

Cause: runs were stopped by walking over the jobs of the table; a run whose job had left the table was met by no walk.

Change: after each read, runs whose job is not in the table are stopped.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -223,6 +223,16 @@
         startItems(job);
       }
     }
+    stopRunsWithoutJob();
+  }
+
+  /** Stops the runs of jobs that the log no longer has. */
+  private void stopRunsWithoutJob() {
+    for (ItemRun run : List.copyOf(runs.values())) {
+      if (replica.table().find(run.job().id()).isEmpty()) {
+        stopRun(run.job(), run.item());
+      }
+    }
   }
 
   private boolean owed(String jobId) {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/EndedJobReplay.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/EndedJobReplay.java
@@ -67,6 +67,18 @@
         .toList();
   }
 
+  /** Plays a job whose records are deleted, and returns how often its items asked after that. */
+  long runDeleted() {
+    List<LogStore.KeyedRecord> accepted = accept();
+    start();
+    time.advance(Duration.ofMillis(1_000 + random.nextInt(2_000)));
+    append(List.of(new LogStore.KeyedRecord(accepted.get(0).key(), null)));
+    time.advance(Duration.ofMillis(10));
+    Instant read = time.instant();
+    time.advance(WATCHED);
+    return asked.stream().filter(at -> at.isAfter(read)).count();
+  }
+
   private List<LogStore.KeyedRecord> accept() {
     List<JobItem> items =
         IntStream.range(0, ITEMS)
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/EndedJobTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/EndedJobTest.java
@@ -26,6 +26,14 @@
     assertTrue(replay.requests() > 0, "no item asked for an endpoint");
   }
 
+  /** Guards against items that run on for ever once the records of their job were deleted. */
+  @Test
+  void runsNoItemOfAJobThatTheLogNoLongerHas() {
+    EndedJobReplay replay = new EndedJobReplay(1);
+    assertEquals(0, replay.runDeleted());
+    assertTrue(replay.requests() > 0, "no item asked for an endpoint");
+  }
+
   /** Guards against a process that runs no items while the store is away from it. */
   @Test
   void holdsItemsBackOnlyWhileTheStoreAnswersOtherCalls() {
