Count each run of the stand-in engine as ended once, and check engines after a cancelled job

What a test saw: engines of the product's own entry seemed to work on for 20 s and more after a job was cancelled (200), in 4 of 5 plays beside a load of 12.

Cause: EngineEmulator.cancel and the engine's loop each counted the end of a run. It is a fault of the stand-in, not of the entry.

Change: TokenStream.endRun notes the end of each run once, for both. EntryJobTest now looks at the engines from 3 s after the cancellation on.

Looked for by reading and not shown: an item whose content a dispatcher reads when the cancellation comes is started after it, until the holder's next list.

--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/EntryJobTest.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/EntryJobTest.java
@@ -85,6 +85,24 @@
     awaitStatus(second, job, "cancelled");
   }
 
+  /** Guards against endpoints that run items of a cancelled job seconds after its end. */
+  @Test
+  void engineRunsNoItemOfACancelledJob() {
+    String job = awaitAccepted(submit(first, "roster-8", items(2_000)));
+    Awaitility.await().atMost(TIMEOUT).until(() -> !fleet.idle());
+    HttpRequest cancel =
+        TestFleet.to(second, "/v1/jobs/" + job + "/cancel")
+            .POST(HttpRequest.BodyPublishers.noBody())
+            .build();
+    assertEquals(200, fleet.send(cancel).statusCode());
+    Awaitility.await()
+        .pollDelay(Duration.ofSeconds(3))
+        .pollInterval(Duration.ofMillis(5))
+        .during(Duration.ofSeconds(2))
+        .atMost(Duration.ofSeconds(6))
+        .until(() -> fleet.idle());
+  }
+
   @Test
   void faultsOfAllItemsAreReportedAndNothingRuns() {
     String invalidItems =
--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/TestFleet.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/entry/TestFleet.java
@@ -90,6 +90,11 @@
             .until(() -> EngineStandin.start(settings, () -> {}), engine -> true));
   }
 
+  /** Returns whether no engine and no service works on a request. */
+  boolean idle() {
+    return endpoints.stream().allMatch(endpoint -> endpoint.awaitIdle(Duration.ZERO));
+  }
+
   RunningStandin addService(String id) {
     return add(
         ServiceStandin.start(
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/EngineEmulator.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/EngineEmulator.java
@@ -117,9 +117,12 @@
     return found.map(
         stream -> {
           boolean running = stream.ending().isEmpty();
+          int run = stream.run();
           int generated = stream.cancel();
           if (running) {
             loop.remove(stream);
+          }
+          if (running && stream.endRun(run)) {
             ended(stream);
           }
           return generated;
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/EngineLoop.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/EngineLoop.java
@@ -170,7 +170,7 @@
     for (String key : step.finished()) {
       Run run = runs.remove(key);
       if (run != null) {
-        onEnd.accept(run.stream());
+        end(run);
       }
     }
     rate.add(delivered, System.nanoTime());
@@ -183,11 +183,17 @@
         run.stream().cancel();
         runs.remove(run.key());
         scheduler.cancel(run.key());
-        onEnd.accept(run.stream());
+        end(run);
       }
     }
   }
 
+  private void end(Run run) {
+    if (run.stream().endRun(run.number())) {
+      onEnd.accept(run.stream());
+    }
+  }
+
   private void sleepUntil(long dueNanos) {
     long left = dueNanos - System.nanoTime();
     while (left > 0 && !closed) {
--- a/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/TokenStream.java
+++ b/hawthornlb-standin/src/main/java/io/hawthornlb/standin/engine/support/TokenStream.java
@@ -28,6 +28,7 @@
   private final List<StreamListener> listeners = new CopyOnWriteArrayList<>();
   private int generated;
   private int run;
+  private int runsEnded;
   private Optional<Ending> ending = Optional.empty();
   private long lastReadNanos = System.nanoTime();
 
@@ -149,6 +150,18 @@
     return generated;
   }
 
+  /**
+   * Takes note that a run has ended; returns false if that was noted before. A run may be cancelled
+   * while the engine generates its last token.
+   */
+  synchronized boolean endRun(int ended) {
+    if (ended < runsEnded) {
+      return false;
+    }
+    runsEnded = ended + 1;
+    return true;
+  }
+
   /** Starts a new run of a cancelled stream; returns false if the stream is not cancelled. */
   synchronized boolean resume() {
     if (!ending.equals(Optional.of(Ending.CANCELLED))) {
--- a/hawthornlb-standin/src/test/java/io/hawthornlb/standin/engine/support/TokenStreamTest.java
+++ b/hawthornlb-standin/src/test/java/io/hawthornlb/standin/engine/support/TokenStreamTest.java
@@ -81,4 +81,17 @@
     assertEquals(Optional.of(StreamListener.Ending.COMPLETE), stream.ending());
     assertFalse(stream.resume());
   }
+
+  /**
+   * Guards against a run that is counted as ended twice, by its cancellation and its last token.
+   */
+  @Test
+  void endsEachRunOnce() {
+    assertTrue(stream.endRun(0));
+    assertFalse(stream.endRun(0));
+    stream.cancel();
+    assertTrue(stream.resume());
+    assertTrue(stream.endRun(1));
+    assertFalse(stream.endRun(1));
+  }
 }
