Lead from a job to the holder that could not read its end

Cause: explain left out partition.behind, so a job's lines didn't show why its items waited. Change: it is a line of state, like partition.held.

--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/explain/Explanation.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/explain/Explanation.java
@@ -37,6 +37,7 @@
           "stream origin.not.found",
           "job group.lost",
           "job group.regained",
+          "job partition.behind",
           "job partition.held",
           "job partition.dropped");
 
--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/explain/ExplanationTest.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/explain/ExplanationTest.java
@@ -47,6 +47,23 @@
             .toList());
   }
 
+  /** Guards against items that run after their job's end, of which nobody sees why. */
+  @Test
+  void leadsFromAJobToItsEndAndToTheHolderThatDidNotReadIt() throws IOException {
+    Path log =
+        write(
+            "a.log",
+            line(1, "job", "item.sent", "\"id\":\"i1\",\"job\":\"j1\""),
+            line(2, "job", "job.written", "\"id\":\"j1\",\"status\":200,\"partition\":3"),
+            line(4, "job", "partition.behind", "\"partition\":3,\"lagMillis\":2600"),
+            line(5, "job", "job.stopped", "\"job\":\"j1\",\"partition\":3,\"runs\":4"));
+    LogReader reader = new LogReader();
+    reader.read(log);
+    assertEquals(
+        List.of("job item.sent", "job job.written", "job partition.behind", "job job.stopped"),
+        Explanation.of("j1", reader.events()).stream().map(LogEvent::name).toList());
+  }
+
   /** Guards against a refused read of a job of which nobody sees which version refused it. */
   @Test
   void leadsFromARefusedReadToTheVersionThatRemovedTheRoute() throws IOException {
