Stop the items of an ended job at once where the end was acknowledged, and split the runner of a partition

Change: records that a caller's request has had a process write run the holder's listener, which stops the runs of ended jobs; so a run needs no check of its own. A runner that was stopped once leaves its replica alone, which another runner may follow by then. ItemRuns keeps the runs of a partition, ResultListing assigns positions to results; both were parts of PartitionRunner.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/ItemRun.java
@@ -33,7 +33,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -63,7 +62,6 @@
   private final ItemRoute route;
   private final ItemLines lines;
   private final ItemOutcome outcome;
-  private final BooleanSupplier owed;
   private final SlotRequestLimiter limiter;
   private final SilenceWatch watch;
   private final ItemRunTime runTime;
@@ -83,11 +81,6 @@
   private boolean requesting;
   private boolean stopped;
 
-  /**
-   * Creates a run that has not begun.
-   *
-   * @param owed whether the log still has the item's job, and the job has not ended
-   */
   ItemRun(
       JobParts parts,
       Job job,
@@ -95,9 +88,7 @@
       long epoch,
       RunEstimate estimate,
       SlotRequestLimiter limiter,
-      ItemOutcome outcome,
-      BooleanSupplier owed) {
-    this.owed = owed;
+      ItemOutcome outcome) {
     this.output = new ItemOutput(item.id(), job.progress(item.id()), epoch);
     this.version = new StreamVersion(parts.directory(), output.origin());
     PromptParts prompt = parts.names().promptParts().read(item.headers()::get);
@@ -187,11 +178,6 @@
 
   @Override
   public void requestSlot() {
-    if (!owed.getAsBoolean()) {
-      limiter.leave();
-      retryAfter(SLOT_WAIT);
-      return;
-    }
     Optional<Route> found = route.find();
     if (found.isEmpty()) {
       // A later configuration may have a route for the item.
@@ -257,8 +243,11 @@
       return;
     }
     leaveLimiter();
-    if (answer instanceof SlotAnswer.Granted granted) {
+    if (answer instanceof SlotAnswer.Granted granted && limiter.isOpen()) {
       send(granted.incarnation());
+    } else if (answer instanceof SlotAnswer.Granted) {
+      end(SlotOutcome.ABANDONED);
+      acquire();
     } else if (answer instanceof SlotAnswer.Revoked) {
       parts.metrics().count("items", "gave way");
       lines.routine("item.gave.way").write();
@@ -279,11 +268,6 @@
   }
 
   private void send(EndpointIncarnation incarnation) {
-    if (!owed.getAsBoolean() || !limiter.isOpen()) {
-      end(SlotOutcome.ABANDONED);
-      acquire();
-      return;
-    }
     if (heldBack(guarded.admit())) {
       end(SlotOutcome.ABANDONED);
       return;
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobReplica.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobReplica.java
@@ -37,6 +37,7 @@
   private long readsBegun;
   private long lastCaughtUpRead;
   private boolean followed;
+  private Runnable writtenHere = () -> {};
   private boolean awaited;
   private CompletableFuture<Void> nextRead = new CompletableFuture<>();
   private @Nullable CompletableFuture<Void> loading;
@@ -55,6 +56,17 @@
     return table;
   }
 
+  /** Applies records that a caller's request has had this process write. */
+  void applyWritten(List<KeyedRecord> records) {
+    records.forEach(table::apply);
+    writtenHere.run();
+  }
+
+  /** Sets the listener that runs after such records, which the log brings only later. */
+  void onWrittenHere(Runnable listener) {
+    writtenHere = listener;
+  }
+
   /** Applies a record that this process has written. */
   void apply(KeyedRecord record) {
     table.apply(record);
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobService.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/JobService.java
@@ -166,7 +166,7 @@
   private void applyToKnownJob(Write write) {
     JobReplica replica = replicas.of(write.jobId());
     if (find(replica, write.jobId()).isPresent()) {
-      write.records().forEach(replica::apply);
+      replica.applyWritten(write.records());
     }
   }
 
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -6,12 +6,9 @@
 import io.hawthornlb.gateway.store.StoreException;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
@@ -69,7 +66,7 @@
   private final SlotRequestLimiter limiter = new SlotRequestLimiter(() -> !behind());
   private final JobAges ages;
   private final ItemExpiry expiry;
-  private final Map<String, ItemRun> runs = new HashMap<>();
+  private final ItemRuns runs = new ItemRuns();
   private final List<Finished> finished = new ArrayList<>();
   private final List<Finished> inFlight = new ArrayList<>();
   private final Set<String> resultDecided = new HashSet<>();
@@ -126,11 +123,14 @@
 
   /** Stops all runs; the output that is not recorded is lost. */
   void stop() {
+    if (stopped) {
+      return;
+    }
     stopped = true;
     replica.followed(false);
+    replica.onWrittenHere(() -> {});
     limiter.close();
-    runs.values().forEach(ItemRun::stop);
-    runs.clear();
+    runs.stopAll();
   }
 
   /** Returns the epoch under which this process holds the partition. */
@@ -149,6 +149,7 @@
             (done, failure) -> {
               if (failure == null) {
                 replica.followed(true);
+                replica.onWrittenHere(this::startItems);
                 onRead();
                 scheduleSave();
                 scheduleSweep();
@@ -223,40 +224,17 @@
         startItems(job);
       }
     }
-    stopRunsWithoutJob();
-  }
-
-  /** Stops the runs of jobs that the log no longer has. */
-  private void stopRunsWithoutJob() {
-    for (ItemRun run : List.copyOf(runs.values())) {
-      if (replica.table().find(run.job().id()).isEmpty()) {
-        stopRun(run.job(), run.item());
-      }
-    }
-  }
-
-  private boolean owed(String jobId) {
-    return replica.table().find(jobId).filter(job -> !job.ended()).isPresent();
+    runs.stopWithoutJob(replica.table());
   }
 
   private void startItems(Job job) {
     for (JobItem item : job.items()) {
       if (job.offered(item.id()).isPresent()) {
-        stopRun(job, item);
+        runs.stop(job, item);
         finish(job, job.offered(item.id()).get());
-      } else if (!job.listed(item.id()) && !runs.containsKey(runKey(job, item.id()))) {
-        ItemRun run =
-            new ItemRun(
-                parts,
-                job,
-                item,
-                epoch,
-                estimate,
-                limiter,
-                new Outcomes(job),
-                () -> owed(job.id()));
-        runs.put(runKey(job, item.id()), run);
-        expiry.added(runKey(job, item.id()), run);
+      } else if (!job.listed(item.id()) && !runs.contains(job, item)) {
+        ItemRun run = new ItemRun(parts, job, item, epoch, estimate, limiter, new Outcomes(job));
+        expiry.added(runs.add(run), run);
         run.start();
       }
     }
@@ -264,7 +242,7 @@
 
   /** Stops the runs of a job that its caller has ended. */
   private void stopRuns(Job job) {
-    long stopped = job.items().stream().filter(item -> stopRun(job, item)).count();
+    long stopped = runs.stopJob(job);
     if (stopped > 0) {
       parts
           .log()
@@ -276,15 +254,6 @@
     }
   }
 
-  /** Stops the run of an item; returns whether it had one. */
-  private boolean stopRun(Job job, JobItem item) {
-    ItemRun run = runs.remove(runKey(job, item.id()));
-    if (run != null) {
-      run.stop();
-    }
-    return run != null;
-  }
-
   /** Handles the outcome of the items of a job. */
   private final class Outcomes implements ItemOutcome {
 
@@ -309,21 +278,13 @@
 
   /** Queues a result to be listed, unless the item has a result or one is already queued. */
   private void finish(Job job, JobResult result) {
-    if (!job.listed(result.itemId()) && resultDecided.add(runKey(job, result.itemId()))) {
+    if (!job.listed(result.itemId())
+        && resultDecided.add(ItemRuns.key(job.id(), result.itemId()))) {
       finished.add(new Finished(job, result));
       write();
     }
   }
 
-  /** Returns the key of an item's run; items of different jobs may have the same id. */
-  private static String runKey(Job job, String itemId) {
-    return runKey(job.id(), itemId);
-  }
-
-  private static String runKey(String jobId, String itemId) {
-    return jobId + "/" + itemId;
-  }
-
   private void scheduleSave() {
     parts.executor().schedule(this::save, SAVE_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
   }
@@ -335,7 +296,7 @@
     if (!writing) {
       List<KeyedRecord> records = Restoration.next(replica.table(), partition, parts.log());
       if (records.isEmpty()) {
-        records = progressRecords(MIN_SAVED_EVENTS);
+        records = runs.progressRecords(MIN_SAVED_EVENTS);
       }
       if (!records.isEmpty()) {
         writing = true;
@@ -376,8 +337,8 @@
   }
 
   private void giveUpExpiredItems() {
-    expiry.retain(runs.keySet());
-    Map.copyOf(runs)
+    expiry.retain(runs.keys());
+    runs.copy()
         .forEach((key, run) -> expiry.cause(key, run).ifPresent(cause -> giveUp(run, cause)));
   }
 
@@ -404,20 +365,6 @@
     }
   }
 
-  private List<KeyedRecord> progressRecords(int minEvents) {
-    List<KeyedRecord> records = new ArrayList<>();
-    AppendSize size = new AppendSize();
-    for (ItemRun run : runs.values()) {
-      Optional<KeyedRecord> record =
-          run.newProgress(minEvents).map(added -> JobRecords.progress(run.job().id(), added));
-      record.ifPresent(records::add);
-      if (!size.add(record.stream().toList())) {
-        break;
-      }
-    }
-    return records;
-  }
-
   /**
    * Hands the items' progress and the unwritten results over to the next holder, then stops. Called
    * while this process still holds the partition.
@@ -425,7 +372,7 @@
   void handOver() {
     if (!stopped) {
       List<KeyedRecord> records = unwrittenRecords();
-      records.addAll(progressRecords(1));
+      records.addAll(runs.progressRecords(1));
       new Relinquishment(parts, partition, records).write();
     }
     stop();
@@ -466,50 +413,19 @@
     waitingRecords.clear();
     AppendSize size = new AppendSize();
     boolean room = size.add(records);
-    Map<String, Integer> next = new HashMap<>();
+    ResultListing listing = new ResultListing(replica.table());
     Iterator<Finished> results = finished.iterator();
     while (room && results.hasNext()) {
       Finished each = results.next();
       results.remove();
       inFlight.add(each);
-      List<KeyedRecord> listed = listingRecords(each, next);
+      List<KeyedRecord> listed = listing.add(each.job(), each.result());
       records.addAll(listed);
       room = size.add(listed);
     }
     append(records);
   }
 
-  /**
-   * Returns the records that list a result after the other results of its job.
-   *
-   * @param next next position for each job that has a result in this append
-   */
-  private List<KeyedRecord> listingRecords(Finished each, Map<String, Integer> next) {
-    String jobId = each.job().id();
-    // A result after a gap that another writer made keeps its position, so the search skips taken
-    // positions.
-    int position = each.job().freePosition(next.getOrDefault(jobId, each.job().resultCount()));
-    next.put(jobId, position + 1);
-    List<KeyedRecord> records = new ArrayList<>();
-    records.add(JobRecords.result(jobId, position, each.result()));
-    records.addAll(deletionsAfterResult(jobId, each.result().itemId()));
-    return records;
-  }
-
-  /**
-   * Returns deletions of the progress records and the offered result of an item that has its
-   * result.
-   *
-   * <p>An item has several progress records, up to its last event. If they stayed, they would
-   * double the bytes that a process has to load when it takes the partition over.
-   */
-  private List<KeyedRecord> deletionsAfterResult(String jobId, String itemId) {
-    return replica.table().keys(jobId).stream()
-        .filter(key -> JobRecords.neededUntilResult(key, itemId))
-        .map(key -> new KeyedRecord(key, null))
-        .toList();
-  }
-
   private void append(List<KeyedRecord> records) {
     if (stopped) {
       return;
@@ -534,13 +450,14 @@
     onStoreAnswer();
     sequence++;
     writing = false;
-    inFlight.forEach(each -> resultDecided.remove(runKey(each.job(), each.result().itemId())));
+    inFlight.forEach(
+        each -> resultDecided.remove(ItemRuns.key(each.job().id(), each.result().itemId())));
     inFlight.clear();
     for (KeyedRecord record : records) {
       replica.apply(record);
       JobRecords.Key key = JobRecords.key(record.key());
       if (record.value() != null && key.result()) {
-        runs.remove(runKey(key.jobId(), JobRecords.result(record.value()).itemId()));
+        runs.remove(key.jobId(), JobRecords.result(record.value()).itemId());
       }
     }
     write();
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/EndedJobReplay.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/EndedJobReplay.java
@@ -79,6 +79,24 @@
     return asked.stream().filter(at -> at.isAfter(read)).count();
   }
 
+  /**
+   * Plays an end that the holder itself has acknowledged while its reads are silent, and returns
+   * how often items asked after that.
+   */
+  long runEndedHere() {
+    accept();
+    JobReplica replica =
+        new JobReplica(store, JobReplicas.TOPIC, 0, new LoadLimiter(), time.loop());
+    new PartitionRunner(parts(), replica, 0, 1, new JobFixture.SilentNotices(), refused -> {})
+        .start();
+    time.advance(Duration.ofMillis(1_000 + random.nextInt(2_000)));
+    store.silence(WATCHED);
+    replica.applyWritten(List.of(JobRecords.end("j")));
+    Instant end = time.instant();
+    time.advance(WATCHED);
+    return asked.stream().filter(at -> at.isAfter(end)).count();
+  }
+
   private List<LogStore.KeyedRecord> accept() {
     List<JobItem> items =
         IntStream.range(0, ITEMS)
@@ -96,17 +114,9 @@
   }
 
   private void start() {
-    JobParts parts =
-        JobFixture.parts(
-            store,
-            time.loop(),
-            time,
-            JobFixture.config(3),
-            new EndpointDirectory(),
-            new RecordingSlots());
     JobRunners runners =
         new JobRunners(
-            parts,
+            parts(),
             new JobFixture.NoCalls(),
             new JobFixture.SilentNotices(),
             new ScriptedJobPeers("g1"),
@@ -115,6 +125,16 @@
     runners.start();
   }
 
+  private JobParts parts() {
+    return JobFixture.parts(
+        store,
+        time.loop(),
+        time,
+        JobFixture.config(3),
+        new EndpointDirectory(),
+        new RecordingSlots());
+  }
+
   private void append(List<LogStore.KeyedRecord> records) {
     log.append(new LogStore.AppendCall(JobReplicas.TOPIC, 0, records, null));
   }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/EndedJobTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/EndedJobTest.java
@@ -34,6 +34,14 @@
     assertTrue(replay.requests() > 0, "no item asked for an endpoint");
   }
 
+  /** Guards against items that go on at the very process that has acknowledged the end. */
+  @Test
+  void stopsAtOnceWhereTheEndWasAcknowledged() {
+    EndedJobReplay replay = new EndedJobReplay(1);
+    assertEquals(0, replay.runEndedHere());
+    assertTrue(replay.requests() > 0, "no item asked for an endpoint");
+  }
+
   /** Guards against a process that runs no items while the store is away from it. */
   @Test
   void holdsItemsBackOnlyWhileTheStoreAnswersOtherCalls() {
