Leave the replica to the successor of a runner that was stopped while it caught up

Cause, found in the last reading of the diff: a runner that is stopped while its first read of the log is under way marked the replica as followed when the read ended, and now also took the listener for ends from the runner that holds the partition by then. Change: such a runner does nothing with the read. Result: 89 tests of runners, replicas and job calls pass; formatter and linter pass.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/job/PartitionRunner.java
@@ -147,6 +147,9 @@
         .refresh()
         .whenCompleteAsync(
             (done, failure) -> {
+              if (stopped) {
+                return;
+              }
               if (failure == null) {
                 replica.followed(true);
                 replica.onWrittenHere(this::startItems);
