--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/explain/ExplanationTest.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/explain/ExplanationTest.java
@@ -47,6 +47,13 @@
             .toList());
   }
 
+  /** Returns the names of the lines of a log that explain an id. */
+  private static List<String> names(String id, Path log) {
+    LogReader reader = new LogReader();
+    reader.read(log);
+    return Explanation.of(id, reader.events()).stream().map(LogEvent::name).toList();
+  }
+
   /** Guards against items that run after their job's end, of which nobody sees why. */
   @Test
   void leadsFromAJobToItsEndAndToTheHolderThatDidNotReadIt() throws IOException {
@@ -57,11 +64,9 @@
             line(2, "job", "job.written", "\"id\":\"j1\",\"status\":200,\"partition\":3"),
             line(4, "job", "partition.behind", "\"partition\":3,\"lagMillis\":2600"),
             line(5, "job", "job.stopped", "\"job\":\"j1\",\"partition\":3,\"runs\":4"));
-    LogReader reader = new LogReader();
-    reader.read(log);
     assertEquals(
         List.of("job item.sent", "job job.written", "job partition.behind", "job job.stopped"),
-        Explanation.of("j1", reader.events()).stream().map(LogEvent::name).toList());
+        names("j1", log));
   }
 
   /** Guards against a refused read of a job of which nobody sees which version refused it. */
@@ -73,11 +78,7 @@
             line(1, "config", "applied", "\"version\":1"),
             line(2, "config", "applied", "\"version\":2,\"removed\":\"jobs\""),
             line(9, "front", "request.refused", "\"job\":\"j1\",\"status\":404,\"config\":2"));
-    LogReader reader = new LogReader();
-    reader.read(log);
-    assertEquals(
-        List.of("config applied", "front request.refused"),
-        Explanation.of("j1", reader.events()).stream().map(LogEvent::name).toList());
+    assertEquals(List.of("config applied", "front request.refused"), names("j1", log));
   }
 
   /** Guards against an answer that is dropped as another's and of which neither id tells. */
