Keep nothing of an endless body in EndlessAnswerTest

Cause: the test, not the product. breaksOffAnEndlessAnswerAtTheTimeoutOfItsRoute reads what an endpoint sends without end within 400 ms, as bytes, as text and as a part of that text. On this machine that is more than the 768 MB of the fork; the stack in the dump is GatewayFixture.read, called by that test.

Change: the client of this test keeps the head and the last five bytes. What is required is the same: a chunked answer that does not end with the last chunk, and a caller that has disconnected.

--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/EndlessAnswerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/EndlessAnswerTest.java
@@ -100,8 +100,7 @@
   void breaksOffAnEndlessAnswerAtTheTimeoutOfItsRoute() throws Exception {
     endless.endlessly(SIGNED, "x");
     gateway.timeout(Duration.ofMillis(400)).route(RouteKind.ONCE, 1, false, endless);
-    Answer answer = gateway.call("/a/", "x");
-    assertFalse(answer.whole());
+    assertFalse(gateway.looksWhole("/a/", "x"));
     assertTrue(endless.callerDisconnected().await(2, TimeUnit.SECONDS));
   }
 
