--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/EndlessAnswerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/EndlessAnswerTest.java
@@ -9,7 +9,12 @@
 import io.hawthornlb.gateway.front.GatewayFixture.Answer;
 import io.hawthornlb.gateway.route.RouteKind;
 import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -23,6 +28,8 @@
   private static final String HEAD = "HTTP/1.1 200 OK\r\nTest-Id: {id}\r\n";
   private static final String SIGNED = HEAD + "Test-Signature: s\r\n\r\n";
   private static final String WHOLE = SIGNED.replace("s\r\n\r\n", "s\r\nContent-Length: 4\r\n\r\n");
+  private static final String LAST_CHUNK = "0\r\n\r\n";
+  private static final int PIECE_BYTES = 65_536;
   private static final String EVENT = "id: 1\ndata: a\n\n";
 
   /**
@@ -100,7 +107,7 @@
   void breaksOffAnEndlessAnswerAtTheTimeoutOfItsRoute() throws Exception {
     endless.endlessly(SIGNED, "x");
     gateway.timeout(Duration.ofMillis(400)).route(RouteKind.ONCE, 1, false, endless);
-    assertFalse(gateway.looksWhole("/a/", "x"));
+    assertFalse(looksWhole());
     assertTrue(endless.callerDisconnected().await(2, TimeUnit.SECONDS));
   }
 
@@ -116,6 +123,28 @@
     assertTrue(endless.callerDisconnected().await(2, TimeUnit.SECONDS));
   }
 
+  /**
+   * Sends a request, and returns whether its answer looks whole; keeps nothing of the body, which
+   * may be larger than the heap.
+   */
+  private boolean looksWhole() throws IOException {
+    byte[] buffer = new byte[PIECE_BYTES];
+    String head = "";
+    String end = "";
+    try (Socket socket = gateway.open("/a/", "x")) {
+      InputStream in = socket.getInputStream();
+      for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
+        String piece = new String(buffer, 0, count, StandardCharsets.ISO_8859_1);
+        head = head.contains("\r\n\r\n") ? head : head + piece;
+        end = (end + piece).substring(Math.max(0, end.length() + count - LAST_CHUNK.length()));
+      }
+    } catch (SocketException expected) {
+      // A reset ends the response like a normal close.
+    }
+    boolean chunked = head.toLowerCase(Locale.ROOT).contains("transfer-encoding: chunked");
+    return !chunked || end.equals(LAST_CHUNK);
+  }
+
   private void assertEnded() throws InterruptedException {
     assertEnded("endpoint.answer.ended");
   }
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
@@ -30,7 +30,6 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
@@ -44,7 +43,6 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -77,8 +75,6 @@
   /** Time within which a change must be in force. */
   static final Duration CHANGE_TIME = Duration.ofSeconds(2);
 
-  private static final String LAST_CHUNK = "0\r\n\r\n";
-  private static final int PIECE_BYTES = 65_536;
   private static final String SERVICE = "engine";
 
   private final EventLoop loop =
@@ -395,28 +391,6 @@
     return new Answer(status, head, chunked ? unchunk(body) : body, whole);
   }
 
-  /**
-   * Sends a request, and returns whether its answer looks whole; keeps nothing of the body, which
-   * may be larger than the heap.
-   */
-  boolean looksWhole(String path, String body) throws IOException {
-    byte[] buffer = new byte[PIECE_BYTES];
-    String head = "";
-    String end = "";
-    try (Socket socket = open(path, body)) {
-      InputStream in = socket.getInputStream();
-      for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
-        String piece = new String(buffer, 0, count, StandardCharsets.ISO_8859_1);
-        head = head.contains("\r\n\r\n") ? head : head + piece;
-        end = (end + piece).substring(Math.max(0, end.length() + count - LAST_CHUNK.length()));
-      }
-    } catch (SocketException expected) {
-      // A reset ends the response like a normal close.
-    }
-    boolean chunked = head.toLowerCase(Locale.ROOT).contains("transfer-encoding: chunked");
-    return !chunked || end.equals(LAST_CHUNK);
-  }
-
   /** Sends foreign bytes to the peer port and checks that each connection ends without a reply. */
   void sendForeignBytes() throws IOException {
     InetSocketAddress at = settings.self().address();
