Take no answer whose head has a field without a name

What callers saw: "X Y: v" and "X : v" as "X: v", "Content-Length x: 2" as a body of two bytes that the endpoint did not send, a 500 with such a line as that 500, and a 503 or 421 with it as a promise that nothing had run: a request that may run once was sent to a second endpoint.

Cause: the decoder ends the name of a field at its first blank or tab and skips to the colon; nothing behind it can see that. Change: FieldLineParser takes a name only if it is a token (RFC 9110, 5.1), so also in heads of informational answers and in trailers. A line that begins with a blank is refused too: RFC 9112 forbids senders to fold lines, and lets a gateway answer 502 for it.

Red before, on with these tests: BrokenAnswerTest 16 of 16 new rows (10 were passed on or sent again; 6 were 502 already, without this reason), BrokenResponseTest 4 of 5 new rows ("Content-Length x" beside a length was refused already), NettyHttpCallerTest 2 of 2.

--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/BrokenAnswerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/BrokenAnswerTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Covers answers that are not those of HTTP, and answers that look whole but were broken off. */
@@ -50,6 +51,37 @@
     assertCountsForNothing(head + "Content-Length: 4\r\n\r\nbody", "the status is not one of HTTP");
   }
 
+  /**
+   * Guards against a client that gets an answer whose head was mended: with a line that the
+   * endpoint has not sent, with part of its body, or with a promise that nothing has run.
+   */
+  @ParameterizedTest
+  @CsvSource(
+      quoteCharacter = '`',
+      value = {
+        "200 OK,X Y: v",
+        "200 OK,X : v",
+        "200 OK,Content-Length x: 2",
+        "200 OK,Content-Length%t: 2",
+        "200 OK,X%tY: v",
+        "200 OK,%tX: v",
+        "200 OK,` X: v`",
+        "200 OK,X: v%r%n folded",
+        "200 OK,: v",
+        "200 OK,X%0Y: v",
+        "200 OK,X(Y): v",
+        "200 OK,no colon",
+        "500 Failed,X Y: v",
+        "503 Full,Test-Not-Run: 1%r%nX Y: v",
+        "421 Other,X Y: v",
+        "503 Full,Test-Not-Run : 1",
+      })
+  void forwardsNoAnswerWhoseFieldsHaveNoNames(String status, String line) throws IOException {
+    String fields = line.replace("%r%n", "\r\n").replace("%t", "\t").replace("%0", "\0");
+    String answer = "HTTP/1.1 " + status + "\r\n" + fields + OWN + "Content-Length: 4\r\n\r\nbody";
+    assertCountsForNothing(answer, "the name of a header field is no token");
+  }
+
   private void assertCountsForNothing(String answer, String cause) throws IOException {
     broken.whenever("", answer, After.KEEP);
     gateway.route(RouteKind.IDEMPOTENT, 2, false, broken, sound);
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/http/NettyHttpCallerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/http/NettyHttpCallerTest.java
@@ -122,7 +122,15 @@
 
   /** Guards against an acknowledgement or a refusal that is taken from a broken reply. */
   @ParameterizedTest
-  @ValueSource(strings = {"000 OK", "+200 OK", "0503 Busy", "600 Any"})
+  @ValueSource(
+      strings = {
+        "000 OK",
+        "+200 OK",
+        "0503 Busy",
+        "600 Any",
+        "200 OK\r\nX Y: v",
+        "429 Busy\r\nX : v"
+      })
   void takesNoReplyThatIsNoneOfHttp(String status) throws Exception {
     CompletableFuture<HttpReply> reply = call(Duration.ofSeconds(10));
     try (Socket connection = server.accept()) {
--- a/hawthornlb-http/src/main/java/io/hawthornlb/http/ResponseFault.java
+++ b/hawthornlb-http/src/main/java/io/hawthornlb/http/ResponseFault.java
@@ -8,6 +8,8 @@
   STATUS("the status is not one of HTTP"),
   /** The server changes to a protocol that the request did not ask for. */
   UPGRADE("the protocol changes unasked"),
+  /** A header field has no name, or the name contains other characters than those of a token. */
+  FIELD_NAME("the name of a header field is no token"),
   /** The value of a header field contains control characters. */
   FIELD_VALUE("the value of a header field has control characters"),
   /** A line ends with CR or LF alone. */
--- a/hawthornlb-http/src/main/java/io/hawthornlb/http/support/FieldLineParser.java
+++ b/hawthornlb-http/src/main/java/io/hawthornlb/http/support/FieldLineParser.java
@@ -55,6 +55,7 @@
       return;
     }
     ResponseFault.LINE_END.unless(octet != Octets.LF);
+    ResponseFault.FIELD_NAME.unless(Octets.isToken(octet));
     name.setLength(0);
     nameTooLong = false;
     position = Position.NAME;
@@ -68,6 +69,7 @@
       position = Position.VALUE;
       return;
     }
+    ResponseFault.FIELD_NAME.unless(Octets.isToken(octet));
     if (name.length() < LONGEST_NAME) {
       name.append((char) octet);
     } else {
--- a/hawthornlb-http/src/main/java/io/hawthornlb/http/support/Octets.java
+++ b/hawthornlb-http/src/main/java/io/hawthornlb/http/support/Octets.java
@@ -11,16 +11,28 @@
   private static final int COUNT = 256;
   private static final int DEL = 0x7f;
   private static final int HEX_RADIX = 16;
+  private static final String TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~";
+  private static final boolean[] TOKEN = new boolean[COUNT];
   private static final boolean[] TEXT = new boolean[COUNT];
 
   static {
     for (int octet = 0; octet < COUNT; octet++) {
+      boolean letterOrDigit =
+          octet >= '0' && octet <= '9'
+              || octet >= 'A' && octet <= 'Z'
+              || octet >= 'a' && octet <= 'z';
+      TOKEN[octet] = letterOrDigit || TOKEN_PUNCTUATION.indexOf(octet) >= 0;
       TEXT[octet] = octet == HT || octet >= SP && octet != DEL;
     }
   }
 
   private Octets() {}
 
+  /** Returns whether an octet may be part of the name of a field. */
+  static boolean isToken(byte octet) {
+    return TOKEN[octet & 0xff];
+  }
+
   /** Returns whether an octet may be part of a value, a reason phrase or a chunk extension. */
   static boolean isText(byte octet) {
     return TEXT[octet & 0xff];
--- a/hawthornlb-net/src/test/java/io/hawthornlb/net/http/BrokenResponseTest.java
+++ b/hawthornlb-net/src/test/java/io/hawthornlb/net/http/BrokenResponseTest.java
@@ -59,7 +59,19 @@
 
   /** Guards against a status, an event, a record or a list that comes with a broken head. */
   @ParameterizedTest
-  @ValueSource(strings = {"000 OK", "099 OK", "600 OK", "1000 OK", "+200 OK"})
+  @ValueSource(
+      strings = {
+        "000 OK",
+        "099 OK",
+        "600 OK",
+        "1000 OK",
+        "+200 OK",
+        "200 OK\r\nX Y: v",
+        "200 OK\r\nX\t: v",
+        "200 OK\r\nContent-Length x: 2",
+        "410 Gone\r\nX Y: v",
+        "503 Busy\r\nX Y: v"
+      })
   void takesNothingFromABrokenHead(String status) {
     String head = "HTTP/1.1 " + status + "\r\n";
     assertBroken(head);
