Take the end of a connection for that of a response only if the server closed it

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The caller got the part as a whole answer, of a stream as well; calls to the store got it as a reply.

Cause: an end that is assumed because nothing spoke against it. A reset that a read meets fires exceptionCaught, one that a write meets closes the channel without; the decoder ends a body without length whenever its channel closes. EndpointHandler looked only for the exception, NettyHttpCaller for nothing.

The check for a reset in EndpointHandler goes.

Why it works: after a reset that a write has met, the kernel shows later reads an end of input like any other, but the library closes the socket at a failed write and reads no more. An endpoint that ends its answer by a FIN before it has read the upload is still taken.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/NettyHttpCaller.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/http/NettyHttpCaller.java
@@ -3,6 +3,7 @@
 import io.hawthornlb.gateway.loop.WorkAccount;
 import io.hawthornlb.gateway.loop.WorkKind;
 import io.hawthornlb.http.BrokenResponseException;
+import io.hawthornlb.http.ResponseFault;
 import io.hawthornlb.http.support.GrammarScanner;
 import io.hawthornlb.http.support.ResponseGuard;
 import io.netty.bootstrap.Bootstrap;
@@ -163,6 +164,14 @@
       result.completeExceptionally(new HttpCallException(message, !written));
     }
 
+    private void failBroken(ResponseFault fault) {
+      if (fault.endedEarly()) {
+        failClosed("The connection closed before a whole reply: " + fault.label());
+      } else {
+        fail("The reply is broken: " + fault.label());
+      }
+    }
+
     private void failClosed(String message) {
       stopTimer();
       result.completeExceptionally(HttpCallException.connectionClosed(message));
@@ -264,7 +273,7 @@
       } else if (waiting != null) {
         pending = null;
         ctx.close();
-        waiting.fail("The reply is broken: " + broken.fault().label());
+        waiting.failBroken(broken.fault());
       }
     }
   }
--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
@@ -197,8 +197,6 @@
         current.listener().onContent(content.content());
       }
       if (content instanceof LastHttpContent) {
-        // After a reset the connection may still deliver what looks like the end of a response
-        // without a length. Such a response is not complete.
         onResponseEnd(ctx.channel(), current);
       }
     }
@@ -245,7 +243,7 @@
     }
     reusable = false;
     if (waiting != null) {
-      waiting.failed(reason);
+      waiting.failed(reason + cause);
     }
     channel.close();
   }
@@ -276,10 +274,6 @@
   private void onResponseEnd(Channel channel, PooledCall current) {
     inAnswer = false;
     call = null;
-    if (reset) {
-      current.failed("the connection was reset" + cause);
-      return;
-    }
     boolean keep =
         reusable
             && !carried.full()
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/BrokenAnswerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/BrokenAnswerTest.java
@@ -1,6 +1,7 @@
 package io.hawthornlb.gateway.front;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.hawthornlb.gateway.ScriptedEndpoint;
@@ -8,10 +9,13 @@
 import io.hawthornlb.gateway.front.GatewayFixture.Answer;
 import io.hawthornlb.gateway.route.RouteKind;
 import java.io.IOException;
+import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Covers answers that are not those of HTTP, and answers that look whole but were broken off. */
@@ -82,6 +86,49 @@
     assertCountsForNothing(answer, "the name of a header field is no token");
   }
 
+  /**
+   * Guards against part of an answer that ends as a whole one, since the reset of its connection
+   * reached a write and not a read.
+   */
+  @ParameterizedTest
+  @EnumSource(names = {"ONCE", "IDEMPOTENT"})
+  void forwardsNoPartOfAnAnswerThatAResetCutsOff(RouteKind kind) throws IOException {
+    broken.answeringAtOnce().whenever("", UNFRAMED + "part", After.RESET);
+    gateway.maxBody(LARGE_UPLOAD).route(kind, 2, false, broken, sound);
+    String upload = "x".repeat(LARGE_UPLOAD);
+    Answer answer = gateway.call("/a/", upload);
+    String expected = kind == RouteKind.ONCE ? "502 " : "200 sound";
+    assertEquals(expected, answer.status() + " " + answer.body());
+    assertBrokenOff();
+  }
+
+  /** Guards against a stream whose last event came whole before the reset that a write has met. */
+  @Test
+  void endsNoStreamThatAResetCutsOffBetweenEvents() throws IOException {
+    broken.answeringAtOnce().whenever("", UNFRAMED + "id: 1\ndata: a\n\n", After.RESET);
+    gateway.maxBody(LARGE_UPLOAD).route(RouteKind.STREAM, 1, true, broken);
+    Answer answer = gateway.call("/a/", "x".repeat(LARGE_UPLOAD));
+    assertFalse(answer.whole(), answer.body());
+    assertBrokenOff();
+  }
+
+  /** Guards against a whole answer that is lost since its endpoint did not wait for the upload. */
+  @ParameterizedTest
+  @EnumSource(names = {"ONCE", "STREAM"})
+  void takesAnAnswerThatIsCompleteBeforeTheUpload(RouteKind kind) throws IOException {
+    broken.answeringAtOnce().whenever("", UNFRAMED + "id: 1\ndata: a\n\n", After.FINISH);
+    gateway.maxBody(LARGE_UPLOAD).route(kind, 1, true, broken);
+    Answer answer = gateway.call("/a/", "x".repeat(LARGE_UPLOAD));
+    assertEquals(200, answer.status());
+    assertEquals("id: 1\ndata: a\n\n", answer.body());
+    assertTrue(answer.whole());
+  }
+
+  private void assertBrokenOff() {
+    List<String> causes = gateway.log().causes();
+    assertTrue(causes.contains("the connection broke off inside the response"), causes::toString);
+  }
+
   private void assertCountsForNothing(String answer, String cause) throws IOException {
     broken.whenever("", answer, After.KEEP);
     gateway.route(RouteKind.IDEMPOTENT, 2, false, broken, sound);
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/GatewayFixture.java
@@ -85,6 +85,7 @@
   private final GatewaySettings settings;
   private final GatewayProcess process;
   private Duration timeout = Duration.ofMillis(1_500);
+  private int maxBodyBytes = 5_000;
   private @Nullable WorkspaceRegistry workspaces;
   private List<Route> routes = List.of();
   private List<String> versions = List.of();
@@ -169,6 +170,12 @@
     return this;
   }
 
+  /** Sets the size limit of bodies for configurations that are put in force after this call. */
+  GatewayFixture maxBody(int bytes) {
+    maxBodyBytes = bytes;
+    return this;
+  }
+
   /** Sets the limit of each workspace whose keys are set after this call. */
   GatewayFixture limit(WorkspaceLimit each) {
     limit = each;
@@ -212,7 +219,7 @@
 
   private void putConfig(long version) {
     CallerLimits limits =
-        new CallerLimits(2_000, 5_000, Duration.ofMillis(300), Duration.ofSeconds(5));
+        new CallerLimits(2_000, maxBodyBytes, Duration.ofMillis(300), Duration.ofSeconds(5));
     String name = String.valueOf(version);
     formats.configs.put(name, new RoutingConfig(version, routes, limits, workspaces));
     put(formats.configTopic(), formats.configKey(), name);
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/http/NettyHttpCallerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/http/NettyHttpCallerTest.java
@@ -140,6 +140,35 @@
     }
   }
 
+  /** Guards against an acknowledgement in part of a reply that a reset cuts off. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, LARGE_BYTES})
+  void takesNoPartOfAReplyThatAResetCutsOff(int upload) throws Exception {
+    CompletableFuture<HttpReply> reply = call(new byte[upload], Duration.ofSeconds(10));
+    try (Socket connection = server.accept()) {
+      connection.getInputStream().read();
+      send(connection, "HTTP/1.1 200 OK\r\n\r\npart");
+      Thread.sleep(INTERIM_MILLIS);
+      connection.setSoLinger(true, 0);
+    }
+    assertEquals(true, failureOf(reply).closedWithoutReply());
+  }
+
+  @Test
+  void takesAReplyThatEndsWithItsConnection() throws Exception {
+    CompletableFuture<HttpReply> next =
+        call(Duration.ofSeconds(10)).thenCompose(first -> call(Duration.ofSeconds(10)));
+    for (int i = 0; i < 2; i++) {
+      try (Socket connection = server.accept()) {
+        connection.getInputStream().readNBytes(1);
+        Thread.sleep(INTERIM_MILLIS);
+        connection.getInputStream().skip(connection.getInputStream().available());
+        send(connection, "HTTP/1.1 200 OK\r\n\r\nwhole");
+      }
+    }
+    assertEquals(5, next.get(10, TimeUnit.SECONDS).body().length);
+  }
+
   private CompletableFuture<HttpReply> call(Duration timeout) {
     return call(new byte[0], timeout);
   }
--- a/hawthornlb-http/src/main/java/io/hawthornlb/http/ResponseFault.java
+++ b/hawthornlb-http/src/main/java/io/hawthornlb/http/ResponseFault.java
@@ -19,7 +19,11 @@
   /** The transfer coding cannot be decoded, or leaves the length of the body in doubt. */
   TRANSFER_CODING("the transfer coding is not chunked alone"),
   /** A chunk has no size or extension that can be read, or does not end with its size. */
-  CHUNK("a chunk is malformed");
+  CHUNK("a chunk is malformed"),
+  /** The server closed the connection before the end of the response. */
+  CUT("the connection closed inside the response"),
+  /** The connection was reset, or closed by this side, before the end of the response. */
+  BROKEN_OFF("the connection broke off inside the response");
 
   private final String label;
 
@@ -32,6 +36,11 @@
     return label;
   }
 
+  /** Returns whether all bytes were those of a response that has no end. */
+  public boolean endedEarly() {
+    return this == CUT || this == BROKEN_OFF;
+  }
+
   /**
    * Checks what the grammar requires.
    *
--- a/hawthornlb-http/src/main/java/io/hawthornlb/http/ResponseScanner.java
+++ b/hawthornlb-http/src/main/java/io/hawthornlb/http/ResponseScanner.java
@@ -3,8 +3,9 @@
 /**
  * Follows the responses on a connection octet by octet.
  *
- * <p>Each method throws {@link BrokenResponseException} if the octets can no longer become a
- * response.
+ * <p>A response ends only where its framing says so, or where the server closes the connection if
+ * the response is framed by that. Each method throws {@link BrokenResponseException} if the octets
+ * can no longer become a response.
  */
 public interface ResponseScanner {
 
@@ -23,4 +24,10 @@
 
   /** Returns whether the last octet was the last one of a final response. */
   boolean atEnd();
+
+  /** Reads the end of the connection, which the server has closed. */
+  void endOfInput();
+
+  /** Returns whether a response has begun and is not complete. */
+  boolean inResponse();
 }
--- a/hawthornlb-http/src/main/java/io/hawthornlb/http/support/GrammarScanner.java
+++ b/hawthornlb-http/src/main/java/io/hawthornlb/http/support/GrammarScanner.java
@@ -99,6 +99,19 @@
     return atEnd;
   }
 
+  @Override
+  public void endOfInput() {
+    if (contentAhead == Long.MAX_VALUE) {
+      endResponse();
+    }
+    ResponseFault.CUT.unless(!inResponse());
+  }
+
+  @Override
+  public boolean inResponse() {
+    return part != Part.STATUS_LINE || statusLine.begun();
+  }
+
   private void endHead() {
     int status = statusLine.status();
     ResponseFault.UPGRADE.unless(status != SWITCHING_PROTOCOLS);
--- a/hawthornlb-http/src/main/java/io/hawthornlb/http/support/StatusLineParser.java
+++ b/hawthornlb-http/src/main/java/io/hawthornlb/http/support/StatusLineParser.java
@@ -32,6 +32,11 @@
     return status;
   }
 
+  /** Returns whether an octet of the line was read. */
+  boolean begun() {
+    return position > 0;
+  }
+
   /** Reads an octet; returns whether it was the last one of the line. */
   boolean accept(byte octet) {
     int at = position;
--- a/hawthornlb-http/src/test/java/io/hawthornlb/http/support/ResponseGuardTest.java
+++ b/hawthornlb-http/src/test/java/io/hawthornlb/http/support/ResponseGuardTest.java
@@ -7,10 +7,15 @@
 import io.hawthornlb.http.BrokenResponseException;
 import io.hawthornlb.http.ResponseFault;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -125,6 +130,40 @@
     }
   }
 
+  /** Guards against an end that is assumed since nothing spoke against it. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '@',
+      value = {
+        "HTTP/1.1 200 OK%r%n%r%nbody   @ 200 body @ none",
+        "HTTP/1.1 200 OK%r%n%r%n       @ 200      @ none",
+        "HTTP/1.1 200 OK%r%nContent-Length: 5%r%n%r%nbody @ none @ none",
+        "%c4%r%nbody%r%n               @ none     @ none",
+        "%c4%r%nbody%r%n0%r%n          @ none     @ none",
+        "HTTP/1.1 200 OK%r%nA: b%r%n   @ none     @ none",
+        "HTTP/1.1 2                    @ none     @ none",
+        "HTTP/1.1 204 No%r%n%r%n       @ 204      @ 204",
+      })
+  void endsAResponseWithItsConnectionOnlyIfTheServerClosedIt(
+      String text, String closed, String brokenOff) {
+    EmbeddedChannel finished = channel();
+    write(finished, text, false);
+    finished.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+    assertEquals(closed, passedOn(finished));
+    assertEquals(false, finished.isActive());
+
+    EmbeddedChannel closedHere = channel();
+    write(closedHere, text, false);
+    closedHere.close();
+    assertEquals(brokenOff, passedOn(closedHere));
+
+    EmbeddedChannel reset = channel();
+    write(reset, text, false);
+    reset.pipeline().fireExceptionCaught(new IOException("reset"));
+    reset.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+    assertEquals(brokenOff, passedOn(reset));
+  }
+
   /** Returns the status and the body of the only response; fails if there is none or another. */
   private static String taken(String text, boolean single) {
     EmbeddedChannel channel = channel();
@@ -152,7 +191,31 @@
     return new EmbeddedChannel(
         new ResponseGuard(new GrammarScanner(() -> false)),
         new HttpResponseDecoder(),
-        new HttpObjectAggregator(1_000));
+        new HttpObjectAggregator(1_000),
+        new Reader());
+  }
+
+  /** Takes no response after a failure, like all handlers that read responses. */
+  private static final class Reader extends ChannelInboundHandlerAdapter {
+
+    private boolean failed;
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+      if (failed) {
+        ReferenceCountUtil.release(message);
+      } else {
+        ctx.fireChannelRead(message);
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable failure) {
+      if (!failed) {
+        ctx.fireExceptionCaught(failure);
+      }
+      failed = true;
+    }
   }
 
   private static void write(EmbeddedChannel channel, String text, boolean single) {
--- a/hawthornlb-net/src/test/java/io/hawthornlb/net/http/BrokenResponseTest.java
+++ b/hawthornlb-net/src/test/java/io/hawthornlb/net/http/BrokenResponseTest.java
@@ -44,6 +44,14 @@
       new HttpEndpointClient(EndpointClientSettings.DEFAULT);
   private final URI uri = URI.create("http://127.0.0.1:" + server.getLocalPort());
   private volatile String response = "";
+  private volatile End end = End.KEEP;
+
+  /** What the server does with the connection after a response. */
+  private enum End {
+    KEEP,
+    CLOSE,
+    RESET
+  }
 
   BrokenResponseTest() throws IOException {
     Thread thread = new Thread(this::serve, "server");
@@ -105,6 +113,46 @@
     }
   }
 
+  /** Guards against a response without a length that a reset cuts off and that looks whole. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 4 * 1_048_576})
+  void takesNoPartThatAResetCutsOff(int upload) {
+    end = End.RESET;
+    answer("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: a\n\n");
+    EndpointCall call =
+        new EndpointCall(
+            uri.getAuthority(), "POST", "/", List.of(), new byte[upload], TrafficKind.ONLINE);
+    EndpointCallException whole =
+        assertThrows(EndpointCallException.class, () -> endpoints.exchange(call, TIMEOUT).block());
+    assertEquals(EndpointFault.BROKEN, whole.fault());
+    EndpointCallException stream =
+        assertThrows(
+            EndpointCallException.class, () -> endpoints.events(call, TIMEOUT).blockLast());
+    assertEquals(EndpointFault.BROKEN, stream.fault());
+  }
+
+  /** Guards against a list of instances that a reset cuts off behind what looks like its end. */
+  @Test
+  void takesNoListThatAResetCutsOff() {
+    end = End.RESET;
+    String head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n";
+    answer(head + "{\"asOf\":\"2026-12-07T00:00:00Z\",\"instances\":[]}");
+    try (HttpInstanceListClient list = new HttpInstanceListClient(uri)) {
+      assertFails(
+          PlatformUnavailableException.class, list.list(), "the instance list did not respond");
+    }
+  }
+
+  /** Guards against a whole response that is lost since it ends with its connection. */
+  @Test
+  void takesAResponseThatEndsWithItsConnection() {
+    end = End.CLOSE;
+    answer("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: a\n\n");
+    assertEquals(9, endpoints.exchange(call("GET"), TIMEOUT).block().body().length);
+    assertEquals(List.of("a"), endpoints.events(call("GET"), TIMEOUT).collectList().block());
+    assertEquals(9, endpoints.exchange(call("GET"), TIMEOUT).block().body().length);
+  }
+
   /** Guards against a sound response that the check refuses. */
   @ParameterizedTest
   @ValueSource(strings = {"200 OK", "200 ", "200", "299 Any", "422 No", "599 Any"})
@@ -169,10 +217,20 @@
       while (readHead(socket.getInputStream())) {
         socket.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
         socket.getOutputStream().flush();
+        if (end == End.RESET) {
+          // The response must arrive before the reset.
+          Thread.sleep(50);
+          socket.setSoLinger(true, 0);
+        }
+        if (end != End.KEEP) {
+          return;
+        }
       }
     } catch (IOException e) {
       // The client has closed the connection.
       return;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
   }
 
