Believe no refusal whose answer was cut off

What callers saw: an answer with the marker that nothing had run, whose body broke off, still counted as "not run": a request that may run once was sent to a second endpoint. Nothing in an answer that is broken may count.

Change: AnswerRelay takes a refusal from an answer without an end only where this side ended it for its size; otherwise the attempt has failed as one that may have run. Items had this rule already. Rows show for items that no status and no event of a broken answer counts.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/front/AnswerRelay.java
@@ -182,9 +182,8 @@
 
   @Override
   public void onFailure(boolean sent, String cause) {
-    if (mode == Mode.NOT_RUN && response != null) {
-      // The header that marks a request as not run is final, so a body that breaks off changes
-      // nothing.
+    if (mode == Mode.NOT_RUN && response != null && unused.exceeded()) {
+      // The endpoint's refusal was sound as far as it was read; this side ended it for its size.
       forwarding.onNotRun(response.status().code());
     } else {
       if (sent) {
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/BrokenAnswerTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/front/BrokenAnswerTest.java
@@ -129,6 +129,17 @@
     assertTrue(causes.contains("the connection broke off inside the response"), causes::toString);
   }
 
+  /** Guards against a promise that nothing has run, from an answer that was cut off. */
+  @ParameterizedTest
+  @CsvSource({"503 Full,CLOSE", "503 Full,RESET", "421 Other,CLOSE"})
+  void believesNoRefusalThatIsCutOff(String status, After after) throws IOException {
+    String head = "HTTP/1.1 " + status + OWN + "Test-Not-Run: 1\r\nContent-Length: 9\r\n\r\n";
+    broken.whenever("", head + "part", after);
+    gateway.route(RouteKind.ONCE, 2, false, broken, sound);
+    assertEquals(502, gateway.call("/a/", "x").status());
+    assertEquals(List.of(), sound.requests());
+  }
+
   private void assertCountsForNothing(String answer, String cause) throws IOException {
     broken.whenever("", answer, After.KEEP);
     gateway.route(RouteKind.IDEMPOTENT, 2, false, broken, sound);
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/EndlessItemTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/job/EndlessItemTest.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class EndlessItemTest {
 
@@ -36,6 +37,25 @@
     }
   }
 
+  /** Guards against an item that ends by the status or the events of an answer that is broken. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "000 OK%r%nTest-Signature: s%r%nContent-Length: 15",
+        "200 OK%r%nTest-Signature: s%r%nX Y: v%r%nContent-Length: 15",
+        "200 OK%r%nTest-Signature: s%r%nContent-Length x: 0",
+        "422 No%r%nTest-Signature: s%r%nX Y: v%r%nContent-Length: 15",
+        "500 Failed%r%nTest-Signature: s%r%nX : v%r%nContent-Length: 15"
+      })
+  void runsAnItemAgainWhoseAnswerIsBroken(String head) throws Exception {
+    try (HolderFixture holder = new HolderFixture()) {
+      String broken = "HTTP/1.1 " + lines(head) + "\r\nTest-Id: {id}\r\n\r\nid: 1\ndata: b\n\n";
+      holder.endpoint().then(broken, After.KEEP).then(broken, After.KEEP).then(WHOLE, After.KEEP);
+      holder.start(JobFixture.config(2));
+      assertEquals(new JobResult("i1", true, "a"), holder.result());
+    }
+  }
+
   private static String lines(String text) {
     return text.replace("%r", "\r").replace("%n", "\n");
   }
