--- a/hawthornlb-net/src/main/java/io/hawthornlb/net/platform/support/PlatformHttp.java
+++ b/hawthornlb-net/src/main/java/io/hawthornlb/net/platform/support/PlatformHttp.java
@@ -12,6 +12,7 @@
 import io.micronaut.http.client.DefaultHttpClientConfiguration;
 import io.micronaut.http.client.HttpClient;
 import java.io.IOException;
+import java.net.MalformedURLException;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -52,7 +53,17 @@
     configuration.setMaxContentLength(MAX_RESPONSE_BYTES);
     configuration.setExceptionOnErrorStatus(false);
     configuration.setNumOfThreads(1);
-    this.client = GuardedHttpClients.create(baseUri, configuration, PipelineExtension.NONE);
+    this.client =
+        GuardedHttpClients.create(requireUrl(baseUri), configuration, PipelineExtension.NONE);
+  }
+
+  private static URI requireUrl(URI baseUri) {
+    try {
+      baseUri.toURL();
+      return baseUri;
+    } catch (MalformedURLException e) {
+      throw new IllegalArgumentException("platform address " + baseUri + " is not a valid URL", e);
+    }
   }
 
   /** Returns the response, whatever its status. Fails if there is none within the timeout. */
