Fail a request whose answer was being read when a handler failed

Cause: dropped the check for a failure at the end of an answer, since the guard reports resets by itself. A failure of a handler behind the decoder does not pass the guard, and the decoder goes on to the end of what it has read: a part would have been taken as whole. Found by reading, not seen. Change: the check is back.

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/wire/EndpointHandler.java
@@ -274,6 +274,11 @@
   private void onResponseEnd(Channel channel, PooledCall current) {
     inAnswer = false;
     call = null;
+    if (reset) {
+      // After a failure here, the decoder still passes on what it has read already.
+      current.failed("the connection was reset" + cause);
+      return;
+    }
     boolean keep =
         reusable
             && !carried.full()
