Show the line of a broken answer once in an explanation

What operators saw: explain printed a line of the part "endpoint" twice where it names both the id and the endpoint of the id's other lines, as connection.distrusted does: once as a line of the id and once as context. Change: lines of the id are not taken as context once more. GrammarScanner's comment names what it takes beside the grammar. Red before: ExplanationTest.leadsFromARequestToWhatWasBrokenInItsAnswer, without the change of Explanation.

--- a/hawthornlb-app/src/main/java/io/hawthornlb/app/explain/Explanation.java
+++ b/hawthornlb-app/src/main/java/io/hawthornlb/app/explain/Explanation.java
@@ -66,8 +66,10 @@
     List<LogEvent> lines = new ArrayList<>(ownLines);
     Set<String> blocked = blockedParts(ownLines);
     for (LogEvent event : events) {
-      if (!ownLines.contains(event)
-          && (isEvidence(event, blocked) || isRefusingConfig(event, ownLines))) {
+      if (ownLines.contains(event)) {
+        continue;
+      }
+      if (isEvidence(event, blocked) || isRefusingConfig(event, ownLines)) {
         lines.add(event);
         continue;
       }
--- a/hawthornlb-app/src/test/java/io/hawthornlb/app/explain/ExplanationTest.java
+++ b/hawthornlb-app/src/test/java/io/hawthornlb/app/explain/ExplanationTest.java
@@ -92,6 +92,20 @@
     assertEquals(1, Explanation.of(id, reader.events()).size());
   }
 
+  /** Guards against a request that failed for a broken answer, of which nobody sees how. */
+  @Test
+  void leadsFromARequestToWhatWasBrokenInItsAnswer() throws IOException {
+    Path log =
+        write(
+            "a.log",
+            line(1, "front", "request.sent", "\"id\":\"r1\",\"endpoint\":\"e1\""),
+            line(2, "endpoint", "connection.distrusted", "\"id\":\"r1\",\"endpoint\":\"e1\""),
+            line(2, "front", "endpoint.failed", "\"id\":\"r1\",\"endpoint\":\"e1\""));
+    assertEquals(
+        List.of("front request.sent", "endpoint connection.distrusted", "front endpoint.failed"),
+        names("r1", log));
+  }
+
   /** Guards against a refused stream of which nobody sees where it began. */
   @Test
   void leadsFromAnAttemptToTheOneThatBeganItsStream() throws IOException {
--- a/hawthornlb-http/src/main/java/io/hawthornlb/http/support/GrammarScanner.java
+++ b/hawthornlb-http/src/main/java/io/hawthornlb/http/support/GrammarScanner.java
@@ -4,7 +4,10 @@
 import io.hawthornlb.http.ResponseScanner;
 import java.util.function.BooleanSupplier;
 
-/** Scanner that follows the grammar of RFC 9112, and takes nothing that it does not allow. */
+/**
+ * Scanner that follows the grammar of RFC 9112. Beside it, it takes a status line without the space
+ * before a missing reason, and blanks behind the size of a chunk.
+ */
 public final class GrammarScanner implements ResponseScanner {
 
   private static final int SWITCHING_PROTOCOLS = 101;
