Take no relayed reply with a status above 599

Change: 100 to 599. Red before: 2 of 4 new rows (0 and 99 were refused). Result: the tests of the relay green (35).

--- a/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayCodec.java
+++ b/hawthornlb-gateway/src/main/java/io/hawthornlb/gateway/relay/RelayCodec.java
@@ -19,7 +19,7 @@
   private static final int FAILURE = 3;
 
   private static final int MIN_STATUS = 100;
-  private static final int MAX_STATUS = 999;
+  private static final int MAX_STATUS = 599;
 
   /** Maximum timeout of a call; calls to the store take at most 35 s. */
   private static final Duration MAX_TIMEOUT = Duration.ofMinutes(5);
--- a/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/RelayCodecTest.java
+++ b/hawthornlb-gateway/src/test/java/io/hawthornlb/gateway/relay/RelayCodecTest.java
@@ -51,6 +51,14 @@
     assertEquals(failure, RelayCodec.decode(RelayCodec.encode(failure)));
   }
 
+  /** Guards against a reply whose status HTTP does not have, from an instance that checks none. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 99, 600, 999})
+  void rejectsRepliesWithoutAStatus(int status) {
+    byte[] frame = RelayCodec.encode(new RelayMessage.Reply(7, status, Map.of(), BODY));
+    assertThrows(UnreadableException.class, () -> RelayCodec.decode(frame));
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"", "GET / HTTP/1.1", "\u0001\u0002"})
   void rejectsInvalidFrames(String text) {
